--- /dev/null
+++ b/eslint.config.mjs
@@ -0,0 +1,75 @@
+import { configs, plugins } from 'eslint-config-airbnb-extended';
+import prettier from 'eslint-config-prettier';
+import tseslint from 'typescript-eslint';
+
+// Deviations from Airbnb's rules, each with its reason; docs/style.md repeats them.
+const deviations = {
+  // Named exports only, as in the model project: a file's export keeps one name everywhere.
+  'import-x/prefer-default-export': 'off',
+  // NodeNext resolution requires the extension in relative imports; the compiler checks paths.
+  'import-x/extensions': 'off',
+  'import-x/no-unresolved': 'off',
+  // One async task per connection and peer is written straight down with loops that await.
+  'no-await-in-loop': 'off',
+  'no-continue': 'off',
+  // The compiler checks that switches are exhaustive and that every path returns.
+  'consistent-return': 'off',
+  'default-case': 'off',
+  'no-void': ['error', { allowAsStatement: true }],
+  // `for...of` is needed for async iteration; the other restrictions of Airbnb stay.
+  'no-restricted-syntax': [
+    'error',
+    { selector: 'ForInStatement', message: 'Use Object.entries or Object.keys.' },
+    { selector: 'LabeledStatement', message: 'Labels are a form of goto.' },
+    { selector: 'WithStatement', message: 'with is not allowed in strict mode.' },
+    { selector: 'ThrowStatement > Literal', message: 'Throw a typed error.' },
+    { selector: 'ThrowStatement > TemplateLiteral', message: 'Throw a typed error.' },
+  ],
+};
+
+export default [
+  { ignores: ['**/node_modules/**', '**/dist/**', 'docs/**'] },
+  plugins.stylistic,
+  plugins.importX,
+  ...configs.base.recommended,
+  plugins.typescriptEslint,
+  ...configs.base.typescript,
+  prettier,
+  {
+    files: ['**/*.ts'],
+    plugins: { '@typescript-eslint': tseslint.plugin },
+    languageOptions: {
+      parser: tseslint.parser,
+      parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname },
+    },
+    rules: {
+      ...deviations,
+      '@typescript-eslint/consistent-type-imports': 'error',
+      '@typescript-eslint/explicit-module-boundary-types': 'error',
+      '@typescript-eslint/no-unused-vars': ['error', { argsIgnorePattern: '^_' }],
+      '@typescript-eslint/no-floating-promises': 'error',
+      '@typescript-eslint/switch-exhaustiveness-check': [
+        'error',
+        { considerDefaultExhaustiveForUnions: true },
+      ],
+      // The rule does not recognize the error classes of modern-errors; `no-restricted-syntax`
+      // above forbids throwing literals.
+      '@typescript-eslint/only-throw-error': 'off',
+      '@typescript-eslint/prefer-promise-reject-errors': 'off',
+      'prefer-promise-reject-errors': 'off',
+      // Replies of fastify are thenables that must not be awaited.
+      '@typescript-eslint/return-await': 'off',
+      // Its fixer removes assertions that widen the properties of error classes.
+      '@typescript-eslint/no-unnecessary-type-assertion': 'off',
+      // Factories close over state objects and change their properties.
+      'no-param-reassign': ['error', { props: false }],
+      // Checked per package in package.json; the root holds the shared development tools.
+      'import-x/no-extraneous-dependencies': 'off',
+    },
+  },
+  {
+    files: ['**/*.mjs'],
+    languageOptions: { globals: { process: 'readonly' } },
+    rules: { ...deviations, 'import-x/no-extraneous-dependencies': 'off' },
+  },
+];
--- /dev/null
+++ b/packages/adapters/src/callers/CallerApi.ts
@@ -0,0 +1,32 @@
+import type {
+  CallerFacts,
+  Headers,
+  InferenceAnswer,
+  InferenceRoute,
+  ServiceAnswer,
+  ServiceRequest,
+} from '@camphorbarrow/core';
+
+/** List of entry hosts for callers, best first. */
+export interface EntryHostList {
+  readonly region: string;
+  readonly entryHostUrls: readonly string[];
+  readonly validForMs: number;
+}
+
+/** What the caller listener needs from the gateway. Methods throw or reject with `RequestError`. */
+export interface CallerApi {
+  /** Authenticates and checks the headers, before the body is read. */
+  readCaller(headers: Headers): CallerFacts;
+  infer(
+    facts: CallerFacts,
+    route: InferenceRoute,
+    body: string,
+    signal: AbortSignal,
+  ): Promise<InferenceAnswer>;
+  callService(request: ServiceRequest, signal: AbortSignal): Promise<ServiceAnswer>;
+  models(): readonly string[];
+  entryHosts(): EntryHostList;
+  /** Whether the host can take requests; the reason when it can't. */
+  readiness(): { readonly ready: boolean; readonly reason: string };
+}
--- /dev/null
+++ b/packages/adapters/src/callers/streamEvents.ts
@@ -0,0 +1,31 @@
+import type { ServerResponse } from 'node:http';
+import { once } from 'node:events';
+import { toErrorBody } from './toErrorBody.js';
+
+/**
+ * Writes server-sent events with backpressure. A failure in the middle of the stream is sent as an
+ * `error` event without `[DONE]`, so that a caller never takes a part for the whole answer.
+ */
+export async function streamEvents(
+  response: ServerResponse,
+  events: AsyncIterable<string>,
+  signal: AbortSignal,
+): Promise<void> {
+  response.writeHead(200, {
+    'content-type': 'text/event-stream; charset=utf-8',
+    'cache-control': 'no-cache',
+  });
+  try {
+    for await (const data of events) {
+      if (!response.write(`data: ${data}\n\n`)) {
+        await once(response, 'drain', { signal });
+      }
+    }
+  } catch (error) {
+    if (!signal.aborted) {
+      response.write(`event: error\ndata: ${JSON.stringify(toErrorBody(error).body)}\n\n`);
+    }
+  } finally {
+    response.end();
+  }
+}
--- /dev/null
+++ b/packages/adapters/src/callers/toErrorBody.ts
@@ -0,0 +1,37 @@
+import { RequestError } from '@camphorbarrow/core';
+
+/** JSON body of a refusal (docs/api.md). */
+export interface ErrorBody {
+  readonly error: {
+    readonly message: string;
+    readonly type: string;
+    readonly code: string;
+    readonly param: null;
+    readonly outcome: string;
+    readonly retryAfterMs?: number;
+    readonly details?: Readonly<Record<string, unknown>>;
+  };
+}
+
+/** Maps any failure to the public error form; unknown errors show no internal text. */
+export function toErrorBody(error: unknown): { statusCode: number; body: ErrorBody } {
+  const known =
+    error instanceof RequestError
+      ? error
+      : new RequestError('The gateway failed.', { cause: error });
+  const { message, code, outcome, statusCode, retryAfterMs, details } = known;
+  return {
+    statusCode,
+    body: {
+      error: {
+        message,
+        type: statusCode < 500 ? 'invalid_request_error' : 'server_error',
+        code,
+        param: null,
+        outcome,
+        ...(retryAfterMs === undefined ? {} : { retryAfterMs }),
+        ...(Object.keys(details).length === 0 ? {} : { details }),
+      },
+    },
+  };
+}
--- /dev/null
+++ b/packages/adapters/src/http/requestJson.ts
@@ -0,0 +1,41 @@
+import { request } from 'undici';
+import type { Dispatcher } from 'undici';
+import { PlatformError } from '@camphorbarrow/core';
+import { classifyHttpError } from './classifyHttpError.js';
+
+export interface JsonRequest {
+  readonly url: string;
+  readonly method: 'GET' | 'POST' | 'PUT';
+  readonly body?: unknown;
+  readonly timeoutMs: number;
+  readonly dispatcher: Dispatcher;
+  readonly headers?: Readonly<Record<string, string>>;
+}
+
+/**
+ * Exchanges JSON with a platform service.
+ *
+ * @throws ConnectFailedError, AttemptBrokenError, ProgressTimeoutError, or PlatformError for a
+ * status other than 2xx
+ */
+export async function requestJson(options: JsonRequest): Promise<unknown> {
+  try {
+    const response = await request(options.url, {
+      method: options.method,
+      dispatcher: options.dispatcher,
+      signal: AbortSignal.timeout(options.timeoutMs),
+      headers: {
+        ...options.headers,
+        ...(options.body === undefined ? {} : { 'content-type': 'application/json' }),
+      },
+      body: options.body === undefined ? null : JSON.stringify(options.body),
+    });
+    const text = await response.body.text();
+    if (response.statusCode < 200 || response.statusCode > 299) {
+      throw new PlatformError(`${options.method} answered ${response.statusCode}.`);
+    }
+    return text === '' ? undefined : JSON.parse(text);
+  } catch (cause) {
+    throw classifyHttpError(cause);
+  }
+}
--- /dev/null
+++ b/packages/adapters/src/peers/heartbeatSchema.ts
@@ -0,0 +1,28 @@
+import { z } from 'zod';
+import { asId } from '@camphorbarrow/core';
+import type {
+  AvailabilityZoneId,
+  Heartbeat,
+  HostId,
+  Incarnation,
+  RegionId,
+} from '@camphorbarrow/core';
+
+const peerDescriptionSchema = z.object({
+  hostId: z.string().transform((id) => asId<HostId>(id)),
+  incarnation: z.string().transform((id) => asId<Incarnation>(id)),
+  startedAtMs: z.number(),
+  regionId: z.string().transform((id) => asId<RegionId>(id)),
+  availabilityZoneId: z.string().transform((id) => asId<AvailabilityZoneId>(id)),
+  callerUrl: z.url(),
+  peerUrl: z.url(),
+  state: z.enum(['live', 'draining']),
+  sequence: z.int().min(0),
+  configVersion: z.int().min(0),
+});
+
+/** Wire form of a heartbeat. */
+export const heartbeatSchema = z.object({
+  sender: peerDescriptionSchema,
+  known: z.array(peerDescriptionSchema).max(256),
+}) satisfies z.ZodType<Heartbeat>;
--- /dev/null
+++ b/packages/adapters/src/platform/createEtcdKeyValueStore.ts
@@ -0,0 +1,156 @@
+import { Agent, request } from 'undici';
+import { z } from 'zod';
+import { StoreUnavailableError, asId } from '@camphorbarrow/core';
+import type { KeyValue, KeyValueStore, LeaseId, WatchEvent } from '@camphorbarrow/core';
+import { requestJson } from '../http/requestJson.js';
+import { readJsonLines } from './readJsonLines.js';
+
+export interface EtcdKeyValueStoreOptions {
+  /** Base URL of the service with an IP address. */
+  readonly url: string;
+  readonly timeoutMs: number;
+}
+
+const base64 = (text: string): string => Buffer.from(text, 'utf8').toString('base64');
+const fromBase64 = (text: string): string => Buffer.from(text, 'base64').toString('utf8');
+
+const keyValueSchema = z.looseObject({
+  key: z.string(),
+  value: z.string().default(''),
+  mod_revision: z.coerce.number().default(0),
+});
+const rangeSchema = z.looseObject({ kvs: z.array(keyValueSchema).default([]) });
+const txnSchema = z.looseObject({
+  header: z.looseObject({ revision: z.coerce.number() }),
+  succeeded: z.boolean().default(false),
+  responses: z.array(z.looseObject({ response_range: rangeSchema.optional() })).default([]),
+});
+const leaseSchema = z.looseObject({ ID: z.string() });
+const keepAliveSchema = z.looseObject({
+  result: z.looseObject({ TTL: z.coerce.number().default(0) }),
+});
+const watchSchema = z.looseObject({
+  result: z
+    .looseObject({
+      events: z
+        .array(z.looseObject({ type: z.string().default('PUT'), kv: keyValueSchema }))
+        .default([]),
+    })
+    .optional(),
+});
+
+type RawKeyValue = z.infer<typeof keyValueSchema>;
+
+function toKeyValue(raw: RawKeyValue): KeyValue {
+  return { key: fromBase64(raw.key), value: fromBase64(raw.value), modRevision: raw.mod_revision };
+}
+
+/** First key after all keys with the prefix. */
+function rangeEnd(prefix: string): string {
+  const bytes = Buffer.from(prefix, 'utf8');
+  bytes[bytes.length - 1] = (bytes.at(-1) ?? 0) + 1;
+  return bytes.toString('base64');
+}
+
+/** Key-value service in the JSON form of the etcd v3 interface. */
+export function createEtcdKeyValueStore(options: EtcdKeyValueStoreOptions): KeyValueStore {
+  const agent = new Agent({ connectTimeout: options.timeoutMs, bodyTimeout: 0, headersTimeout: 0 });
+
+  async function call<Schema extends z.ZodType>(
+    path: string,
+    body: unknown,
+    schema: Schema,
+  ): Promise<z.infer<Schema>> {
+    try {
+      const answer = await requestJson({
+        url: `${options.url}${path}`,
+        method: 'POST',
+        body,
+        timeoutMs: options.timeoutMs,
+        dispatcher: agent,
+      });
+      return schema.parse(answer);
+    } catch (cause) {
+      throw new StoreUnavailableError('The key-value service did not answer.', { cause });
+    }
+  }
+
+  async function* watch(prefix: string, signal: AbortSignal): AsyncGenerator<WatchEvent, void> {
+    try {
+      const response = await request(`${options.url}/v3/watch`, {
+        method: 'POST',
+        dispatcher: agent,
+        signal,
+        headers: { 'content-type': 'application/json' },
+        body: JSON.stringify({
+          create_request: { key: base64(prefix), range_end: rangeEnd(prefix) },
+        }),
+      });
+      for await (const line of readJsonLines(response.body)) {
+        const events = watchSchema.parse(line).result?.events ?? [];
+        for (const { type, kv } of events) {
+          yield { kind: type === 'DELETE' ? 'delete' : 'put', ...toKeyValue(kv) };
+        }
+      }
+    } catch (cause) {
+      if (!signal.aborted) {
+        throw new StoreUnavailableError('The watch broke.', { cause });
+      }
+    }
+  }
+
+  return {
+    async get(key) {
+      const { kvs } = await call('/v3/kv/range', { key: base64(key) }, rangeSchema);
+      return kvs[0] === undefined ? undefined : toKeyValue(kvs[0]);
+    },
+    async list(prefix) {
+      const body = { key: base64(prefix), range_end: rangeEnd(prefix) };
+      const { kvs } = await call('/v3/kv/range', body, rangeSchema);
+      return kvs.map(toKeyValue);
+    },
+    async compareAndSwap({ key, expectedRevision, value, leaseId }) {
+      const put = { key: base64(key), value: base64(value), lease: leaseId ?? '0' };
+      const answer = await call(
+        '/v3/kv/txn',
+        {
+          compare: [
+            {
+              key: base64(key),
+              target: 'MOD',
+              result: 'EQUAL',
+              mod_revision: String(expectedRevision),
+            },
+          ],
+          success: [{ request_put: put }],
+          failure: [{ request_range: { key: base64(key) } }],
+        },
+        txnSchema,
+      );
+      if (answer.succeeded) {
+        return { swapped: true, modRevision: answer.header.revision };
+      }
+      const current = answer.responses[0]?.response_range?.kvs[0];
+      return {
+        swapped: false,
+        current: current === undefined ? undefined : toKeyValue(current),
+      };
+    },
+    async delete(key) {
+      await call('/v3/kv/deleterange', { key: base64(key) }, z.unknown());
+    },
+    async grantLease(ttlSeconds) {
+      const answer = await call('/v3/lease/grant', { TTL: String(ttlSeconds) }, leaseSchema);
+      return asId<LeaseId>(answer.ID);
+    },
+    async keepAlive(leaseId) {
+      const answer = await call('/v3/lease/keepalive', { ID: leaseId }, keepAliveSchema);
+      return answer.result.TTL;
+    },
+    async revokeLease(leaseId) {
+      await call('/v3/lease/revoke', { ID: leaseId }, z.unknown());
+    },
+    watch,
+    close: () => agent.destroy(),
+  };
+}
--- /dev/null
+++ b/packages/adapters/src/platform/createHttpClientDirectory.ts
@@ -0,0 +1,25 @@
+import { Agent } from 'undici';
+import type { ClientDirectory } from '@camphorbarrow/core';
+import { requestJson } from '../http/requestJson.js';
+
+export interface HttpClientDirectoryOptions {
+  readonly url: string;
+  readonly timeoutMs: number;
+}
+
+/** The platform's client directory over HTTP (docs/platform.md). */
+export function createHttpClientDirectory(options: HttpClientDirectoryOptions): ClientDirectory {
+  const agent = new Agent({ connectTimeout: options.timeoutMs });
+  return {
+    async publish({ regionId, entryHostUrls, validForMs }) {
+      await requestJson({
+        url: `${options.url}/v1/directory/${encodeURIComponent(regionId)}`,
+        method: 'PUT',
+        body: { entryHostUrls, validForMs },
+        timeoutMs: options.timeoutMs,
+        dispatcher: agent,
+      });
+    },
+    close: () => agent.destroy(),
+  };
+}
--- /dev/null
+++ b/packages/core/src/errors/SettingsError.ts
@@ -0,0 +1,14 @@
+import ModernError from 'modern-errors';
+
+/** One problem in a settings or configuration file. Lines and columns start at 1. */
+export interface SettingsProblem {
+  readonly path: string;
+  readonly line: number;
+  readonly column: number;
+  readonly message: string;
+}
+
+/** A settings or configuration file is not valid. */
+export const SettingsError = ModernError.subclass('SettingsError', {
+  props: { problems: [] as readonly SettingsProblem[] },
+});
--- /dev/null
+++ b/packages/core/src/membership/createPeerTable.ts
@@ -0,0 +1,197 @@
+import type { HostId } from '../ids/HostId.js';
+import type { RegionId } from '../ids/RegionId.js';
+import type { Clock } from '../ports/Clock.js';
+import type { KeyValueStore, LeaseId } from '../ports/KeyValueStore.js';
+import type { LogSink } from '../ports/LogSink.js';
+import type { PeerClient } from '../ports/PeerClient.js';
+import type { RandomSource } from '../ports/RandomSource.js';
+import type { Heartbeat } from './Heartbeat.js';
+import type { PeerDescription } from './PeerDescription.js';
+import type { PeerView } from './PeerView.js';
+import { shuffle } from './shuffle.js';
+
+/** Registrations of entry hosts in the key-value service. */
+const REGISTRATION_PREFIX = '/hosts/';
+const REGISTRATION_TTL_SECONDS = 30;
+const REGISTRATION_INTERVAL_MS = 10_000;
+const HEARTBEAT_INTERVAL_MS = 1_000;
+const HEARTBEAT_FANOUT = 8;
+const MAX_KNOWN_IN_HEARTBEAT = 32;
+const FAILURE_TIMEOUT_MS = 3_500;
+const FORGET_AFTER_MS = 120_000;
+
+export interface PeerTableOptions {
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly log: LogSink;
+  readonly store: KeyValueStore;
+  readonly peerClient: PeerClient;
+  /** Description of this entry host, with its current state, without its sequence number. */
+  readonly self: () => Omit<PeerDescription, 'sequence'>;
+  /** Peer URLs tried while no peer is known. */
+  readonly seedPeerUrls: readonly string[];
+  /** Called for every description that arrives, for example to fetch a newer configuration. */
+  readonly onPeer: (peer: PeerDescription) => void;
+}
+
+export interface PeerTable {
+  peers(): readonly PeerView[];
+  /** Reachable peers of a region that take new requests. */
+  livePeers(regionId: RegionId): readonly PeerView[];
+  /** Answers a peer's heartbeat. */
+  receive(message: Heartbeat): Heartbeat;
+  /** Sends heartbeats to the peers at once, for example after a change of state. */
+  announce(): Promise<void>;
+  start(): void;
+  close(): Promise<void>;
+}
+
+interface PeerState {
+  description: PeerDescription;
+  heardAtMs: number;
+}
+
+function isNewer(candidate: PeerDescription, known: PeerDescription): boolean {
+  if (candidate.startedAtMs !== known.startedAtMs) {
+    return candidate.startedAtMs > known.startedAtMs;
+  }
+  return candidate.sequence > known.sequence;
+}
+
+/** Creates the view of the other entry hosts, kept by heartbeats and by registrations. */
+export function createPeerTable(options: PeerTableOptions): PeerTable {
+  const { clock, random, log, store, peerClient } = options;
+  const states = new Map<HostId, PeerState>();
+  const stopping = new AbortController();
+  const tasks: Promise<void>[] = [];
+  let sequence = 0;
+  let leaseId: LeaseId | undefined;
+
+  function describeSelf(): PeerDescription {
+    return { ...options.self(), sequence };
+  }
+
+  function learn(description: PeerDescription): void {
+    if (description.hostId === options.self().hostId) {
+      return;
+    }
+    const known = states.get(description.hostId);
+    if (known !== undefined && !isNewer(description, known.description)) {
+      return;
+    }
+    states.set(description.hostId, { description, heardAtMs: clock.monotonicMs() });
+    options.onPeer(description);
+  }
+
+  function isReachable(state: PeerState): boolean {
+    return clock.monotonicMs() - state.heardAtMs < FAILURE_TIMEOUT_MS;
+  }
+
+  function forgetOld(): void {
+    const oldest = clock.monotonicMs() - FORGET_AFTER_MS;
+    [...states]
+      .filter(([, state]) => state.heardAtMs < oldest)
+      .forEach(([id]) => states.delete(id));
+  }
+
+  function createHeartbeat(): Heartbeat {
+    const reachable = [...states.values()].filter(isReachable).map((state) => state.description);
+    return {
+      sender: describeSelf(),
+      known: shuffle(reachable, random).slice(0, MAX_KNOWN_IN_HEARTBEAT),
+    };
+  }
+
+  function receive(message: Heartbeat): Heartbeat {
+    learn(message.sender);
+    message.known.forEach(learn);
+    return createHeartbeat();
+  }
+
+  async function exchange(peerUrl: string): Promise<void> {
+    try {
+      const answer = await peerClient.heartbeat(peerUrl, createHeartbeat());
+      learn(answer.sender);
+      answer.known.forEach(learn);
+    } catch (cause) {
+      log.warn('heartbeat-failed', { peerUrl, error: String(cause) });
+    }
+  }
+
+  function targets(): readonly string[] {
+    const known = [...states.values()].map((state) => state.description.peerUrl);
+    const unseen = options.seedPeerUrls.filter((url) => !known.includes(url));
+    const own = options.self().peerUrl;
+    return shuffle([...known, ...unseen], random)
+      .filter((url) => url !== own)
+      .slice(0, HEARTBEAT_FANOUT);
+  }
+
+  async function announce(): Promise<void> {
+    sequence += 1;
+    await Promise.all(targets().map(exchange));
+  }
+
+  async function beat(): Promise<void> {
+    while (!stopping.signal.aborted) {
+      forgetOld();
+      await announce();
+      await clock.sleep(HEARTBEAT_INTERVAL_MS, stopping.signal).catch(() => undefined);
+    }
+  }
+
+  async function register(): Promise<void> {
+    const self = describeSelf();
+    const key = `${REGISTRATION_PREFIX}${self.regionId}/${self.hostId}`;
+    leaseId = await store.grantLease(REGISTRATION_TTL_SECONDS);
+    const current = await store.get(key);
+    await store.compareAndSwap({
+      key,
+      expectedRevision: current?.modRevision ?? 0,
+      value: JSON.stringify(self),
+      leaseId,
+    });
+    const registered = await store.list(REGISTRATION_PREFIX);
+    registered.forEach(({ value }) => learn(JSON.parse(value) as PeerDescription));
+  }
+
+  async function keepRegistration(): Promise<void> {
+    while (!stopping.signal.aborted) {
+      try {
+        if (leaseId === undefined || (await store.keepAlive(leaseId)) === 0) {
+          await register();
+        }
+      } catch (cause) {
+        log.warn('registration-failed', { error: String(cause) });
+      }
+      await clock.sleep(REGISTRATION_INTERVAL_MS, stopping.signal).catch(() => undefined);
+    }
+  }
+
+  async function unregister(): Promise<void> {
+    if (leaseId !== undefined) {
+      await store.revokeLease(leaseId).catch(() => undefined);
+    }
+  }
+
+  const peers = (): PeerView[] =>
+    [...states.values()].map((state) => ({ ...state.description, reachable: isReachable(state) }));
+
+  return {
+    peers,
+    livePeers: (regionId) =>
+      peers().filter(
+        (peer) => peer.regionId === regionId && peer.reachable && peer.state === 'live',
+      ),
+    receive,
+    announce,
+    start() {
+      tasks.push(beat(), keepRegistration());
+    },
+    async close() {
+      stopping.abort();
+      await Promise.all(tasks);
+      await unregister();
+    },
+  };
+}
--- /dev/null
+++ b/packages/core/src/ports/Clock.ts
@@ -0,0 +1,9 @@
+/** Source of time. Wall-clock time is for records; durations use the monotonic clock. */
+export interface Clock {
+  /** Wall-clock time in milliseconds since the Unix epoch. */
+  nowMs(): number;
+  /** Monotonic time in milliseconds from an arbitrary origin. */
+  monotonicMs(): number;
+  /** Resolves after `durationMs`, or rejects with the signal's reason when it aborts first. */
+  sleep(durationMs: number, signal?: AbortSignal): Promise<void>;
+}
--- /dev/null
+++ b/packages/core/src/ports/LogSink.ts
@@ -0,0 +1,8 @@
+export type LogFields = Readonly<Record<string, string | number | boolean | null | undefined>>;
+
+/** Structured log. Fields never hold a prompt, an answer or a key. */
+export interface LogSink {
+  info(event: string, fields?: LogFields): void;
+  warn(event: string, fields?: LogFields): void;
+  error(event: string, fields?: LogFields, cause?: unknown): void;
+}
--- /dev/null
+++ b/packages/core/src/requests/CallerFacts.ts
@@ -0,0 +1,19 @@
+import type { FleetDefaults } from '../config/FleetDefaults.js';
+import type { CustomerId } from '../ids/CustomerId.js';
+import type { HostId } from '../ids/HostId.js';
+import type { RegionId } from '../ids/RegionId.js';
+import type { RequestId } from '../ids/RequestId.js';
+import type { Rank } from './Rank.js';
+
+/** What the headers of a request say, known before its body is read. */
+export interface CallerFacts {
+  readonly requestId: RequestId;
+  readonly customerId: CustomerId;
+  readonly homeRegionId: RegionId | undefined;
+  readonly rank: Rank | undefined;
+  readonly deadlineMs: number | undefined;
+  readonly idempotencyKey: string | undefined;
+  readonly path: readonly HostId[];
+  readonly receivedAtMs: number;
+  readonly settings: FleetDefaults;
+}
--- /dev/null
+++ b/packages/core/src/requests/InferenceRequest.ts
@@ -0,0 +1,35 @@
+import type { FleetDefaults } from '../config/FleetDefaults.js';
+import type { CustomerId } from '../ids/CustomerId.js';
+import type { Fingerprint } from '../ids/Fingerprint.js';
+import type { HostId } from '../ids/HostId.js';
+import type { RegionId } from '../ids/RegionId.js';
+import type { RequestId } from '../ids/RequestId.js';
+import type { InferenceRoute } from '../ports/EngineClient.js';
+import type { Rank } from './Rank.js';
+
+/** An authenticated and validated inference request. */
+export interface InferenceRequest {
+  readonly requestId: RequestId;
+  readonly customerId: CustomerId;
+  readonly rank: Rank;
+  /** The region the request's data may not leave; undefined when it may be served anywhere. */
+  readonly homeRegionId: RegionId | undefined;
+  readonly route: InferenceRoute;
+  readonly model: string;
+  readonly streamed: boolean;
+  readonly body: string;
+  readonly promptTokens: number;
+  readonly maxOutputTokens: number;
+  readonly receivedAtMs: number;
+  /** Monotonic time by which the first token has to be sent. */
+  readonly firstTokenDueAtMs: number;
+  /** Monotonic time after which the answer is worthless. */
+  readonly deadlineAtMs: number;
+  readonly fingerprint: Fingerprint;
+  /** Hashes of the prompt's prefix blocks, shortest prefix first. */
+  readonly blockHashes: readonly string[];
+  /** Entry hosts the request has visited, in order; empty when it comes from a caller. */
+  readonly path: readonly HostId[];
+  /** Fleet defaults with the exceptions for this request applied. */
+  readonly settings: FleetDefaults;
+}
--- /dev/null
+++ b/packages/core/src/requests/Rank.ts
@@ -0,0 +1,2 @@
+/** Urgent: a person waits for the answer. Patient: long drafts. */
+export type Rank = 'urgent' | 'patient';
--- /dev/null
+++ b/packages/core/src/requests/createCallerReader.ts
@@ -0,0 +1,180 @@
+import { createHash, randomUUID } from 'node:crypto';
+import type { FleetDocument } from '../config/FleetDocument.js';
+import { effectiveDefaults } from '../config/effectiveDefaults.js';
+import { InvalidHeaderError } from '../errors/InvalidHeaderError.js';
+import { LoopDetectedError } from '../errors/LoopDetectedError.js';
+import { UnauthenticatedError } from '../errors/UnauthenticatedError.js';
+import { UnknownRegionError } from '../errors/UnknownRegionError.js';
+import { WrongRegionError } from '../errors/WrongRegionError.js';
+import type { CustomerId } from '../ids/CustomerId.js';
+import type { HostId } from '../ids/HostId.js';
+import type { RegionId } from '../ids/RegionId.js';
+import type { RequestId } from '../ids/RequestId.js';
+import { asId } from '../ids/asId.js';
+import type { Clock } from '../ports/Clock.js';
+import type { CallerFacts } from './CallerFacts.js';
+import type { Headers } from './Headers.js';
+import type { Rank } from './Rank.js';
+import { headerNames } from './headerNames.js';
+import { singleHeader } from './singleHeader.js';
+
+const MAX_DEADLINE_MS = 3_600_000;
+const MAX_IDEMPOTENCY_KEY_LENGTH = 255;
+const MAX_PATH_HOSTS = 2;
+
+export interface CallerReaderOptions {
+  readonly clock: Clock;
+  readonly hostId: HostId;
+  readonly regionId: RegionId;
+  /** Current fleet configuration; throws NoConfigurationError when there is none. */
+  readonly configuration: () => FleetDocument;
+  /** Regions known from the host list and from membership. */
+  readonly knownRegions: () => ReadonlySet<RegionId>;
+  /** Base URLs of a region's entry hosts, best first. */
+  readonly entryHostUrls: (regionId: RegionId) => readonly string[];
+}
+
+export interface CallerReader {
+  /** Facts of a caller's request from its headers, before its body is read. */
+  readCaller(headers: Headers): CallerFacts;
+  /** Facts of a request forwarded by a peer that has already been authenticated. */
+  readForwarded(headers: Headers): CallerFacts;
+}
+
+function readRank(headers: Headers): Rank | undefined {
+  const value = singleHeader(headers, headerNames.rank);
+  if (value === undefined || value === 'urgent' || value === 'patient') {
+    return value;
+  }
+  throw new InvalidHeaderError(`Header ${headerNames.rank} must be "urgent" or "patient".`);
+}
+
+function readDeadlineMs(headers: Headers): number | undefined {
+  const value = singleHeader(headers, headerNames.deadline);
+  if (value === undefined) {
+    return undefined;
+  }
+  const deadlineMs = /^\d{1,8}$/.test(value) ? Number(value) : 0;
+  if (deadlineMs < 1 || deadlineMs > MAX_DEADLINE_MS) {
+    throw new InvalidHeaderError(
+      `Header ${headerNames.deadline} must be a whole number of milliseconds from 1 to ${MAX_DEADLINE_MS}.`,
+    );
+  }
+  return deadlineMs;
+}
+
+function readIdempotencyKey(headers: Headers): string | undefined {
+  const value = singleHeader(headers, headerNames.idempotencyKey);
+  if (value !== undefined && value.length > MAX_IDEMPOTENCY_KEY_LENGTH) {
+    throw new InvalidHeaderError(
+      `Header ${headerNames.idempotencyKey} must have at most ${MAX_IDEMPOTENCY_KEY_LENGTH} characters.`,
+    );
+  }
+  return value;
+}
+
+/** Creates the reader that authenticates requests and keeps them in their region. */
+export function createCallerReader(options: CallerReaderOptions): CallerReader {
+  function authenticate(headers: Headers, document: FleetDocument): CustomerId {
+    const authorization = singleHeader(headers, headerNames.authorization);
+    const key = /^Bearer (.+)$/i.exec(authorization ?? '')?.[1];
+    if (key === undefined) {
+      throw new UnauthenticatedError('Send the customer key as "Authorization: Bearer <key>".');
+    }
+    const keySha256 = createHash('sha256').update(key).digest('hex');
+    const customerId = document.customerByKeySha256.get(keySha256);
+    if (customerId === undefined) {
+      throw new UnauthenticatedError('The customer key is unknown.');
+    }
+    return customerId;
+  }
+
+  function readHomeRegion(
+    headers: Headers,
+    document: FleetDocument,
+    customerId: CustomerId,
+  ): RegionId | undefined {
+    const configured = document.defaults.customers[customerId]?.homeRegion;
+    const value = singleHeader(headers, headerNames.homeRegion);
+    if (value === undefined) {
+      return configured === undefined ? undefined : asId<RegionId>(configured);
+    }
+    if (configured !== undefined && configured !== value) {
+      throw new InvalidHeaderError(
+        `The customer's data is bound to region ${configured}; header ${headerNames.homeRegion} names ${value}.`,
+      );
+    }
+    const regionId = asId<RegionId>(value);
+    if (regionId !== options.regionId && !options.knownRegions().has(regionId)) {
+      throw new UnknownRegionError(`Region ${value} is unknown.`);
+    }
+    return regionId;
+  }
+
+  function requireHome(homeRegionId: RegionId | undefined): void {
+    if (homeRegionId === undefined || homeRegionId === options.regionId) {
+      return;
+    }
+    throw new WrongRegionError(
+      `The request is bound to region ${homeRegionId}; this entry host is in ${options.regionId}.`,
+      {
+        props: {
+          details: {
+            homeRegion: homeRegionId,
+            entryHostUrls: options.entryHostUrls(homeRegionId),
+          },
+        },
+      },
+    );
+  }
+
+  function readFacts(
+    headers: Headers,
+    document: FleetDocument,
+    customerId: CustomerId,
+    path: readonly HostId[],
+  ): CallerFacts {
+    const homeRegionId = readHomeRegion(headers, document, customerId);
+    requireHome(homeRegionId);
+    const rank = readRank(headers);
+    return {
+      requestId: asId<RequestId>(randomUUID()),
+      customerId,
+      homeRegionId,
+      rank,
+      deadlineMs: readDeadlineMs(headers),
+      idempotencyKey: readIdempotencyKey(headers),
+      path,
+      receivedAtMs: options.clock.monotonicMs(),
+      settings: effectiveDefaults(document, { customerId, regionId: options.regionId, rank }),
+    };
+  }
+
+  function readPath(headers: Headers): readonly HostId[] {
+    const value = singleHeader(headers, headerNames.path) ?? '';
+    const path = value.split(',').map((hostId) => asId<HostId>(hostId.trim()));
+    if (path.includes(options.hostId)) {
+      throw new LoopDetectedError(`The request has already visited ${options.hostId}.`);
+    }
+    if (path.length >= MAX_PATH_HOSTS) {
+      throw new LoopDetectedError(`The request has visited ${path.length} entry hosts already.`);
+    }
+    return path;
+  }
+
+  return {
+    readCaller(headers) {
+      const document = options.configuration();
+      return readFacts(headers, document, authenticate(headers, document), []);
+    },
+    readForwarded(headers) {
+      const document = options.configuration();
+      const path = readPath(headers);
+      const customerId = asId<CustomerId>(singleHeader(headers, headerNames.customer) ?? '');
+      if (document.defaults.customers[customerId] === undefined) {
+        throw new UnauthenticatedError('The forwarded customer is unknown.');
+      }
+      return readFacts(headers, document, customerId, path);
+    },
+  };
+}
--- /dev/null
+++ b/packages/core/src/requests/createInferenceRequest.ts
@@ -0,0 +1,51 @@
+import { UnknownModelError } from '../errors/UnknownModelError.js';
+import type { InferenceRoute } from '../ports/EngineClient.js';
+import type { CallerFacts } from './CallerFacts.js';
+import type { InferenceRequest } from './InferenceRequest.js';
+import { fingerprintOf } from './fingerprintOf.js';
+import { parseInferenceBody } from './parseInferenceBody.js';
+import { prefixBlockHashes } from './prefixBlockHashes.js';
+
+const CHARACTERS_PER_TOKEN = 4;
+const DEFAULT_MAX_OUTPUT_TOKENS = 1024;
+const ENGINE_PRIORITY = { urgent: 0, patient: 10 } as const;
+
+/**
+ * Joins a request's headers and body into the form the decisions work on.
+ *
+ * @param recordKey secret of the deployment, for the request's fingerprint
+ * @throws InvalidBodyError or UnknownModelError
+ */
+export function createInferenceRequest(
+  facts: CallerFacts,
+  route: InferenceRoute,
+  body: string,
+  recordKey: string,
+): InferenceRequest {
+  const parsed = parseInferenceBody(route, body);
+  if (facts.settings.models[parsed.model] === undefined) {
+    throw new UnknownModelError(`Model ${parsed.model} is not configured.`);
+  }
+  const rank = facts.rank ?? facts.settings.routeRanks[route];
+  const targets = facts.settings.ranks[rank];
+  const deadlineMs = facts.deadlineMs ?? targets.deadlineMs;
+  return {
+    requestId: facts.requestId,
+    customerId: facts.customerId,
+    rank,
+    homeRegionId: facts.homeRegionId,
+    route,
+    model: parsed.model,
+    streamed: parsed.streamed,
+    body: JSON.stringify({ ...parsed.fields, priority: ENGINE_PRIORITY[rank] }),
+    promptTokens: Math.ceil(parsed.prompt.length / CHARACTERS_PER_TOKEN),
+    maxOutputTokens: parsed.maxOutputTokens ?? DEFAULT_MAX_OUTPUT_TOKENS,
+    receivedAtMs: facts.receivedAtMs,
+    firstTokenDueAtMs: facts.receivedAtMs + Math.min(targets.firstTokenTargetMs, deadlineMs),
+    deadlineAtMs: facts.receivedAtMs + deadlineMs,
+    fingerprint: fingerprintOf(recordKey, route, body),
+    blockHashes: prefixBlockHashes(parsed.model, parsed.prompt),
+    path: facts.path,
+    settings: facts.settings,
+  };
+}
--- /dev/null
+++ b/packages/core/src/requests/parseInferenceBody.ts
@@ -0,0 +1,81 @@
+import { z } from 'zod';
+import { InvalidBodyError } from '../errors/InvalidBodyError.js';
+import type { InferenceRoute } from '../ports/EngineClient.js';
+
+const messageSchema = z.looseObject({
+  role: z.string(),
+  content: z.union([z.string(), z.array(z.looseObject({ type: z.string() })), z.null()]).optional(),
+});
+
+const commonFields = {
+  model: z.string().min(1),
+  stream: z.boolean().nullish(),
+  max_tokens: z.int().positive().nullish(),
+  max_completion_tokens: z.int().positive().nullish(),
+};
+
+const chatSchema = z.looseObject({ ...commonFields, messages: z.array(messageSchema).min(1) });
+const completionSchema = z.looseObject({
+  ...commonFields,
+  prompt: z.union([z.string(), z.array(z.string()).min(1)]),
+});
+
+/** The fields of an inference body that decisions need. */
+export interface ParsedInferenceBody {
+  readonly model: string;
+  readonly streamed: boolean;
+  /** Upper bound of tokens to generate; undefined when the caller sets none. */
+  readonly maxOutputTokens: number | undefined;
+  /** The prompt as one string, in the order the engine reads it. */
+  readonly prompt: string;
+  /** All fields of the body, for the engine. */
+  readonly fields: Readonly<Record<string, unknown>>;
+}
+
+function parseJson(body: string): unknown {
+  try {
+    return JSON.parse(body);
+  } catch (cause) {
+    throw new InvalidBodyError('The body is not valid JSON.', { cause });
+  }
+}
+
+function validate<Schema extends z.ZodType>(schema: Schema, value: unknown): z.infer<Schema> {
+  const result = schema.safeParse(value);
+  if (result.success) {
+    return result.data;
+  }
+  const problems = result.error.issues.map(
+    (issue) => `${issue.path.join('.') || 'body'}: ${issue.message}`,
+  );
+  throw new InvalidBodyError(`The body is not valid: ${problems.join('; ')}`);
+}
+
+/**
+ * Parses the body of an OpenAI-compatible inference request.
+ *
+ * @throws InvalidBodyError when it is not JSON or a needed field is missing or of the wrong type.
+ */
+export function parseInferenceBody(route: InferenceRoute, body: string): ParsedInferenceBody {
+  const value = parseJson(body);
+  if (route === 'chat/completions') {
+    const fields = validate(chatSchema, value);
+    return {
+      model: fields.model,
+      streamed: fields.stream ?? false,
+      maxOutputTokens: fields.max_completion_tokens ?? fields.max_tokens ?? undefined,
+      prompt: fields.messages
+        .map((message) => `${message.role}\n${JSON.stringify(message.content ?? '')}`)
+        .join('\n'),
+      fields,
+    };
+  }
+  const fields = validate(completionSchema, value);
+  return {
+    model: fields.model,
+    streamed: fields.stream ?? false,
+    maxOutputTokens: fields.max_tokens ?? undefined,
+    prompt: typeof fields.prompt === 'string' ? fields.prompt : fields.prompt.join('\n'),
+    fields,
+  };
+}
--- /dev/null
+++ b/packages/core/src/settings/hostSettingsSchema.ts
@@ -0,0 +1,52 @@
+import { z } from 'zod';
+
+const name = z.string().regex(/^[a-z0-9][a-z0-9._-]{0,62}$/i, 'must be a short name');
+const url = z.url({ protocol: /^https?$/ });
+const listener = z.strictObject({
+  /** IP address to bind and to announce. */
+  address: z.union([z.ipv4(), z.ipv6()]),
+  port: z.int().min(1).max(65_535),
+});
+
+/** Schema of the settings file of one entry host. docs/settings.md documents every field. */
+export const hostSettingsSchema = z.strictObject({
+  host: z.strictObject({ hostId: name, region: name, availabilityZone: name }),
+  callerListener: listener,
+  peerListener: listener,
+  keyValueService: z.strictObject({ url, timeoutMs: z.int().min(1).max(60_000).default(2_000) }),
+  hostList: z.strictObject({ url, timeoutMs: z.int().min(1).max(60_000).default(2_000) }),
+  clientDirectory: z
+    .strictObject({ url, timeoutMs: z.int().min(1).max(60_000).default(2_000) })
+    .optional(),
+  weightStore: z
+    .strictObject({ url, timeoutMs: z.int().min(1).max(60_000).default(2_000) })
+    .optional(),
+  /** Peer listeners asked while the key-value service is unavailable. */
+  seedPeers: z.array(url).default([]),
+  secrets: z.strictObject({
+    /** Shared key of all entry hosts. */
+    peerKey: z.string().min(16),
+    /** Key of the hashes that stand for requests and idempotency keys in records. */
+    recordKey: z.string().min(16),
+    /** Operators' keys by operator name. */
+    operatorKeys: z.record(name, z.string().min(16)).default({}),
+  }),
+  metrics: z
+    .strictObject({
+      address: z.union([z.ipv4(), z.ipv6()]),
+      port: z.int().min(1).max(65_535).default(8_125),
+      prefix: z.string().default('camphorbarrow.'),
+    })
+    .optional(),
+  log: z
+    .strictObject({ level: z.enum(['debug', 'info', 'warn', 'error']).default('info') })
+    .prefault({}),
+  drain: z
+    .strictObject({
+      /** Time in which callers are steered to other entry hosts before new requests are refused. */
+      steerMs: z.int().min(0).max(600_000).default(3_000),
+      /** Hard limit for requests in flight; none when absent. */
+      maxDrainMs: z.int().min(1).optional(),
+    })
+    .prefault({}),
+});
--- /dev/null
+++ b/packages/scenarios/src/launcher/startProcess.ts
@@ -0,0 +1,67 @@
+import { spawn } from 'node:child_process';
+import type { ChildProcess } from 'node:child_process';
+import { once } from 'node:events';
+
+export interface ProcessOptions {
+  readonly name: string;
+  /** Program file of Node.js and its arguments. */
+  readonly program: string;
+  readonly args: readonly string[];
+}
+
+export interface ManagedProcess {
+  readonly name: string;
+  readonly pid: number;
+  /** Lines written to standard output so far; the oldest are dropped past a bound. */
+  readonly outputLines: readonly string[];
+  signal(signal: NodeJS.Signals): void;
+  /** Resolves to the exit code, or undefined when a signal ended the process. */
+  exited(): Promise<number | undefined>;
+  /** Kills the process and waits for its end. */
+  close(): Promise<void>;
+}
+
+const MAX_OUTPUT_LINES = 5_000;
+
+function collectLines(child: ChildProcess): string[] {
+  const lines: string[] = [];
+  let pending = '';
+  child.stdout?.setEncoding('utf8').on('data', (text: string) => {
+    const parts = (pending + text).split('\n');
+    pending = parts.pop() ?? '';
+    lines.push(...parts);
+    lines.splice(0, Math.max(0, lines.length - MAX_OUTPUT_LINES));
+  });
+  return lines;
+}
+
+/** Starts a program as a process of its own. */
+export function startProcess(options: ProcessOptions): ManagedProcess {
+  const child = spawn(process.execPath, [options.program, ...options.args], {
+    stdio: ['ignore', 'pipe', 'inherit'],
+  });
+  const ended = once(child, 'exit').then(([code]) => (code as number | null) ?? undefined);
+  const outputLines = collectLines(child);
+
+  function isRunning(): boolean {
+    return child.exitCode === null && child.signalCode === null;
+  }
+
+  return {
+    name: options.name,
+    pid: child.pid ?? 0,
+    outputLines,
+    signal(signal) {
+      if (isRunning()) {
+        child.kill(signal);
+      }
+    },
+    exited: () => ended,
+    async close() {
+      if (isRunning()) {
+        child.kill('SIGKILL');
+        await ended;
+      }
+    },
+  };
+}
--- /dev/null
+++ b/packages/scenarios/src/launcher/waitUntil.ts
@@ -0,0 +1,23 @@
+import { setTimeout as delay } from 'node:timers/promises';
+import { ScenarioError } from '../errors/ScenarioError.js';
+
+const CHECK_INTERVAL_MS = 25;
+
+/** Waits until the condition holds; a condition that rejects does not hold yet. */
+export async function waitUntil(
+  description: string,
+  timeoutMs: number,
+  condition: () => Promise<boolean> | boolean,
+): Promise<void> {
+  const endMs = performance.now() + timeoutMs;
+  while (performance.now() < endMs) {
+    const holds = await Promise.resolve()
+      .then(condition)
+      .catch(() => false);
+    if (holds) {
+      return;
+    }
+    await delay(CHECK_INTERVAL_MS);
+  }
+  throw new ScenarioError(`After ${timeoutMs} ms still not: ${description}`);
+}
--- /dev/null
+++ b/packages/scenarios/tests/launcher/startDeployment.test.ts
@@ -0,0 +1,118 @@
+import { Readable } from 'node:stream';
+import anyTest from 'ava';
+import type { TestFn } from 'ava';
+import OpenAI, { APIError } from 'openai';
+import { request } from 'undici';
+import { startDeployment } from '../../src/launcher/startDeployment.js';
+import type { Deployment } from '../../src/launcher/Deployment.js';
+
+const test = anyTest as TestFn<{ deployment: Deployment }>;
+
+function urlOf(deployment: Deployment, name: string): string {
+  return deployment.processes.get(name)?.url ?? '';
+}
+
+function clientOf(deployment: Deployment, host: string, apiKey: string): OpenAI {
+  return new OpenAI({ baseURL: `${urlOf(deployment, host)}/v1`, apiKey, maxRetries: 0 });
+}
+
+/** A body whose end never arrives. */
+async function* endlessBody(): AsyncGenerator<string, void> {
+  yield '{';
+  await new Promise(() => {});
+}
+
+test.before(async (t) => {
+  t.context.deployment = await startDeployment({
+    name: 'path',
+    models: ['layout-large'],
+    regions: [
+      { name: 'norte', entryHosts: 2, engines: 1, orderingServers: 1 },
+      { name: 'sul', entryHosts: 1, engines: 1, orderingServers: 1 },
+    ],
+    drain: { steerMs: 100 },
+  });
+});
+
+test.after.always(async (t) => {
+  await t.context.deployment.close();
+});
+
+test('the openai client gets a whole streamed answer', async (t) => {
+  const { deployment } = t.context;
+  const client = clientOf(deployment, 'norte-1', deployment.customerKey);
+  const stream = await client.chat.completions.create({
+    model: 'layout-large',
+    stream: true,
+    max_tokens: 5,
+    messages: [{ role: 'user', content: 'Perch width for a wren?' }],
+  });
+  let text = '';
+  let finishReason: string | null = null;
+  for await (const chunk of stream) {
+    text += chunk.choices[0]?.delta.content ?? '';
+    finishReason = chunk.choices[0]?.finish_reason ?? finishReason;
+  }
+  t.is(text, 'norte-engine-1 t1 t2 t3 t4');
+  t.is(finishReason, 'stop');
+});
+
+test('the openai client gets plain answers and the list of models', async (t) => {
+  const { deployment } = t.context;
+  const client = clientOf(deployment, 'sul-1', deployment.customerKey);
+  const answer = await client.completions.create({
+    model: 'layout-large',
+    prompt: 'Assembly sheet',
+    max_tokens: 2,
+  });
+  t.is(answer.choices[0]?.text, 'sul-engine-1 t1');
+  const models = await client.models.list();
+  t.deepEqual(
+    models.data.map(({ id }) => id),
+    ['layout-large'],
+  );
+});
+
+test('refusals carry a code and an outcome that the openai client can read', async (t) => {
+  const { deployment } = t.context;
+  const client = clientOf(deployment, 'norte-1', deployment.customerKey);
+  const error = await t.throwsAsync(
+    client.chat.completions.create({ model: 'nothing', messages: [{ role: 'user', content: '' }] }),
+    { instanceOf: APIError },
+  );
+  t.is(error.status, 404);
+  t.is(error.code, 'unknown-model');
+  t.like(error.error, { outcome: 'not-run' });
+});
+
+test('a request bound to another region is refused before its body is sent', async (t) => {
+  const { deployment } = t.context;
+  const response = await request(`${urlOf(deployment, 'norte-1')}/v1/chat/completions`, {
+    method: 'POST',
+    headers: {
+      authorization: `Bearer ${deployment.homedCustomerKeys.get('sul')}`,
+      'content-type': 'application/json',
+      'content-length': '1000000',
+    },
+    // The body never ends: an answer can only come from the headers.
+    body: Readable.from(endlessBody()),
+  });
+  t.is(response.statusCode, 421);
+  t.like(await response.body.json(), {
+    error: {
+      code: 'wrong-region',
+      outcome: 'not-run',
+      details: { homeRegion: 'sul', entryHostUrls: [urlOf(deployment, 'sul-1')] },
+    },
+  });
+});
+
+test('every entry host lists the entry hosts of its region', async (t) => {
+  const { deployment } = t.context;
+  const response = await request(`${urlOf(deployment, 'norte-2')}/v1/entry-hosts`);
+  const list = (await response.body.json()) as { entryHostUrls: string[] };
+  t.deepEqual(
+    [...list.entryHostUrls].sort(),
+    [urlOf(deployment, 'norte-1'), urlOf(deployment, 'norte-2')].sort(),
+  );
+});
--- /dev/null
+++ b/packages/standins/src/platform/createStore.ts
@@ -0,0 +1,105 @@
+export interface StoredKey {
+  readonly key: string;
+  value: string;
+  modRevision: number;
+  createRevision: number;
+  lease: string;
+}
+
+export interface StoreChange {
+  readonly type: 'PUT' | 'DELETE';
+  readonly entry: StoredKey;
+}
+
+export interface Store {
+  revision(): number;
+  range(key: string, rangeEnd: string | undefined): readonly StoredKey[];
+  put(key: string, value: string, lease: string): void;
+  remove(key: string): void;
+  grant(ttlSeconds: number): string;
+  /** Remaining time after the renewal, 0 for a lapsed lease. */
+  renew(lease: string): number;
+  revoke(lease: string): void;
+  subscribe(listener: (change: StoreChange) => void): () => void;
+  /** A copy of all keys, which `restore` puts back as a store restored from old data has them. */
+  snapshot(): string;
+  restore(snapshot: string): void;
+}
+
+const MS_PER_SECOND = 1000;
+const EXPIRY_CHECK_MS = 200;
+
+/** In-memory keys with revisions and leases. */
+export function createStore(): Store {
+  const keys = new Map<string, StoredKey>();
+  const leases = new Map<string, { ttlSeconds: number; expiresAtMs: number }>();
+  const listeners = new Set<(change: StoreChange) => void>();
+  let revision = 1;
+  let nextLease = 1;
+
+  function notify(change: StoreChange): void {
+    listeners.forEach((listener) => listener(change));
+  }
+
+  function remove(key: string): void {
+    const entry = keys.get(key);
+    if (entry !== undefined) {
+      revision += 1;
+      keys.delete(key);
+      notify({ type: 'DELETE', entry: { ...entry, modRevision: revision } });
+    }
+  }
+
+  function revoke(lease: string): void {
+    leases.delete(lease);
+    [...keys.values()].filter((entry) => entry.lease === lease).forEach(({ key }) => remove(key));
+  }
+
+  setInterval(() => {
+    [...leases]
+      .filter(([, { expiresAtMs }]) => expiresAtMs < Date.now())
+      .forEach(([lease]) => revoke(lease));
+  }, EXPIRY_CHECK_MS).unref();
+
+  return {
+    revision: () => revision,
+    range: (key, rangeEnd) =>
+      [...keys.values()]
+        .filter((entry) =>
+          rangeEnd === undefined ? entry.key === key : entry.key >= key && entry.key < rangeEnd,
+        )
+        .sort((a, b) => (a.key < b.key ? -1 : 1)),
+    put(key, value, lease) {
+      revision += 1;
+      const createRevision = keys.get(key)?.createRevision ?? revision;
+      const entry = { key, value, modRevision: revision, createRevision, lease };
+      keys.set(key, entry);
+      notify({ type: 'PUT', entry });
+    },
+    remove,
+    grant(ttlSeconds) {
+      const lease = String(nextLease);
+      nextLease += 1;
+      leases.set(lease, { ttlSeconds, expiresAtMs: Date.now() + ttlSeconds * MS_PER_SECOND });
+      return lease;
+    },
+    renew(lease) {
+      const held = leases.get(lease);
+      if (held === undefined) {
+        return 0;
+      }
+      held.expiresAtMs = Date.now() + held.ttlSeconds * MS_PER_SECOND;
+      return held.ttlSeconds;
+    },
+    revoke,
+    subscribe(listener) {
+      listeners.add(listener);
+      return () => listeners.delete(listener);
+    },
+    snapshot: () => JSON.stringify([...keys.values()]),
+    restore(snapshot) {
+      keys.clear();
+      (JSON.parse(snapshot) as StoredKey[]).forEach((entry) => keys.set(entry.key, entry));
+    },
+  };
+}
--- /dev/null
+++ b/packages/standins/src/platform/startClientDirectory.ts
@@ -0,0 +1,18 @@
+import { createFaultyServer } from '../faults/createFaultyServer.js';
+
+/** Starts the stand-in of the client directory. */
+export async function startClientDirectory(address: string, port: number): Promise<void> {
+  const { app } = createFaultyServer();
+  const entries = new Map<string, unknown>();
+  app.put('/v1/directory/:region', async (request) => {
+    const { region } = request.params as { region: string };
+    entries.set(region, request.body);
+    return {};
+  });
+  app.get('/v1/directory/:region', async (request, reply) => {
+    const { region } = request.params as { region: string };
+    const entry = entries.get(region);
+    return entry === undefined ? reply.code(404).send({ error: 'unknown region' }) : entry;
+  });
+  await app.listen({ host: address, port });
+}
--- /dev/null
+++ b/packages/standins/src/platform/startHostList.ts
@@ -0,0 +1,27 @@
+import { createFaultyServer } from '../faults/createFaultyServer.js';
+
+export interface HostListOptions {
+  /** Hosts in the wire form of `GET /v1/hosts`. */
+  readonly hosts: readonly object[];
+  /** Age of the list that readers see. @default 0 */
+  readonly lagMs?: number;
+}
+
+/** Starts the stand-in of the host list; `PUT /v1/hosts` replaces the list after the lag. */
+export async function startHostList(
+  address: string,
+  port: number,
+  options: HostListOptions,
+): Promise<void> {
+  const { app } = createFaultyServer();
+  let { hosts } = options;
+  app.get('/v1/hosts', async () => ({ hosts }));
+  app.put('/v1/hosts', async (request) => {
+    const { hosts: next } = request.body as { hosts: readonly object[] };
+    setTimeout(() => {
+      hosts = next;
+    }, options.lagMs ?? 0).unref();
+    return {};
+  });
+  await app.listen({ host: address, port });
+}
--- /dev/null
+++ b/packages/standins/src/platform/startWeightStore.ts
@@ -0,0 +1,28 @@
+import { createFaultyServer } from '../faults/createFaultyServer.js';
+
+export interface WeightStoreOptions {
+  /** Downloads per second; further ones get 429. @default 1 */
+  readonly downloadsPerSecond?: number;
+}
+
+const MS_PER_SECOND = 1000;
+
+/** Starts the stand-in of the rate-limited weight store. */
+export async function startWeightStore(
+  address: string,
+  port: number,
+  options: WeightStoreOptions,
+): Promise<void> {
+  const { app } = createFaultyServer();
+  const intervalMs = MS_PER_SECOND / (options.downloadsPerSecond ?? 1);
+  let nextAtMs = 0;
+  app.get('/v1/weights/:name', async (request, reply) => {
+    const { name } = request.params as { name: string };
+    if (Date.now() < nextAtMs) {
+      return reply.code(429).header('retry-after', '1').send({ error: 'rate limited' });
+    }
+    nextAtMs = Date.now() + intervalMs;
+    return { name };
+  });
+  await app.listen({ host: address, port });
+}
--- /dev/null
+++ b/scripts/generate-index.mjs
@@ -0,0 +1,34 @@
+// Writes each package's src/index.ts: one `export *` line per file. With --check it only compares.
+import { readFileSync, readdirSync, writeFileSync } from 'node:fs';
+import path from 'node:path';
+
+const packages = ['core', 'adapters', 'standins', 'scenarios', 'bench'];
+const check = process.argv.includes('--check');
+
+/** Files that are programs and have no exports for others. */
+const programs = new Set(['main.ts', 'index.ts']);
+
+function indexOf(directory) {
+  const files = readdirSync(directory, { recursive: true })
+    .map((file) => file.split(path.sep).join('/'))
+    .filter((file) => file.endsWith('.ts') && !programs.has(path.basename(file)))
+    .sort();
+  return files.map((file) => `export * from './${file.replace(/\.ts$/, '.js')}';\n`).join('');
+}
+
+let stale = 0;
+packages.forEach((name) => {
+  const directory = path.join('packages', name, 'src');
+  const file = path.join(directory, 'index.ts');
+  const text = indexOf(directory);
+  if (check) {
+    const current = readFileSync(file, 'utf8');
+    if (current !== text) {
+      stale += 1;
+      process.stderr.write(`${file} is stale; run "npm run generate".\n`);
+    }
+  } else {
+    writeFileSync(file, text);
+  }
+});
+process.exitCode = stale > 0 ? 1 : 0;
