Add crash blame, graceful drain and a host list from peers

Cause: a frozen server delayed the load polls of all others, because one loop awaited them together; a drain cut nothing off but refused with an untyped 503 as soon as it began; a fresh entry host with no host list had no servers; and nothing recorded which request crashes servers. Ruled out: blaming every request on a crashed server in full (three requests beside a crashing one were refused after two crashes); one blame per entry host (the same crash counted several times). Change: one poll task per server; a drain that announces, steers for steerMs, then refuses with a typed error and waits for requests in flight; peers' entries while the platform's list has never been read; a ledger that shares each crash among its suspects and merges reports idempotently. The guard is not yet called from the request path. Conclusion: the parts stand and are tested alone; the request path follows.

--- a/packages/adapters/src/callers/CallerApi.ts
+++ b/packages/adapters/src/callers/CallerApi.ts
@@ -27,6 +27,8 @@
   callService(request: ServiceRequest, signal: AbortSignal): Promise<ServiceAnswer>;
   models(): readonly string[];
   entryHosts(): EntryHostList;
+  /** @throws DrainingError when this host takes no new requests any more */
+  requireAccepting(): void;
   /** Whether the host can take requests; the reason when it can't. */
   readiness(): { readonly ready: boolean; readonly reason: string };
 }
--- a/packages/adapters/src/callers/createCallerListener.ts
+++ b/packages/adapters/src/callers/createCallerListener.ts
@@ -10,6 +10,7 @@
 import type { CallerApi } from './CallerApi.js';
 import { streamEvents } from './streamEvents.js';
 import { toErrorBody } from './toErrorBody.js';
+import { trackInFlight } from './trackInFlight.js';
 
 export interface CallerListenerOptions {
   /** IP address to bind. */
@@ -23,7 +24,11 @@
 }
 
 export interface CallerListener {
-  /** Stops accepting, waits for requests in flight and releases the port. */
+  /** Requests that have not been answered to their end. */
+  inFlight(): number;
+  /** Resolves when no request is in flight. New requests are still answered. */
+  idle(): Promise<void>;
+  /** Releases the port and ends all connections, also those with requests in flight. */
   close(): Promise<void>;
 }
 
@@ -132,8 +137,10 @@
     bodyLimit: options.maxBodyBytes,
     requestTimeout: options.requestTimeoutMs,
     http: { headersTimeout: HEADERS_TIMEOUT_MS },
-    forceCloseConnections: 'idle',
+    forceCloseConnections: true,
+    return503OnClosing: false,
   });
+  const requests = trackInFlight(app);
   app.removeAllContentTypeParsers();
   app.addContentTypeParser('*', { parseAs: 'string' }, (_request, body, done) => {
     done(null, body);
@@ -143,9 +150,14 @@
     sendError(reply, new NotFoundError('The route does not exist.')),
   );
   // Runs before the body is read, so that a request bound to another region leaves its body there.
-  app.addHook('onRequest', async (request) => {
+  app.addHook('onRequest', async (request, reply) => {
+    if (!api.readiness().ready) {
+      // Makes callers connect again, to the entry hosts that are listed by then.
+      void reply.header('connection', 'close');
+    }
     const isPublic = request.url === '/healthz' || request.url === '/v1/entry-hosts';
     if (!isPublic && request.url.startsWith('/v1/')) {
+      api.requireAccepting();
       factsOf.set(request, api.readCaller(rawHeaders(request)));
     }
   });
@@ -163,5 +175,5 @@
   addInferenceRoutes(app, api, factsOf);
   addServiceRoutes(app, api, factsOf);
   await app.listen({ host: options.address, port: options.port });
-  return { close: () => app.close() };
+  return { ...requests, close: () => app.close() };
 }
--- /dev/null
+++ b/packages/adapters/src/callers/trackInFlight.ts
@@ -0,0 +1,36 @@
+import type { FastifyInstance } from 'fastify';
+
+export interface InFlightRequests {
+  inFlight(): number;
+  /** Resolves when no request is in flight. */
+  idle(): Promise<void>;
+}
+
+/** Counts a listener's requests from their headers to the end of their answers. */
+export function trackInFlight(app: FastifyInstance): InFlightRequests {
+  let count = 0;
+  let waiters: (() => void)[] = [];
+
+  function end(): void {
+    count -= 1;
+    if (count === 0) {
+      waiters.forEach((resolve) => resolve());
+      waiters = [];
+    }
+  }
+
+  app.addHook('onRequest', async (_request, reply) => {
+    count += 1;
+    // The event also comes after a broken connection, and for streams that bypass the framework.
+    reply.raw.once('close', end);
+  });
+  return {
+    inFlight: () => count,
+    idle: () =>
+      count === 0
+        ? Promise.resolve()
+        : new Promise((resolve) => {
+            waiters.push(resolve);
+          }),
+  };
+}
--- a/packages/adapters/src/http/classifyHttpError.ts
+++ b/packages/adapters/src/http/classifyHttpError.ts
@@ -24,7 +24,8 @@
   }
   const code = codeOf(cause);
   if (CONNECT_CODES.has(code)) {
-    return new ConnectFailedError('The connection was not made.', { cause });
+    const refused = code === 'ECONNREFUSED';
+    return new ConnectFailedError('The connection was not made.', { cause, props: { refused } });
   }
   if (TIMEOUT_CODES.has(code)) {
     return new ProgressTimeoutError('No answer arrived in time.', { cause });
--- a/packages/adapters/src/peers/PeerApi.ts
+++ b/packages/adapters/src/peers/PeerApi.ts
@@ -1,4 +1,9 @@
-import type { Heartbeat, StoredFleetDocument } from '@camphorbarrow/core';
+import type {
+  CrashReport,
+  Heartbeat,
+  HostListEntry,
+  StoredFleetDocument,
+} from '@camphorbarrow/core';
 
 /** What the peer listener needs from the gateway. */
 export interface PeerApi {
@@ -6,4 +11,8 @@
   currentConfig(): StoredFleetDocument | undefined;
   /** Takes a configuration over when it is newer; returns the version in force afterwards. */
   adoptConfig(document: StoredFleetDocument): number;
+  /** Merges a crash report and answers with this host's view of the crash. */
+  receiveCrash(report: CrashReport): CrashReport;
+  /** Entries of the host list that this host uses. */
+  servers(): readonly HostListEntry[];
 }
--- a/packages/adapters/src/peers/createTrpcPeerClient.ts
+++ b/packages/adapters/src/peers/createTrpcPeerClient.ts
@@ -1,8 +1,11 @@
 import { TRPCClientError, createTRPCClient, httpLink } from '@trpc/client';
 import type { TRPCClient } from '@trpc/client';
 import { Agent, fetch } from 'undici';
+import { z } from 'zod';
 import { PeerUnavailableError } from '@camphorbarrow/core';
 import type { PeerClient } from '@camphorbarrow/core';
+import { hostListEntrySchema } from '../platform/hostListEntrySchema.js';
+import { crashReportSchema } from './crashReportSchema.js';
 import { heartbeatSchema } from './heartbeatSchema.js';
 import type { PeerRouter } from './peerRouter.js';
 
@@ -12,6 +15,8 @@
   readonly timeoutMs: number;
 }
 
+const serversSchema = z.array(hostListEntrySchema);
+
 async function translate<Result>(call: Promise<Result>): Promise<Result> {
   try {
     return await call;
@@ -59,6 +64,14 @@
     },
     pushConfig: (peerUrl, document) =>
       translate(clientOf(peerUrl).pushConfig.mutate(document, limit())),
+    reportCrash: async (peerUrl, report) =>
+      crashReportSchema.parse(
+        await translate(clientOf(peerUrl).reportCrash.mutate(report as never, limit())),
+      ),
+    fetchServers: async (peerUrl) =>
+      serversSchema.parse(
+        await translate(clientOf(peerUrl).fetchServers.query(undefined, limit())),
+      ),
     close: () => agent.destroy(),
   };
 }
--- a/packages/adapters/src/peers/peerRouter.ts
+++ b/packages/adapters/src/peers/peerRouter.ts
@@ -1,6 +1,8 @@
 import { initTRPC } from '@trpc/server';
 import { fleetDocumentSchema } from '@camphorbarrow/core';
 import type { PeerApi } from './PeerApi.js';
+import { toWireHost } from '../platform/toWireHost.js';
+import { crashReportSchema } from './crashReportSchema.js';
 import { heartbeatSchema } from './heartbeatSchema.js';
 
 const trpc = initTRPC.context<{ api: PeerApi }>().create();
@@ -14,6 +16,10 @@
   pushConfig: trpc.procedure
     .input(fleetDocumentSchema)
     .mutation(({ ctx, input }) => ctx.api.adoptConfig(input)),
+  reportCrash: trpc.procedure
+    .input(crashReportSchema)
+    .mutation(({ ctx, input }) => ctx.api.receiveCrash(input)),
+  fetchServers: trpc.procedure.query(({ ctx }) => ctx.api.servers().map(toWireHost)),
 });
 
 export type PeerRouter = typeof peerRouter;
--- a/packages/adapters/src/platform/createHttpHostList.ts
+++ b/packages/adapters/src/platform/createHttpHostList.ts
@@ -1,28 +1,15 @@
 import { Agent } from 'undici';
 import { z } from 'zod';
-import { asId } from '@camphorbarrow/core';
 import type { HostList } from '@camphorbarrow/core';
 import { requestJson } from '../http/requestJson.js';
+import { hostListEntrySchema } from './hostListEntrySchema.js';
 
 export interface HttpHostListOptions {
   readonly url: string;
   readonly timeoutMs: number;
 }
 
-const listSchema = z.object({
-  hosts: z.array(
-    z.object({
-      serverId: z.string(),
-      kind: z.enum(['engine', 'service']),
-      baseUrl: z.url(),
-      region: z.string(),
-      availabilityZone: z.string(),
-      models: z.array(z.string()).default([]),
-      serviceName: z.string().optional(),
-      state: z.enum(['live', 'leaving']),
-    }),
-  ),
-});
+const listSchema = z.object({ hosts: z.array(hostListEntrySchema) });
 
 /** The platform's host list over HTTP (docs/platform.md). */
 export function createHttpHostList(options: HttpHostListOptions): HostList {
@@ -35,16 +22,7 @@
         timeoutMs: options.timeoutMs,
         dispatcher: agent,
       });
-      return listSchema.parse(answer).hosts.map((host) => ({
-        serverId: asId(host.serverId),
-        kind: host.kind,
-        baseUrl: host.baseUrl,
-        regionId: asId(host.region),
-        availabilityZoneId: asId(host.availabilityZone),
-        models: host.models,
-        serviceName: host.serviceName,
-        state: host.state,
-      }));
+      return listSchema.parse(answer).hosts;
     },
     close: () => agent.destroy(),
   };
--- a/packages/core/src/errors/ConnectFailedError.ts
+++ b/packages/core/src/errors/ConnectFailedError.ts
@@ -1,4 +1,9 @@
 import { PlatformError } from './PlatformError.js';
 
-/** No connection could be made, so no byte of the request was sent. */
-export const ConnectFailedError = PlatformError.subclass('ConnectFailedError');
+/**
+ * No connection could be made, so no byte of the request was sent. `refused` tells that the host
+ * answered and nothing listens on the port.
+ */
+export const ConnectFailedError = PlatformError.subclass('ConnectFailedError', {
+  props: { refused: false },
+});
--- a/packages/core/src/membership/createServerRegistry.ts
+++ b/packages/core/src/membership/createServerRegistry.ts
@@ -65,11 +65,65 @@
   const states = new Map<ServerId, ServerState>();
   const stopping = new AbortController();
   const tasks = new Set<Promise<void>>();
+  let polling = false;
 
   function toView(state: ServerState): ServerView {
     return { ...state, accepting: isAccepting(state) };
   }
 
+  function applyLoad(state: ServerState, load: LoadReport): void {
+    state.load = load;
+    state.loadAtMs = clock.monotonicMs();
+    state.ownTokensSinceReport = 0;
+    state.reachable = true;
+    if (load.state === 'leaving') {
+      state.leavingIncarnation = load.incarnation;
+    }
+  }
+
+  async function refreshLoad(state: ServerState): Promise<void> {
+    try {
+      applyLoad(state, await options.readLoad(state.entry));
+    } catch (cause) {
+      state.reachable = false;
+      const refused = cause instanceof ConnectFailedError;
+      log.warn('load-poll-failed', { serverId: state.entry.serverId, refused });
+    }
+  }
+
+  const pause = (): Promise<void> =>
+    clock.sleep(pollIntervalMs, stopping.signal).catch(() => undefined);
+
+  function runTask(task: Promise<void>): void {
+    tasks.add(task);
+    void task.finally(() => tasks.delete(task));
+  }
+
+  /** Polls one server until it leaves the list, so that a silent server delays no other poll. */
+  async function pollServer(state: ServerState): Promise<void> {
+    while (!stopping.signal.aborted && states.get(state.entry.serverId) === state) {
+      await refreshLoad(state);
+      await pause();
+    }
+  }
+
+  function addServer(entry: HostListEntry): void {
+    const state: ServerState = {
+      entry,
+      load: undefined,
+      loadAtMs: clock.monotonicMs(),
+      ownInFlightRequests: 0,
+      ownInFlightTokens: 0,
+      ownTokensSinceReport: 0,
+      reachable: true,
+      leavingIncarnation: undefined,
+    };
+    states.set(entry.serverId, state);
+    if (polling) {
+      runTask(pollServer(state));
+    }
+  }
+
   function applyList(entries: readonly HostListEntry[]): void {
     const used = entries.filter((entry) => options.isUsed(entry));
     const listed = new Set(used.map((entry) => entry.serverId));
@@ -77,32 +131,13 @@
     used.forEach((entry) => {
       const state = states.get(entry.serverId);
       if (state === undefined) {
-        states.set(entry.serverId, {
-          entry,
-          load: undefined,
-          loadAtMs: clock.monotonicMs(),
-          ownInFlightRequests: 0,
-          ownInFlightTokens: 0,
-          ownTokensSinceReport: 0,
-          reachable: true,
-          leavingIncarnation: undefined,
-        });
+        addServer(entry);
       } else {
         state.entry = entry;
       }
     });
   }
 
-  function applyLoad(state: ServerState, load: LoadReport): void {
-    state.load = load;
-    state.loadAtMs = clock.monotonicMs();
-    state.ownTokensSinceReport = 0;
-    state.reachable = true;
-    if (load.state === 'leaving') {
-      state.leavingIncarnation = load.incarnation;
-    }
-  }
-
   async function refreshList(): Promise<void> {
     try {
       applyList(await options.hostList.read());
@@ -111,25 +146,15 @@
     }
   }
 
-  async function refreshLoad(state: ServerState): Promise<void> {
-    try {
-      applyLoad(state, await options.readLoad(state.entry));
-    } catch (cause) {
-      state.reachable = false;
-      const refused = cause instanceof ConnectFailedError;
-      log.warn('load-poll-failed', { serverId: state.entry.serverId, refused });
-    }
-  }
-
   async function refresh(): Promise<void> {
     await refreshList();
     await Promise.all([...states.values()].map(refreshLoad));
   }
 
-  async function poll(): Promise<void> {
+  async function pollList(): Promise<void> {
     while (!stopping.signal.aborted) {
-      await refresh();
-      await clock.sleep(pollIntervalMs, stopping.signal).catch(() => undefined);
+      await refreshList();
+      await pause();
     }
   }
 
@@ -165,7 +190,9 @@
     },
     refresh,
     start() {
-      tasks.add(poll());
+      polling = true;
+      [...states.values()].forEach((state) => runTask(pollServer(state)));
+      runTask(pollList());
     },
     async close() {
       stopping.abort();
--- a/packages/core/src/ports/PeerClient.ts
+++ b/packages/core/src/ports/PeerClient.ts
@@ -1,5 +1,7 @@
 import type { StoredFleetDocument } from '../config/FleetDocument.js';
 import type { Heartbeat } from '../membership/Heartbeat.js';
+import type { CrashReport } from '../quarantine/CrashReport.js';
+import type { HostListEntry } from './HostList.js';
 
 /**
  * Calls to other entry hosts. Methods reject with `PeerUnavailableError` when the peer does not
@@ -11,5 +13,9 @@
   fetchConfig(peerUrl: string): Promise<StoredFleetDocument | undefined>;
   /** Hands a configuration to a peer; resolves to the version in force there afterwards. */
   pushConfig(peerUrl: string, document: StoredFleetDocument): Promise<number>;
+  /** Hands a crash report to a peer; resolves to the peer's view of the same crash. */
+  reportCrash(peerUrl: string, report: CrashReport): Promise<CrashReport>;
+  /** The host list as the peer last read it. */
+  fetchServers(peerUrl: string): Promise<readonly HostListEntry[]>;
   close(): Promise<void>;
 }
--- /dev/null
+++ b/packages/core/tests/quarantine/createBlameLedger.test.ts
@@ -0,0 +1,84 @@
+import test from 'ava';
+import fc from 'fast-check';
+import type { CrashReport } from '../../src/quarantine/CrashReport.js';
+import type { Fingerprint } from '../../src/ids/Fingerprint.js';
+import type { Incarnation } from '../../src/ids/Incarnation.js';
+import type { ServerId } from '../../src/ids/ServerId.js';
+import { asId } from '../../src/ids/asId.js';
+import { createBlameLedger } from '../../src/quarantine/createBlameLedger.js';
+import { createManualClock } from '../../src/time/createManualClock.js';
+
+const HOLD_MS = 600_000;
+const fingerprint = (name: string): Fingerprint => asId<Fingerprint>(name);
+
+function crash(
+  server: string,
+  running: readonly string[],
+  suspects: readonly string[] = [],
+): CrashReport {
+  return {
+    serverId: asId<ServerId>(server),
+    incarnation: asId<Incarnation>('1'),
+    running: running.map(fingerprint),
+    suspects: suspects.map(fingerprint),
+  };
+}
+
+function createLedger() {
+  const clock = createManualClock();
+  return { clock, ledger: createBlameLedger({ clock, holdMs: () => HOLD_MS }) };
+}
+
+test('requests that share a server with a crashing one carry only a part of the blame', (t) => {
+  const { ledger } = createLedger();
+  ledger.merge(crash('s1', ['bad', 'a', 'b', 'c']));
+  t.is(ledger.blameOf(fingerprint('a')), 0.25);
+  ledger.merge(crash('s2', ['bad', 'd', 'e'], ['bad']));
+  t.is(ledger.blameOf(fingerprint('bad')), 1.25);
+  t.is(ledger.blameOf(fingerprint('d')), 0);
+});
+
+test('the same crash reported by several entry hosts counts once', (t) => {
+  const { ledger } = createLedger();
+  ledger.merge(crash('s1', ['bad']));
+  ledger.merge(crash('s1', ['a']));
+  ledger.merge(crash('s1', ['bad']));
+  t.is(ledger.blameOf(fingerprint('bad')), 0.5);
+});
+
+test('a completed run clears earlier blame, and blame ends after the hold', (t) => {
+  const { ledger, clock } = createLedger();
+  ledger.merge(crash('s1', ['a', 'b']));
+  ledger.clear(fingerprint('a'));
+  t.is(ledger.blameOf(fingerprint('a')), 0);
+  t.is(ledger.blameOf(fingerprint('b')), 0.5);
+  clock.advance(HOLD_MS + 1);
+  t.is(ledger.blameOf(fingerprint('b')), 0);
+});
+
+test('the order in which reports arrive does not change the blame', (t) => {
+  const names = fc.subarray(['a', 'b', 'c', 'd'], { minLength: 1 });
+  const report = fc
+    .record({ server: fc.constantFrom('s1', 's2', 's3'), running: names, suspects: names })
+    .map(({ server, running, suspects }) =>
+      crash(
+        server,
+        running,
+        suspects.filter((name) => running.includes(name)),
+      ),
+    );
+  fc.assert(
+    fc.property(fc.array(report), (reports) => {
+      const first = createLedger().ledger;
+      const second = createLedger().ledger;
+      reports.forEach((entry) => first.merge(entry));
+      [...reports].reverse().forEach((entry) => second.merge(entry));
+      return ['a', 'b', 'c', 'd'].every(
+        (name) =>
+          Math.abs(first.blameOf(fingerprint(name)) - second.blameOf(fingerprint(name))) < 1e-9,
+      );
+    }),
+    { seed: 20261204 },
+  );
+  t.pass();
+});
--- a/packages/daemon/src/entryHost/createEntryHost.ts
+++ b/packages/daemon/src/entryHost/createEntryHost.ts
@@ -19,7 +19,10 @@
   createConfigKeeper,
   createInferenceGateway,
   createInferenceRequest,
+  createCrashProbe,
+  createPeerBackedHostList,
   createPeerTable,
+  createQuarantine,
   createSeededRandom,
   createServerRegistry,
   createServiceGateway,
@@ -28,13 +31,16 @@
 import type {
   AvailabilityZoneId,
   HostId,
+  HostListEntry,
   HostSettings,
   Incarnation,
+  LoadReport,
   LogSink,
   MetricsSink,
   PeerDescription,
   RegionId,
 } from '@camphorbarrow/core';
+import { createDrain } from './createDrain.js';
 import { createEntryHostRanking } from './createEntryHostRanking.js';
 import { publishDirectory } from './publishDirectory.js';
 
@@ -71,7 +77,6 @@
   const log = createPinoLog({ level: settings.log.level, base: { hostId, regionId } });
   const metrics = createMetrics(settings, log);
   const store = createEtcdKeyValueStore(settings.keyValueService);
-  const hostList = createHttpHostList(settings.hostList);
   const engineClient = createOpenAiEngineClient({ connectTimeoutMs: CONNECT_TIMEOUT_MS });
   const serviceClient = createHttpServiceClient({ connectTimeoutMs: CONNECT_TIMEOUT_MS });
   const peerClient = createTrpcPeerClient({
@@ -80,7 +85,7 @@
   });
   const config = createConfigKeeper({ clock, log, store });
   const startedAtMs = clock.nowMs();
-  let state: PeerDescription['state'] = 'live';
+  const drain = createDrain({ clock, log, settings: settings.drain });
 
   const describeSelf = (): Omit<PeerDescription, 'sequence'> => ({
     hostId,
@@ -90,7 +95,7 @@
     availabilityZoneId: asId<AvailabilityZoneId>(settings.host.availabilityZone),
     callerUrl: `http://${settings.callerListener.address}:${settings.callerListener.port}`,
     peerUrl: `http://${settings.peerListener.address}:${settings.peerListener.port}`,
-    state,
+    state: drain.state(),
     configVersion: config.version(),
   });
 
@@ -116,13 +121,36 @@
       void fetchNewerConfig(peer);
     },
   });
+  /** Calls all reachable peers of the region at once and returns the answers that arrive. */
+  async function askRegion<Answer>(
+    call: (peerUrl: string) => Promise<Answer>,
+  ): Promise<readonly Answer[]> {
+    const reachable = peers.livePeers(regionId);
+    const results = await Promise.allSettled(reachable.map((peer) => call(peer.peerUrl)));
+    return results.flatMap((result) => (result.status === 'fulfilled' ? [result.value] : []));
+  }
+
+  const hostList = createPeerBackedHostList({
+    log,
+    platform: createHttpHostList(settings.hostList),
+    askPeers: () => askRegion((peerUrl) => peerClient.fetchServers(peerUrl)),
+  });
   const ranking = createEntryHostRanking({ self: describeSelf, peers });
+  const readLoad = (entry: HostListEntry): Promise<LoadReport> =>
+    engineClient.readLoad(entry.baseUrl, LOAD_TIMEOUT_MS);
+  const quarantine = createQuarantine({
+    clock,
+    log,
+    holdMs: () => config.current().defaults.quarantine.holdMs,
+    hasCrashed: createCrashProbe({ clock, readLoad }),
+    share: (report) => askRegion((peerUrl) => peerClient.reportCrash(peerUrl, report)),
+  });
   const registry = createServerRegistry({
     clock,
     log,
     hostList,
     isUsed: (entry) => entry.regionId === regionId,
-    readLoad: (entry) => engineClient.readLoad(entry.baseUrl, LOAD_TIMEOUT_MS),
+    readLoad,
   });
   const entryHostCount = (): number => peers.livePeers(regionId).length + 1;
   const inference = createInferenceGateway({
@@ -150,6 +178,8 @@
     api: {
       receiveHeartbeat: peers.receive,
       currentConfig: config.stored,
+      receiveCrash: quarantine.receive,
+      servers: () => registry.servers().map(({ entry }) => entry),
       adoptConfig: (document) => {
         config.adopt(document);
         return config.version();
@@ -170,9 +200,10 @@
       callService: services.handle,
       models: () => Object.keys(config.current().defaults.models),
       entryHosts: ranking.list,
+      requireAccepting: drain.requireAccepting,
       readiness: () => ({
-        ready: state === 'live' && config.version() > 0,
-        reason: config.version() > 0 ? state : 'no-configuration',
+        ready: drain.state() === 'live' && config.version() > 0,
+        reason: config.version() > 0 ? drain.state() : 'no-configuration',
       }),
     },
   });
@@ -192,11 +223,10 @@
 
   return {
     async close() {
-      state = 'draining';
-      log.info('draining', {});
-      await peers.announce();
-      await stopPublishing();
-      await clock.sleep(settings.drain.steerMs);
+      await drain.run(callerListener, async () => {
+        await peers.announce();
+        await stopPublishing();
+      });
       await callerListener.close();
       await peers.close();
       await Promise.all([registry.close(), config.close(), peerListener.close()]);
