Add the dispatch of engine attempts with crash tracking

Cause: the request path did not tell which attempts ran on a server when it crashed. Ruled out: counting every broken connection as a crash; a cut network breaks them too, so the server is asked for its incarnation first. Change: one attempt at one engine is a module of its own: reservation, crash tracking, stream completeness.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -6,6 +6,7 @@
 export * from './config/exceptionSchema.js';
 export * from './config/fleetDefaultsSchema.js';
 export * from './config/fleetDocumentSchema.js';
+export * from './dispatch/createEngineDispatcher.js';
 export * from './errors/AttemptBrokenError.js';
 export * from './errors/BackendFailedError.js';
 export * from './errors/BodyTimeoutError.js';
