Add orders to engines under a regional lease with fencing tokens

Cause: nothing loaded models onto engines or kept two entry hosts from ordering the same engine. Ruled out: a check of the lease at planning time only; the test with a pause of 60 s between the plan and the write let the order through. Change: ownership per region, orders planned from desired and observed models, a last check of the lease directly before the write, a wait after takeover for engines that ignore the token, and the weight store's limit respected. Conclusion: safe towards engines that check the token.

--- /dev/null
+++ b/packages/adapters/src/backends/createHttpEngineOrderClient.ts
@@ -0,0 +1,60 @@
+import { Agent, Client, request } from 'undici';
+import { z } from 'zod';
+import { FencedOffError, PlatformError } from '@camphorbarrow/core';
+import type { EngineOrderCall, EngineOrderClient } from '@camphorbarrow/core';
+import { classifyHttpError } from '../http/classifyHttpError.js';
+import { notifyBeforeSend } from '../http/notifyBeforeSend.js';
+import { requestJson } from '../http/requestJson.js';
+
+export interface HttpEngineOrderClientOptions {
+  /** Limit for making a connection. */
+  readonly connectTimeoutMs: number;
+}
+
+const HTTP_CONFLICT = 409;
+const stateSchema = z.object({
+  weightsByModel: z.record(z.string(), z.string()),
+  maxModels: z.int().min(0),
+});
+
+async function post(call: EngineOrderCall, client: Client): Promise<void> {
+  const response = await request(`${call.baseUrl}/engine-orders`, {
+    method: 'POST',
+    dispatcher: notifyBeforeSend(client, call.onPossiblyRun),
+    signal: AbortSignal.timeout(call.timeoutMs),
+    headers: { 'content-type': 'application/json' },
+    body: JSON.stringify({ ...call.order, fencingToken: call.fencingToken }),
+  });
+  await response.body.dump();
+  if (response.statusCode === HTTP_CONFLICT) {
+    throw new FencedOffError('The engine has taken an order of a newer owner.');
+  }
+  if (response.statusCode !== 200) {
+    throw new PlatformError(`The engine refused the order with ${response.statusCode}.`);
+  }
+}
+
+/** Orders to engines over HTTP (docs/platform.md), each on a connection of its own. */
+export function createHttpEngineOrderClient(
+  options: HttpEngineOrderClientOptions,
+): EngineOrderClient {
+  const agent = new Agent({ connectTimeout: options.connectTimeoutMs });
+  return {
+    async readState(baseUrl, timeoutMs) {
+      const url = `${baseUrl}/engine-orders/state`;
+      const answer = await requestJson({ url, method: 'GET', timeoutMs, dispatcher: agent });
+      return stateSchema.parse(answer);
+    },
+    async send(call) {
+      const client = new Client(call.baseUrl, { connectTimeout: options.connectTimeoutMs });
+      try {
+        await post(call, client);
+      } catch (cause) {
+        throw classifyHttpError(cause);
+      } finally {
+        await client.destroy();
+      }
+    },
+    close: () => agent.destroy(),
+  };
+}
--- a/packages/adapters/src/index.ts
+++ b/packages/adapters/src/index.ts
@@ -1,3 +1,4 @@
+export * from './backends/createHttpEngineOrderClient.js';
 export * from './backends/createHttpServiceClient.js';
 export * from './backends/createOpenAiEngineClient.js';
 export * from './backends/loadReportSchema.js';
@@ -21,6 +22,7 @@
 export * from './platform/createEtcdKeyValueStore.js';
 export * from './platform/createHttpClientDirectory.js';
 export * from './platform/createHttpHostList.js';
+export * from './platform/createHttpWeightStore.js';
 export * from './platform/hostListEntrySchema.js';
 export * from './platform/readJsonLines.js';
 export * from './platform/toWireHost.js';
--- /dev/null
+++ b/packages/adapters/src/platform/createHttpWeightStore.ts
@@ -0,0 +1,40 @@
+import { Agent, request } from 'undici';
+import { PlatformError } from '@camphorbarrow/core';
+import type { WeightStore } from '@camphorbarrow/core';
+import { classifyHttpError } from '../http/classifyHttpError.js';
+
+export interface HttpWeightStoreOptions {
+  readonly url: string;
+  readonly timeoutMs: number;
+}
+
+const HTTP_TOO_MANY_REQUESTS = 429;
+const MS_PER_SECOND = 1000;
+const DEFAULT_WAIT_MS = 1_000;
+
+/** The platform's weight store over HTTP (docs/platform.md). */
+export function createHttpWeightStore(options: HttpWeightStoreOptions): WeightStore {
+  const agent = new Agent({ connectTimeout: options.timeoutMs });
+  return {
+    async reserveDownload(weights) {
+      try {
+        const response = await request(`${options.url}/v1/weights/${encodeURIComponent(weights)}`, {
+          dispatcher: agent,
+          signal: AbortSignal.timeout(options.timeoutMs),
+        });
+        await response.body.dump();
+        if (response.statusCode === HTTP_TOO_MANY_REQUESTS) {
+          const seconds = Number(response.headers['retry-after']);
+          return Number.isFinite(seconds) ? seconds * MS_PER_SECOND : DEFAULT_WAIT_MS;
+        }
+        if (response.statusCode !== 200) {
+          throw new PlatformError(`The weight store answered ${response.statusCode}.`);
+        }
+        return 0;
+      } catch (cause) {
+        throw classifyHttpError(cause);
+      }
+    },
+    close: () => agent.destroy(),
+  };
+}
--- a/packages/core/src/config/fleetDefaultsSchema.ts
+++ b/packages/core/src/config/fleetDefaultsSchema.ts
@@ -37,7 +37,16 @@
 export const fleetDefaultsSchema = z.strictObject({
   customers: z.record(name, customerSchema).default({}),
   models: z
-    .record(name, z.strictObject({ maxPromptTokens: z.int().positive().default(131_072) }))
+    .record(
+      name,
+      z.strictObject({
+        maxPromptTokens: z.int().positive().default(131_072),
+        /** Name of the model's weights in the weight store; engines are left alone without it. */
+        weights: z.string().min(1).optional(),
+        /** Engines that serve the model in each region. */
+        serversPerRegion: z.int().min(0).max(10_000).default(1),
+      }),
+    )
     .default({}),
   services: z.record(name, serviceSchema).default({}),
   routeRanks: z
@@ -102,6 +111,12 @@
       bodyTimeoutMs: milliseconds.default(15_000),
     })
     .prefault({}),
+  engineOrders: z
+    .strictObject({
+      /** Servers whose engines take an order with an old fencing token. */
+      serversIgnoringFencing: z.array(name).default([]),
+    })
+    .prefault({}),
   quarantine: z
     .strictObject({
       /** Server crashes after which a request is refused. */
--- a/packages/core/tests/dispatch/createEngineDispatcher.test.ts
+++ b/packages/core/tests/dispatch/createEngineDispatcher.test.ts
@@ -12,7 +12,7 @@
 import { createSilentLog } from '../support/createSilentLog.js';
 
 const CRASH_LIMIT = 2;
-const {signal} = new AbortController();
+const { signal } = new AbortController();
 const last = '{"choices":[{"finish_reason":"stop"}]}';
 
 async function* stream(events: readonly string[], failure?: Error): AsyncGenerator<string, void> {
