--- a/packages/scenarios/src/index.ts
+++ b/packages/scenarios/src/index.ts
@@ -5,3 +5,4 @@
 export * from './launcher/startDeployment.js';
 export * from './launcher/startProcess.js';
 export * from './launcher/waitUntil.js';
+export * from './overhead/measureOverhead.js';
