Count results per minute and derive service-level burn

Cause: nothing told which class of service uses up its error budget, where and why. Ruled out: one window per alarm; a past burst kept the alarm raised for the whole window, so a long and a short window have to agree (multi-window burn rates of site reliability practice). Change: bounded per-minute counters on each host, a report that sums hosts and names regions, classes, causes, exceptions in force and what is missing.

--- /dev/null
+++ b/packages/core/src/burn/BurnReport.ts
@@ -0,0 +1,37 @@
+import type { HostId } from '../ids/HostId.js';
+import type { RegionId } from '../ids/RegionId.js';
+import type { ServiceClass } from './ServiceClass.js';
+import type { ServiceResult } from './ServiceResult.js';
+
+export interface BurnWindow {
+  readonly minutes: number;
+  readonly requests: number;
+  readonly badRequests: number;
+  /** Share of bad requests divided by the share that the objective allows; 1 uses up the budget. */
+  readonly burnRate: number;
+}
+
+export type BurnAlarm = 'none' | 'slow' | 'fast';
+
+/** Burn of one class of service in one region. */
+export interface BurnRow {
+  readonly regionId: RegionId;
+  readonly serviceClass: ServiceClass;
+  readonly objectiveRatio: number;
+  readonly windows: readonly BurnWindow[];
+  readonly alarm: BurnAlarm;
+  /** Bad results in the longest window, most frequent first. */
+  readonly causes: readonly { readonly result: ServiceResult; readonly requests: number }[];
+  /** Exceptions in force that apply to the region or the rank. */
+  readonly exceptions: readonly { readonly id: string; readonly reason: string }[];
+  /** Burn rate of each of the last 60 minutes, oldest first. */
+  readonly lastHour: readonly number[];
+}
+
+export interface BurnReport {
+  readonly createdAt: string;
+  readonly rows: readonly BurnRow[];
+  /** What the report lacks: hosts that did not answer and hosts that counted only a part. */
+  readonly missing: readonly string[];
+  readonly hosts: readonly HostId[];
+}
--- /dev/null
+++ b/packages/core/src/burn/createBurnCounters.ts
@@ -0,0 +1,53 @@
+import type { Clock } from '../ports/Clock.js';
+import type { BurnMinute } from './BurnMinute.js';
+import type { ServiceClass } from './ServiceClass.js';
+import type { ServiceResult } from './ServiceResult.js';
+
+export interface BurnCounters {
+  record(serviceClass: ServiceClass, result: ServiceResult): void;
+  /** Counted minutes, oldest first, no older than the longest window. */
+  minutes(): readonly BurnMinute[];
+}
+
+type Counts = Partial<Record<ServiceClass, Partial<Record<ServiceResult, number>>>>;
+
+const MS_PER_MINUTE = 60_000;
+/** Longest window of the report, six hours, and the minute that is still being counted. */
+const KEPT_MINUTES = 361;
+
+/** Creates the counters of one entry host. Their memory is bounded by the kept minutes. */
+export function createBurnCounters(clock: Clock): BurnCounters {
+  const minutes = new Map<number, Counts>();
+
+  function forgetOld(current: number): void {
+    [...minutes.keys()]
+      .filter((minute) => minute <= current - KEPT_MINUTES)
+      .forEach((minute) => minutes.delete(minute));
+  }
+
+  function countsOf(minute: number): Counts {
+    const known = minutes.get(minute);
+    if (known !== undefined) {
+      return known;
+    }
+    forgetOld(minute);
+    const counts: Counts = {};
+    minutes.set(minute, counts);
+    return counts;
+  }
+
+  return {
+    record(serviceClass, result) {
+      const counts = countsOf(Math.floor(clock.nowMs() / MS_PER_MINUTE));
+      const byResult = counts[serviceClass] ?? {};
+      counts[serviceClass] = byResult;
+      byResult[result] = (byResult[result] ?? 0) + 1;
+    },
+    minutes() {
+      forgetOld(Math.floor(clock.nowMs() / MS_PER_MINUTE));
+      return [...minutes]
+        .sort(([a], [b]) => a - b)
+        .map(([minute, counts]) => ({ minute, counts: structuredClone(counts) }));
+    },
+  };
+}
--- /dev/null
+++ b/packages/core/src/burn/createBurnReport.ts
@@ -0,0 +1,166 @@
+import type { FleetDocument } from '../config/FleetDocument.js';
+import type { HostId } from '../ids/HostId.js';
+import type { RegionId } from '../ids/RegionId.js';
+import type { BurnMinute } from './BurnMinute.js';
+import type { BurnAlarm, BurnReport, BurnRow, BurnWindow } from './BurnReport.js';
+import type { HostBurn } from './HostBurn.js';
+import type { ServiceClass } from './ServiceClass.js';
+import type { ServiceResult } from './ServiceResult.js';
+
+const MS_PER_MINUTE = 60_000;
+const MINUTES_PER_HOUR = 60;
+const CLASSES: readonly ServiceClass[] = ['urgent', 'patient', 'order', 'status'];
+/** Objective of orders and status checks, which have no rank of their own. */
+const SERVICE_OBJECTIVE_RATIO = 0.999;
+const WINDOW_MINUTES = [5, 30, 60, 360];
+
+/**
+ * An alarm needs both windows above its rate: the long one shows that the burn matters, the short
+ * one that it goes on. The fast rate uses up 2% of a 30-day budget in an hour, the slow one 5% in
+ * six hours.
+ */
+const ALARMS: readonly {
+  readonly alarm: BurnAlarm;
+  readonly windows: readonly [number, number];
+  readonly burnRate: number;
+}[] = [
+  { alarm: 'fast', windows: [5, 60], burnRate: 14.4 },
+  { alarm: 'slow', windows: [30, 360], burnRate: 6 },
+];
+
+export interface BurnReportInput {
+  readonly nowMs: number;
+  readonly document: FleetDocument;
+  readonly hosts: readonly HostBurn[];
+  /** Entry hosts that are known and did not answer. */
+  readonly silentHosts: readonly HostId[];
+}
+
+interface Tally {
+  readonly requests: number;
+  readonly badRequests: number;
+  readonly byResult: ReadonlyMap<ServiceResult, number>;
+}
+
+function tally(minutes: readonly BurnMinute[], serviceClass: ServiceClass): Tally {
+  const byResult = new Map<ServiceResult, number>();
+  minutes.forEach(({ counts }) => {
+    Object.entries(counts[serviceClass] ?? {}).forEach(([name, count]) => {
+      const result = name as ServiceResult;
+      byResult.set(result, (byResult.get(result) ?? 0) + count);
+    });
+  });
+  byResult.delete('caller');
+  const requests = [...byResult.values()].reduce((sum, count) => sum + count, 0);
+  return { requests, badRequests: requests - (byResult.get('good') ?? 0), byResult };
+}
+
+function burnRateOf({ requests, badRequests }: Tally, objectiveRatio: number): number {
+  const allowedRatio = 1 - objectiveRatio;
+  if (requests === 0 || badRequests === 0) {
+    return 0;
+  }
+  return allowedRatio === 0 ? Infinity : badRequests / requests / allowedRatio;
+}
+
+function alarmOf(windows: readonly BurnWindow[]): BurnAlarm {
+  const rateOf = (minutes: number): number =>
+    windows.find((window) => window.minutes === minutes)?.burnRate ?? 0;
+  const raised = ALARMS.find(({ windows: pair, burnRate }) =>
+    pair.every((minutes) => rateOf(minutes) >= burnRate),
+  );
+  return raised?.alarm ?? 'none';
+}
+
+function objectiveOf(document: FleetDocument, serviceClass: ServiceClass): number {
+  return serviceClass === 'urgent' || serviceClass === 'patient'
+    ? document.defaults.ranks[serviceClass].objectiveRatio
+    : SERVICE_OBJECTIVE_RATIO;
+}
+
+function exceptionsFor(
+  document: FleetDocument,
+  regionId: RegionId,
+  serviceClass: ServiceClass,
+  nowMs: number,
+): BurnRow['exceptions'] {
+  return document.exceptions
+    .filter(
+      ({ scope, expiresAt }) =>
+        (scope.region === undefined || scope.region === regionId) &&
+        (scope.rank === undefined || scope.rank === serviceClass) &&
+        (expiresAt === undefined || Date.parse(expiresAt) > nowMs),
+    )
+    .map(({ id, reason }) => ({ id, reason }));
+}
+
+function createRow(
+  input: BurnReportInput,
+  regionId: RegionId,
+  serviceClass: ServiceClass,
+  minutes: readonly BurnMinute[],
+): BurnRow {
+  const currentMinute = Math.floor(input.nowMs / MS_PER_MINUTE);
+  const objectiveRatio = objectiveOf(input.document, serviceClass);
+  const since = (count: number): BurnMinute[] =>
+    minutes.filter(({ minute }) => minute > currentMinute - count);
+  const windows = WINDOW_MINUTES.map((count): BurnWindow => {
+    const counted = tally(since(count), serviceClass);
+    const { requests, badRequests } = counted;
+    return {
+      minutes: count,
+      requests,
+      badRequests,
+      burnRate: burnRateOf(counted, objectiveRatio),
+    };
+  });
+  const longest = tally(since(Math.max(...WINDOW_MINUTES)), serviceClass);
+  return {
+    regionId,
+    serviceClass,
+    objectiveRatio,
+    windows,
+    alarm: alarmOf(windows),
+    causes: [...longest.byResult]
+      .filter(([result]) => result !== 'good')
+      .sort(([, a], [, b]) => b - a)
+      .map(([result, requests]) => ({ result, requests })),
+    exceptions: exceptionsFor(input.document, regionId, serviceClass, input.nowMs),
+    lastHour: Array.from({ length: MINUTES_PER_HOUR }, (_, index) => {
+      const minute = currentMinute - MINUTES_PER_HOUR + 1 + index;
+      const counted = tally(
+        minutes.filter((candidate) => candidate.minute === minute),
+        serviceClass,
+      );
+      return burnRateOf(counted, objectiveRatio);
+    }),
+  };
+}
+
+function describeMissing({ hosts, silentHosts, nowMs }: BurnReportInput): string[] {
+  const longestMs = Math.max(...WINDOW_MINUTES) * MS_PER_MINUTE;
+  const young = hosts.filter(({ startedAtMs }) => startedAtMs > nowMs - longestMs);
+  return [
+    ...silentHosts.map((hostId) => `${hostId} did not answer; its requests are missing`),
+    ...young.map(
+      ({ hostId, startedAtMs }) =>
+        `${hostId} counts since ${new Date(startedAtMs).toISOString()}; what it served before is lost`,
+    ),
+  ];
+}
+
+/** Sums the counters of entry hosts into burn rates per region and class of service. */
+export function createBurnReport(input: BurnReportInput): BurnReport {
+  const regions = [...new Set(input.hosts.map((host) => host.regionId))].sort();
+  return {
+    createdAt: new Date(input.nowMs).toISOString(),
+    hosts: input.hosts.map((host) => host.hostId),
+    missing: describeMissing(input),
+    rows: regions.flatMap((regionId) => {
+      const minutes = input.hosts
+        .filter((host) => host.regionId === regionId)
+        .flatMap((host) => host.minutes);
+      return CLASSES.map((serviceClass) => createRow(input, regionId, serviceClass, minutes));
+    }),
+  };
+}
