Add outgoing and announced addresses to host settings

Cause: all processes of a test deployment open connections from 127.0.0.1 and announce the address they bind, so a relay between them can neither tell the sources apart nor stand in the way of callers and peers.

Change: `outgoingAddress` is the local address of every undici dispatcher of the daemon, and each listener takes an optional `announce`. Both are absent by default, which leaves behaviour as it was. Metrics are sent as UDP datagrams and are not affected.

Ruled out: naming the source in a header, because the relay passes bytes and cannot rely on the product to name itself truthfully.

--- a/packages/adapters/src/backends/createHttpServiceClient.ts
+++ b/packages/adapters/src/backends/createHttpServiceClient.ts
@@ -3,10 +3,13 @@
 import type { ServiceAnswer, ServiceCall, ServiceClient } from '@camphorbarrow/core';
 import { classifyHttpError } from '../http/classifyHttpError.js';
 import { notifyBeforeSend } from '../http/notifyBeforeSend.js';
+import { outgoingFrom } from '../http/outgoingFrom.js';
 
 export interface HttpServiceClientOptions {
   /** Limit for making a connection. */
   readonly connectTimeoutMs: number;
+  /** Local IP address of outgoing connections; the system chooses when absent. */
+  readonly localAddress?: string | undefined;
 }
 
 async function exchange(
@@ -36,7 +39,8 @@
 
 /** Plain services over HTTP. */
 export function createHttpServiceClient(options: HttpServiceClientOptions): ServiceClient {
-  const agent = new Agent({ connectTimeout: options.connectTimeoutMs });
+  const outgoing = outgoingFrom(options.localAddress);
+  const agent = new Agent({ connectTimeout: options.connectTimeoutMs, ...outgoing });
   return {
     async call(call, signal) {
       if (!call.freshConnection) {
@@ -44,7 +48,10 @@
           throw classifyHttpError(cause);
         });
       }
-      const client = new Client(call.baseUrl, { connectTimeout: call.connectTimeoutMs });
+      const client = new Client(call.baseUrl, {
+        connectTimeout: call.connectTimeoutMs,
+        ...outgoing,
+      });
       try {
         return await exchange(call, client, signal);
       } catch (cause) {
--- a/packages/adapters/src/backends/createOpenAiEngineClient.ts
+++ b/packages/adapters/src/backends/createOpenAiEngineClient.ts
@@ -6,6 +6,7 @@
 import type { EngineAnswer, EngineClient } from '@camphorbarrow/core';
 import { classifyHttpError } from '../http/classifyHttpError.js';
 import { notifyBeforeSend } from '../http/notifyBeforeSend.js';
+import { outgoingFrom } from '../http/outgoingFrom.js';
 import { requestJson } from '../http/requestJson.js';
 import { loadReportSchema } from './loadReportSchema.js';
 
@@ -55,6 +56,8 @@
 export interface OpenAiEngineClientOptions {
   /** Limit for making a connection. */
   readonly connectTimeoutMs: number;
+  /** Local IP address of outgoing connections; the system chooses when absent. */
+  readonly localAddress?: string | undefined;
 }
 
 /** Model engines with the OpenAI-compatible HTTP interface (docs/platform.md). */
@@ -62,6 +65,7 @@
   const agent = new Agent({
     connectTimeout: options.connectTimeoutMs,
     connections: MAX_CONNECTIONS_PER_SERVER,
+    ...outgoingFrom(options.localAddress),
   });
   return {
     async start(attempt, signal) {
--- a/packages/adapters/src/index.ts
+++ b/packages/adapters/src/index.ts
@@ -7,6 +7,7 @@
 export * from './callers/toErrorBody.js';
 export * from './http/classifyHttpError.js';
 export * from './http/notifyBeforeSend.js';
+export * from './http/outgoingFrom.js';
 export * from './http/requestJson.js';
 export * from './log/createPinoLog.js';
 export * from './metrics/createHotShotsMetrics.js';
--- a/packages/adapters/src/peers/createTrpcPeerClient.ts
+++ b/packages/adapters/src/peers/createTrpcPeerClient.ts
@@ -3,6 +3,7 @@
 import { Agent, fetch } from 'undici';
 import { PeerUnavailableError } from '@camphorbarrow/core';
 import type { PeerClient } from '@camphorbarrow/core';
+import { outgoingFrom } from '../http/outgoingFrom.js';
 import { heartbeatSchema } from './heartbeatSchema.js';
 import type { PeerRouter } from './peerRouter.js';
 
@@ -10,6 +11,8 @@
   readonly peerKey: string;
   /** Limit for every call. */
   readonly timeoutMs: number;
+  /** Local IP address of outgoing connections; the system chooses when absent. */
+  readonly localAddress?: string | undefined;
 }
 
 async function translate<Result>(call: Promise<Result>): Promise<Result> {
@@ -23,7 +26,10 @@
 
 /** Calls to other entry hosts over tRPC. */
 export function createTrpcPeerClient(options: TrpcPeerClientOptions): PeerClient {
-  const agent = new Agent({ connectTimeout: options.timeoutMs });
+  const agent = new Agent({
+    connectTimeout: options.timeoutMs,
+    ...outgoingFrom(options.localAddress),
+  });
   const clients = new Map<string, TRPCClient<PeerRouter>>();
 
   function clientOf(peerUrl: string): TRPCClient<PeerRouter> {
--- a/packages/adapters/src/platform/createEtcdKeyValueStore.ts
+++ b/packages/adapters/src/platform/createEtcdKeyValueStore.ts
@@ -2,6 +2,7 @@
 import { z } from 'zod';
 import { StoreUnavailableError, asId } from '@camphorbarrow/core';
 import type { KeyValue, KeyValueStore, LeaseId, WatchEvent } from '@camphorbarrow/core';
+import { outgoingFrom } from '../http/outgoingFrom.js';
 import { requestJson } from '../http/requestJson.js';
 import { readJsonLines } from './readJsonLines.js';
 
@@ -9,6 +10,8 @@
   /** Base URL of the service with an IP address. */
   readonly url: string;
   readonly timeoutMs: number;
+  /** Local IP address of outgoing connections; the system chooses when absent. */
+  readonly localAddress?: string | undefined;
 }
 
 const base64 = (text: string): string => Buffer.from(text, 'utf8').toString('base64');
@@ -54,7 +57,12 @@
 
 /** Key-value service in the JSON form of the etcd v3 interface. */
 export function createEtcdKeyValueStore(options: EtcdKeyValueStoreOptions): KeyValueStore {
-  const agent = new Agent({ connectTimeout: options.timeoutMs, bodyTimeout: 0, headersTimeout: 0 });
+  const agent = new Agent({
+    connectTimeout: options.timeoutMs,
+    bodyTimeout: 0,
+    headersTimeout: 0,
+    ...outgoingFrom(options.localAddress),
+  });
 
   async function call<Schema extends z.ZodType>(
     path: string,
--- a/packages/adapters/src/platform/createHttpClientDirectory.ts
+++ b/packages/adapters/src/platform/createHttpClientDirectory.ts
@@ -1,15 +1,21 @@
 import { Agent } from 'undici';
 import type { ClientDirectory } from '@camphorbarrow/core';
+import { outgoingFrom } from '../http/outgoingFrom.js';
 import { requestJson } from '../http/requestJson.js';
 
 export interface HttpClientDirectoryOptions {
   readonly url: string;
   readonly timeoutMs: number;
+  /** Local IP address of outgoing connections; the system chooses when absent. */
+  readonly localAddress?: string | undefined;
 }
 
 /** The platform's client directory over HTTP (docs/platform.md). */
 export function createHttpClientDirectory(options: HttpClientDirectoryOptions): ClientDirectory {
-  const agent = new Agent({ connectTimeout: options.timeoutMs });
+  const agent = new Agent({
+    connectTimeout: options.timeoutMs,
+    ...outgoingFrom(options.localAddress),
+  });
   return {
     async publish({ regionId, entryHostUrls, validForMs }) {
       await requestJson({
--- a/packages/adapters/src/platform/createHttpHostList.ts
+++ b/packages/adapters/src/platform/createHttpHostList.ts
@@ -2,11 +2,14 @@
 import { z } from 'zod';
 import { asId } from '@camphorbarrow/core';
 import type { HostList } from '@camphorbarrow/core';
+import { outgoingFrom } from '../http/outgoingFrom.js';
 import { requestJson } from '../http/requestJson.js';
 
 export interface HttpHostListOptions {
   readonly url: string;
   readonly timeoutMs: number;
+  /** Local IP address of outgoing connections; the system chooses when absent. */
+  readonly localAddress?: string | undefined;
 }
 
 const listSchema = z.object({
@@ -26,7 +29,10 @@
 
 /** The platform's host list over HTTP (docs/platform.md). */
 export function createHttpHostList(options: HttpHostListOptions): HostList {
-  const agent = new Agent({ connectTimeout: options.timeoutMs });
+  const agent = new Agent({
+    connectTimeout: options.timeoutMs,
+    ...outgoingFrom(options.localAddress),
+  });
   return {
     async read() {
       const answer = await requestJson({
--- a/packages/core/src/settings/hostSettingsSchema.ts
+++ b/packages/core/src/settings/hostSettingsSchema.ts
@@ -2,15 +2,21 @@
 
 const name = z.string().regex(/^[a-z0-9][a-z0-9._-]{0,62}$/i, 'must be a short name');
 const url = z.url({ protocol: /^https?$/ });
+const ipAddress = z.union([z.ipv4(), z.ipv6()]);
+const port = z.int().min(1).max(65_535);
 const listener = z.strictObject({
-  /** IP address to bind and to announce. */
-  address: z.union([z.ipv4(), z.ipv6()]),
-  port: z.int().min(1).max(65_535),
+  /** IP address to bind. */
+  address: ipAddress,
+  port,
+  /** Address that callers and peers are told; the bound one when absent. */
+  announce: z.strictObject({ address: ipAddress, port }).optional(),
 });
 
 /** Schema of the settings file of one entry host. docs/settings.md documents every field. */
 export const hostSettingsSchema = z.strictObject({
   host: z.strictObject({ hostId: name, region: name, availabilityZone: name }),
+  /** Local IP address of all outgoing connections; the system chooses when absent. */
+  outgoingAddress: ipAddress.optional(),
   callerListener: listener,
   peerListener: listener,
   keyValueService: z.strictObject({ url, timeoutMs: z.int().min(1).max(60_000).default(2_000) }),
--- a/packages/daemon/src/entryHost/createEntryHost.ts
+++ b/packages/daemon/src/entryHost/createEntryHost.ts
@@ -35,6 +35,7 @@
   PeerDescription,
   RegionId,
 } from '@camphorbarrow/core';
+import { announcedUrl } from './announcedUrl.js';
 import { createEntryHostRanking } from './createEntryHostRanking.js';
 import { publishDirectory } from './publishDirectory.js';
 
@@ -66,17 +67,25 @@
   const hostId = asId<HostId>(settings.host.hostId);
   const regionId = asId<RegionId>(settings.host.region);
   const incarnation = asId<Incarnation>(randomUUID());
+  const localAddress = settings.outgoingAddress;
   const clock = createSystemClock();
   const random = createSeededRandom(randomInt(MAX_SEED));
   const log = createPinoLog({ level: settings.log.level, base: { hostId, regionId } });
   const metrics = createMetrics(settings, log);
-  const store = createEtcdKeyValueStore(settings.keyValueService);
-  const hostList = createHttpHostList(settings.hostList);
-  const engineClient = createOpenAiEngineClient({ connectTimeoutMs: CONNECT_TIMEOUT_MS });
-  const serviceClient = createHttpServiceClient({ connectTimeoutMs: CONNECT_TIMEOUT_MS });
+  const store = createEtcdKeyValueStore({ ...settings.keyValueService, localAddress });
+  const hostList = createHttpHostList({ ...settings.hostList, localAddress });
+  const engineClient = createOpenAiEngineClient({
+    connectTimeoutMs: CONNECT_TIMEOUT_MS,
+    localAddress,
+  });
+  const serviceClient = createHttpServiceClient({
+    connectTimeoutMs: CONNECT_TIMEOUT_MS,
+    localAddress,
+  });
   const peerClient = createTrpcPeerClient({
     peerKey: settings.secrets.peerKey,
     timeoutMs: PEER_TIMEOUT_MS,
+    localAddress,
   });
   const config = createConfigKeeper({ clock, log, store });
   const startedAtMs = clock.nowMs();
@@ -88,8 +97,8 @@
     startedAtMs,
     regionId,
     availabilityZoneId: asId<AvailabilityZoneId>(settings.host.availabilityZone),
-    callerUrl: `http://${settings.callerListener.address}:${settings.callerListener.port}`,
-    peerUrl: `http://${settings.peerListener.address}:${settings.peerListener.port}`,
+    callerUrl: announcedUrl(settings.callerListener),
+    peerUrl: announcedUrl(settings.peerListener),
     state,
     configVersion: config.version(),
   });
@@ -185,7 +194,7 @@
     directory:
       settings.clientDirectory === undefined
         ? undefined
-        : createHttpClientDirectory(settings.clientDirectory),
+        : createHttpClientDirectory({ ...settings.clientDirectory, localAddress }),
     entry: () => ({ ...ranking.list(), regionId }),
   });
   log.info('started', { incarnation });
