Make the stand-ins' faults take effect and record what servers ran

Cause: the fault tests showed that lost answers were sent after all, because fastify ignores `hijack` in an onSend hook, and that streams and watches in flight on a silenced connection went on. Nothing recorded what an engine ran, and all its answers looked alike, so a foreign or shortened answer could not be found.

Change: the hook never ends for a lost answer; silenced sockets are corked. Losses can be counted and limited to a route. Engines and ordering servers record arrivals, executions and leaving, on disk when a file is given, so that a kill does not hide an order. An answer to a prompt with a nonce repeats the nonce in its first token and ends with a checksum of the prompt; answers to other prompts are as before. Cache events can have gaps. Start functions return a close function.

Before: with the old hook the two tests of lost answers and the test of a silenced watch fail.

--- a/packages/standins/src/engine/createPrefixCache.ts
+++ b/packages/standins/src/engine/createPrefixCache.ts
@@ -16,14 +16,20 @@
   eventsAfter(sequence: number): readonly CacheEvent[];
 }
 
-/** Least-recently-used cache of prompt prefix blocks that reports its changes. */
-export function createPrefixCache(maxBlocks: number): PrefixCache {
+/**
+ * Least-recently-used cache of prompt prefix blocks that reports its changes. Every `gapEvery`
+ * changes, one is not reported.
+ */
+export function createPrefixCache(maxBlocks: number, gapEvery = Infinity): PrefixCache {
   const blocks = new Map<string, true>();
   const events: CacheEvent[] = [];
   let sequence = 0;
 
   function record(kind: CacheEvent['kind'], blockHash: string): void {
     sequence += 1;
+    if (sequence % gapEvery === 0) {
+      return;
+    }
     events.push({ sequence, kind, blockHash });
     if (events.length > MAX_EVENTS) {
       events.shift();
--- a/packages/standins/src/engine/startEngine.ts
+++ b/packages/standins/src/engine/startEngine.ts
@@ -1,20 +1,17 @@
-import { randomUUID } from 'node:crypto';
+import { createHash, randomUUID } from 'node:crypto';
 import type { FastifyReply, FastifyRequest } from 'fastify';
 import { setTimeout as delay } from 'node:timers/promises';
+import type { StandIn } from '../StandIn.js';
 import { createFaultyServer } from '../faults/createFaultyServer.js';
+import { addRecordRoute } from '../records/addRecordRoute.js';
+import { createRecordLog } from '../records/createRecordLog.js';
+import type { EngineBody } from './EngineBody.js';
 import type { EngineOptions } from './EngineOptions.js';
+import { answerTokens } from './answerTokens.js';
 import { createBatch } from './createBatch.js';
 import { createPrefixCache } from './createPrefixCache.js';
-
-interface EngineBody {
-  readonly model: string;
-  readonly messages?: readonly { readonly role: string; readonly content?: unknown }[];
-  readonly prompt?: string | readonly string[];
-  readonly stream?: boolean;
-  readonly priority?: number;
-  readonly max_tokens?: number;
-  readonly max_completion_tokens?: number;
-}
+import { nonceOf } from './nonceOf.js';
+import { promptOf } from './promptOf.js';
 
 const CHARACTERS_PER_TOKEN = 4;
 const DEFAULT_OUTPUT_TOKENS = 16;
@@ -22,15 +19,6 @@
 /** A prompt with this text ends the process, as a crashing request does. */
 const CRASH_MARK = 'CRASH-THE-ENGINE';
 
-function promptOf(body: EngineBody): string {
-  if (body.messages !== undefined) {
-    return body.messages
-      .map((message) => `${message.role}\n${JSON.stringify(message.content ?? '')}`)
-      .join('\n');
-  }
-  return typeof body.prompt === 'string' ? body.prompt : (body.prompt ?? []).join('\n');
-}
-
 function chunkOf(id: string, body: EngineBody, text: string, finish: string | null): string {
   const chat = body.messages !== undefined;
   const choice = chat
@@ -65,11 +53,12 @@
   address: string,
   port: number,
   options: EngineOptions,
-): Promise<void> {
+): Promise<StandIn> {
   const { app } = createFaultyServer();
   const incarnation = randomUUID();
   const batch = createBatch(options.maxConcurrentRequests ?? 8);
-  const cache = createPrefixCache(options.cacheBlocks ?? 512);
+  const cache = createPrefixCache(options.cacheBlocks ?? 512, options.cacheEventGapEvery);
+  const records = createRecordLog(options.recordFile);
   const maxWaiting = options.maxWaitingRequests ?? 64;
   const tokenMs = options.tokenMs ?? 10;
   const prefillTokensPerSecond = options.prefillTokensPerSecond ?? 20_000;
@@ -91,9 +80,9 @@
       process.exit(1);
     }
     const count = body.max_completion_tokens ?? body.max_tokens ?? DEFAULT_OUTPUT_TOKENS;
-    for (let index = 0; index < count; index += 1) {
+    for (const token of answerTokens(options.serverId, prompt, count)) {
       await delay(tokenMs, undefined, { signal });
-      yield index === 0 ? options.serverId : ` t${index}`;
+      yield token;
     }
   }
 
@@ -114,6 +103,10 @@
 
   async function serve(request: FastifyRequest, reply: FastifyReply): Promise<unknown> {
     const body = request.body as EngineBody;
+    const prompt = promptOf(body);
+    const facts = { requestId: String(request.headers['x-request-id']), call: nonceOf(prompt) };
+    const path = request.headers['x-camphorbarrow-path']?.toString();
+    records.add({ kind: 'arrived', atMs: Date.now(), ...facts, path });
     if (!options.models.includes(body.model)) {
       return reply.code(404).send({ error: { message: 'unknown model', code: 'unknown-model' } });
     }
@@ -125,9 +118,10 @@
     }
     const cancel = new AbortController();
     reply.raw.on('close', () => cancel.abort());
-    const prompt = promptOf(body);
     const promptTokens = Math.ceil(prompt.length / CHARACTERS_PER_TOKEN);
     const leave = await batch.enter(body.priority ?? 0, promptTokens, cancel.signal);
+    const digest = createHash('sha256').update(prompt).digest('hex');
+    records.add({ kind: 'executed', atMs: Date.now(), ...facts, digest });
     try {
       const id = `gen-${randomUUID()}`;
       const tokens = generate(body, prompt, cancel.signal);
@@ -180,7 +174,10 @@
   });
   app.post('/leave', async () => {
     leaving = true;
+    records.add({ kind: 'leaving', atMs: Date.now() });
     return { leaving };
   });
-  await app.listen({ host: address, port });
+  addRecordRoute(app, records);
+  const url = await app.listen({ host: address, port });
+  return { url, close: () => app.close() };
 }
--- a/packages/standins/src/faults/Faults.ts
+++ b/packages/standins/src/faults/Faults.ts
@@ -4,6 +4,10 @@
   delayMs: number;
   /** Requests are accepted and take effect, but no answer is ever sent. */
   loseAnswers: boolean;
+  /** As many of the next answers are lost; counts down. */
+  loseNextAnswers: number;
+  /** Routes whose answers may be lost, by the start of their path. */
+  loseAnswersTo: string;
   /** Every request gets 503. */
   unavailable: boolean;
   /** Connections open at the time go silent for good; new ones work. */
--- a/packages/standins/src/faults/createFaultyServer.ts
+++ b/packages/standins/src/faults/createFaultyServer.ts
@@ -17,11 +17,20 @@
   const faults: Faults = {
     delayMs: 0,
     loseAnswers: false,
+    loseNextAnswers: 0,
+    loseAnswersTo: '/',
     unavailable: false,
     silenceOpenConnections: false,
   };
   const sockets = new Set<Socket>();
   const silenced = new WeakSet<Socket>();
+
+  // A corked socket keeps what is written to it in memory, so streams in flight fall silent too.
+  function silence(socket: Socket): void {
+    silenced.add(socket);
+    socket.cork();
+  }
+
   const app = fastify({ bodyLimit: 268_435_456, forceCloseConnections: true });
   app.server.on('connection', (socket: Socket) => {
     sockets.add(socket);
@@ -31,7 +40,7 @@
     const change = request.body as Partial<Faults>;
     Object.assign(faults, change);
     if (change.silenceOpenConnections === true) {
-      [...sockets].filter((socket) => socket !== request.socket).forEach((s) => silenced.add(s));
+      [...sockets].filter((socket) => socket !== request.socket).forEach(silence);
     }
     return faults;
   });
@@ -50,9 +59,20 @@
       await reply.code(503).send({ error: 'unavailable' });
     }
   });
-  app.addHook('onSend', async (request, reply) => {
-    if (request.url !== '/control' && (faults.loseAnswers || silenced.has(request.socket))) {
-      void reply.hijack();
+
+  function losesAnswer(url: string): boolean {
+    if (!url.startsWith(faults.loseAnswersTo)) {
+      return false;
+    }
+    const counted = faults.loseNextAnswers > 0;
+    faults.loseNextAnswers -= counted ? 1 : 0;
+    return counted || faults.loseAnswers;
+  }
+
+  app.addHook('onSend', async (request) => {
+    if (request.url !== '/control' && (silenced.has(request.socket) || losesAnswer(request.url))) {
+      // Only a hook that never ends keeps fastify from sending; it ignores `hijack` at this point.
+      await new Promise(() => {});
     }
   });
   return { app, faults };
--- a/packages/standins/src/main.ts
+++ b/packages/standins/src/main.ts
@@ -1,3 +1,4 @@
+import type { StandIn } from './StandIn.js';
 import type { StandInSettings } from './StandInSettings.js';
 import { startEngine } from './engine/startEngine.js';
 import { startClientDirectory } from './platform/startClientDirectory.js';
@@ -6,7 +7,7 @@
 import { startWeightStore } from './platform/startWeightStore.js';
 import { startOrderingServer } from './service/startOrderingServer.js';
 
-function start(settings: StandInSettings): Promise<void> {
+function start(settings: StandInSettings): Promise<StandIn> {
   const { address, port } = settings;
   switch (settings.kind) {
     case 'engine':
--- a/packages/standins/src/platform/startClientDirectory.ts
+++ b/packages/standins/src/platform/startClientDirectory.ts
@@ -1,7 +1,8 @@
+import type { StandIn } from '../StandIn.js';
 import { createFaultyServer } from '../faults/createFaultyServer.js';
 
 /** Starts the stand-in of the client directory. */
-export async function startClientDirectory(address: string, port: number): Promise<void> {
+export async function startClientDirectory(address: string, port: number): Promise<StandIn> {
   const { app } = createFaultyServer();
   const entries = new Map<string, unknown>();
   app.put('/v1/directory/:region', async (request) => {
@@ -14,5 +15,6 @@
     const entry = entries.get(region);
     return entry === undefined ? reply.code(404).send({ error: 'unknown region' }) : entry;
   });
-  await app.listen({ host: address, port });
+  const url = await app.listen({ host: address, port });
+  return { url, close: () => app.close() };
 }
--- a/packages/standins/src/platform/startHostList.ts
+++ b/packages/standins/src/platform/startHostList.ts
@@ -1,3 +1,4 @@
+import type { StandIn } from '../StandIn.js';
 import { createFaultyServer } from '../faults/createFaultyServer.js';
 
 export interface HostListOptions {
@@ -12,7 +13,7 @@
   address: string,
   port: number,
   options: HostListOptions,
-): Promise<void> {
+): Promise<StandIn> {
   const { app } = createFaultyServer();
   let { hosts } = options;
   app.get('/v1/hosts', async () => ({ hosts }));
@@ -23,5 +24,6 @@
     }, options.lagMs ?? 0).unref();
     return {};
   });
-  await app.listen({ host: address, port });
+  const url = await app.listen({ host: address, port });
+  return { url, close: () => app.close() };
 }
--- a/packages/standins/src/platform/startKeyValueService.ts
+++ b/packages/standins/src/platform/startKeyValueService.ts
@@ -1,3 +1,4 @@
+import type { StandIn } from '../StandIn.js';
 import { createFaultyServer } from '../faults/createFaultyServer.js';
 import { createStore } from './createStore.js';
 import type { StoredKey } from './createStore.js';
@@ -32,7 +33,7 @@
 }
 
 /** Starts the stand-in of the key-value service, in the JSON form of the etcd v3 interface. */
-export async function startKeyValueService(address: string, port: number): Promise<void> {
+export async function startKeyValueService(address: string, port: number): Promise<StandIn> {
   const { app, faults } = createFaultyServer();
   const store = createStore();
   const counts = { reads: 0, writes: 0, watches: 0 };
@@ -114,5 +115,6 @@
     store.restore(snapshot);
     return {};
   });
-  await app.listen({ host: address, port });
+  const url = await app.listen({ host: address, port });
+  return { url, close: () => app.close() };
 }
--- a/packages/standins/src/platform/startWeightStore.ts
+++ b/packages/standins/src/platform/startWeightStore.ts
@@ -1,3 +1,4 @@
+import type { StandIn } from '../StandIn.js';
 import { createFaultyServer } from '../faults/createFaultyServer.js';
 
 export interface WeightStoreOptions {
@@ -12,7 +13,7 @@
   address: string,
   port: number,
   options: WeightStoreOptions,
-): Promise<void> {
+): Promise<StandIn> {
   const { app } = createFaultyServer();
   const intervalMs = MS_PER_SECOND / (options.downloadsPerSecond ?? 1);
   let nextAtMs = 0;
@@ -24,5 +25,6 @@
     nextAtMs = Date.now() + intervalMs;
     return { name };
   });
-  await app.listen({ host: address, port });
+  const url = await app.listen({ host: address, port });
+  return { url, close: () => app.close() };
 }
--- /dev/null
+++ b/packages/standins/src/records/addRecordRoute.ts
@@ -0,0 +1,14 @@
+import type { FastifyInstance } from 'fastify';
+import type { RecordLog } from './createRecordLog.js';
+
+/** Adds `GET /executed`: what the server ran, what arrived, and since when it is leaving. */
+export function addRecordRoute(app: FastifyInstance, log: RecordLog): void {
+  app.get('/executed', async () => {
+    const records = log.all();
+    return {
+      executed: records.filter(({ kind }) => kind === 'executed'),
+      arrived: records.filter(({ kind }) => kind === 'arrived'),
+      leavingSinceMs: records.find(({ kind }) => kind === 'leaving')?.atMs ?? null,
+    };
+  });
+}
--- /dev/null
+++ b/packages/standins/src/records/createRecordLog.ts
@@ -0,0 +1,30 @@
+import { appendFileSync, existsSync, readFileSync } from 'node:fs';
+import type { ServerRecord } from './ServerRecord.js';
+
+export interface RecordLog {
+  add(record: ServerRecord): void;
+  all(): readonly ServerRecord[];
+}
+
+/**
+ * Records of a backend server stand-in. With a file, each record is on disk before `add` returns,
+ * so that killing the process does not hide what it ran.
+ */
+export function createRecordLog(file?: string): RecordLog {
+  const records: ServerRecord[] = [];
+  if (file !== undefined && existsSync(file)) {
+    const lines = readFileSync(file, 'utf8').split('\n');
+    records.push(
+      ...lines.filter((line) => line !== '').map((line) => JSON.parse(line) as ServerRecord),
+    );
+  }
+  return {
+    add(record) {
+      records.push(record);
+      if (file !== undefined) {
+        appendFileSync(file, `${JSON.stringify(record)}\n`);
+      }
+    },
+    all: () => records,
+  };
+}
--- a/packages/standins/src/service/startOrderingServer.ts
+++ b/packages/standins/src/service/startOrderingServer.ts
@@ -1,18 +1,17 @@
-import { randomUUID } from 'node:crypto';
+import { createHash, randomUUID } from 'node:crypto';
 import { setTimeout as delay } from 'node:timers/promises';
+import type { StandIn } from '../StandIn.js';
 import { createFaultyServer } from '../faults/createFaultyServer.js';
+import { addRecordRoute } from '../records/addRecordRoute.js';
+import { createRecordLog } from '../records/createRecordLog.js';
 
 export interface OrderingServerOptions {
   readonly serverId: string;
   readonly maxConcurrentRequests?: number;
   /** Time to run one order. @default 20 */
   readonly runMs?: number;
-}
-
-interface ExecutedOrder {
-  readonly order: string;
-  readonly requestId: string;
-  readonly atMs: number;
+  /** File that keeps the records of `GET /executed`; memory only when absent. */
+  readonly recordFile?: string;
 }
 
 /**
@@ -23,20 +22,23 @@
   address: string,
   port: number,
   options: OrderingServerOptions,
-): Promise<void> {
+): Promise<StandIn> {
   const { app } = createFaultyServer();
   const incarnation = randomUUID();
-  const executed: ExecutedOrder[] = [];
+  const records = createRecordLog(options.recordFile);
   let running = 0;
   let leaving = false;
 
   app.post('/orders', async (request) => {
     const { order } = request.body as { order: string };
+    const facts = { requestId: String(request.headers['x-request-id']), call: order };
+    const path = request.headers['x-camphorbarrow-path']?.toString();
+    records.add({ kind: 'arrived', atMs: Date.now(), ...facts, path });
     running += 1;
     try {
       await delay(options.runMs ?? 20);
-      const requestId = String(request.headers['x-request-id']);
-      executed.push({ order, requestId, atMs: Date.now() });
+      const digest = createHash('sha256').update(JSON.stringify(request.body)).digest('hex');
+      records.add({ kind: 'executed', atMs: Date.now(), ...facts, digest });
       return { order, state: 'confirmed', confirmation: randomUUID(), server: options.serverId };
     } finally {
       running -= 1;
@@ -44,10 +46,12 @@
   });
   app.get('/orders/:order', async (request) => {
     const { order } = request.params as { order: string };
-    const count = executed.filter((entry) => entry.order === order).length;
-    return { order, state: count > 0 ? 'confirmed' : 'unknown', server: options.serverId };
+    const confirmed = records
+      .all()
+      .some((record) => record.kind === 'executed' && record.call === order);
+    return { order, state: confirmed ? 'confirmed' : 'unknown', server: options.serverId };
   });
-  app.get('/executed', async () => ({ executed }));
+  addRecordRoute(app, records);
   app.get('/load', async () => ({
     incarnation,
     state: leaving ? 'leaving' : 'live',
@@ -57,7 +61,9 @@
   }));
   app.post('/leave', async () => {
     leaving = true;
+    records.add({ kind: 'leaving', atMs: Date.now() });
     return { leaving };
   });
-  await app.listen({ host: address, port });
+  const url = await app.listen({ host: address, port });
+  return { url, close: () => app.close() };
 }
