Add the test network relay

Cause: a test cannot put a delay, a cut or a silent connection between two chosen processes, nor prove that a text never crossed a region border, while processes talk to each other directly.

Change: one process listens on the announced address of every entry host, backend server and platform service and passes bytes to the bound one. It names the source by its IP address, applies rules per pair of processes or regions (delay one way, silent or reset cut, silence of the connections open now) and keeps the bytes sent on every link for a search of a text, also in base64, the form in which the key-value service gets values.

Limits: the kernel accepts a connection before the relay can refuse it, so during a cut a caller sees an accepted and silent (or reset) connection, where a real cut lets the connection time out. A process that does not listen is refused as without the relay: its listener closes within about 100 ms. A connection that the client gave up during a cut delivers nothing afterwards.

--- a/packages/standins/src/StandInSettings.ts
+++ b/packages/standins/src/StandInSettings.ts
@@ -1,6 +1,7 @@
 import type { EngineOptions } from './engine/EngineOptions.js';
 import type { HostListOptions } from './platform/startHostList.js';
 import type { WeightStoreOptions } from './platform/startWeightStore.js';
+import type { RelayOptions } from './relay/RelayOptions.js';
 import type { OrderingServerOptions } from './service/startOrderingServer.js';
 
 interface Listening {
@@ -15,6 +16,7 @@
     | { readonly kind: 'ordering'; readonly options: OrderingServerOptions }
     | { readonly kind: 'hostList'; readonly options: HostListOptions }
     | { readonly kind: 'weightStore'; readonly options: WeightStoreOptions }
+    | { readonly kind: 'relay'; readonly options: RelayOptions }
     | { readonly kind: 'keyValue' }
     | { readonly kind: 'clientDirectory' }
   );
--- a/packages/standins/src/main.ts
+++ b/packages/standins/src/main.ts
@@ -5,6 +5,7 @@
 import { startHostList } from './platform/startHostList.js';
 import { startKeyValueService } from './platform/startKeyValueService.js';
 import { startWeightStore } from './platform/startWeightStore.js';
+import { startRelay } from './relay/startRelay.js';
 import { startOrderingServer } from './service/startOrderingServer.js';
 
 function start(settings: StandInSettings): Promise<StandIn> {
@@ -18,6 +19,8 @@
       return startHostList(address, port, settings.options);
     case 'weightStore':
       return startWeightStore(address, port, settings.options);
+    case 'relay':
+      return startRelay(address, port, settings.options);
     case 'keyValue':
       return startKeyValueService(address, port);
     case 'clientDirectory':
--- /dev/null
+++ b/packages/standins/src/relay/relayConnection.ts
@@ -0,0 +1,122 @@
+import { once } from 'node:events';
+import { connect } from 'node:net';
+import type { Socket } from 'node:net';
+import { setTimeout as delay } from 'node:timers/promises';
+import type { RelayEndpoint, RelayRoute } from './RelayOptions.js';
+import type { RelayRules } from './createRelayRules.js';
+import type { Transcript } from './createTranscript.js';
+import { passBytes } from './passBytes.js';
+
+export interface RelayedConnection {
+  readonly from: RelayEndpoint;
+  readonly to: RelayEndpoint;
+  /** Nothing passes any more, and neither side learns of it. */
+  silence(): void;
+  reset(): void;
+  /** Resolves when both sides are closed. */
+  readonly ended: Promise<void>;
+}
+
+export interface RelayConnectionOptions {
+  readonly client: Socket;
+  readonly from: RelayEndpoint;
+  readonly route: RelayRoute;
+  readonly rules: RelayRules;
+  readonly transcript: Transcript;
+  /** Called when the process behind the route refused a connection or closed one. */
+  readonly onServerClosed: () => void;
+}
+
+/** Stands between one client connection and the process behind a route. */
+export function relayConnection(options: RelayConnectionOptions): RelayedConnection {
+  const { client, from, route, rules, transcript } = options;
+  const to: RelayEndpoint = { name: route.name, region: route.region };
+  const stopping = new AbortController();
+  const { signal } = stopping;
+  let server: Socket | undefined;
+  let silenced = false;
+  const isSilenced = (): boolean => silenced;
+
+  function reset(): void {
+    stopping.abort();
+    client.resetAndDestroy();
+    server?.resetAndDestroy();
+  }
+
+  // An orderly end is passed on with the bytes. A broken side breaks the other: late, after a cut,
+  // or never.
+  async function passBreak(broken: Socket, hadError: boolean): Promise<void> {
+    if (silenced || (broken.readableEnded && !hadError)) {
+      return;
+    }
+    const [near, far] = broken === client ? [from, to] : [to, from];
+    await delay(rules.delayMs(near, far), undefined, { signal });
+    await rules.untilOpen(near, far, signal);
+    reset();
+  }
+
+  function watchClose(socket: Socket): void {
+    socket.on('error', () => undefined);
+    socket.on('close', (hadError: boolean) => {
+      passBreak(socket, hadError).catch(() => undefined);
+    });
+  }
+
+  async function connectServer(): Promise<Socket> {
+    const handshakeMs = rules.delayMs(from, to) + rules.delayMs(to, from);
+    await delay(handshakeMs, undefined, { signal });
+    await rules.untilOpen(from, to, signal);
+    await rules.untilOpen(to, from, signal);
+    const { address, port } = route.bound;
+    const socket = connect({ host: address, port, allowHalfOpen: true, noDelay: true });
+    server = socket;
+    watchClose(socket);
+    socket.on('close', options.onServerClosed);
+    await once(socket, 'connect', { signal });
+    return socket;
+  }
+
+  client.setNoDelay(true);
+  watchClose(client);
+  // A client that gives up before the connection exists leaves nothing to deliver later.
+  const giveUp = (): void => {
+    if (server === undefined) {
+      reset();
+    }
+  };
+  client.on('end', giveUp).on('close', giveUp);
+  const ended = once(client, 'close').then(() => undefined);
+
+  const connected = connectServer();
+  const common = { rules, isSilenced, signal };
+  const tasks = [
+    passBytes({
+      ...common,
+      source: client,
+      sink: connected,
+      from,
+      to,
+      record: transcript.open(from, to),
+    }),
+    connected.then((socket) =>
+      passBytes({
+        ...common,
+        source: socket,
+        sink: Promise.resolve(client),
+        from: to,
+        to: from,
+        record: transcript.open(to, from),
+      }),
+    ),
+  ];
+  Promise.all(tasks).catch(() => reset());
+  return {
+    from,
+    to,
+    silence() {
+      silenced = true;
+    },
+    reset,
+    ended,
+  };
+}
