--- /dev/null
+++ b/packages/scenarios/src/launcher/createNetworkControl.ts
@@ -0,0 +1,39 @@
+import type { LinkUse, MarkerSighting, RelayRule } from '@camphorbarrow/standins';
+import { requestJson } from './requestJson.js';
+
+/** Control of a deployment's relay. Selectors are the name of a process, a region or `*`. */
+export interface NetworkControl {
+  setRule(id: string, rule: RelayRule): Promise<void>;
+  removeRule(id: string): Promise<void>;
+  /** Silences the connections open now; resolves to their number. */
+  silence(from: string, to: string): Promise<number>;
+  links(): Promise<readonly LinkUse[]>;
+  search(marker: string): Promise<{
+    readonly sightings: readonly MarkerSighting[];
+    readonly truncated: boolean;
+  }>;
+}
+
+export function createNetworkControl(url: string): NetworkControl {
+  return {
+    async setRule(id, rule) {
+      await requestJson('PUT', `${url}/rules/${id}`, rule);
+    },
+    async removeRule(id) {
+      await requestJson('DELETE', `${url}/rules/${id}`);
+    },
+    async silence(from, to) {
+      const answer = await requestJson('POST', `${url}/silence`, { from, to });
+      return (answer as { silenced: number }).silenced;
+    },
+    async links() {
+      return ((await requestJson('GET', `${url}/links`)) as { links: LinkUse[] }).links;
+    },
+    async search(marker) {
+      return (await requestJson('POST', `${url}/search`, { marker })) as {
+        sightings: MarkerSighting[];
+        truncated: boolean;
+      };
+    },
+  };
+}
--- /dev/null
+++ b/packages/scenarios/src/launcher/requestJson.ts
@@ -0,0 +1,25 @@
+import { request } from 'undici';
+import { ScenarioError } from '../errors/ScenarioError.js';
+
+/**
+ * Exchanges JSON with a control route of a stand-in.
+ *
+ * @throws ScenarioError for a status other than 2xx
+ */
+export async function requestJson(
+  method: 'GET' | 'POST' | 'PUT' | 'DELETE',
+  url: string,
+  body?: object,
+): Promise<unknown> {
+  const response = await request(url, {
+    method,
+    ...(body === undefined
+      ? {}
+      : { headers: { 'content-type': 'application/json' }, body: JSON.stringify(body) }),
+  });
+  const text = await response.body.text();
+  if (response.statusCode > 299) {
+    throw new ScenarioError(`${method} ${url} answered ${response.statusCode}: ${text}`);
+  }
+  return text === '' ? undefined : JSON.parse(text);
+}
--- a/packages/scenarios/src/launcher/startProcess.ts
+++ b/packages/scenarios/src/launcher/startProcess.ts
@@ -7,6 +7,8 @@
   /** Program file of Node.js and its arguments. */
   readonly program: string;
   readonly args: readonly string[];
+  /** Called for every line of standard output. */
+  readonly onLine?: (pid: number, line: string) => void;
 }
 
 export interface ManagedProcess {
@@ -23,13 +25,14 @@
 
 const MAX_OUTPUT_LINES = 5_000;
 
-function collectLines(child: ChildProcess): string[] {
+function collectLines(child: ChildProcess, onLine: ProcessOptions['onLine']): string[] {
   const lines: string[] = [];
   let pending = '';
   child.stdout?.setEncoding('utf8').on('data', (text: string) => {
     const parts = (pending + text).split('\n');
     pending = parts.pop() ?? '';
     lines.push(...parts);
+    parts.forEach((line) => onLine?.(child.pid ?? 0, line));
     lines.splice(0, Math.max(0, lines.length - MAX_OUTPUT_LINES));
   });
   return lines;
@@ -41,7 +44,7 @@
     stdio: ['ignore', 'pipe', 'inherit'],
   });
   const ended = once(child, 'exit').then(([code]) => (code as number | null) ?? undefined);
-  const outputLines = collectLines(child);
+  const outputLines = collectLines(child, options.onLine);
 
   function isRunning(): boolean {
     return child.exitCode === null && child.signalCode === null;
--- a/packages/standins/src/relay/createTranscript.ts
+++ b/packages/standins/src/relay/createTranscript.ts
@@ -59,7 +59,8 @@
     },
     links() {
       const links = new Map<string, { -readonly [Key in keyof LinkUse]: LinkUse[Key] }>();
-      recorded.forEach((record) => {
+      const used = recorded.filter(({ bytes }) => bytes > 0);
+      used.forEach((record) => {
         const { from, to, bytes } = record;
         const link = links.get(linkKey(record)) ?? { from, to, bytes: 0, connections: 0 };
         link.bytes += bytes;
