Add the history and its checker

Cause: a test that looks at one answer cannot see that an order ran twice, that a call reported as not run ran, or that two answers were exchanged.

Change: a history holds what callers sent and got, what arrived and ran at backend servers, who left when, and which configuration version each process had.

An order sent under one key counts as one, whatever its body.

--- /dev/null
+++ b/packages/scenarios/src/checker/findDoubledRuns.ts
@@ -0,0 +1,23 @@
+import type { History } from '../history/History.js';
+import { eventsOf } from '../history/eventsOf.js';
+import type { Violation } from './Violation.js';
+import { groupByCall } from './groupByCall.js';
+
+/** A call that may not be repeated ran more than once, or two calls with one key both ran. */
+export function findDoubledRuns(history: History): Violation[] {
+  const executed = groupByCall(eventsOf(history, 'executed'));
+  const callsByKey = new Map<string, Set<string>>();
+  eventsOf(history, 'invoked')
+    .filter(({ repeatable }) => !repeatable)
+    .forEach(({ call, key }) => {
+      const group = key ?? `call ${call}`;
+      callsByKey.set(group, (callsByKey.get(group) ?? new Set()).add(call));
+    });
+  return [...callsByKey.values()].flatMap((calls) => {
+    const runs = [...calls].flatMap((call) => executed.get(call) ?? []);
+    const places = runs.map(({ call, server }) => `${call} at ${server}`).join(', ');
+    return runs.length > 1
+      ? [{ rule: 'doubled-run', message: `ran ${runs.length} times: ${places}` }]
+      : [];
+  });
+}
--- /dev/null
+++ b/packages/scenarios/src/checker/findForeignAnswers.ts
@@ -0,0 +1,39 @@
+import { answerTokens } from '@camphorbarrow/standins';
+import type { History } from '../history/History.js';
+import type { AnsweredEvent, InvokedEvent } from '../history/HistoryEvent.js';
+import { eventsOf } from '../history/eventsOf.js';
+import type { Violation } from './Violation.js';
+
+function wrongInference(
+  { prompt, tokens }: InvokedEvent,
+  { text = '', label }: AnsweredEvent,
+): string | undefined {
+  const serverId = /^([\w.-]*)\[/.exec(text)?.[1] ?? '';
+  const expected = answerTokens(serverId, prompt ?? '', tokens ?? 0).join('');
+  if (label === 'complete') {
+    return text === expected ? undefined : `complete answer "${text}", expected "${expected}"`;
+  }
+  return text === '' || expected.startsWith(text) ? undefined : `partial answer "${text}"`;
+}
+
+function wrongOrder(call: string, { text, label }: AnsweredEvent): string | undefined {
+  return label === 'complete' && text !== call ? `answer names order "${text}"` : undefined;
+}
+
+/** An answer belongs to another call, is shortened or mixed, or counts as complete and is not. */
+export function findForeignAnswers(history: History): Violation[] {
+  const invoked = new Map(
+    eventsOf(history, 'invoked').map((event) => [`${event.call} ${event.attempt}`, event]),
+  );
+  return eventsOf(history, 'answered').flatMap((answer) => {
+    const call = invoked.get(`${answer.call} ${answer.attempt}`);
+    if (call === undefined) {
+      return [{ rule: 'foreign-answer', message: `answer to ${answer.call}, which was not sent` }];
+    }
+    const wrong =
+      call.prompt === undefined ? wrongOrder(call.call, answer) : wrongInference(call, answer);
+    return wrong === undefined
+      ? []
+      : [{ rule: 'foreign-answer', message: `${answer.call}: ${wrong}` }];
+  });
+}
--- /dev/null
+++ b/packages/scenarios/src/checker/findLateWork.ts
@@ -0,0 +1,24 @@
+import type { History } from '../history/History.js';
+import type { Violation } from './Violation.js';
+
+/** Bound within which every entry host stops sending work to a leaving server. */
+export const LEAVING_BOUND_MS = 3_000;
+
+/** A request arrived at a server more than 3 s after the server announced that it is leaving. */
+export function findLateWork(history: History): Violation[] {
+  const leavingSinceMs = new Map<string, number>();
+  return history.flatMap((event) => {
+    if (event.kind === 'leaving') {
+      leavingSinceMs.set(event.server, event.atMs);
+    } else if (event.kind === 'started') {
+      leavingSinceMs.delete(event.server);
+    } else if (event.kind === 'arrived') {
+      const lateMs = event.atMs - (leavingSinceMs.get(event.server) ?? Infinity);
+      if (lateMs > LEAVING_BOUND_MS) {
+        const message = `${event.call} arrived at ${event.server} ${lateMs} ms after its leave`;
+        return [{ rule: 'late-work', message }];
+      }
+    }
+    return [];
+  });
+}
--- /dev/null
+++ b/packages/scenarios/src/history/CallLabel.ts
@@ -0,0 +1,16 @@
+/**
+ * How a call ended for its caller. `complete`: the whole answer arrived. `not-run`, `unknown` and
+ * `run`: a typed error with that outcome. `broken`: the connection ended without a typed error.
+ * `timed-out`: the caller gave up. `unreachable`: no entry host accepted a connection.
+ */
+export const CALL_LABELS = [
+  'complete',
+  'not-run',
+  'unknown',
+  'run',
+  'broken',
+  'timed-out',
+  'unreachable',
+] as const;
+
+export type CallLabel = (typeof CALL_LABELS)[number];
--- /dev/null
+++ b/packages/scenarios/tests/checker/findLateWork.test.ts
@@ -0,0 +1,23 @@
+import test from 'ava';
+import { findLateWork } from '../../src/checker/findLateWork.js';
+
+const server = 'norte-engine-1';
+const arrived = { kind: 'arrived', call: 'a', server, region: 'norte' } as const;
+const leaving = { kind: 'leaving', atMs: 1_000, server } as const;
+
+test('work that arrives more than 3 s after the leave is found', (t) => {
+  t.is(findLateWork([leaving, { ...arrived, atMs: 4_001 }]).length, 1);
+});
+
+test('work within the bound, elsewhere or after a new start is accepted', (t) => {
+  t.deepEqual(
+    findLateWork([
+      leaving,
+      { ...arrived, atMs: 4_000 },
+      { ...arrived, atMs: 5_000, server: 'norte-engine-2' },
+      { kind: 'started', atMs: 6_000, server },
+      { ...arrived, atMs: 7_000 },
+    ]),
+    [],
+  );
+});
--- a/packages/standins/src/engine/startEngine.ts
+++ b/packages/standins/src/engine/startEngine.ts
@@ -7,6 +7,7 @@
 import { createRecordLog } from '../records/createRecordLog.js';
 import type { EngineBody } from './EngineBody.js';
 import type { EngineOptions } from './EngineOptions.js';
+import { CRASH_MARK } from './CRASH_MARK.js';
 import { answerTokens } from './answerTokens.js';
 import { createBatch } from './createBatch.js';
 import { createPrefixCache } from './createPrefixCache.js';
@@ -16,8 +17,6 @@
 const CHARACTERS_PER_TOKEN = 4;
 const DEFAULT_OUTPUT_TOKENS = 16;
 const MS_PER_SECOND = 1000;
-/** A prompt with this text ends the process, as a crashing request does. */
-const CRASH_MARK = 'CRASH-THE-ENGINE';
 
 function chunkOf(id: string, body: EngineBody, text: string, finish: string | null): string {
   const chat = body.messages !== undefined;
@@ -178,6 +177,7 @@
     return { leaving };
   });
   addRecordRoute(app, records);
+  records.add({ kind: 'started', atMs: Date.now() });
   const url = await app.listen({ host: address, port });
   return { url, close: () => app.close() };
 }
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -1,5 +1,6 @@
 export * from './StandIn.js';
 export * from './StandInSettings.js';
+export * from './engine/CRASH_MARK.js';
 export * from './engine/EngineBody.js';
 export * from './engine/EngineOptions.js';
 export * from './engine/answerTokens.js';
--- a/packages/standins/src/records/ServerRecord.ts
+++ b/packages/standins/src/records/ServerRecord.ts
@@ -1,5 +1,7 @@
 /** What a backend server stand-in did, one JSON line each. Times are wall-clock milliseconds. */
 export type ServerRecord =
+  /** A new incarnation, which takes work whatever an earlier one said. */
+  | { readonly kind: 'started'; readonly atMs: number }
   | {
       readonly kind: 'arrived';
       readonly atMs: number;
--- a/packages/standins/src/records/addRecordRoute.ts
+++ b/packages/standins/src/records/addRecordRoute.ts
@@ -5,10 +5,11 @@
 export function addRecordRoute(app: FastifyInstance, log: RecordLog): void {
   app.get('/executed', async () => {
     const records = log.all();
+    const lastState = records.findLast(({ kind }) => kind === 'leaving' || kind === 'started');
     return {
       executed: records.filter(({ kind }) => kind === 'executed'),
       arrived: records.filter(({ kind }) => kind === 'arrived'),
-      leavingSinceMs: records.find(({ kind }) => kind === 'leaving')?.atMs ?? null,
+      leavingSinceMs: lastState?.kind === 'leaving' ? lastState.atMs : null,
     };
   });
 }
--- a/packages/standins/src/service/startOrderingServer.ts
+++ b/packages/standins/src/service/startOrderingServer.ts
@@ -52,6 +52,7 @@
     return { order, state: confirmed ? 'confirmed' : 'unknown', server: options.serverId };
   });
   addRecordRoute(app, records);
+  records.add({ kind: 'started', atMs: Date.now() });
   app.get('/load', async () => ({
     incarnation,
     state: leaving ? 'leaving' : 'live',
