Add the scenario language and its runner

Cause: process-level tests of faults were written by hand, each with its own waiting, sending and checking, and could not be repeated with the same random choices.

A file is validated before anything starts, including names of processes and calls; errors name line and field.

--- /dev/null
+++ b/packages/scenarios/src/language/findReferenceProblems.ts
@@ -0,0 +1,97 @@
+import type { Step, StepOf } from './Step.js';
+import { processNames } from './processNames.js';
+
+export interface ReferenceProblem {
+  readonly path: readonly (string | number)[];
+  readonly message: string;
+}
+
+interface Reference {
+  readonly path: readonly (string | number)[];
+  readonly name: string;
+  readonly to: 'process' | 'calls' | 'race' | 'link';
+}
+
+type Field = readonly [field: string, value: unknown, to: Reference['to']];
+
+function fieldsOf(step: Step): Field[] {
+  switch (step.do) {
+    case 'send':
+      return [
+        ['via', step.via, 'process'],
+        ['of', step.of, 'calls'],
+      ];
+    case 'crashRequest':
+      return [['via', step.via, 'process']];
+    case 'wait':
+      return [['calls', step.calls, 'calls']];
+    case 'cut':
+    case 'delay':
+    case 'silence':
+      return [
+        ['from', step.from, 'link'],
+        ['to', step.to, 'link'],
+      ];
+    case 'expect':
+      return Object.entries(step).flatMap(([field, value]): Field[] => {
+        const to = {
+          calls: 'calls',
+          race: 'race',
+          target: 'process',
+          server: 'process',
+          via: 'process',
+        };
+        const lists = ['hosts', 'lists', 'excludes', 'neverAt', 'seenAt'];
+        const known = lists.includes(field) ? 'process' : to[field as keyof typeof to];
+        return known === undefined ? [] : [[field, value, known as Reference['to']]];
+      });
+    default:
+      return 'target' in step ? [['target', step.target, 'process']] : [];
+  }
+}
+
+function referencesOf(step: Step, index: number): Reference[] {
+  return fieldsOf(step).flatMap(([field, value, to]) => {
+    const isChoice = typeof value === 'object' && value !== null && 'oneOf' in value;
+    const inner = isChoice ? (value.oneOf as unknown) : value;
+    const path = isChoice ? [index, field, 'oneOf'] : [index, field];
+    if (typeof inner === 'string') {
+      return [{ path, name: inner, to }];
+    }
+    return Array.isArray(inner)
+      ? inner.map((name, at) => ({ path: [...path, at], name: String(name), to }))
+      : [];
+  });
+}
+
+/** Names in steps that refer to no process, region or earlier step. */
+export function findReferenceProblems(steps: readonly Step[]): ReferenceProblem[] {
+  const [start, ...rest] = steps;
+  if (start?.do !== 'start') {
+    return [{ path: [0, 'do'], message: 'the first step must be "start"' }];
+  }
+  const again = rest.findIndex((step) => step.do === 'start');
+  if (again >= 0) {
+    return [{ path: [again + 1, 'do'], message: 'only the first step may be "start"' }];
+  }
+  const { regions } = start.deployment;
+  const known: Record<Reference['to'], Set<string>> = {
+    process: processNames((start as StepOf<'start'>).deployment),
+    link: new Set(['*']),
+    calls: new Set(),
+    race: new Set(),
+  };
+  known.process.forEach((name) => known.link.add(name));
+  regions.forEach(({ name }) => known.link.add(name).add(`caller-${name}`));
+  return steps.flatMap((step, index) => {
+    const problems = referencesOf(step, index)
+      .filter(({ name, to }) => !known[to].has(name))
+      .map(({ path, name, to }) => ({ path, message: `"${name}" is no ${to} known here` }));
+    if (step.do === 'send' || step.do === 'crashRequest') {
+      known.calls.add(step.id);
+    } else if (step.do === 'race') {
+      known.race.add(step.id);
+    }
+    return problems;
+  });
+}
--- /dev/null
+++ b/packages/scenarios/src/language/scenarioSchema.ts
@@ -0,0 +1,20 @@
+import { z } from 'zod';
+import { findReferenceProblems } from './findReferenceProblems.js';
+import { stepSchema } from './stepSchema.js';
+
+/** Schema of a scenario file. */
+export const scenarioSchema = z
+  .strictObject({
+    /** What the scenario shows. */
+    description: z.string().min(1),
+    /** Parts of the product that the scenario needs beyond serving requests. */
+    needs: z.array(z.enum(['orders', 'configuration-commands'])).default([]),
+    steps: z.array(stepSchema).min(1),
+  })
+  .superRefine(({ steps }, context) => {
+    findReferenceProblems(steps).forEach(({ path, message }) => {
+      context.addIssue({ code: 'custom', path: ['steps', ...path], message });
+    });
+  });
+
+export type Scenario = z.infer<typeof scenarioSchema>;
--- /dev/null
+++ b/packages/scenarios/src/runner/verbs/runProcessStep.ts
@@ -0,0 +1,38 @@
+import type { StepOf } from '../../language/Step.js';
+import { requestJson } from '../../launcher/requestJson.js';
+import type { ScenarioContext } from '../ScenarioContext.js';
+import { chooseTarget } from '../chooseTarget.js';
+import { processOf } from '../processOf.js';
+
+type ProcessStep = StepOf<
+  'kill' | 'freeze' | 'thaw' | 'restart' | 'drain' | 'leave' | 'removeFromHostList'
+>;
+
+async function removeFromHostList(context: ScenarioContext, serverId: string): Promise<void> {
+  const url = `${processOf(context, 'hostlist').directUrl}/v1/hosts`;
+  const { hosts } = (await requestJson('GET', url)) as { hosts: { serverId: string }[] };
+  await requestJson('PUT', url, { hosts: hosts.filter((host) => host.serverId !== serverId) });
+}
+
+/** Does something to one process. */
+export async function runProcessStep(context: ScenarioContext, step: ProcessStep): Promise<void> {
+  const target = chooseTarget(step.target, context.random);
+  const deployed = processOf(context, target);
+  switch (step.do) {
+    case 'kill':
+      return deployed.process.close();
+    case 'freeze':
+      return deployed.process.signal('SIGSTOP');
+    case 'thaw':
+      return deployed.process.signal('SIGCONT');
+    case 'drain':
+      return deployed.process.signal('SIGTERM');
+    case 'restart':
+      return context.deployment.restart(target);
+    case 'leave':
+      await requestJson('POST', `${deployed.directUrl}/leave`, {});
+      return undefined;
+    case 'removeFromHostList':
+      return removeFromHostList(context, target);
+  }
+}
