--- a/packages/adapters/src/index.ts
+++ b/packages/adapters/src/index.ts
@@ -9,6 +9,7 @@
 export * from './callers/trackInFlight.js';
 export * from './http/classifyHttpError.js';
 export * from './http/notifyBeforeSend.js';
+export * from './http/outgoingFrom.js';
 export * from './http/requestJson.js';
 export * from './log/createPinoLog.js';
 export * from './metrics/createHotShotsMetrics.js';
--- a/packages/adapters/src/peers/createTrpcPeerClient.ts
+++ b/packages/adapters/src/peers/createTrpcPeerClient.ts
@@ -6,6 +6,7 @@
 import type { PeerClient } from '@camphorbarrow/core';
 import { hostListEntrySchema } from '../platform/hostListEntrySchema.js';
 import { crashReportSchema } from './crashReportSchema.js';
+import { outgoingFrom } from '../http/outgoingFrom.js';
 import { heartbeatSchema } from './heartbeatSchema.js';
 import type { PeerRouter } from './peerRouter.js';
 
@@ -13,6 +14,8 @@
   readonly peerKey: string;
   /** Limit for every call. */
   readonly timeoutMs: number;
+  /** Local IP address of outgoing connections; the system chooses when absent. */
+  readonly localAddress?: string | undefined;
 }
 
 const serversSchema = z.array(hostListEntrySchema);
@@ -28,7 +31,10 @@
 
 /** Calls to other entry hosts over tRPC. */
 export function createTrpcPeerClient(options: TrpcPeerClientOptions): PeerClient {
-  const agent = new Agent({ connectTimeout: options.timeoutMs });
+  const agent = new Agent({
+    connectTimeout: options.timeoutMs,
+    ...outgoingFrom(options.localAddress),
+  });
   const clients = new Map<string, TRPCClient<PeerRouter>>();
 
   function clientOf(peerUrl: string): TRPCClient<PeerRouter> {
--- a/packages/daemon/src/entryHost/createEntryHost.ts
+++ b/packages/daemon/src/entryHost/createEntryHost.ts
@@ -41,6 +41,7 @@
   RegionId,
 } from '@camphorbarrow/core';
 import { createDrain } from './createDrain.js';
+import { announcedUrl } from './announcedUrl.js';
 import { createEntryHostRanking } from './createEntryHostRanking.js';
 import { publishDirectory } from './publishDirectory.js';
 
@@ -72,16 +73,24 @@
   const hostId = asId<HostId>(settings.host.hostId);
   const regionId = asId<RegionId>(settings.host.region);
   const incarnation = asId<Incarnation>(randomUUID());
+  const localAddress = settings.outgoingAddress;
   const clock = createSystemClock();
   const random = createSeededRandom(randomInt(MAX_SEED));
   const log = createPinoLog({ level: settings.log.level, base: { hostId, regionId } });
   const metrics = createMetrics(settings, log);
-  const store = createEtcdKeyValueStore(settings.keyValueService);
-  const engineClient = createOpenAiEngineClient({ connectTimeoutMs: CONNECT_TIMEOUT_MS });
-  const serviceClient = createHttpServiceClient({ connectTimeoutMs: CONNECT_TIMEOUT_MS });
+  const store = createEtcdKeyValueStore({ ...settings.keyValueService, localAddress });
+  const engineClient = createOpenAiEngineClient({
+    connectTimeoutMs: CONNECT_TIMEOUT_MS,
+    localAddress,
+  });
+  const serviceClient = createHttpServiceClient({
+    connectTimeoutMs: CONNECT_TIMEOUT_MS,
+    localAddress,
+  });
   const peerClient = createTrpcPeerClient({
     peerKey: settings.secrets.peerKey,
     timeoutMs: PEER_TIMEOUT_MS,
+    localAddress,
   });
   const config = createConfigKeeper({ clock, log, store });
   const startedAtMs = clock.nowMs();
@@ -93,8 +102,8 @@
     startedAtMs,
     regionId,
     availabilityZoneId: asId<AvailabilityZoneId>(settings.host.availabilityZone),
-    callerUrl: `http://${settings.callerListener.address}:${settings.callerListener.port}`,
-    peerUrl: `http://${settings.peerListener.address}:${settings.peerListener.port}`,
+    callerUrl: announcedUrl(settings.callerListener),
+    peerUrl: announcedUrl(settings.peerListener),
     state: drain.state(),
     configVersion: config.version(),
   });
@@ -132,7 +141,7 @@
 
   const hostList = createPeerBackedHostList({
     log,
-    platform: createHttpHostList(settings.hostList),
+    platform: createHttpHostList({ ...settings.hostList, localAddress }),
     askPeers: () => askRegion((peerUrl) => peerClient.fetchServers(peerUrl)),
   });
   const ranking = createEntryHostRanking({ self: describeSelf, peers });
@@ -216,7 +225,7 @@
     directory:
       settings.clientDirectory === undefined
         ? undefined
-        : createHttpClientDirectory(settings.clientDirectory),
+        : createHttpClientDirectory({ ...settings.clientDirectory, localAddress }),
     entry: () => ({ ...ranking.list(), regionId }),
   });
   log.info('started', { incarnation });
