Stop exceptions from overriding fields they do not name

Cause: zod applies a field's default even below optional(), so `.partial()` over the groups of the fleet defaults filled in every other field of the group. Parsing an exception that set only admission.maxQueuedRequests with the previous schema gave all five fields of `admission`, four of them the schema's defaults, and these replaced the fleet's own values. `effectiveDefaults` read the system clock.

Change: the groups of `set` are rebuilt without defaults. The time is passed to `effectiveDefaults` from the injected clock.

--- a/packages/core/src/config/effectiveDefaults.ts
+++ b/packages/core/src/config/effectiveDefaults.ts
@@ -12,12 +12,12 @@
 
 type Exception = FleetDocument['exceptions'][number];
 
-function applies({ scope, expiresAt }: Exception, target: ExceptionTarget): boolean {
+function applies({ scope, expiresAt }: Exception, target: ExceptionTarget, nowMs: number): boolean {
   return (
     (scope.customer === undefined || scope.customer === target.customerId) &&
     (scope.region === undefined || scope.region === target.regionId) &&
     (scope.rank === undefined || scope.rank === target.rank) &&
-    (expiresAt === undefined || Date.parse(expiresAt) > Date.now())
+    (expiresAt === undefined || Date.parse(expiresAt) > nowMs)
   );
 }
 
@@ -32,9 +32,16 @@
   } as FleetDefaults;
 }
 
-/** Fleet defaults with all matching exceptions applied, later ones over earlier ones. */
-export function effectiveDefaults(document: FleetDocument, target: ExceptionTarget): FleetDefaults {
+/**
+ * Fleet defaults with all matching exceptions applied, later ones over earlier ones. `nowMs` is the
+ * wall-clock time that decides which exceptions have expired.
+ */
+export function effectiveDefaults(
+  document: FleetDocument,
+  target: ExceptionTarget,
+  nowMs: number,
+): FleetDefaults {
   return document.exceptions
-    .filter((exception) => applies(exception, target))
+    .filter((exception) => applies(exception, target, nowMs))
     .reduce(merge, document.defaults);
 }
--- /dev/null
+++ b/packages/core/src/config/partialWithoutDefaults.ts
@@ -0,0 +1,34 @@
+import { z } from 'zod';
+
+type WithoutDefault<Field> =
+  Field extends z.ZodDefault<infer Inner>
+    ? Inner
+    : Field extends z.ZodPrefault<infer Inner>
+      ? Inner
+      : Field;
+
+type OptionalFields<Shape> = {
+  [Key in keyof Shape]: WithoutDefault<Shape[Key]> extends z.core.SomeType
+    ? z.ZodOptional<WithoutDefault<Shape[Key]>>
+    : never;
+};
+
+function withoutDefault(field: z.ZodType): z.ZodType {
+  return field instanceof z.ZodDefault || field instanceof z.ZodPrefault
+    ? (field.unwrap() as z.ZodType)
+    : field;
+}
+
+/**
+ * A group of fleet defaults with every field optional and no field filled in. zod applies a
+ * field's default even below `optional()`, so `partial()` alone would add fields nobody named.
+ */
+export function partialWithoutDefaults<Shape extends z.core.$ZodLooseShape>(
+  group: z.ZodPrefault<z.ZodObject<Shape>>,
+): z.ZodOptional<z.ZodObject<OptionalFields<Shape>, z.core.$strict>> {
+  const fields = Object.entries(group.unwrap().shape as Record<string, z.ZodType>).map(
+    ([name, field]) => [name, withoutDefault(field).optional()],
+  );
+  const shape = Object.fromEntries(fields) as OptionalFields<Shape>;
+  return z.strictObject(shape).optional() as never;
+}
--- a/packages/core/src/requests/createCallerReader.ts
+++ b/packages/core/src/requests/createCallerReader.ts
@@ -146,7 +146,11 @@
       idempotencyKey: readIdempotencyKey(headers),
       path,
       receivedAtMs: options.clock.monotonicMs(),
-      settings: effectiveDefaults(document, { customerId, regionId: options.regionId, rank }),
+      settings: effectiveDefaults(
+        document,
+        { customerId, regionId: options.regionId, rank },
+        options.clock.nowMs(),
+      ),
     };
   }
 
