Make accepted configurations spread to every host and never revert

Cause: the keeper followed only the store's watch. A watch on a silent connection, or a change between the first read and the watch, was missed for good; a store restored with old data kept that data; equal versions with different content were not seen in heartbeats; and nothing could make a change.

Change: - createStoreFollower adds polls of the key alone (every 2 s, more rarely in a large fleet, so that all hosts together make 200 reads a second). A change that only a poll brings reopens the watch. A store with older data gets the document of the host back. A newer document that this program cannot read is left alone, so that old hosts do not undo it during an upgrade. - createConfigExchange fetches newer documents that heartbeats announce, by version and change id, and pushes a change to the reachable peers. - createChangeProposer writes a change with compare-and-swap at max(stored, own) + 1 and resolves a lost response by the change id. Its result is accepted (with peers told and not reached), lost (against which change and author) or unknown; refusals before a write are typed errors. - A document that replaces another one without containing its change is logged as configuration-diverged. It can occur only after the store lost data and a host that was cut off made a change. - The history holds 100 changes and the document 1,000,000 bytes. - Peer calls that carry a document have a limit of 3 s instead of 1 s: 1 MB takes several round trips between regions.

Ruled out: progress notifications of the store as the only sign of a live watch. The service sends them every 10 minutes by default, far above the bound of 6 s.

--- a/packages/adapters/src/peers/createTrpcPeerClient.ts
+++ b/packages/adapters/src/peers/createTrpcPeerClient.ts
@@ -8,10 +8,14 @@
 
 export interface TrpcPeerClientOptions {
   readonly peerKey: string;
-  /** Limit for every call. */
+  /** Limit for every call but those that carry a configuration document. */
   readonly timeoutMs: number;
+  /** Limit for calls that carry a configuration document of up to 1 MB. @default 3000 */
+  readonly documentTimeoutMs?: number;
 }
 
+const DEFAULT_DOCUMENT_TIMEOUT_MS = 3_000;
+
 async function translate<Result>(call: Promise<Result>): Promise<Result> {
   try {
     return await call;
@@ -46,6 +50,9 @@
   }
 
   const limit = (): { signal: AbortSignal } => ({ signal: AbortSignal.timeout(options.timeoutMs) });
+  const documentLimit = (): { signal: AbortSignal } => ({
+    signal: AbortSignal.timeout(options.documentTimeoutMs ?? DEFAULT_DOCUMENT_TIMEOUT_MS),
+  });
 
   return {
     heartbeat: async (peerUrl, message) =>
@@ -54,11 +61,12 @@
       ),
     async fetchConfig(peerUrl) {
       return (
-        (await translate(clientOf(peerUrl).fetchConfig.query(undefined, limit()))) ?? undefined
+        (await translate(clientOf(peerUrl).fetchConfig.query(undefined, documentLimit()))) ??
+        undefined
       );
     },
     pushConfig: (peerUrl, document) =>
-      translate(clientOf(peerUrl).pushConfig.mutate(document, limit())),
+      translate(clientOf(peerUrl).pushConfig.mutate(document, documentLimit())),
     close: () => agent.destroy(),
   };
 }
--- a/packages/adapters/src/peers/heartbeatSchema.ts
+++ b/packages/adapters/src/peers/heartbeatSchema.ts
@@ -19,6 +19,7 @@
   state: z.enum(['live', 'draining']),
   sequence: z.int().min(0),
   configVersion: z.int().min(0),
+  configChangeId: z.string().max(128),
 });
 
 /** Wire form of a heartbeat. */
--- a/packages/adapters/src/platform/createEtcdKeyValueStore.ts
+++ b/packages/adapters/src/platform/createEtcdKeyValueStore.ts
@@ -82,8 +82,14 @@
         dispatcher: agent,
         signal,
         headers: { 'content-type': 'application/json' },
+        // The service confirms a watch at once; a connection that does not is taken as silent.
+        headersTimeout: options.timeoutMs,
         body: JSON.stringify({
-          create_request: { key: base64(prefix), range_end: rangeEnd(prefix) },
+          create_request: {
+            key: base64(prefix),
+            range_end: rangeEnd(prefix),
+            progress_notify: true,
+          },
         }),
       });
       for await (const line of readJsonLines(response.body)) {
@@ -100,8 +106,9 @@
   }
 
   return {
-    async get(key) {
-      const { kvs } = await call('/v3/kv/range', { key: base64(key) }, rangeSchema);
+    async get(key, { keyOnly = false } = {}) {
+      const body = { key: base64(key), keys_only: keyOnly };
+      const { kvs } = await call('/v3/kv/range', body, rangeSchema);
       return kvs[0] === undefined ? undefined : toKeyValue(kvs[0]);
     },
     async list(prefix) {
--- /dev/null
+++ b/packages/core/src/config/ConfigRevision.ts
@@ -0,0 +1,5 @@
+/** Identity of one configuration document. */
+export interface ConfigRevision {
+  readonly version: number;
+  readonly changeId: string;
+}
--- a/packages/core/src/config/createConfigKeeper.ts
+++ b/packages/core/src/config/createConfigKeeper.ts
@@ -1,19 +1,29 @@
 import { NoConfigurationError } from '../errors/NoConfigurationError.js';
+import type { PeerDescription } from '../membership/PeerDescription.js';
+import type { PeerView } from '../membership/PeerView.js';
 import type { Clock } from '../ports/Clock.js';
 import type { KeyValueStore } from '../ports/KeyValueStore.js';
 import type { LogSink } from '../ports/LogSink.js';
+import type { PeerClient } from '../ports/PeerClient.js';
+import type { RandomSource } from '../ports/RandomSource.js';
+import type { ConfigRevision } from './ConfigRevision.js';
 import type { FleetDocument, StoredFleetDocument } from './FleetDocument.js';
-import { createFleetDocument } from './createFleetDocument.js';
-import { fleetDocumentSchema } from './fleetDocumentSchema.js';
-
-/** Key of the configuration document in the key-value service. */
-export const CONFIGURATION_KEY = '/config/current';
-const WATCH_RETRY_MS = 500;
+import { createChangeProposer } from './createChangeProposer.js';
+import type { ChangeProposer } from './createChangeProposer.js';
+import { createConfigExchange } from './createConfigExchange.js';
+import { createConfigState } from './createConfigState.js';
+import { createStoreFollower } from './createStoreFollower.js';
 
 export interface ConfigKeeperOptions {
   readonly clock: Clock;
+  readonly random: RandomSource;
   readonly log: LogSink;
   readonly store: KeyValueStore;
+  readonly peerClient: Pick<PeerClient, 'fetchConfig' | 'pushConfig'>;
+  /** Peer URLs asked while no peer is known. */
+  readonly seedPeerUrls: readonly string[];
+  /** Peers that changes are told to; called only after `start` or by a proposal. */
+  readonly listPeers: () => readonly PeerView[];
 }
 
 export interface ConfigKeeper {
@@ -23,85 +33,50 @@
   stored(): StoredFleetDocument | undefined;
   /** Version in force, 0 when there is none. */
   version(): number;
+  /** Revision in force; version 0 and an empty change id when there is none. */
+  revision(): ConfigRevision;
   /** Takes a document over when it is newer than the one in force. */
   adopt(document: StoredFleetDocument): boolean;
+  /** Fetches a peer's configuration when its heartbeat names a newer one. */
+  notice(peer: PeerDescription): Promise<void>;
+  readonly propose: ChangeProposer;
+  /** Whether the last call to the store was answered. */
+  storeReachable(): boolean;
+  /** Compares the store with the document in force once. */
+  poll(): Promise<void>;
+  /** Starts following the store in the background. */
   start(): void;
   close(): Promise<void>;
 }
 
-function isNewer(document: StoredFleetDocument, than: StoredFleetDocument | undefined): boolean {
-  if (than === undefined || document.version !== than.version) {
-    return document.version > (than?.version ?? 0);
-  }
-  return document.changeId > than.changeId;
-}
-
-/** Creates the keeper of the fleet configuration, which only ever moves forward. */
+/** Creates the keeper of the fleet configuration, which only ever moves to a newer revision. */
 export function createConfigKeeper(options: ConfigKeeperOptions): ConfigKeeper {
   const { clock, log, store } = options;
-  const stopping = new AbortController();
-  let inForce: FleetDocument | undefined;
-  let stored: StoredFleetDocument | undefined;
-  let task: Promise<void> | undefined;
-
-  function adopt(document: StoredFleetDocument): boolean {
-    if (!isNewer(document, inForce)) {
-      return false;
-    }
-    inForce = createFleetDocument(document);
-    stored = document;
-    log.info('configuration-adopted', { version: document.version, changeId: document.changeId });
-    return true;
-  }
-
-  function adoptText(text: string): void {
-    const result = fleetDocumentSchema.safeParse(JSON.parse(text));
-    if (result.success) {
-      adopt(result.data);
-    } else {
-      log.error('configuration-invalid', { problems: result.error.issues.length });
-    }
-  }
-
-  async function follow(): Promise<void> {
-    const found = await store.get(CONFIGURATION_KEY);
-    if (found !== undefined) {
-      adoptText(found.value);
-    }
-    for await (const event of store.watch(CONFIGURATION_KEY, stopping.signal)) {
-      if (event.kind === 'put') {
-        adoptText(event.value);
-      }
-    }
-  }
-
-  async function followUntilClosed(): Promise<void> {
-    while (!stopping.signal.aborted) {
-      try {
-        await follow();
-      } catch (cause) {
-        log.warn('configuration-watch-broken', { error: String(cause) });
-      }
-      await clock.sleep(WATCH_RETRY_MS, stopping.signal).catch(() => undefined);
-    }
-  }
+  const state = createConfigState(log);
+  const exchange = createConfigExchange({ ...options, state });
+  const hostCount = (): number => options.listPeers().length + 1;
+  const follower = createStoreFollower({ ...options, state, hostCount });
 
   return {
     current() {
-      if (inForce === undefined) {
+      const document = state.inForce();
+      if (document === undefined) {
         throw new NoConfigurationError('This entry host has no fleet configuration yet.');
       }
-      return inForce;
-    },
-    stored: () => stored,
-    version: () => inForce?.version ?? 0,
-    adopt,
-    start() {
-      task = followUntilClosed();
+      return document;
     },
-    async close() {
-      stopping.abort();
-      await task;
+    stored: state.stored,
+    version: () => state.stored()?.version ?? 0,
+    revision() {
+      const { version = 0, changeId = '' } = state.stored() ?? {};
+      return { version, changeId };
     },
+    adopt: state.adopt,
+    notice: exchange.notice,
+    propose: createChangeProposer({ clock, log, store, state, exchange }),
+    storeReachable: follower.storeReachable,
+    poll: follower.poll,
+    start: follower.start,
+    close: follower.close,
   };
 }
--- /dev/null
+++ b/packages/core/src/config/readStoredDocument.ts
@@ -0,0 +1,28 @@
+import { z } from 'zod';
+import type { ConfigRevision } from './ConfigRevision.js';
+import type { StoredFleetDocument } from './FleetDocument.js';
+import { fleetDocumentSchema } from './fleetDocumentSchema.js';
+
+const revisionSchema = z.looseObject({ version: z.int().positive(), changeId: z.string().min(1) });
+
+export interface ReadDocument {
+  /** Undefined when the text is not a valid document. */
+  readonly document: StoredFleetDocument | undefined;
+  /** Revision that the text states, also when the rest is not valid for this program version. */
+  readonly revision: ConfigRevision | undefined;
+}
+
+function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+}
+
+/** Reads the text of a stored document, which may be absent, damaged or of a newer program. */
+export function readStoredDocument(text: string | undefined): ReadDocument {
+  const value = text === undefined ? undefined : parseJson(text);
+  const document = fleetDocumentSchema.safeParse(value).data;
+  return { document, revision: document ?? revisionSchema.safeParse(value).data };
+}
--- a/packages/core/src/membership/PeerDescription.ts
+++ b/packages/core/src/membership/PeerDescription.ts
@@ -19,4 +19,6 @@
   /** Grows with every heartbeat round of the host. */
   readonly sequence: number;
   readonly configVersion: number;
+  /** Change that made the configuration in force; empty when there is none. */
+  readonly configChangeId: string;
 }
--- a/packages/core/src/ports/KeyValueStore.ts
+++ b/packages/core/src/ports/KeyValueStore.ts
@@ -31,12 +31,17 @@
   readonly modRevision: StoreRevision;
 }
 
+export interface ReadOptions {
+  /** Leaves the value empty, for polls that only look for a new revision. @default false */
+  readonly keyOnly?: boolean;
+}
+
 /**
  * The platform's key-value service. Every method rejects with `StoreUnavailableError` when the
  * service does not answer in time; a write may have taken effect nevertheless.
  */
 export interface KeyValueStore {
-  get(key: string): Promise<KeyValue | undefined>;
+  get(key: string, options?: ReadOptions): Promise<KeyValue | undefined>;
   list(prefix: string): Promise<readonly KeyValue[]>;
   compareAndSwap(request: CompareAndSwapRequest): Promise<CompareAndSwapResult>;
   delete(key: string): Promise<void>;
@@ -44,6 +49,7 @@
   /** Resolves to the remaining time in seconds, or 0 when the lease has lapsed. */
   keepAlive(leaseId: LeaseId): Promise<number>;
   revokeLease(leaseId: LeaseId): Promise<void>;
+  /** Changes from now on. Changes may be missed while a watch is being opened. */
   watch(prefix: string, signal: AbortSignal): AsyncIterable<WatchEvent>;
   close(): Promise<void>;
 }
--- /dev/null
+++ b/packages/core/tests/config/configProperties.test.ts
@@ -0,0 +1,178 @@
+import test from 'ava';
+import fc from 'fast-check';
+import type { ConfigChangeResult } from '../../src/config/ConfigChangeResult.js';
+import type { ConfigRevision } from '../../src/config/ConfigRevision.js';
+import { compareRevisions } from '../../src/config/compareRevisions.js';
+import { CONFIGURATION_KEY } from '../../src/config/configurationKey.js';
+import { containsChange } from '../../src/config/containsChange.js';
+import type { ConfigKeeper } from '../../src/config/createConfigKeeper.js';
+import { exceptionInputSchema } from '../../src/config/exceptionInputSchema.js';
+import { fleetDefaultsSchema } from '../../src/config/fleetDefaultsSchema.js';
+import { readStoredDocument } from '../../src/config/readStoredDocument.js';
+import type { FakeFleet } from './createFakeFleet.js';
+import { createFakeFleet } from './createFakeFleet.js';
+
+const HOSTS = 3;
+const RUNS = 1_000;
+
+/** An addition, a replacement, or a replacement based on the version in force at the host. */
+type Mode = 'add' | 'replace' | 'based';
+
+type Action =
+  | { readonly kind: 'propose'; readonly host: number; readonly mode: Mode }
+  | { readonly kind: 'poll' | 'cut' | 'join'; readonly host: number }
+  | { readonly kind: 'deliver'; readonly from: number; readonly to: number }
+  | { readonly kind: 'lose' | 'snapshot' | 'restore' | 'outage' | 'recovery' };
+
+const host = fc.nat(HOSTS - 1);
+const harmless = [
+  fc.record({
+    kind: fc.constant('propose' as const),
+    host,
+    mode: fc.constantFrom<Mode[]>('add', 'replace', 'based'),
+  }),
+  fc.record({ kind: fc.constantFrom('poll' as const, 'cut' as const, 'join' as const), host }),
+  fc.record({ kind: fc.constant('deliver' as const), from: host, to: host }),
+  fc.record({ kind: fc.constantFrom('lose' as const, 'outage' as const, 'recovery' as const) }),
+];
+const restoring = fc.record({ kind: fc.constantFrom('snapshot' as const, 'restore' as const) });
+
+interface Run {
+  readonly fleet: FakeFleet;
+  readonly results: ReadonlyMap<string, ConfigChangeResult>;
+  /** A host took an older revision over. */
+  readonly wentBack: boolean;
+  /** A change was accepted on another version than it was based on. */
+  readonly ignoredBase: boolean;
+}
+
+/** Starts all actions at once; the scheduler orders the steps of their store and peer calls. */
+async function run(actions: readonly Action[], scheduler: fc.Scheduler): Promise<Run> {
+  const results = new Map<string, ConfigChangeResult>();
+  const highest: (ConfigRevision | undefined)[] = [];
+  let isMixing = true;
+  let wentBack = false;
+  let ignoredBase = false;
+  const fleet = createFakeFleet(HOSTS, async (label) => {
+    await (isMixing ? scheduler.schedule(Promise.resolve(), label) : Promise.resolve());
+    fleet.hosts.forEach((keeper, index) => {
+      wentBack ||= compareRevisions(keeper.revision(), highest[index]) < 0;
+      highest[index] = keeper.revision();
+    });
+  });
+
+  async function propose(keeper: ConfigKeeper, changeId: string, mode: Mode): Promise<void> {
+    const exception = { id: changeId, reason: 'test', scope: {}, set: {} };
+    const base = keeper.version();
+    const result = await keeper
+      .propose({
+        changeId,
+        author: 'ana',
+        reason: 'test',
+        basedOnVersion: mode === 'based' ? base : undefined,
+        operation:
+          mode === 'add'
+            ? { kind: 'add-exception', exception: exceptionInputSchema.parse(exception) }
+            : { kind: 'set-defaults', defaults: fleetDefaultsSchema.parse({}) },
+      })
+      .catch(() => undefined);
+    if (result?.outcome === 'accepted' && mode === 'based') {
+      ignoredBase ||= result.revision.version !== base + 1;
+    }
+    if (result !== undefined) {
+      results.set(changeId, result);
+    }
+  }
+
+  async function perform(action: Action, index: number): Promise<void> {
+    await scheduler.schedule(Promise.resolve(), action.kind);
+    switch (action.kind) {
+      case 'propose':
+        return propose(fleet.hosts[action.host] as ConfigKeeper, `c${index}`, action.mode);
+      case 'poll':
+        return fleet.hosts[action.host]?.poll();
+      case 'deliver':
+        return fleet.deliver(action.from, action.to);
+      case 'cut':
+        fleet.cutOff.add(action.host);
+        return undefined;
+      case 'join':
+        fleet.cutOff.delete(action.host);
+        return undefined;
+      case 'lose':
+        fleet.store.lostAnswers += 1;
+        return undefined;
+      case 'snapshot':
+        return fleet.store.snapshot();
+      case 'restore':
+        return fleet.store.restore();
+      case 'outage':
+      case 'recovery':
+        fleet.store.unavailable = action.kind === 'outage';
+        return undefined;
+    }
+  }
+
+  const done = Promise.all(actions.map(perform));
+  await scheduler.waitFor(done);
+  isMixing = false;
+  fleet.cutOff.clear();
+  Object.assign(fleet.store, { unavailable: false, lostAnswers: 0 });
+  for (let round = 0; round < 2; round += 1) {
+    for (let from = 0; from < HOSTS; from += 1) {
+      for (let to = 0; to < HOSTS; to += 1) {
+        await fleet.deliver(from, to);
+      }
+      await fleet.hosts[from]?.poll();
+    }
+  }
+  return { fleet, results, wentBack, ignoredBase };
+}
+
+/** Revisions in force at all hosts and in the store in the end. */
+function finalRevisions({ fleet }: Run): readonly ConfigRevision[] {
+  const text = fleet.store.value(CONFIGURATION_KEY);
+  const stored = readStoredDocument(text).revision ?? { version: 0, changeId: '' };
+  return [...fleet.hosts.map((keeper) => keeper.revision()), stored];
+}
+
+test('no version goes back and no accepted change is replaced by a lower version', async (t) => {
+  await fc.assert(
+    fc.asyncProperty(
+      fc.array(fc.oneof(...harmless, restoring), { maxLength: 25 }),
+      fc.scheduler(),
+      async (actions, scheduler) => {
+        const outcome = await run(actions, scheduler);
+        const [first, ...others] = finalRevisions(outcome) as [ConfigRevision];
+        const accepted = [...outcome.results.values()].filter((r) => r.outcome === 'accepted');
+        return (
+          !outcome.wentBack &&
+          !outcome.ignoredBase &&
+          others.every((revision) => compareRevisions(revision, first) === 0) &&
+          accepted.every(({ revision }) => first.version >= revision.version)
+        );
+      },
+    ),
+    { numRuns: RUNS },
+  );
+  t.pass();
+});
+
+test('while the store keeps its data, accepted changes stay and lost ones have no effect', async (t) => {
+  await fc.assert(
+    fc.asyncProperty(
+      fc.array(fc.oneof(...harmless), { maxLength: 25 }),
+      fc.scheduler(),
+      async (actions, scheduler) => {
+        const outcome = await run(actions, scheduler);
+        const document = outcome.fleet.hosts[0]?.stored();
+        return [...outcome.results].every(
+          ([changeId, { outcome: result }]) =>
+            result === 'unknown' || containsChange(document, changeId) === (result === 'accepted'),
+        );
+      },
+    ),
+    { numRuns: RUNS },
+  );
+  t.pass();
+});
--- a/packages/daemon/src/entryHost/createEntryHost.ts
+++ b/packages/daemon/src/entryHost/createEntryHost.ts
@@ -78,7 +78,16 @@
     peerKey: settings.secrets.peerKey,
     timeoutMs: PEER_TIMEOUT_MS,
   });
-  const config = createConfigKeeper({ clock, log, store });
+  const config = createConfigKeeper({
+    clock,
+    random,
+    log,
+    store,
+    peerClient,
+    seedPeerUrls: settings.seedPeers,
+    // eslint-disable-next-line @typescript-eslint/no-use-before-define -- each describes the other
+    listPeers: () => peers.peers(),
+  });
   const startedAtMs = clock.nowMs();
   let state: PeerDescription['state'] = 'live';
 
@@ -92,18 +101,9 @@
     peerUrl: `http://${settings.peerListener.address}:${settings.peerListener.port}`,
     state,
     configVersion: config.version(),
+    configChangeId: config.revision().changeId,
   });
 
-  async function fetchNewerConfig(peer: PeerDescription): Promise<void> {
-    if (peer.configVersion <= config.version()) {
-      return;
-    }
-    const document = await peerClient.fetchConfig(peer.peerUrl).catch(() => undefined);
-    if (document !== undefined) {
-      config.adopt(document);
-    }
-  }
-
   const peers = createPeerTable({
     clock,
     random,
@@ -113,7 +113,7 @@
     self: describeSelf,
     seedPeerUrls: settings.seedPeers,
     onPeer: (peer) => {
-      void fetchNewerConfig(peer);
+      void config.notice(peer);
     },
   });
   const ranking = createEntryHostRanking({ self: describeSelf, peers });
@@ -152,7 +152,7 @@
       currentConfig: config.stored,
       adoptConfig: (document) => {
         config.adopt(document);
-        return config.version();
+        return config.revision();
       },
     },
   });
--- a/packages/standins/src/platform/startKeyValueService.ts
+++ b/packages/standins/src/platform/startKeyValueService.ts
@@ -5,6 +5,7 @@
 interface RangeBody {
   readonly key: string;
   readonly range_end?: string;
+  readonly keys_only?: boolean;
 }
 
 interface Operation {
@@ -41,7 +42,9 @@
 
   function range(body: RangeBody): object {
     const rangeEnd = body.range_end === undefined ? undefined : decode(body.range_end);
-    const kvs = store.range(decode(body.key), rangeEnd).map(toWire);
+    const kvs = store
+      .range(decode(body.key), rangeEnd)
+      .map((entry) => toWire(body.keys_only === true ? { ...entry, value: '' } : entry));
     return { kvs, count: String(kvs.length) };
   }
 
