Name value, unit and allowed values in errors of configuration files

Cause: a problem named its place and zod's message only, so the reader saw one end of a range and no unit; an unknown field was reported at the object around it; a field written twice lost its first value silently.

Change: problems carry value, unit (from the suffix of the field's name) and what is allowed, taken from the JSON schema that zod derives. Unknown fields are reported at their own place and duplicate fields are reported. Values of keys are never shown, nor values of unknown fields, which may be a key in the wrong place.

--- a/packages/core/src/errors/SettingsError.ts
+++ b/packages/core/src/errors/SettingsError.ts
@@ -6,6 +6,12 @@
   readonly line: number;
   readonly column: number;
   readonly message: string;
+  /** The value found; undefined when it is missing or unknown, "hidden" for a secret. */
+  readonly value: string | undefined;
+  /** Unit of the field, from its name. */
+  readonly unit: string | undefined;
+  /** What the field may hold. */
+  readonly allowed: string | undefined;
 }
 
 /** A settings or configuration file is not valid. */
--- a/packages/core/src/settings/parseJsonc.ts
+++ b/packages/core/src/settings/parseJsonc.ts
@@ -1,8 +1,13 @@
-import { parse, parseTree, findNodeAtLocation, printParseErrorCode } from 'jsonc-parser';
+import { findNodeAtLocation, parse, parseTree, printParseErrorCode } from 'jsonc-parser';
 import type { Node, ParseError } from 'jsonc-parser';
 import type { z } from 'zod';
 import { SettingsError } from '../errors/SettingsError.js';
 import type { SettingsProblem } from '../errors/SettingsError.js';
+import { describeIssue } from './describeIssue.js';
+import { findDuplicateFields } from './findDuplicateFields.js';
+import { toJsonSchema } from './toJsonSchema.js';
+
+const NOTHING_KNOWN = { value: undefined, unit: undefined, allowed: undefined };
 
 function locate(text: string, offset: number): { line: number; column: number } {
   const before = text.slice(0, offset).split('\n');
@@ -20,10 +25,24 @@
   return root;
 }
 
+/** The text of a problem: place, field, what is wrong, value, unit and what is allowed. */
+function toLine(fileName: string, problem: SettingsProblem): string {
+  const { line, column, path, message, value, unit, allowed } = problem;
+  const facts = [
+    value === undefined ? [] : [`value: ${value}`],
+    unit === undefined ? [] : [`unit: ${unit}`],
+    allowed === undefined ? [] : [`allowed: ${allowed}`],
+  ].flat();
+  const field = path === '' ? '' : `${path}: `;
+  const suffix = facts.length === 0 ? '' : ` (${facts.join('; ')})`;
+  return `${fileName}:${line}:${column}: ${field}${message}${suffix}`;
+}
+
 /**
  * Parses a JSON file with comments and checks it against a schema.
  *
- * @throws SettingsError naming line, field and what is allowed, for every problem
+ * @throws SettingsError naming line, column, field, value, unit and what is allowed, for every
+ * problem; values of secret fields are hidden
  */
 export function parseJsonc<Schema extends z.ZodType>(
   fileName: string,
@@ -32,24 +51,31 @@
 ): z.infer<Schema> {
   const errors: ParseError[] = [];
   const value: unknown = parse(text, errors, { allowTrailingComma: true });
+  const root = parseTree(text, [], { allowTrailingComma: true });
   const syntaxProblems: SettingsProblem[] = errors.map(({ error, offset }) => ({
     path: '',
     ...locate(text, offset),
     message: printParseErrorCode(error),
+    ...NOTHING_KNOWN,
   }));
-  const result = schema.safeParse(value);
-  const root = parseTree(text, [], { allowTrailingComma: true });
-  const schemaProblems: SettingsProblem[] = (result.error?.issues ?? []).map((issue) => ({
-    path: issue.path.join('.'),
-    ...locate(text, nearestNode(root, issue.path)?.offset ?? 0),
-    message: issue.message,
+  const duplicates: SettingsProblem[] = findDuplicateFields(root).map((node) => ({
+    path: String(node.children?.[0]?.value),
+    ...locate(text, node.offset),
+    message: 'The field occurs twice',
+    ...NOTHING_KNOWN,
   }));
-  const problems = syntaxProblems.length > 0 ? syntaxProblems : schemaProblems;
+  const result = schema.safeParse(value);
+  const jsonSchema = result.success ? {} : toJsonSchema(schema);
+  const schemaProblems: SettingsProblem[] = (result.error?.issues ?? [])
+    .flatMap((issue) => describeIssue(issue, value, jsonSchema))
+    .map((issue) => ({
+      ...issue,
+      path: issue.path.join('.'),
+      ...locate(text, nearestNode(root, issue.path)?.offset ?? 0),
+    }));
+  const problems = syntaxProblems.length > 0 ? syntaxProblems : [...duplicates, ...schemaProblems];
   if (problems.length > 0 || !result.success) {
-    const lines = problems.map(
-      ({ line, column, path, message }) =>
-        `${fileName}:${line}:${column}: ${path === '' ? '' : `${path}: `}${message}`,
-    );
+    const lines = problems.map((problem) => toLine(fileName, problem));
     throw new SettingsError(lines.join('\n'), { props: { problems } });
   }
   return result.data;
--- /dev/null
+++ b/packages/core/src/settings/unitOf.ts
@@ -0,0 +1,16 @@
+const UNITS: readonly (readonly [suffix: string, unit: string])[] = [
+  ['Ms', 'milliseconds'],
+  ['PerSecond', 'per second'],
+  ['Seconds', 'seconds'],
+  ['Bytes', 'bytes'],
+  ['Tokens', 'tokens'],
+  ['Requests', 'requests'],
+  ['Calls', 'calls'],
+  ['Attempts', 'attempts'],
+  ['Ratio', 'share of 1'],
+];
+
+/** Unit of a field, which its name carries as a suffix; undefined when it has none. */
+export function unitOf(fieldName: string): string | undefined {
+  return UNITS.find(([suffix]) => fieldName.endsWith(suffix))?.[1];
+}
--- a/packages/core/tests/settings/parseJsonc.test.ts
+++ b/packages/core/tests/settings/parseJsonc.test.ts
@@ -33,3 +33,46 @@
   });
   t.regex(error.message, /host\.jsonc:2:\d+/);
 });
+
+test('a problem names place, field, value, unit and what is allowed', (t) => {
+  const text = valid.replace(
+    '"url": "http://127.0.0.1:2379" }',
+    '"url": "http://127.0.0.1:2379", "timeoutMs": 0 }',
+  );
+  const error = t.throws(() => parseJsonc('host.jsonc', text, hostSettingsSchema), {
+    instanceOf: SettingsError,
+  });
+  t.is(
+    error.message,
+    'host.jsonc:6:69: keyValueService.timeoutMs: Too small: expected number to be >=1 ' +
+      '(value: 0; unit: milliseconds; allowed: an integer from 1 to 60000)',
+  );
+});
+
+test('an unknown field is reported at its own place with the fields that are allowed', (t) => {
+  const text = valid.replace('"port": 8080', '"port": 8080, "ports": 1');
+  const error = t.throws(() => parseJsonc('host.jsonc', text, hostSettingsSchema), {
+    instanceOf: SettingsError,
+  });
+  t.regex(error.message, /:4:\d+: callerListener\.ports: .*allowed: .*address, port/);
+});
+
+test('the value of a secret never appears in a problem', (t) => {
+  const text = valid
+    .replace('"peerKey": "0123456789abcdef"', '"peerKey": "short-secret"')
+    .replace('"recordKey"', '"recordkey"');
+  const error = t.throws(() => parseJsonc('host.jsonc', text, hostSettingsSchema), {
+    instanceOf: SettingsError,
+  });
+  t.regex(error.message, /secrets\.peerKey: .*value: hidden; allowed: text of at least 16/);
+  t.notRegex(error.message, /short-secret|0123456789abcdef/);
+});
+
+test('a field that occurs twice is reported', (t) => {
+  // Guards against the earlier one being dropped silently.
+  const text = valid.replace('"hostList"', '"peerListener"');
+  const error = t.throws(() => parseJsonc('host.jsonc', text, hostSettingsSchema), {
+    instanceOf: SettingsError,
+  });
+  t.regex(error.message, /host\.jsonc:7:3: peerListener: The field occurs twice/);
+});
