Add the operators' interface to the peer listener

Operators had no way to change or read the configuration but to write to the store. A separate tRPC router under /operator serves show, propose and status to holders of a key from `secrets.operatorKeys`; the name of the key is the author of a change. The matched route, not the URL as sent, decides which key is asked for, so neither key opens the other interface. A change that was not made is answered with a code instead of a failed call, and the client tells calls that cannot have run from calls that may have.

--- /dev/null
+++ b/packages/adapters/src/operators/createOperatorClient.ts
@@ -0,0 +1,91 @@
+import { TRPCClientError, createTRPCClient, httpLink } from '@trpc/client';
+import { Agent, fetch } from 'undici';
+import { OperatorCallError } from '@camphorbarrow/core';
+import type { StoredFleetDocument } from '@camphorbarrow/core';
+import type { ChangeAnswer } from './ChangeAnswer.js';
+import type { ChangeRequest } from './ChangeRequest.js';
+import type { FleetStatus } from './FleetStatus.js';
+import { operatorPrefix } from './operatorPrefix.js';
+import type { OperatorRouter } from './operatorRouter.js';
+
+export interface OperatorClientOptions {
+  /** Base URL of any entry host's peer listener. */
+  readonly url: string;
+  /** The operator's key. */
+  readonly key: string;
+  /** Limit for every call. A change takes up to 20 s while the store does not answer. */
+  readonly timeoutMs: number;
+}
+
+/** Calls of an operator to an entry host; all reject with `OperatorCallError`. */
+export interface OperatorClient {
+  show(): Promise<StoredFleetDocument | undefined>;
+  status(): Promise<FleetStatus>;
+  propose(change: ChangeRequest): Promise<ChangeAnswer>;
+  close(): Promise<void>;
+}
+
+const CONNECT_TIMEOUT_MS = 3_000;
+const NOT_CONNECTED = new Set([
+  'ECONNREFUSED',
+  'EHOSTUNREACH',
+  'ENETUNREACH',
+  'UND_ERR_CONNECT_TIMEOUT',
+]);
+const UNAUTHORIZED = 401;
+
+function codesOf(error: unknown): readonly string[] {
+  const own = error instanceof Error && 'code' in error ? [String(error.code)] : [];
+  return error instanceof Error && error.cause !== undefined
+    ? [...own, ...codesOf(error.cause)]
+    : own;
+}
+
+function toCallError(cause: unknown, url: string): Error {
+  const response = cause instanceof TRPCClientError ? cause.meta?.response : undefined;
+  const { status } = (response ?? {}) as { status?: number };
+  const notRun = { cause, props: { mayHaveRun: false } };
+  if (status === UNAUTHORIZED) {
+    return new OperatorCallError(`${url} does not accept the operator key.`, notRun);
+  }
+  if (codesOf(cause).some((code) => NOT_CONNECTED.has(code))) {
+    return new OperatorCallError(`${url} cannot be reached.`, notRun);
+  }
+  const isRefused = status !== undefined && status >= 400 && status < 500;
+  return isRefused
+    ? new OperatorCallError(`${url} refused the call with status ${status}.`, notRun)
+    : new OperatorCallError(`${url} did not answer.`, { cause, props: { mayHaveRun: true } });
+}
+
+/** Creates the client of the operators' interface. */
+export function createOperatorClient(options: OperatorClientOptions): OperatorClient {
+  const agent = new Agent({ connectTimeout: CONNECT_TIMEOUT_MS });
+  const client = createTRPCClient<OperatorRouter>({
+    links: [
+      httpLink({
+        url: `${options.url}${operatorPrefix}`,
+        headers: { authorization: `Bearer ${options.key}` },
+        fetch: (url, init) =>
+          fetch(String(url), { ...(init as object), dispatcher: agent }) as never,
+      }),
+    ],
+  });
+  const limit = (): { signal: AbortSignal } => ({ signal: AbortSignal.timeout(options.timeoutMs) });
+
+  async function translate<Result>(call: Promise<Result>): Promise<Result> {
+    try {
+      return await call;
+    } catch (cause) {
+      throw toCallError(cause, options.url);
+    }
+  }
+
+  return {
+    async show() {
+      return (await translate(client.show.query(undefined, limit()))) ?? undefined;
+    },
+    status: () => translate(client.status.query(undefined, limit())) as Promise<FleetStatus>,
+    propose: (change) => translate(client.propose.mutate(change, limit())) as Promise<ChangeAnswer>,
+    close: () => agent.destroy(),
+  };
+}
--- /dev/null
+++ b/packages/adapters/src/operators/operatorPrefix.ts
@@ -0,0 +1,2 @@
+/** Path of the operators' procedures on the peer listener. */
+export const operatorPrefix = '/operator';
--- a/packages/adapters/src/peers/createPeerListener.ts
+++ b/packages/adapters/src/peers/createPeerListener.ts
@@ -4,6 +4,9 @@
 import type { FastifyTRPCPluginOptions } from '@trpc/server/adapters/fastify';
 import { UnauthenticatedError } from '@camphorbarrow/core';
 import { toErrorBody } from '../callers/toErrorBody.js';
+import { operatorPrefix } from '../operators/operatorPrefix.js';
+import { registerOperatorApi } from '../operators/registerOperatorApi.js';
+import type { OperatorAccess } from '../operators/registerOperatorApi.js';
 import type { PeerApi } from './PeerApi.js';
 import { peerRouter } from './peerRouter.js';
 import type { PeerRouter } from './peerRouter.js';
@@ -14,6 +17,8 @@
   readonly port: number;
   readonly peerKey: string;
   readonly api: PeerApi;
+  /** Operators' interface, served under `/operator` with the operators' own keys. */
+  readonly operators: OperatorAccess;
 }
 
 export interface PeerListener {
@@ -24,11 +29,18 @@
 
 const sha256 = (text: string): Buffer => createHash('sha256').update(text).digest();
 
-/** Starts the listener for other entry hosts. Every call has to carry the peer key. */
+/**
+ * Starts the listener for other entry hosts and for operators. Every call has to carry the peer
+ * key, or an operator's key for the operators' interface.
+ */
 export async function createPeerListener(options: PeerListenerOptions): Promise<PeerListener> {
   const app = fastify({ bodyLimit: MAX_BODY_BYTES, forceCloseConnections: 'idle' });
   const expected = sha256(`Bearer ${options.peerKey}`);
   app.addHook('onRequest', async (request) => {
+    // The matched route decides, not the URL as sent; the operators' routes check their own keys.
+    if (request.routeOptions.url?.startsWith(`${operatorPrefix}/`) === true) {
+      return;
+    }
     if (!timingSafeEqual(sha256(request.headers.authorization ?? ''), expected)) {
       throw new UnauthenticatedError('The peer key is missing or wrong.');
     }
@@ -41,6 +53,7 @@
     prefix: '/trpc',
     trpcOptions: { router: peerRouter, createContext: () => ({ api: options.api }) },
   } satisfies FastifyTRPCPluginOptions<PeerRouter>);
+  await registerOperatorApi(app, options.operators);
   await app.listen({ host: options.address, port: options.port });
   return { close: () => app.close() };
 }
--- /dev/null
+++ b/packages/adapters/tests/operators/operatorApi.test.ts
@@ -0,0 +1,137 @@
+import { createServer } from 'node:net';
+import type { AddressInfo, Socket } from 'node:net';
+import anyTest from 'ava';
+import type { TestFn } from 'ava';
+import { request } from 'undici';
+import { InvalidChangeError, OperatorCallError, fleetDefaultsSchema } from '@camphorbarrow/core';
+import type { ConfigChange } from '@camphorbarrow/core';
+import type { ChangeRequest } from '../../src/operators/ChangeRequest.js';
+import { createOperatorClient } from '../../src/operators/createOperatorClient.js';
+import type { OperatorClient } from '../../src/operators/createOperatorClient.js';
+import { createPeerListener } from '../../src/peers/createPeerListener.js';
+import type { PeerListener } from '../../src/peers/createPeerListener.js';
+
+const ADDRESS = '127.0.0.1';
+const PEER_KEY = 'peer-key-0123456789';
+const ANA_KEY = 'ana-key-0123456789';
+
+const test = anyTest as TestFn<{ listener: PeerListener; url: string; proposed: ConfigChange[] }>;
+
+async function freePort(): Promise<number> {
+  const server = createServer();
+  await new Promise<void>((resolve) => {
+    server.listen(0, ADDRESS, resolve);
+  });
+  const { port } = server.address() as AddressInfo;
+  await new Promise((resolve) => {
+    server.close(resolve);
+  });
+  return port;
+}
+
+function clientOf(url: string, key: string, timeoutMs = 5_000): OperatorClient {
+  return createOperatorClient({ url, key, timeoutMs });
+}
+
+const change = (changeId: string): ChangeRequest => ({
+  changeId,
+  reason: 'test',
+  operation: { kind: 'set-defaults', defaults: fleetDefaultsSchema.parse({}) },
+});
+
+test.before(async (t) => {
+  const port = await freePort();
+  const proposed: ConfigChange[] = [];
+  const listener = await createPeerListener({
+    address: ADDRESS,
+    port,
+    peerKey: PEER_KEY,
+    api: {
+      receiveHeartbeat: (message) => message,
+      currentConfig: () => undefined,
+      adoptConfig: () => ({ version: 0, changeId: '' }),
+    },
+    operators: {
+      keys: { rui: 'rui-key-0123456789', ana: ANA_KEY },
+      api: {
+        currentConfig: () => undefined,
+        async propose(received) {
+          proposed.push(received);
+          if (received.changeId === 'does-not-fit') {
+            throw new InvalidChangeError('It does not fit.');
+          }
+          return { outcome: 'unknown', changeId: received.changeId };
+        },
+        status: () => ({ self: {} as never, storeReachable: true, peers: [], servers: [] }),
+      },
+    },
+  });
+  t.context = { listener, url: `http://${ADDRESS}:${port}`, proposed };
+});
+
+test.after.always((t) => t.context.listener.close());
+
+test('the author of a change is the operator whose key was used', async (t) => {
+  const client = clientOf(t.context.url, ANA_KEY);
+  const answer = await client.propose(change('change-0001'));
+  t.deepEqual(answer, { outcome: 'unknown', changeId: 'change-0001' });
+  t.is(t.context.proposed.find(({ changeId }) => changeId === 'change-0001')?.author, 'ana');
+  await client.close();
+});
+
+test('a refused change arrives with its code', async (t) => {
+  const client = clientOf(t.context.url, ANA_KEY);
+  t.deepEqual(await client.propose(change('does-not-fit')), {
+    outcome: 'refused',
+    code: 'invalid-change',
+    message: 'It does not fit.',
+  });
+  await client.close();
+});
+
+test('the peer key does not open the operators interface, nor a wrong or empty key', async (t) => {
+  for (const key of [PEER_KEY, 'wrong-key-0123456789', '']) {
+    const client = clientOf(t.context.url, key);
+    const error = await t.throwsAsync(client.show(), { instanceOf: OperatorCallError });
+    t.regex(error.message, /does not accept the operator key/);
+    t.false((error as OperatorCallError).mayHaveRun);
+    await client.close();
+  }
+});
+
+test('an operator key does not open the interface between entry hosts', async (t) => {
+  // Guards against the exemption of the operators' routes reaching other routes.
+  for (const path of ['/trpc/fetchConfig', '/operator/../trpc/fetchConfig', '/operator', '/x']) {
+    const { statusCode, body } = await request(`${t.context.url}${path}`, {
+      headers: { authorization: `Bearer ${ANA_KEY}` },
+    });
+    await body.dump();
+    t.is(statusCode, 401, path);
+  }
+});
+
+test('a host that cannot be reached has made no change', async (t) => {
+  const client = clientOf(`http://${ADDRESS}:${await freePort()}`, ANA_KEY);
+  const error = await t.throwsAsync(client.propose(change('change-0002')), {
+    instanceOf: OperatorCallError,
+  });
+  t.false((error as OperatorCallError).mayHaveRun);
+  await client.close();
+});
+
+test('a host that falls silent may have made the change', async (t) => {
+  const sockets = new Set<Socket>();
+  const server = createServer((socket) => sockets.add(socket));
+  await new Promise<void>((resolve) => {
+    server.listen(0, ADDRESS, resolve);
+  });
+  const { port } = server.address() as AddressInfo;
+  const client = clientOf(`http://${ADDRESS}:${port}`, ANA_KEY, 200);
+  const error = await t.throwsAsync(client.propose(change('change-0003')), {
+    instanceOf: OperatorCallError,
+  });
+  t.true((error as OperatorCallError).mayHaveRun);
+  await client.close();
+  sockets.forEach((socket) => socket.destroy());
+  server.close();
+});
--- /dev/null
+++ b/packages/core/src/errors/OperatorCallError.ts
@@ -0,0 +1,11 @@
+import ModernError from 'modern-errors';
+
+/** An operator's call to an entry host failed. */
+export const OperatorCallError = ModernError.subclass('OperatorCallError', {
+  props: {
+    /** Whether a change sent with the call may have been made. */
+    mayHaveRun: true,
+  },
+});
+
+export type OperatorCallError = InstanceType<typeof OperatorCallError>;
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -42,6 +42,7 @@
 export * from './errors/NoConfigurationError.js';
 export * from './errors/NoServerError.js';
 export * from './errors/NotFoundError.js';
+export * from './errors/OperatorCallError.js';
 export * from './errors/Outcome.js';
 export * from './errors/OverloadedError.js';
 export * from './errors/PeerUnavailableError.js';
--- a/packages/daemon/src/entryHost/createEntryHost.ts
+++ b/packages/daemon/src/entryHost/createEntryHost.ts
@@ -36,6 +36,7 @@
   RegionId,
 } from '@camphorbarrow/core';
 import { createEntryHostRanking } from './createEntryHostRanking.js';
+import { describeFleet } from './describeFleet.js';
 import { publishDirectory } from './publishDirectory.js';
 
 export interface EntryHost {
@@ -155,6 +156,14 @@
         return config.revision();
       },
     },
+    operators: {
+      keys: settings.secrets.operatorKeys,
+      api: {
+        currentConfig: config.stored,
+        propose: config.propose,
+        status: () => describeFleet({ self: describeSelf, config, peers, registry }),
+      },
+    },
   });
   const callerListener = await createCallerListener({
     ...settings.callerListener,
