--- a/packages/adapters/src/peers/createTrpcPeerClient.ts
+++ b/packages/adapters/src/peers/createTrpcPeerClient.ts
@@ -12,12 +12,15 @@
 
 export interface TrpcPeerClientOptions {
   readonly peerKey: string;
-  /** Limit for every call. */
+  /** Limit for every call but those that carry a configuration document. */
   readonly timeoutMs: number;
+  /** Limit for calls that carry a configuration document of up to 1 MB. @default 3000 */
+  readonly documentTimeoutMs?: number;
   /** Local IP address of outgoing connections; the system chooses when absent. */
   readonly localAddress?: string | undefined;
 }
 
+const DEFAULT_DOCUMENT_TIMEOUT_MS = 3_000;
 const serversSchema = z.array(hostListEntrySchema);
 
 async function translate<Result>(call: Promise<Result>): Promise<Result> {
@@ -57,6 +60,9 @@
   }
 
   const limit = (): { signal: AbortSignal } => ({ signal: AbortSignal.timeout(options.timeoutMs) });
+  const documentLimit = (): { signal: AbortSignal } => ({
+    signal: AbortSignal.timeout(options.documentTimeoutMs ?? DEFAULT_DOCUMENT_TIMEOUT_MS),
+  });
 
   return {
     heartbeat: async (peerUrl, message) =>
@@ -65,11 +71,12 @@
       ),
     async fetchConfig(peerUrl) {
       return (
-        (await translate(clientOf(peerUrl).fetchConfig.query(undefined, limit()))) ?? undefined
+        (await translate(clientOf(peerUrl).fetchConfig.query(undefined, documentLimit()))) ??
+        undefined
       );
     },
     pushConfig: (peerUrl, document) =>
-      translate(clientOf(peerUrl).pushConfig.mutate(document, limit())),
+      translate(clientOf(peerUrl).pushConfig.mutate(document, documentLimit())),
     reportCrash: async (peerUrl, report) =>
       crashReportSchema.parse(
         await translate(clientOf(peerUrl).reportCrash.mutate(report as never, limit())),
--- a/packages/core/src/ports/PeerClient.ts
+++ b/packages/core/src/ports/PeerClient.ts
@@ -1,3 +1,4 @@
+import type { ConfigRevision } from '../config/ConfigRevision.js';
 import type { StoredFleetDocument } from '../config/FleetDocument.js';
 import type { Heartbeat } from '../membership/Heartbeat.js';
 import type { CrashReport } from '../quarantine/CrashReport.js';
@@ -11,8 +12,8 @@
   heartbeat(peerUrl: string, message: Heartbeat): Promise<Heartbeat>;
   /** The configuration in force at the peer; undefined when it has none. */
   fetchConfig(peerUrl: string): Promise<StoredFleetDocument | undefined>;
-  /** Hands a configuration to a peer; resolves to the version in force there afterwards. */
-  pushConfig(peerUrl: string, document: StoredFleetDocument): Promise<number>;
+  /** Hands a configuration to a peer; resolves to the revision in force there afterwards. */
+  pushConfig(peerUrl: string, document: StoredFleetDocument): Promise<ConfigRevision>;
   /** Hands a crash report to a peer; resolves to the peer's view of the same crash. */
   reportCrash(peerUrl: string, report: CrashReport): Promise<CrashReport>;
   /** The host list as the peer last read it. */
--- a/packages/core/tests/burn/createBurnReport.test.ts
+++ b/packages/core/tests/burn/createBurnReport.test.ts
@@ -74,7 +74,7 @@
 
 test('the report names exceptions in force, silent hosts and young hosts', (t) => {
   const { clock, host } = createHost(1, 0);
-  const exception = { id: 'slow-costa', reason: 'Link repair', scope: {}, set: {} };
+  const exception = { id: 'slow-costa', reason: 'Link repair', author: 'ana', scope: {}, set: {} };
   const nowMs = clock.nowMs();
   const report = createBurnReport({
     nowMs,
--- a/packages/daemon/src/entryHost/createEntryHost.ts
+++ b/packages/daemon/src/entryHost/createEntryHost.ts
@@ -43,6 +43,7 @@
 import { createDrain } from './createDrain.js';
 import { announcedUrl } from './announcedUrl.js';
 import { createEntryHostRanking } from './createEntryHostRanking.js';
+import { describeFleet } from './describeFleet.js';
 import { publishDirectory } from './publishDirectory.js';
 
 export interface EntryHost {
@@ -92,7 +93,16 @@
     timeoutMs: PEER_TIMEOUT_MS,
     localAddress,
   });
-  const config = createConfigKeeper({ clock, log, store });
+  const config = createConfigKeeper({
+    clock,
+    random,
+    log,
+    store,
+    peerClient,
+    seedPeerUrls: settings.seedPeers,
+    // eslint-disable-next-line @typescript-eslint/no-use-before-define -- each describes the other
+    listPeers: () => peers.peers(),
+  });
   const startedAtMs = clock.nowMs();
   const drain = createDrain({ clock, log, settings: settings.drain });
 
@@ -106,18 +116,9 @@
     peerUrl: announcedUrl(settings.peerListener),
     state: drain.state(),
     configVersion: config.version(),
+    configChangeId: config.revision().changeId,
   });
 
-  async function fetchNewerConfig(peer: PeerDescription): Promise<void> {
-    if (peer.configVersion <= config.version()) {
-      return;
-    }
-    const document = await peerClient.fetchConfig(peer.peerUrl).catch(() => undefined);
-    if (document !== undefined) {
-      config.adopt(document);
-    }
-  }
-
   const peers = createPeerTable({
     clock,
     random,
@@ -127,7 +128,7 @@
     self: describeSelf,
     seedPeerUrls: settings.seedPeers,
     onPeer: (peer) => {
-      void fetchNewerConfig(peer);
+      void config.notice(peer);
     },
   });
   /** Calls all reachable peers of the region at once and returns the answers that arrive. */
@@ -191,7 +192,15 @@
       servers: () => registry.servers().map(({ entry }) => entry),
       adoptConfig: (document) => {
         config.adopt(document);
-        return config.version();
+        return config.revision();
+      },
+    },
+    operators: {
+      keys: settings.secrets.operatorKeys,
+      api: {
+        currentConfig: config.stored,
+        propose: config.propose,
+        status: () => describeFleet({ self: describeSelf, config, peers, registry }),
       },
     },
   });
