Add the experiment tool for decisions

Cause: admission, retry and routing decisions had no measurement; the stand-ins run in real time and cannot show a flood or a lunch peak in seconds. Ruled out: a general simulator (the decision code would have to be copied into it); events per token through the gateway (about eight times as many events; the engine model records every token gap itself and sends one event per eight tokens). Change: packages/bench runs the registry and the gateways of core in virtual time over models of engines, ordering servers and links between regions, with workload files for Gremio and Comedouros. Route choosers and spill policies are named parts of a policy, for example baseline+route=random+spill=when-full. Before: nothing.

--- /dev/null
+++ b/packages/bench/src/experiment/createBenchCaller.ts
@@ -0,0 +1,201 @@
+import { RequestError, asId } from '@camphorbarrow/core';
+import type { InferenceAnswer, InferenceRequest, RequestId } from '@camphorbarrow/core';
+import type { VirtualClock } from '../clock/VirtualClock.js';
+import type { AttemptRecord } from '../fakes/AttemptRecord.js';
+import type { FakeLinks } from '../fakes/createFakeLinks.js';
+import type { RegionLoad } from '../policies/RegionLoad.js';
+import type { Arrival } from '../workload/Arrival.js';
+import type { RequestClass } from '../workload/RequestClass.js';
+import type { Workload } from '../workload/Workload.js';
+import type { RequestRecord } from './RequestRecord.js';
+import type { BenchHost } from './createBenchHost.js';
+import { createBenchRequest } from './createBenchRequest.js';
+
+const BYTES_PER_TOKEN = 4;
+
+export interface BenchCallerOptions {
+  readonly workload: Workload;
+  readonly clock: VirtualClock;
+  readonly links: FakeLinks;
+  readonly hostsOf: (regionIndex: number) => readonly BenchHost[];
+  /** Other regions' load as last heard in a region. */
+  readonly othersOf: (host: BenchHost) => readonly RegionLoad[];
+  readonly register: (requestId: string, attempt: AttemptRecord) => void;
+  readonly random: { next(): number };
+}
+
+export interface BenchCaller {
+  /** Sends a request and waits for its end; never rejects. */
+  send(arrival: Arrival): Promise<RequestRecord>;
+}
+
+type ServiceClass = Extract<RequestClass, { kind: 'service' }>;
+
+function codeOf(error: unknown, signal: AbortSignal): string {
+  if (signal.aborted) {
+    return 'caller-gave-up';
+  }
+  if (error instanceof RequestError) {
+    return error.code;
+  }
+  return error instanceof Error ? error.name : 'unknown';
+}
+
+/** Callers of an experiment; they give up when their deadline has passed. */
+export function createBenchCaller(options: BenchCallerOptions): BenchCaller {
+  const { workload, clock, links } = options;
+
+  function createRecord(arrival: Arrival): RequestRecord {
+    return {
+      arrival,
+      firstTokenAtMs: undefined,
+      finishedAtMs: undefined,
+      errorCode: undefined,
+      spilled: false,
+      attempts: 0,
+      promptTokens: 0,
+      lookedUpTokens: 0,
+      cachedTokens: 0,
+      tokenGapsMs: [],
+    };
+  }
+
+  function watchAttempts(record: RequestRecord, request: InferenceRequest): void {
+    let lastTokenAtMs = 0;
+    record.promptTokens = request.promptTokens;
+    options.register(request.requestId, {
+      promptTokens: request.promptTokens,
+      outputTokens: record.arrival.outputTokens,
+      blockHashes: request.blockHashes,
+      onAttempt: () => {
+        record.attempts += 1;
+      },
+      onCacheLookup: (cachedTokens) => {
+        record.lookedUpTokens += request.promptTokens;
+        record.cachedTokens += cachedTokens;
+      },
+      onToken: (tokenIndex) => {
+        if (tokenIndex > 0) {
+          record.tokenGapsMs.push(clock.monotonicMs() - lastTokenAtMs);
+        }
+        lastTokenAtMs = clock.monotonicMs();
+      },
+    });
+  }
+
+  async function forward(
+    host: BenchHost,
+    request: InferenceRequest,
+    record: RequestRecord,
+    signal: AbortSignal,
+  ): Promise<InferenceAnswer | undefined> {
+    const others = options.othersOf(host);
+    const target =
+      request.homeRegionId !== undefined || !request.settings.routing.spillEnabled
+        ? undefined
+        : host.chooseSpill(request, {
+            nowMs: clock.monotonicMs(),
+            random: options.random,
+            local: host.regionLoad(),
+            others,
+          });
+    if (target === undefined || target === host.regionId) {
+      return undefined;
+    }
+    const regionIndex = workload.regions.findIndex(({ name }) => name === target);
+    const peers = options.hostsOf(regionIndex);
+    const peer = peers[Math.floor(options.random.next() * peers.length)];
+    if (peer === undefined) {
+      return undefined;
+    }
+    host.noteSpill();
+    await links.send(host.regionId, target, request.promptTokens * BYTES_PER_TOKEN);
+    record.spilled = true;
+    const answer = await peer.inference.handle(
+      createBenchRequest(workload, record.arrival, clock.monotonicMs(), [host.hostId]),
+      signal,
+    );
+    return answer.kind === 'stream'
+      ? { ...answer, events: links.carry(target, host.regionId, answer.events) }
+      : answer;
+  }
+
+  async function infer(host: BenchHost, record: RequestRecord, signal: AbortSignal): Promise<void> {
+    const request = createBenchRequest(workload, record.arrival, clock.monotonicMs(), []);
+    watchAttempts(record, request);
+    const answer =
+      (await forward(host, request, record, signal)) ??
+      (await host.inference.handle(request, signal));
+    if (answer.kind === 'stream') {
+      const events = answer.events[Symbol.asyncIterator]();
+      for (let next = await events.next(); next.done !== true; next = await events.next()) {
+        record.firstTokenAtMs ??= clock.monotonicMs() + workload.link.callerOneWayMs;
+      }
+    }
+  }
+
+  async function call(
+    host: BenchHost,
+    requestClass: ServiceClass,
+    record: RequestRecord,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const { arrival } = record;
+    const { requestId, customerId, receivedAtMs, settings, path } = {
+      requestId: asId<RequestId>(String(arrival.index)),
+      customerId: asId<InferenceRequest['customerId']>(`customer-${arrival.customer}`),
+      receivedAtMs: clock.monotonicMs(),
+      settings: workload.fleetDefaults,
+      path: [],
+    };
+    await host.services.handle(
+      {
+        facts: {
+          requestId,
+          customerId,
+          homeRegionId: undefined,
+          rank: undefined,
+          deadlineMs: requestClass.deadlineMs,
+          idempotencyKey: requestId,
+          path,
+          receivedAtMs,
+          settings,
+        },
+        serviceName: 'orders',
+        method: requestClass.method,
+        path: requestClass.path,
+        contentType: 'application/json',
+        body: undefined,
+      },
+      signal,
+    );
+    record.firstTokenAtMs = clock.monotonicMs() + workload.link.callerOneWayMs;
+  }
+
+  return {
+    async send(arrival) {
+      const record = createRecord(arrival);
+      const { requestClass } = arrival;
+      const host = options.hostsOf(arrival.regionIndex)[arrival.hostIndex] as BenchHost;
+      const deadlineMs =
+        requestClass.kind === 'service'
+          ? requestClass.deadlineMs
+          : workload.fleetDefaults.ranks[requestClass.rank].deadlineMs;
+      const givingUp = new AbortController();
+      clock.schedule(arrival.atMs + deadlineMs, () => givingUp.abort());
+      try {
+        await clock.sleep(workload.link.callerOneWayMs);
+        await (requestClass.kind === 'service'
+          ? call(host, requestClass, record, givingUp.signal)
+          : infer(host, record, givingUp.signal));
+        if (givingUp.signal.aborted) {
+          record.errorCode = 'caller-gave-up';
+        }
+      } catch (error) {
+        record.errorCode = codeOf(error, givingUp.signal);
+      }
+      record.finishedAtMs = clock.monotonicMs() + workload.link.callerOneWayMs;
+      return record;
+    },
+  };
+}
--- /dev/null
+++ b/packages/bench/src/experiment/createBenchHost.ts
@@ -0,0 +1,124 @@
+import {
+  ConnectFailedError,
+  PlatformError,
+  createInferenceGateway,
+  createSeededRandom,
+  createServerRegistry,
+  createServiceGateway,
+} from '@camphorbarrow/core';
+import type {
+  EngineClient,
+  HostId,
+  HostList,
+  InferenceGateway,
+  LoadReport,
+  RegionId,
+  ServiceClient,
+  ServiceGateway,
+} from '@camphorbarrow/core';
+import type { VirtualClock } from '../clock/VirtualClock.js';
+import { createNoLog } from '../fakes/createNoLog.js';
+import { createNoMetrics } from '../fakes/createNoMetrics.js';
+import type { BenchPolicy } from '../policies/BenchPolicy.js';
+import type { RegionLoad } from '../policies/RegionLoad.js';
+import type { SpillChooser } from '../policies/SpillChooser.js';
+import { routeChoices } from '../policies/routeChoices.js';
+import { spillChoices } from '../policies/spillChoices.js';
+
+/** One entry host of an experiment, made of the real decision code. */
+export interface BenchHost {
+  readonly hostId: HostId;
+  readonly regionId: RegionId;
+  readonly inference: InferenceGateway;
+  readonly services: ServiceGateway;
+  readonly chooseSpill: SpillChooser;
+  /** Load of the region as this entry host sees it. */
+  regionLoad(): RegionLoad;
+  /** Notes that a request was sent to another region. */
+  noteSpill(): void;
+  close(): Promise<void>;
+}
+
+export interface BenchHostOptions {
+  readonly hostId: HostId;
+  readonly regionId: RegionId;
+  readonly clock: VirtualClock;
+  readonly seed: number;
+  readonly policy: BenchPolicy;
+  readonly entryHostCount: number;
+  readonly hostList: HostList;
+  readonly engineClient: EngineClient;
+  readonly serviceClient: ServiceClient;
+  /** Load of a plain service's server. */
+  readonly readServiceLoad: (baseUrl: string) => LoadReport | undefined;
+}
+
+const SPILLING_MEMORY_MS = 1_000;
+const LOAD_TIMEOUT_MS = 1_000;
+
+/** Creates and starts an entry host. */
+export function createBenchHost(options: BenchHostOptions): BenchHost {
+  const { clock, policy, regionId, engineClient } = options;
+  const random = createSeededRandom(options.seed);
+  const registry = createServerRegistry({
+    clock,
+    log: createNoLog(),
+    hostList: options.hostList,
+    isUsed: (entry) => entry.regionId === regionId,
+    async readLoad(entry) {
+      if (entry.kind === 'engine') {
+        return engineClient.readLoad(entry.baseUrl, LOAD_TIMEOUT_MS);
+      }
+      const load = options.readServiceLoad(entry.baseUrl);
+      if (load === undefined) {
+        throw new ConnectFailedError('The connection was refused.');
+      }
+      return load;
+    },
+  });
+  const context = { clock, random, regionId, registry, engineClient };
+  const createChooser = routeChoices[policy.route];
+  const createSpill = spillChoices[policy.spill];
+  if (createChooser === undefined || createSpill === undefined) {
+    throw new PlatformError(`Policy ${policy.name} is not complete.`);
+  }
+  let spilledAtMs = -Infinity;
+  registry.start();
+
+  return {
+    hostId: options.hostId,
+    regionId,
+    inference: createInferenceGateway({
+      clock,
+      random,
+      log: createNoLog(),
+      metrics: createNoMetrics(),
+      registry,
+      engineClient,
+      chooseRoute: createChooser(context),
+      entryHostCount: () => options.entryHostCount,
+    }),
+    services: createServiceGateway({ random, registry, serviceClient: options.serviceClient }),
+    chooseSpill: createSpill(context),
+    regionLoad() {
+      const loads = registry
+        .servers()
+        .filter(({ entry, accepting }) => accepting && entry.kind === 'engine')
+        .map(({ load }) => load);
+      const sum = (read: (load: LoadReport) => number): number =>
+        loads.reduce((total, load) => total + (load === undefined ? 0 : read(load)), 0);
+      return {
+        regionId,
+        runningRequests: sum((load) => load.runningRequests),
+        waitingRequests: sum((load) => load.waitingRequests),
+        maxConcurrentRequests: sum((load) => load.maxConcurrentRequests),
+        spilling: clock.monotonicMs() - spilledAtMs < SPILLING_MEMORY_MS,
+        atMs: clock.monotonicMs(),
+      };
+    },
+    noteSpill() {
+      spilledAtMs = clock.monotonicMs();
+    },
+    close: () => registry.close(),
+  };
+}
--- /dev/null
+++ b/packages/bench/src/policies/spillWhenFull.ts
@@ -0,0 +1,17 @@
+import type { RegionLoad } from './RegionLoad.js';
+import type { SpillChooser } from './SpillChooser.js';
+
+const usage = ({ runningRequests, waitingRequests, maxConcurrentRequests }: RegionLoad): number =>
+  (runningRequests + waitingRequests) / Math.max(1, maxConcurrentRequests);
+
+/** Baseline: the least used other region as soon as the local servers report no free place. */
+export const spillWhenFull: SpillChooser = (_request, { local, others }) => {
+  if (usage(local) < 1) {
+    return undefined;
+  }
+  const best = others.reduce<RegionLoad | undefined>(
+    (found, region) => (found === undefined || usage(region) < usage(found) ? region : found),
+    undefined,
+  );
+  return best !== undefined && usage(best) < 1 ? best.regionId : undefined;
+};
--- /dev/null
+++ b/packages/bench/src/report/RunSummary.ts
@@ -0,0 +1,23 @@
+import type { ClassSummary } from './ClassSummary.js';
+
+/** Results of one policy on one case and seed. */
+export interface RunSummary {
+  readonly workload: string;
+  readonly caseName: string;
+  readonly policy: string;
+  readonly seed: number;
+  /** By rank, and `service` for orders and status checks. */
+  readonly classes: Readonly<Record<'urgent' | 'patient' | 'service', ClassSummary>>;
+  readonly worth: number;
+  /** Share of inference requests sent to another region. */
+  readonly spilledRatio: number;
+  /** Share of looked-up prompt tokens that an engine had in its prefix cache. */
+  readonly cacheHitRatio: number;
+  /** Busy seconds of engines per good answer of an inference request. */
+  readonly serverSecondsPerGood: number | undefined;
+  /** Attempts at engines beyond the first one, per inference request. */
+  readonly retriesPerRequest: number;
+  /** Attempts at engines per inference request that was attempted at all. */
+  readonly loadFactor: number;
+  readonly refusals: Readonly<Record<string, number>>;
+}
