--- /dev/null
+++ b/packages/core/tests/routing/createPrefixIndex.test.ts
@@ -0,0 +1,66 @@
+import test from 'ava';
+import fc from 'fast-check';
+import type { CacheEvent } from '../../src/ports/CacheEvent.js';
+import { createPrefixIndex } from '../../src/routing/createPrefixIndex.js';
+import { serverId } from './fixtures.js';
+
+const a = serverId('a');
+const TOKENS_PER_BLOCK = 256;
+
+function stored(sequence: number, blockHash: string): CacheEvent {
+  return { sequence, kind: 'stored', blockHash };
+}
+
+test('only an unbroken prefix counts, so that a later block does not promise savings', (t) => {
+  const index = createPrefixIndex();
+  index.applyEvents(a, [stored(1, 'x'), stored(2, 'z')]);
+  t.is(index.cachedTokens(a, ['x', 'y', 'z']), TOKENS_PER_BLOCK);
+  t.is(index.cachedTokens(serverId('b'), ['x']), 0);
+});
+
+test('a gap in the events makes older entries count less until they are confirmed', (t) => {
+  const index = createPrefixIndex();
+  index.applyEvents(a, [stored(1, 'x'), stored(2, 'y')]);
+  index.applyEvents(a, [stored(5, 'q')]);
+  t.is(index.cachedTokens(a, ['x', 'y']), TOKENS_PER_BLOCK);
+  index.applyEvents(a, [stored(6, 'x')]);
+  t.is(index.cachedTokens(a, ['x']), TOKENS_PER_BLOCK);
+  index.observe(a, ['x', 'y']);
+  t.is(index.cachedTokens(a, ['x', 'y']), 2 * TOKENS_PER_BLOCK);
+});
+
+test('a repeated or late event does not bring a removed block back', (t) => {
+  const index = createPrefixIndex();
+  index.applyEvents(a, [stored(1, 'x'), { sequence: 2, kind: 'removed', blockHash: 'x' }]);
+  index.applyEvents(a, [stored(1, 'x')]);
+  t.is(index.cachedTokens(a, ['x']), 0);
+});
+
+test('a restarted server promises nothing and its sequence starts anew', (t) => {
+  const index = createPrefixIndex();
+  index.applyEvents(a, [stored(1, 'x'), stored(2, 'y')]);
+  index.forget(a);
+  t.is(index.cachedTokens(a, ['x']), 0);
+  index.applyEvents(a, [stored(1, 'y')]);
+  t.is(index.cachedTokens(a, ['y']), TOKENS_PER_BLOCK);
+});
+
+test('the index stays within its bounds whatever the servers report', (t) => {
+  const kind = fc.constantFrom('stored' as const, 'removed' as const, 'cleared' as const);
+  const event = fc.record({ sequence: fc.nat(200), kind, blockHash: fc.string({ maxLength: 2 }) });
+  const batch = fc.tuple(fc.constantFrom('a', 'b', 'c'), fc.array(event));
+  fc.assert(
+    fc.property(fc.array(batch), (batches) => {
+      const index = createPrefixIndex({ maxEntries: 12, maxEntriesPerServer: 6 });
+      batches.forEach(([name, events]) => {
+        index.applyEvents(serverId(name), events);
+        index.observe(
+          serverId(name),
+          events.map(({ blockHash }) => blockHash),
+        );
+        t.true(index.entryCount() >= 0 && index.entryCount() <= 12);
+      });
+    }),
+    { seed: 20_261_204 },
+  );
+});
