Decide whether a request is served in another region

Cause: a region without capacity refuses work that another one could serve in time.

Ruled out: the least used region (spillToLeastLoaded, kept as a baseline), which ignores distance, transfer time and cached prefixes; a probability by load alone, which lets hosts herd on one summary.

Forwarded requests must name a readable path, their target region and a request id.

--- a/packages/adapters/src/peers/heartbeatSchema.ts
+++ b/packages/adapters/src/peers/heartbeatSchema.ts
@@ -1,5 +1,5 @@
 import { z } from 'zod';
-import { asId } from '@camphorbarrow/core';
+import { asId, regionLoadLimits } from '@camphorbarrow/core';
 import type {
   AvailabilityZoneId,
   Heartbeat,
@@ -8,6 +8,15 @@
   RegionId,
 } from '@camphorbarrow/core';
 
+const requestCount = z.int().min(0).max(regionLoadLimits.maxRequests);
+
+const regionLoadSchema = z.object({
+  capacity: requestCount,
+  inUse: requestCount,
+  firstTokenWaitMs: z.int().min(0).max(regionLoadLimits.maxWaitMs),
+  spilling: z.boolean(),
+});
+
 const peerDescriptionSchema = z.object({
   hostId: z.string().transform((id) => asId<HostId>(id)),
   incarnation: z.string().transform((id) => asId<Incarnation>(id)),
@@ -19,6 +28,7 @@
   state: z.enum(['live', 'draining']),
   sequence: z.int().min(0),
   configVersion: z.int().min(0),
+  regionLoad: regionLoadSchema.optional(),
 });
 
 /** Wire form of a heartbeat. */
--- a/packages/core/src/membership/PeerDescription.ts
+++ b/packages/core/src/membership/PeerDescription.ts
@@ -2,6 +2,7 @@
 import type { HostId } from '../ids/HostId.js';
 import type { Incarnation } from '../ids/Incarnation.js';
 import type { RegionId } from '../ids/RegionId.js';
+import type { RegionLoadSummary } from '../routing/spill/RegionLoadSummary.js';
 
 /** What an entry host says of itself in heartbeats and in its registration. */
 export interface PeerDescription {
@@ -19,4 +20,6 @@
   /** Grows with every heartbeat round of the host. */
   readonly sequence: number;
   readonly configVersion: number;
+  /** Load of the host's region as the host sees it; absent in registrations. */
+  readonly regionLoad?: RegionLoadSummary | undefined;
 }
--- a/packages/core/src/membership/createPeerTable.ts
+++ b/packages/core/src/membership/createPeerTable.ts
@@ -5,6 +5,7 @@
 import type { LogSink } from '../ports/LogSink.js';
 import type { PeerClient } from '../ports/PeerClient.js';
 import type { RandomSource } from '../ports/RandomSource.js';
+import type { RegionLoadSummary } from '../routing/spill/RegionLoadSummary.js';
 import type { Heartbeat } from './Heartbeat.js';
 import type { PeerDescription } from './PeerDescription.js';
 import type { PeerView } from './PeerView.js';
@@ -28,10 +29,14 @@
   readonly peerClient: PeerClient;
   /** Description of this entry host, with its current state, without its sequence number. */
   readonly self: () => Omit<PeerDescription, 'sequence'>;
+  /** Load of the own region; only in heartbeats, because a stored one would pass for fresh. */
+  readonly regionLoad?: () => RegionLoadSummary;
   /** Peer URLs tried while no peer is known. */
   readonly seedPeerUrls: readonly string[];
   /** Called for every description that arrives, for example to fetch a newer configuration. */
   readonly onPeer: (peer: PeerDescription) => void;
+  /** Called after every own heartbeat with its round-trip time, undefined when it failed. */
+  readonly onExchange?: (regionId: RegionId, roundTripMs: number | undefined) => void;
 }
 
 export interface PeerTable {
@@ -97,7 +102,7 @@
   function createHeartbeat(): Heartbeat {
     const reachable = [...states.values()].filter(isReachable).map((state) => state.description);
     return {
-      sender: describeSelf(),
+      sender: { ...describeSelf(), regionLoad: options.regionLoad?.() },
       known: shuffle(reachable, random).slice(0, MAX_KNOWN_IN_HEARTBEAT),
     };
   }
@@ -108,12 +113,21 @@
     return createHeartbeat();
   }
 
+  function reportFailure(peerUrl: string): void {
+    [...states.values()]
+      .filter(({ description }) => description.peerUrl === peerUrl)
+      .forEach(({ description }) => options.onExchange?.(description.regionId, undefined));
+  }
+
   async function exchange(peerUrl: string): Promise<void> {
+    const sentAtMs = clock.monotonicMs();
     try {
       const answer = await peerClient.heartbeat(peerUrl, createHeartbeat());
+      options.onExchange?.(answer.sender.regionId, clock.monotonicMs() - sentAtMs);
       learn(answer.sender);
       answer.known.forEach(learn);
     } catch (cause) {
+      reportFailure(peerUrl);
       log.warn('heartbeat-failed', { peerUrl, error: String(cause) });
     }
   }
@@ -175,7 +189,11 @@
   }
 
   const peers = (): PeerView[] =>
-    [...states.values()].map((state) => ({ ...state.description, reachable: isReachable(state) }));
+    [...states.values()].map((state) => ({
+      ...state.description,
+      reachable: isReachable(state),
+      heardAtMs: state.heardAtMs,
+    }));
 
   return {
     peers,
--- a/packages/core/src/requests/createCallerReader.ts
+++ b/packages/core/src/requests/createCallerReader.ts
@@ -3,6 +3,7 @@
 import { effectiveDefaults } from '../config/effectiveDefaults.js';
 import { InvalidHeaderError } from '../errors/InvalidHeaderError.js';
 import { LoopDetectedError } from '../errors/LoopDetectedError.js';
+import { PeerMismatchError } from '../errors/PeerMismatchError.js';
 import { UnauthenticatedError } from '../errors/UnauthenticatedError.js';
 import { UnknownRegionError } from '../errors/UnknownRegionError.js';
 import { WrongRegionError } from '../errors/WrongRegionError.js';
@@ -21,6 +22,8 @@
 const MAX_DEADLINE_MS = 3_600_000;
 const MAX_IDEMPOTENCY_KEY_LENGTH = 255;
 const MAX_PATH_HOSTS = 2;
+const HOST_ID = /^[a-z0-9][a-z0-9._-]{0,62}$/i;
+const REQUEST_ID = /^[\w-]{1,64}$/;
 
 export interface CallerReaderOptions {
   readonly clock: Clock;
@@ -133,12 +136,13 @@
     document: FleetDocument,
     customerId: CustomerId,
     path: readonly HostId[],
+    requestId: string,
   ): CallerFacts {
     const homeRegionId = readHomeRegion(headers, document, customerId);
     requireHome(homeRegionId);
     const rank = readRank(headers);
     return {
-      requestId: asId<RequestId>(randomUUID()),
+      requestId: asId<RequestId>(requestId),
       customerId,
       homeRegionId,
       rank,
@@ -153,6 +157,9 @@
   function readPath(headers: Headers): readonly HostId[] {
     const value = singleHeader(headers, headerNames.path) ?? '';
     const path = value.split(',').map((hostId) => asId<HostId>(hostId.trim()));
+    if (!path.every((hostId) => HOST_ID.test(hostId))) {
+      throw new InvalidHeaderError(`Header ${headerNames.path} must list entry hosts.`);
+    }
     if (path.includes(options.hostId)) {
       throw new LoopDetectedError(`The request has already visited ${options.hostId}.`);
     }
@@ -162,19 +169,36 @@
     return path;
   }
 
+  function requireTarget(headers: Headers): void {
+    const target = singleHeader(headers, headerNames.targetRegion);
+    if (target !== options.regionId) {
+      throw new PeerMismatchError(`This entry host is in region ${options.regionId}.`);
+    }
+  }
+
+  function readRequestId(headers: Headers): string {
+    const value = singleHeader(headers, headerNames.requestId) ?? '';
+    if (!REQUEST_ID.test(value)) {
+      throw new InvalidHeaderError(`Header ${headerNames.requestId} is missing or malformed.`);
+    }
+    return value;
+  }
+
   return {
+    // The headers between entry hosts are not read, so that callers cannot set them.
     readCaller(headers) {
       const document = options.configuration();
-      return readFacts(headers, document, authenticate(headers, document), []);
+      return readFacts(headers, document, authenticate(headers, document), [], randomUUID());
     },
     readForwarded(headers) {
       const document = options.configuration();
       const path = readPath(headers);
+      requireTarget(headers);
       const customerId = asId<CustomerId>(singleHeader(headers, headerNames.customer) ?? '');
       if (document.defaults.customers[customerId] === undefined) {
         throw new UnauthenticatedError('The forwarded customer is unknown.');
       }
-      return readFacts(headers, document, customerId, path);
+      return readFacts(headers, document, customerId, path, readRequestId(headers));
     },
   };
 }
--- /dev/null
+++ b/packages/core/src/routing/spill/regionLoadLimits.ts
@@ -0,0 +1,5 @@
+/** Upper bounds of the numbers in a region's load summary. */
+export const regionLoadLimits = {
+  maxRequests: 9_999_999,
+  maxWaitMs: 3_600_000,
+} as const;
--- /dev/null
+++ b/packages/core/tests/requests/createCallerReader.test.ts
@@ -0,0 +1,97 @@
+import test from 'ava';
+import { createHash } from 'node:crypto';
+import { createFleetDocument } from '../../src/config/createFleetDocument.js';
+import { fleetDocumentSchema } from '../../src/config/fleetDocumentSchema.js';
+import { asId } from '../../src/ids/asId.js';
+import type { Headers } from '../../src/requests/Headers.js';
+import { createCallerReader } from '../../src/requests/createCallerReader.js';
+
+const sha256 = (text: string): string => createHash('sha256').update(text).digest('hex');
+
+const document = createFleetDocument(
+  fleetDocumentSchema.parse({
+    version: 1,
+    changeId: 'initial',
+    defaults: {
+      customers: {
+        workshop: { keySha256: sha256('workshop-key') },
+        archive: { keySha256: sha256('archive-key'), homeRegion: 'sierra-sur' },
+        local: { keySha256: sha256('local-key'), homeRegion: 'costa' },
+      },
+    },
+  }),
+);
+
+const reader = createCallerReader({
+  clock: { nowMs: () => 0, monotonicMs: () => 0, sleep: async () => {} },
+  hostId: asId('costa-1'),
+  regionId: asId('costa'),
+  configuration: () => document,
+  knownRegions: () => new Set([asId('sierra-sur'), asId('costa')]),
+  entryHostUrls: () => [],
+});
+
+const forwarded: Headers = {
+  'x-camphorbarrow-path': 'sur-1',
+  'x-camphorbarrow-customer': 'workshop',
+  'x-camphorbarrow-target-region': 'costa',
+  'x-camphorbarrow-request-id': 'request-1',
+  'x-camphorbarrow-rank': 'patient',
+  'x-camphorbarrow-deadline-ms': '900',
+};
+
+test('a caller cannot set the path, the customer or the request id', (t) => {
+  const facts = reader.readCaller({
+    ...forwarded,
+    authorization: 'Bearer workshop-key',
+    'x-camphorbarrow-customer': 'archive',
+    'x-camphorbarrow-path': 'costa-1',
+  });
+  t.is(String(facts.customerId), 'workshop');
+  t.deepEqual(facts.path, []);
+  t.not(String(facts.requestId), 'request-1');
+});
+
+test('a forwarded request keeps its id, path, customer, rank and remaining deadline', (t) => {
+  t.like(reader.readForwarded(forwarded), {
+    requestId: 'request-1',
+    customerId: 'workshop',
+    path: ['sur-1'],
+    rank: 'patient',
+    deadlineMs: 900,
+    homeRegionId: undefined,
+  });
+});
+
+test('a request that has been here, or has taken too many hops, is refused as a loop', (t) => {
+  for (const path of ['costa-1', 'sur-1, costa-1', 'sur-1,norte-1', 'a,b,c']) {
+    const headers = { ...forwarded, 'x-camphorbarrow-path': path };
+    t.throws(() => reader.readForwarded(headers), {
+      message: /visited/,
+      name: 'LoopDetectedError',
+    });
+  }
+});
+
+test('a forward without a readable path, or with two, is refused', (t) => {
+  for (const path of [undefined, '', ',', 'sur-1,', ['sur-1', 'norte-1']]) {
+    const headers = { ...forwarded, 'x-camphorbarrow-path': path };
+    t.throws(() => reader.readForwarded(headers), { name: 'InvalidHeaderError' });
+  }
+});
+
+test('a request meant for another region is refused when a region was announced wrongly', (t) => {
+  for (const region of [undefined, 'sierra-norte']) {
+    const headers = { ...forwarded, 'x-camphorbarrow-target-region': region };
+    t.throws(() => reader.readForwarded(headers), { name: 'PeerMismatchError' });
+  }
+});
+
+test('a forwarded request bound to another region is refused even if the sender knew no better', (t) => {
+  const archive = { ...forwarded, 'x-camphorbarrow-customer': 'archive' };
+  t.throws(() => reader.readForwarded(archive), { name: 'WrongRegionError' });
+  const header = { ...forwarded, 'x-camphorbarrow-home-region': 'sierra-sur' };
+  t.throws(() => reader.readForwarded(header), { name: 'WrongRegionError' });
+  const unknown = { ...forwarded, 'x-camphorbarrow-customer': 'nobody' };
+  t.throws(() => reader.readForwarded(unknown), { name: 'UnauthenticatedError' });
+});
--- /dev/null
+++ b/packages/core/tests/routing/spill/toRegionViews.test.ts
@@ -0,0 +1,105 @@
+import test from 'ava';
+import type { PeerView } from '../../../src/membership/PeerView.js';
+import { asId } from '../../../src/ids/asId.js';
+import { createRegionDelays } from '../../../src/routing/spill/createRegionDelays.js';
+import { regionLoadLimits } from '../../../src/routing/spill/regionLoadLimits.js';
+import { summarizeRegionLoad } from '../../../src/routing/spill/summarizeRegionLoad.js';
+import { toRegionViews } from '../../../src/routing/spill/toRegionViews.js';
+import { createServer } from '../fixtures.js';
+import { costa } from './fixtures.js';
+
+function createPeer(name: string, changes: Partial<PeerView> = {}): PeerView {
+  return {
+    hostId: asId(name),
+    incarnation: asId('first'),
+    startedAtMs: 0,
+    regionId: costa,
+    availabilityZoneId: asId('costa-a'),
+    callerUrl: `http://${name}`,
+    peerUrl: `http://peer-${name}`,
+    state: 'live',
+    sequence: 1,
+    configVersion: 1,
+    reachable: true,
+    heardAtMs: 1_000,
+    ...changes,
+  };
+}
+
+const idle = { capacity: 16, inUse: 1, firstTokenWaitMs: 0, spilling: false };
+
+test('contradictory summaries of one region count in the least favourable way', (t) => {
+  const busy = { capacity: 8, inUse: 20, firstTokenWaitMs: 900, spilling: true };
+  const [view] = toRegionViews({
+    ownRegionId: asId('sierra-sur'),
+    peers: [
+      createPeer('a', { regionLoad: idle }),
+      createPeer('b', { regionLoad: busy, heardAtMs: 400 }),
+    ],
+    nowMs: 2_000,
+    roundTripMs: () => 160,
+  });
+  t.deepEqual(view?.load, busy);
+  t.is(view?.loadAgeMs, 1_000);
+});
+
+test('draining and unreachable hosts and the own region offer nothing', (t) => {
+  const views = toRegionViews({
+    ownRegionId: asId('sierra-sur'),
+    peers: [
+      createPeer('a', { state: 'draining', regionLoad: idle }),
+      createPeer('b', { reachable: false, regionLoad: idle }),
+      createPeer('c', { regionId: asId('sierra-sur'), regionLoad: idle }),
+    ],
+    nowMs: 0,
+    roundTripMs: () => 160,
+  });
+  t.deepEqual(views, []);
+});
+
+test('a region whose heartbeats fail or are old has no round trip', (t) => {
+  let nowMs = 0;
+  const delays = createRegionDelays({
+    nowMs: () => nowMs,
+    monotonicMs: () => nowMs,
+    sleep: async () => {},
+  });
+  t.is(delays.roundTripMs(costa), undefined);
+  delays.record(costa, 160);
+  delays.record(costa, undefined);
+  delays.record(costa, undefined);
+  t.is(delays.roundTripMs(costa), 160);
+  delays.record(costa, undefined);
+  t.is(delays.roundTripMs(costa), undefined);
+  delays.record(costa, 160);
+  nowMs = 30_001;
+  t.is(delays.roundTripMs(costa), undefined);
+});
+
+test('the summary of a region stays below 128 bytes whatever the engines report', (t) => {
+  const huge = { runningRequests: 1e12, waitingRequests: 1e12, maxConcurrentRequests: 1e12 };
+  const summary = summarizeRegionLoad({
+    servers: [createServer('a', huge), createServer('b', huge)],
+    estimator: { queueMs: () => 1e12 },
+    context: { nowMs: 0, entryHostCount: 1 },
+    ownQueueMs: 0,
+    spilling: false,
+  });
+  t.is(summary.inUse, regionLoadLimits.maxRequests);
+  t.true(JSON.stringify({ regionLoad: summary }).length <= 128);
+});
+
+test('a region without engines announces no capacity and no finite wait', (t) => {
+  const summary = summarizeRegionLoad({
+    servers: [
+      { ...createServer('a'), accepting: false },
+      { ...createServer('b'), load: undefined },
+    ],
+    estimator: { queueMs: () => 0 },
+    context: { nowMs: 0, entryHostCount: 1 },
+    ownQueueMs: 0,
+    spilling: false,
+  });
+  t.is(summary.capacity, 0);
+  t.is(summary.firstTokenWaitMs, regionLoadLimits.maxWaitMs);
+});
