Forward requests to entry hosts of other regions

Cause: route choice, cache events and the spill decision existed but nothing used them; a region without engines refused everything.

Ruled out: pooled connections between regions. One that went silent in a partition is noticed only after the progress timeout; a new connection fails after the connect timeout, and costs one more round trip, which the spill estimate includes.

Change: the peer listener takes POST /forward/{route} with the peer key, checks path, target region and home region before the body is read, and serves with the region's gateway only. While a stream waits it sends comments, so that waiting is not silence. The client tells a typed refusal, a broken stream and an address without entry host apart. The daemon uses the new chooser, polls cache events and spills. Callers' copies of the peer headers are ignored.

The token buckets of spilling start full. With one token at the start the second of two immediate requests of a host whose region had no engine was refused with 503 although 16 places were free elsewhere (process-level test, failed before). The bound on a burst is now all free places instead of half of them; its test was changed with it.

Check: 15 new tests on loopback, 5 of them with processes of two regions.

--- a/packages/adapters/src/callers/createCallerListener.ts
+++ b/packages/adapters/src/callers/createCallerListener.ts
@@ -1,15 +1,12 @@
 import fastify from 'fastify';
-import type { FastifyInstance, FastifyReply, FastifyRequest } from 'fastify';
-import {
-  BodyTooLargeError,
-  InvalidBodyError,
-  NotFoundError,
-  RequestError,
-} from '@camphorbarrow/core';
+import type { FastifyInstance, FastifyRequest } from 'fastify';
+import { NotFoundError } from '@camphorbarrow/core';
 import type { CallerFacts, InferenceRoute } from '@camphorbarrow/core';
 import type { CallerApi } from './CallerApi.js';
+import { disconnectSignal } from './disconnectSignal.js';
+import { rawHeaders } from './rawHeaders.js';
+import { sendError } from './sendError.js';
 import { streamEvents } from './streamEvents.js';
-import { toErrorBody } from './toErrorBody.js';
 
 export interface CallerListenerOptions {
   /** IP address to bind. */
@@ -28,50 +25,6 @@
 }
 
 const HEADERS_TIMEOUT_MS = 10_000;
-const MS_PER_SECOND = 1000;
-
-function rawHeaders(request: FastifyRequest): Record<string, string | string[] | undefined> {
-  return Object.fromEntries(
-    Object.entries(request.raw.headersDistinct).map(([name, values]) => [
-      name,
-      values?.length === 1 ? values[0] : values,
-    ]),
-  );
-}
-
-function toRequestError(error: unknown): unknown {
-  if (error instanceof RequestError || !(error instanceof Error)) {
-    return error;
-  }
-  const code = 'code' in error ? error.code : undefined;
-  if (code === 'FST_ERR_CTP_BODY_TOO_LARGE') {
-    return new BodyTooLargeError('The request body is larger than this host accepts.');
-  }
-  const statusCode = 'statusCode' in error ? Number(error.statusCode) : 500;
-  if (statusCode >= 400 && statusCode < 500) {
-    return new InvalidBodyError(error.message, { cause: error });
-  }
-  return error;
-}
-
-function sendError(reply: FastifyReply, error: unknown): FastifyReply {
-  const { statusCode, body } = toErrorBody(toRequestError(error));
-  if (body.error.retryAfterMs !== undefined) {
-    void reply.header('retry-after', Math.ceil(body.error.retryAfterMs / MS_PER_SECOND));
-  }
-  return reply.code(statusCode).send(body);
-}
-
-/** Aborts when the caller's connection closes before the answer is complete. */
-function disconnectSignal(reply: FastifyReply): AbortSignal {
-  const controller = new AbortController();
-  reply.raw.on('close', () => {
-    if (!reply.raw.writableFinished) {
-      controller.abort();
-    }
-  });
-  return controller.signal;
-}
 
 function addInferenceRoutes(
   app: FastifyInstance,
--- a/packages/adapters/src/callers/streamEvents.ts
+++ b/packages/adapters/src/callers/streamEvents.ts
@@ -1,5 +1,6 @@
 import type { ServerResponse } from 'node:http';
 import { once } from 'node:events';
+import { EVENT_STREAM_HEADERS } from './eventStreamHeaders.js';
 import { toErrorBody } from './toErrorBody.js';
 
 /**
@@ -11,10 +12,9 @@
   events: AsyncIterable<string>,
   signal: AbortSignal,
 ): Promise<void> {
-  response.writeHead(200, {
-    'content-type': 'text/event-stream; charset=utf-8',
-    'cache-control': 'no-cache',
-  });
+  if (!response.headersSent) {
+    response.writeHead(200, EVENT_STREAM_HEADERS);
+  }
   try {
     for await (const data of events) {
       if (!response.write(`data: ${data}\n\n`)) {
--- /dev/null
+++ b/packages/adapters/src/peers/ForwardApi.ts
@@ -0,0 +1,23 @@
+import type {
+  CallerFacts,
+  Headers,
+  HostId,
+  InferenceAnswer,
+  InferenceRoute,
+} from '@camphorbarrow/core';
+
+/** What the forward routes need from the gateway. Methods throw or reject with `RequestError`. */
+export interface ForwardApi {
+  readonly hostId: HostId;
+  /** Bound of a forwarded body, in bytes. */
+  readonly maxBodyBytes: number;
+  /** Checks path, region and customer before the body is read. */
+  readForwarded(headers: Headers): CallerFacts;
+  /** Serves the request in this region or refuses it; never forwards it again. */
+  infer(
+    facts: CallerFacts,
+    route: InferenceRoute,
+    body: string,
+    signal: AbortSignal,
+  ): Promise<InferenceAnswer>;
+}
--- a/packages/adapters/src/peers/createPeerListener.ts
+++ b/packages/adapters/src/peers/createPeerListener.ts
@@ -2,9 +2,11 @@
 import fastify from 'fastify';
 import { fastifyTRPCPlugin } from '@trpc/server/adapters/fastify';
 import type { FastifyTRPCPluginOptions } from '@trpc/server/adapters/fastify';
-import { UnauthenticatedError } from '@camphorbarrow/core';
-import { toErrorBody } from '../callers/toErrorBody.js';
+import { UnauthenticatedError, headerNames } from '@camphorbarrow/core';
+import { sendError } from '../callers/sendError.js';
+import type { ForwardApi } from './ForwardApi.js';
 import type { PeerApi } from './PeerApi.js';
+import { addForwardRoutes } from './addForwardRoutes.js';
 import { peerRouter } from './peerRouter.js';
 import type { PeerRouter } from './peerRouter.js';
 
@@ -14,6 +16,8 @@
   readonly port: number;
   readonly peerKey: string;
   readonly api: PeerApi;
+  /** Serves requests that entry hosts of other regions forward. */
+  readonly forwardApi: ForwardApi;
 }
 
 export interface PeerListener {
@@ -34,9 +38,10 @@
     }
   });
   app.setErrorHandler((error, _request, reply) => {
-    const { statusCode, body } = toErrorBody(error);
-    return reply.code(statusCode).send(body);
+    void reply.header(headerNames.refusal, 'true');
+    return sendError(reply, error);
   });
+  await app.register(async (scope) => addForwardRoutes(scope, options.forwardApi));
   await app.register(fastifyTRPCPlugin, {
     prefix: '/trpc',
     trpcOptions: { router: peerRouter, createContext: () => ({ api: options.api }) },
--- a/packages/core/src/routing/spill/createSpillBudget.ts
+++ b/packages/core/src/routing/spill/createSpillBudget.ts
@@ -22,7 +22,10 @@
 
 /** Heartbeats carry a change of load to the other hosts within about this time. */
 const FEEDBACK_MS = 1_000;
-/** Share of the free places that all other regions together may fill within `FEEDBACK_MS`. */
+/**
+ * Share of the free places that all other regions together may fill within `FEEDBACK_MS`. The first
+ * such interval allows it twice, once from the full buckets and once from their refill.
+ */
 const FREE_RATIO = 0.5;
 /** When the alternative is a refusal, a busy region may still be asked at this share. */
 const MIN_CAPACITY_RATIO = 0.25;
@@ -44,9 +47,9 @@
     take(request) {
       const perFeedback = allowance(request);
       const { regionId } = request.view;
-      const bucket = buckets.get(regionId) ?? { tokens: 1, filledAtMs: request.nowMs };
-      const elapsedMs = Math.max(0, request.nowMs - bucket.filledAtMs);
       const limit = Math.max(1, perFeedback);
+      const bucket = buckets.get(regionId) ?? { tokens: limit, filledAtMs: request.nowMs };
+      const elapsedMs = Math.max(0, request.nowMs - bucket.filledAtMs);
       bucket.tokens = Math.min(limit, bucket.tokens + (elapsedMs / FEEDBACK_MS) * perFeedback);
       bucket.filledAtMs = request.nowMs;
       buckets.set(regionId, bucket);
--- a/packages/daemon/src/entryHost/createEntryHost.ts
+++ b/packages/daemon/src/entryHost/createEntryHost.ts
@@ -4,6 +4,7 @@
   createEtcdKeyValueStore,
   createHotShotsMetrics,
   createHttpClientDirectory,
+  createHttpForwardClient,
   createHttpHostList,
   createHttpServiceClient,
   createNoMetrics,
@@ -14,7 +15,6 @@
 } from '@camphorbarrow/adapters';
 import {
   asId,
-  chooseLeastLoaded,
   createCallerReader,
   createConfigKeeper,
   createInferenceGateway,
@@ -23,19 +23,26 @@
   createSeededRandom,
   createServerRegistry,
   createServiceGateway,
+  createSpillGateway,
   createSystemClock,
 } from '@camphorbarrow/core';
 import type {
   AvailabilityZoneId,
+  CallerFacts,
   HostId,
   HostSettings,
   Incarnation,
+  InferenceAnswer,
+  InferenceGateway,
+  InferenceRoute,
   LogSink,
   MetricsSink,
   PeerDescription,
   RegionId,
 } from '@camphorbarrow/core';
 import { createEntryHostRanking } from './createEntryHostRanking.js';
+import { createRegionRouting } from './createRegionRouting.js';
+import { createRegionSpill } from './createRegionSpill.js';
 import { publishDirectory } from './publishDirectory.js';
 
 export interface EntryHost {
@@ -94,6 +101,17 @@
     configVersion: config.version(),
   });
 
+  const registry = createServerRegistry({
+    clock,
+    log,
+    hostList,
+    isUsed: (entry) => entry.regionId === regionId,
+    readLoad: (entry) => engineClient.readLoad(entry.baseUrl, LOAD_TIMEOUT_MS),
+  });
+  const routing = createRegionRouting({ clock, log, registry, engineClient });
+  const spill = createRegionSpill({ clock, regionId, registry, routing });
+  const forwardClient = createHttpForwardClient({ peerKey: settings.secrets.peerKey });
+
   async function fetchNewerConfig(peer: PeerDescription): Promise<void> {
     if (peer.configVersion <= config.version()) {
       return;
@@ -111,30 +129,49 @@
     store,
     peerClient,
     self: describeSelf,
+    regionLoad: spill.summary,
+    onExchange: spill.recordExchange,
     seedPeerUrls: settings.seedPeers,
     onPeer: (peer) => {
       void fetchNewerConfig(peer);
     },
   });
-  const ranking = createEntryHostRanking({ self: describeSelf, peers });
-  const registry = createServerRegistry({
-    clock,
-    log,
-    hostList,
-    isUsed: (entry) => entry.regionId === regionId,
-    readLoad: (entry) => engineClient.readLoad(entry.baseUrl, LOAD_TIMEOUT_MS),
-  });
+  spill.follow(peers);
   const entryHostCount = (): number => peers.livePeers(regionId).length + 1;
+  const ranking = createEntryHostRanking({ self: describeSelf, peers });
   const inference = createInferenceGateway({
     clock,
     random,
     log,
     metrics,
     registry,
-    engineClient,
-    chooseRoute: chooseLeastLoaded,
+    engineClient: routing.engineClient,
+    chooseRoute: routing.chooseRoute,
     entryHostCount,
   });
+  const spilling = createSpillGateway({
+    clock,
+    random,
+    log,
+    metrics,
+    hostId,
+    local: inference,
+    forwardClient,
+    decider: spill.decider,
+    estimateLocal: spill.estimateLocal,
+  });
+  const inferThrough =
+    (gateway: InferenceGateway) =>
+    async (
+      facts: CallerFacts,
+      route: InferenceRoute,
+      body: string,
+      signal: AbortSignal,
+    ): Promise<InferenceAnswer> =>
+      gateway.handle(
+        createInferenceRequest(facts, route, body, settings.secrets.recordKey),
+        signal,
+      );
   const services = createServiceGateway({ random, registry, serviceClient });
   const callerReader = createCallerReader({
     clock,
@@ -155,6 +192,13 @@
         return config.version();
       },
     },
+    // The gateway of the region, so that a forwarded request cannot leave this host again.
+    forwardApi: {
+      hostId,
+      maxBodyBytes: MAX_BODY_BYTES,
+      readForwarded: callerReader.readForwarded,
+      infer: inferThrough(inference),
+    },
   });
   const callerListener = await createCallerListener({
     ...settings.callerListener,
@@ -162,11 +206,7 @@
     requestTimeoutMs: REQUEST_TIMEOUT_MS,
     api: {
       readCaller: callerReader.readCaller,
-      infer: async (facts, route, body, signal) =>
-        inference.handle(
-          createInferenceRequest(facts, route, body, settings.secrets.recordKey),
-          signal,
-        ),
+      infer: inferThrough(spilling),
       callService: services.handle,
       models: () => Object.keys(config.current().defaults.models),
       entryHosts: ranking.list,
@@ -179,6 +219,7 @@
   config.start();
   peers.start();
   registry.start();
+  routing.start();
   const stopPublishing = publishDirectory({
     clock,
     log,
@@ -199,13 +240,14 @@
       await clock.sleep(settings.drain.steerMs);
       await callerListener.close();
       await peers.close();
-      await Promise.all([registry.close(), config.close(), peerListener.close()]);
+      await Promise.all([registry.close(), routing.close(), config.close(), peerListener.close()]);
       await Promise.all([
         store.close(),
         hostList.close(),
         engineClient.close(),
         serviceClient.close(),
         peerClient.close(),
+        forwardClient.close(),
         metrics.close(),
       ]);
       log.info('stopped', {});
--- /dev/null
+++ b/packages/daemon/src/entryHost/createRegionRouting.ts
@@ -0,0 +1,59 @@
+import {
+  createCacheEventPoller,
+  createFirstTokenChooser,
+  createFirstTokenEstimator,
+  createPrefixIndex,
+  createRouteObserver,
+  createServerRates,
+} from '@camphorbarrow/core';
+import type {
+  Clock,
+  EngineClient,
+  FirstTokenEstimator,
+  LogSink,
+  PrefixIndex,
+  RouteObserver,
+  ServerRegistry,
+} from '@camphorbarrow/core';
+
+export interface RegionRoutingOptions {
+  readonly clock: Clock;
+  readonly log: LogSink;
+  readonly registry: ServerRegistry;
+  readonly engineClient: EngineClient;
+}
+
+/** Route choice inside the region with what it learns from. */
+export interface RegionRouting extends RouteObserver {
+  readonly index: PrefixIndex;
+  readonly estimator: FirstTokenEstimator;
+  start(): void;
+  close(): Promise<void>;
+}
+
+const CACHE_EVENTS_TIMEOUT_MS = 1_000;
+
+/** Wires route choice, learned rates and the prefix index. */
+export function createRegionRouting(options: RegionRoutingOptions): RegionRouting {
+  const { clock, log, registry, engineClient } = options;
+  const index = createPrefixIndex();
+  const rates = createServerRates();
+  const estimator = createFirstTokenEstimator(rates);
+  const observer = createRouteObserver({
+    clock,
+    index,
+    rates,
+    estimator,
+    chooseRoute: createFirstTokenChooser(estimator),
+    engineClient,
+  });
+  const poller = createCacheEventPoller({
+    clock,
+    log,
+    index,
+    servers: registry.servers,
+    readCacheEvents: (entry, afterSequence) =>
+      engineClient.readCacheEvents(entry.baseUrl, afterSequence, CACHE_EVENTS_TIMEOUT_MS),
+  });
+  return { ...observer, index, estimator, start: poller.start, close: poller.close };
+}
--- /dev/null
+++ b/packages/daemon/src/entryHost/createRegionSpill.ts
@@ -0,0 +1,90 @@
+import {
+  createLocalEstimate,
+  createRegionDelays,
+  createSpillDecider,
+  spillWhenItPays,
+  summarizeRegionLoad,
+  toRegionViews,
+} from '@camphorbarrow/core';
+import type {
+  Clock,
+  EstimateContext,
+  InferenceRequest,
+  LocalEstimate,
+  PeerTable,
+  PeerView,
+  RegionDelays,
+  RegionId,
+  RegionLoadSummary,
+  ServerRegistry,
+  SpillDecider,
+} from '@camphorbarrow/core';
+import type { RegionRouting } from './createRegionRouting.js';
+
+export interface RegionSpillOptions {
+  readonly clock: Clock;
+  readonly regionId: RegionId;
+  readonly registry: ServerRegistry;
+  readonly routing: Pick<RegionRouting, 'estimator' | 'index'>;
+  /** Wait in this entry host's own queue, before a server is chosen. @default none */
+  readonly ownQueueMs?: () => number;
+}
+
+export interface RegionSpill {
+  readonly decider: SpillDecider;
+  /** The peer table to take the other regions from; there are none before this call. */
+  follow(peers: PeerTable): void;
+  readonly recordExchange: RegionDelays['record'];
+  estimateLocal(request: InferenceRequest): LocalEstimate;
+  /** Summary of the own region for the heartbeats. */
+  summary(): RegionLoadSummary;
+}
+
+/** Wires the decision on other regions. */
+export function createRegionSpill(options: RegionSpillOptions): RegionSpill {
+  const { clock, regionId, registry, routing } = options;
+  const { estimator, index } = routing;
+  const delays = createRegionDelays(clock);
+  let table: PeerTable | undefined;
+  const peers = (): readonly PeerView[] => table?.peers() ?? [];
+  const ownQueueMs = options.ownQueueMs ?? ((): number => 0);
+  const context = (): EstimateContext => ({
+    nowMs: clock.monotonicMs(),
+    entryHostCount: (table?.livePeers(regionId).length ?? 0) + 1,
+  });
+  const decider = createSpillDecider({
+    policy: spillWhenItPays,
+    regions: () =>
+      toRegionViews({
+        ownRegionId: regionId,
+        peers: peers(),
+        nowMs: clock.monotonicMs(),
+        roundTripMs: delays.roundTripMs,
+      }),
+    fleetHostCount: () => peers().filter(({ reachable }) => reachable).length + 1,
+  });
+  return {
+    decider,
+    follow(followed) {
+      table = followed;
+    },
+    recordExchange: delays.record,
+    estimateLocal: (request) =>
+      createLocalEstimate({
+        request,
+        servers: registry.servers(),
+        estimator,
+        context: context(),
+        cachedTokens: ({ entry }) => index.cachedTokens(entry.serverId, request.blockHashes),
+        ownQueueMs: ownQueueMs(),
+      }),
+    summary: () =>
+      summarizeRegionLoad({
+        servers: registry.servers(),
+        estimator,
+        context: context(),
+        ownQueueMs: ownQueueMs(),
+        spilling: decider.isSpilling(clock.monotonicMs()),
+      }),
+  };
+}
