--- a/packages/adapters/tests/operators/operatorApi.test.ts
+++ b/packages/adapters/tests/operators/operatorApi.test.ts
@@ -3,13 +3,20 @@
 import anyTest from 'ava';
 import type { TestFn } from 'ava';
 import { request } from 'undici';
-import { InvalidChangeError, OperatorCallError, fleetDefaultsSchema } from '@camphorbarrow/core';
+import {
+  InvalidChangeError,
+  OperatorCallError,
+  PlatformError,
+  asId,
+  fleetDefaultsSchema,
+} from '@camphorbarrow/core';
 import type { ConfigChange } from '@camphorbarrow/core';
 import type { ChangeRequest } from '../../src/operators/ChangeRequest.js';
 import { createOperatorClient } from '../../src/operators/createOperatorClient.js';
 import type { OperatorClient } from '../../src/operators/createOperatorClient.js';
 import { createPeerListener } from '../../src/peers/createPeerListener.js';
 import type { PeerListener } from '../../src/peers/createPeerListener.js';
+import { createFakePeerApi } from '../peers/createFakePeerApi.js';
 
 const ADDRESS = '127.0.0.1';
 const PEER_KEY = 'peer-key-0123456789';
@@ -39,6 +46,10 @@
   operation: { kind: 'set-defaults', defaults: fleetDefaultsSchema.parse({}) },
 });
 
+const unused = (): never => {
+  throw new PlatformError('not used');
+};
+
 test.before(async (t) => {
   const port = await freePort();
   const proposed: ConfigChange[] = [];
@@ -46,12 +57,12 @@
     address: ADDRESS,
     port,
     peerKey: PEER_KEY,
-    api: {
-      receiveHeartbeat: (message) => message,
-      currentConfig: () => undefined,
-      adoptConfig: () => ({ version: 0, changeId: '' }),
-      receiveCrash: (report) => report,
-      servers: () => [],
+    api: createFakePeerApi(unused),
+    forwardApi: {
+      hostId: asId('norte-1'),
+      maxBodyBytes: 1_000,
+      readForwarded: unused,
+      infer: unused,
     },
     operators: {
       keys: { rui: 'rui-key-0123456789', ana: ANA_KEY },
--- /dev/null
+++ b/packages/adapters/tests/peers/createFakePeerApi.ts
@@ -0,0 +1,12 @@
+import type { PeerApi } from '../../src/peers/PeerApi.js';
+
+/** Peer interface for tests that call none of its procedures. */
+export function createFakePeerApi(unused: () => never): PeerApi {
+  return {
+    receiveHeartbeat: unused,
+    currentConfig: unused,
+    adoptConfig: unused,
+    receiveCrash: unused,
+    servers: unused,
+  };
+}
--- a/packages/core/src/membership/PeerDescription.ts
+++ b/packages/core/src/membership/PeerDescription.ts
@@ -2,6 +2,7 @@
 import type { HostId } from '../ids/HostId.js';
 import type { Incarnation } from '../ids/Incarnation.js';
 import type { RegionId } from '../ids/RegionId.js';
+import type { RegionLoadSummary } from '../routing/spill/RegionLoadSummary.js';
 
 /** What an entry host says of itself in heartbeats and in its registration. */
 export interface PeerDescription {
@@ -21,4 +22,6 @@
   readonly configVersion: number;
   /** Change that made the configuration in force; empty when there is none. */
   readonly configChangeId: string;
+  /** Load of the host's region as the host sees it; absent in registrations. */
+  readonly regionLoad?: RegionLoadSummary | undefined;
 }
--- a/packages/core/tests/config/createFakeFleet.ts
+++ b/packages/core/tests/config/createFakeFleet.ts
@@ -67,6 +67,7 @@
       sequence: 1,
       configVersion: version,
       configChangeId: changeId,
+      heardAtMs: 0,
       reachable: !cutOff.has(index) && !cutOff.has(seenBy),
     };
   }
--- a/packages/daemon/src/entryHost/createEntryHost.ts
+++ b/packages/daemon/src/entryHost/createEntryHost.ts
@@ -1,48 +1,45 @@
 import { randomInt, randomUUID } from 'node:crypto';
 import {
   createCallerListener,
-  createEtcdKeyValueStore,
-  createHotShotsMetrics,
   createHttpClientDirectory,
-  createHttpHostList,
-  createHttpServiceClient,
-  createNoMetrics,
-  createOpenAiEngineClient,
   createPeerListener,
-  createPinoLog,
-  createTrpcPeerClient,
 } from '@camphorbarrow/adapters';
 import {
   asId,
-  chooseLeastLoaded,
   createCallerReader,
   createConfigKeeper,
+  createCrashProbe,
   createInferenceGateway,
   createInferenceRequest,
-  createCrashProbe,
   createPeerBackedHostList,
   createPeerTable,
   createQuarantine,
   createSeededRandom,
   createServerRegistry,
   createServiceGateway,
+  createSpillGateway,
   createSystemClock,
 } from '@camphorbarrow/core';
 import type {
   AvailabilityZoneId,
+  CallerFacts,
   HostId,
   HostListEntry,
   HostSettings,
   Incarnation,
+  InferenceAnswer,
+  InferenceGateway,
+  InferenceRoute,
   LoadReport,
-  LogSink,
-  MetricsSink,
   PeerDescription,
   RegionId,
 } from '@camphorbarrow/core';
-import { createDrain } from './createDrain.js';
 import { announcedUrl } from './announcedUrl.js';
+import { createDrain } from './createDrain.js';
 import { createEntryHostRanking } from './createEntryHostRanking.js';
+import { createPorts } from './createPorts.js';
+import { createRegionRouting } from './createRegionRouting.js';
+import { createRegionSpill } from './createRegionSpill.js';
 import { describeFleet } from './describeFleet.js';
 import { publishDirectory } from './publishDirectory.js';
 
@@ -53,46 +50,21 @@
 
 const MAX_BODY_BYTES = 268_435_456;
 const MAX_SEED = 2 ** 31;
-const CONNECT_TIMEOUT_MS = 1_000;
 const LOAD_TIMEOUT_MS = 1_000;
-const PEER_TIMEOUT_MS = 1_000;
 const REQUEST_TIMEOUT_MS = 15_000;
 
-function createMetrics(settings: HostSettings, log: LogSink): MetricsSink {
-  if (settings.metrics === undefined) {
-    return createNoMetrics();
-  }
-  return createHotShotsMetrics({
-    ...settings.metrics,
-    tags: { host: settings.host.hostId, region: settings.host.region },
-    onError: (error) => log.warn('metrics-unavailable', { error: error.name }),
-  });
-}
-
 /** Wires and starts one entry host. */
 export async function createEntryHost(settings: HostSettings): Promise<EntryHost> {
   const hostId = asId<HostId>(settings.host.hostId);
   const regionId = asId<RegionId>(settings.host.region);
   const incarnation = asId<Incarnation>(randomUUID());
-  const localAddress = settings.outgoingAddress;
   const clock = createSystemClock();
   const random = createSeededRandom(randomInt(MAX_SEED));
-  const log = createPinoLog({ level: settings.log.level, base: { hostId, regionId } });
-  const metrics = createMetrics(settings, log);
-  const store = createEtcdKeyValueStore({ ...settings.keyValueService, localAddress });
-  const engineClient = createOpenAiEngineClient({
-    connectTimeoutMs: CONNECT_TIMEOUT_MS,
-    localAddress,
-  });
-  const serviceClient = createHttpServiceClient({
-    connectTimeoutMs: CONNECT_TIMEOUT_MS,
-    localAddress,
-  });
-  const peerClient = createTrpcPeerClient({
-    peerKey: settings.secrets.peerKey,
-    timeoutMs: PEER_TIMEOUT_MS,
-    localAddress,
-  });
+  const ports = createPorts(settings);
+  const { log, metrics, store, engineClient, serviceClient, peerClient, forwardClient } = ports;
+  const startedAtMs = clock.nowMs();
+  const drain = createDrain({ clock, log, settings: settings.drain });
+
   const config = createConfigKeeper({
     clock,
     random,
@@ -103,8 +75,6 @@
     // eslint-disable-next-line @typescript-eslint/no-use-before-define -- each describes the other
     listPeers: () => peers.peers(),
   });
-  const startedAtMs = clock.nowMs();
-  const drain = createDrain({ clock, log, settings: settings.drain });
 
   const describeSelf = (): Omit<PeerDescription, 'sequence'> => ({
     hostId,
@@ -119,6 +89,23 @@
     configChangeId: config.revision().changeId,
   });
 
+  const readLoad = (entry: HostListEntry): Promise<LoadReport> =>
+    engineClient.readLoad(entry.baseUrl, LOAD_TIMEOUT_MS);
+  const hostList = createPeerBackedHostList({
+    log,
+    platform: ports.hostList,
+    // eslint-disable-next-line @typescript-eslint/no-use-before-define -- peers need the registry
+    askPeers: () => askRegion((peerUrl) => peerClient.fetchServers(peerUrl)),
+  });
+  const registry = createServerRegistry({
+    clock,
+    log,
+    hostList,
+    isUsed: (entry) => entry.regionId === regionId,
+    readLoad,
+  });
+  const routing = createRegionRouting({ clock, log, registry, engineClient });
+  const spill = createRegionSpill({ clock, regionId, registry, routing });
   const peers = createPeerTable({
     clock,
     random,
@@ -126,11 +113,16 @@
     store,
     peerClient,
     self: describeSelf,
+    regionLoad: spill.summary,
+    onExchange: spill.recordExchange,
     seedPeerUrls: settings.seedPeers,
     onPeer: (peer) => {
       void config.notice(peer);
     },
   });
+  spill.follow(peers);
+  const ranking = createEntryHostRanking({ self: describeSelf, peers });
+
   /** Calls all reachable peers of the region at once and returns the answers that arrive. */
   async function askRegion<Answer>(
     call: (peerUrl: string) => Promise<Answer>,
@@ -140,14 +132,6 @@
     return results.flatMap((result) => (result.status === 'fulfilled' ? [result.value] : []));
   }
 
-  const hostList = createPeerBackedHostList({
-    log,
-    platform: createHttpHostList({ ...settings.hostList, localAddress }),
-    askPeers: () => askRegion((peerUrl) => peerClient.fetchServers(peerUrl)),
-  });
-  const ranking = createEntryHostRanking({ self: describeSelf, peers });
-  const readLoad = (entry: HostListEntry): Promise<LoadReport> =>
-    engineClient.readLoad(entry.baseUrl, LOAD_TIMEOUT_MS);
   const quarantine = createQuarantine({
     clock,
     log,
@@ -155,24 +139,39 @@
     hasCrashed: createCrashProbe({ clock, readLoad }),
     share: (report) => askRegion((peerUrl) => peerClient.reportCrash(peerUrl, report)),
   });
-  const registry = createServerRegistry({
+  const inference = createInferenceGateway({
     clock,
+    random,
     log,
-    hostList,
-    isUsed: (entry) => entry.regionId === regionId,
-    readLoad,
+    metrics,
+    registry,
+    engineClient: routing.engineClient,
+    chooseRoute: routing.chooseRoute,
+    entryHostCount: () => peers.livePeers(regionId).length + 1,
   });
-  const entryHostCount = (): number => peers.livePeers(regionId).length + 1;
-  const inference = createInferenceGateway({
+  const spilling = createSpillGateway({
     clock,
     random,
     log,
     metrics,
-    registry,
-    engineClient,
-    chooseRoute: chooseLeastLoaded,
-    entryHostCount,
+    hostId,
+    local: inference,
+    forwardClient,
+    decider: spill.decider,
+    estimateLocal: spill.estimateLocal,
   });
+  const inferThrough =
+    (gateway: InferenceGateway) =>
+    async (
+      facts: CallerFacts,
+      route: InferenceRoute,
+      body: string,
+      signal: AbortSignal,
+    ): Promise<InferenceAnswer> =>
+      gateway.handle(
+        createInferenceRequest(facts, route, body, settings.secrets.recordKey),
+        signal,
+      );
   const services = createServiceGateway({ random, registry, serviceClient });
   const callerReader = createCallerReader({
     clock,
@@ -203,6 +202,13 @@
         status: () => describeFleet({ self: describeSelf, config, peers, registry }),
       },
     },
+    // The gateway of the region, so that a forwarded request cannot leave this host again.
+    forwardApi: {
+      hostId,
+      maxBodyBytes: MAX_BODY_BYTES,
+      readForwarded: callerReader.readForwarded,
+      infer: inferThrough(inference),
+    },
   });
   const callerListener = await createCallerListener({
     ...settings.callerListener,
@@ -210,11 +216,7 @@
     requestTimeoutMs: REQUEST_TIMEOUT_MS,
     api: {
       readCaller: callerReader.readCaller,
-      infer: async (facts, route, body, signal) =>
-        inference.handle(
-          createInferenceRequest(facts, route, body, settings.secrets.recordKey),
-          signal,
-        ),
+      infer: inferThrough(spilling),
       callService: services.handle,
       models: () => Object.keys(config.current().defaults.models),
       entryHosts: ranking.list,
@@ -228,13 +230,17 @@
   config.start();
   peers.start();
   registry.start();
+  routing.start();
   const stopPublishing = publishDirectory({
     clock,
     log,
     directory:
       settings.clientDirectory === undefined
         ? undefined
-        : createHttpClientDirectory({ ...settings.clientDirectory, localAddress }),
+        : createHttpClientDirectory({
+            ...settings.clientDirectory,
+            localAddress: settings.outgoingAddress,
+          }),
     entry: () => ({ ...ranking.list(), regionId }),
   });
   log.info('started', { incarnation });
@@ -247,15 +253,8 @@
       });
       await callerListener.close();
       await peers.close();
-      await Promise.all([registry.close(), config.close(), peerListener.close()]);
-      await Promise.all([
-        store.close(),
-        hostList.close(),
-        engineClient.close(),
-        serviceClient.close(),
-        peerClient.close(),
-        metrics.close(),
-      ]);
+      await Promise.all([registry.close(), routing.close(), config.close(), peerListener.close()]);
+      await ports.close();
       log.info('stopped', {});
     },
   };
--- a/packages/scenarios/src/launcher/Deployment.ts
+++ b/packages/scenarios/src/launcher/Deployment.ts
@@ -11,6 +11,8 @@
   readonly url: string;
   /** Base URL of the bound address, which no network fault affects. */
   readonly directUrl: string;
+  /** Base URL for peers and operators, which only entry hosts have; no network fault affects it. */
+  readonly peerUrl: string | undefined;
   process: ManagedProcess;
 }
 
--- a/packages/scenarios/src/launcher/planDeployment.ts
+++ b/packages/scenarios/src/launcher/planDeployment.ts
@@ -22,6 +22,8 @@
   readonly bound: SocketAddress;
   readonly program: string;
   readonly args: readonly string[];
+  /** Listener for peers and operators; only entry hosts have one. */
+  readonly peer?: SocketAddress;
 }
 
 export interface DeploymentPlan {
@@ -154,7 +156,7 @@
     });
     const program = options.daemon ?? 'dist/camphorbarrow.cjs';
     const args = ['serve', '--config', file];
-    return { name, region, kind: 'entryHost', ...caller, program, args };
+    return { name, region, kind: 'entryHost', ...caller, peer: peer.bound, program, args };
   });
 
   const callerAddresses = new Map(spec.regions.map(({ name }) => [name, addresses.nextCallers()]));
--- a/packages/scenarios/src/launcher/startDeployment.ts
+++ b/packages/scenarios/src/launcher/startDeployment.ts
@@ -45,7 +45,8 @@
   const planned = [...plan.standIns, ...plan.entryHosts];
   const processes = new Map<string, DeployedProcess>();
 
-  function start({ name, region, kind, announced, bound, program, args }: PlannedProcess): void {
+  function start(plannedProcess: PlannedProcess): void {
+    const { name, region, kind, announced, bound, peer, program, args } = plannedProcess;
     const { onLine } = options;
     const child = startProcess({
       name,
@@ -55,7 +56,8 @@
         ? {}
         : { onLine: (pid: number, line: string) => onLine(name, pid, line) }),
     });
-    const urls = { url: urlOf(announced), directUrl: urlOf(bound) };
+    const peerUrl = peer === undefined ? undefined : urlOf(peer);
+    const urls = { url: urlOf(announced), directUrl: urlOf(bound), peerUrl };
     processes.set(name, { name, region, kind, ...urls, process: child });
   }
 
