--- a/packages/scenarios/src/language/findReferenceProblems.ts
+++ b/packages/scenarios/src/language/findReferenceProblems.ts
@@ -41,7 +41,10 @@
           server: 'process',
           via: 'process',
         };
-        const lists = ['hosts', 'lists', 'excludes', 'neverAt', 'seenAt'];
+        const lists = ['hosts', 'lists', 'excludes'];
+        if (field === 'neverAt' || field === 'seenAt') {
+          return [[field, value, 'link']];
+        }
         const known = lists.includes(field) ? 'process' : to[field as keyof typeof to];
         return known === undefined ? [] : [[field, value, known as Reference['to']]];
       });
--- a/packages/standins/src/relay/createRelayListener.ts
+++ b/packages/standins/src/relay/createRelayListener.ts
@@ -5,30 +5,35 @@
 import type { RelayRoute } from './RelayOptions.js';
 
 export interface RelayListener {
-  /** Checks at once whether the process behind the route still listens. */
-  check(): void;
   close(): Promise<void>;
 }
 
-const CHECK_INTERVAL_MS = 100;
-const PROBE_TIMEOUT_MS = 500;
+const RETRY_MS = 50;
 
-/** Whether a connection to the address is accepted. A frozen process still accepts. */
-async function isListening({ bound }: RelayRoute): Promise<boolean> {
+/** Connects to the process behind the route; undefined when it does not listen. */
+async function connectSentinel({ bound }: RelayRoute): Promise<Socket | undefined> {
   const socket = connect({ host: bound.address, port: bound.port });
   try {
-    await once(socket, 'connect', { signal: AbortSignal.timeout(PROBE_TIMEOUT_MS) });
-    return true;
-  } catch (error) {
-    return (error as { code?: string }).code !== 'ECONNREFUSED';
-  } finally {
+    await once(socket, 'connect');
+    return socket;
+  } catch {
     socket.destroy();
+    return undefined;
   }
 }
 
+function closeOf(socket: Socket): Promise<void> {
+  return new Promise((resolve) => {
+    socket.on('error', () => undefined).once('close', () => resolve());
+    // Data or an end only arrives when the process gives the idle connection up.
+    socket.on('end', () => socket.destroy()).resume();
+  });
+}
+
 /**
  * Listens on a route's announced address while the process behind it listens on the bound one, so
- * that a connection to a dead process is refused as it would be without the relay.
+ * that a connection to a dead process is refused as it would be without the relay. An idle
+ * connection to the process tells at once when the process ends or closes its listener.
  */
 export function createRelayListener(
   route: RelayRoute,
@@ -36,7 +41,7 @@
 ): RelayListener {
   const stopping = new AbortController();
   let server: Server | undefined;
-  let recheck = new AbortController();
+  let sentinel: Socket | undefined;
 
   async function open(): Promise<void> {
     const next = createServer({ allowHalfOpen: true }, onConnection);
@@ -52,24 +57,29 @@
 
   async function follow(): Promise<void> {
     while (!stopping.signal.aborted) {
-      const up = await isListening(route);
-      if (up && server === undefined) {
-        await open();
-      } else if (!up) {
+      sentinel = await connectSentinel(route);
+      if (sentinel === undefined) {
         shut();
+        await delay(RETRY_MS, undefined, { signal: stopping.signal }).catch(() => undefined);
+        continue;
+      }
+      const closed = closeOf(sentinel);
+      if (server === undefined) {
+        await open();
+      }
+      if (stopping.signal.aborted) {
+        sentinel.destroy();
       }
-      recheck = new AbortController();
-      const signal = AbortSignal.any([stopping.signal, recheck.signal]);
-      await delay(CHECK_INTERVAL_MS, undefined, { signal }).catch(() => undefined);
+      await closed;
     }
     shut();
   }
 
   const task = follow();
   return {
-    check: () => recheck.abort(),
     async close() {
       stopping.abort();
+      sentinel?.destroy();
       await task;
     },
   };
--- a/packages/standins/src/relay/relayConnection.ts
+++ b/packages/standins/src/relay/relayConnection.ts
@@ -23,8 +23,6 @@
   readonly route: RelayRoute;
   readonly rules: RelayRules;
   readonly transcript: Transcript;
-  /** Called when the process behind the route refused a connection or closed one. */
-  readonly onServerClosed: () => void;
 }
 
 /** Stands between one client connection and the process behind a route. */
@@ -71,7 +69,6 @@
     const socket = connect({ host: address, port, allowHalfOpen: true, noDelay: true });
     server = socket;
     watchClose(socket);
-    socket.on('close', options.onServerClosed);
     await once(socket, 'connect', { signal });
     return socket;
   }
@@ -85,7 +82,9 @@
     }
   };
   client.on('end', giveUp).on('close', giveUp);
-  const ended = once(client, 'close').then(() => undefined);
+  const ended = new Promise<void>((resolve) => {
+    client.once('close', () => resolve());
+  });
 
   const connected = connectServer();
   const common = { rules, isSilenced, signal };
--- a/packages/standins/src/relay/startRelay.ts
+++ b/packages/standins/src/relay/startRelay.ts
@@ -4,7 +4,6 @@
 import type { RelayEndpoint, RelayOptions, RelayRoute } from './RelayOptions.js';
 import type { RelayRule } from './RelayRule.js';
 import { createRelayListener } from './createRelayListener.js';
-import type { RelayListener } from './createRelayListener.js';
 import { UNKNOWN_SOURCE, createRelayRules, matchesEndpoint } from './createRelayRules.js';
 import { createTranscript } from './createTranscript.js';
 import { relayConnection } from './relayConnection.js';
@@ -32,13 +31,13 @@
       : { name: source.name, region: source.region };
   }
 
-  function accept(client: Socket, route: RelayRoute, onServerClosed: () => void): void {
+  function accept(client: Socket, route: RelayRoute): void {
     const from = sourceOf(client);
     if (rules.cut(from, route) === 'reset' || rules.cut(route, from) === 'reset') {
       client.resetAndDestroy();
       return;
     }
-    const connection = relayConnection({ client, from, route, rules, transcript, onServerClosed });
+    const connection = relayConnection({ client, from, route, rules, transcript });
     connections.add(connection);
     void connection.ended.then(() => connections.delete(connection));
   }
@@ -51,12 +50,9 @@
     );
   }
 
-  const listeners = options.routes.map((route): RelayListener => {
-    const listener: RelayListener = createRelayListener(route, (client) =>
-      accept(client, route, () => listener.check()),
-    );
-    return listener;
-  });
+  const listeners = options.routes.map((route) =>
+    createRelayListener(route, (client) => accept(client, route)),
+  );
 
   const app = fastify({ forceCloseConnections: true });
   app.put('/rules/:id', async (request) => {
