Hold back the answers that the stand-ins are told to lose

Cause: with `{ "loseAnswers": true }` the key-value stand-in still answered. `reply.hijack()` in an onSend hook comes too late: fastify writes the answer of a reply that is hijacked at that point. Tests of lost store responses therefore tested nothing. Answers of silenced connections that were in flight were affected in the same way.

Change: the hook never returns for such replies. The new test sends a request to a server that loses answers; before the change it got status 200, after it the request takes effect and times out.

--- a/packages/standins/src/faults/createFaultyServer.ts
+++ b/packages/standins/src/faults/createFaultyServer.ts
@@ -52,7 +52,9 @@
   });
   app.addHook('onSend', async (request, reply) => {
     if (request.url !== '/control' && (faults.loseAnswers || silenced.has(request.socket))) {
+      // Fastify sends the answer of a reply that is hijacked this late; only waiting holds it back.
       void reply.hijack();
+      await new Promise(() => {});
     }
   });
   return { app, faults };
