Mark one point of no return per order and match service paths safely

Cause: the service gateway had no state that tells whether an order may have been sent. Every failure was answered with outcome "unknown", also a refused connection, and nothing stopped a late start after an answer. Status checks were not retried. A path was compared as text, so POST /a/../orders or /%6frders counted as repeatable, although the HTTP client sends the first one as /orders. The listener cut the path by the length of the decoded service name: /v1/services/%6frders/... gave a path without its leading slash, which is appended to the server's address.

Ruled out: checking the state after the HTTP client has returned. The bytes are written by then. A list of known disguises was ruled out for the paths, because servers differ; whatever can be read in two ways is an order.

Change: `createSendGate` holds not sent, possibly sent, answered or abandoned for all attempts of one order. `onPossiblyRun` checks it synchronously and throws when the order was abandoned, was sent already or moved to another server; undici then writes nothing. `createOrderDispatch` tries servers until the gate is passed and never afterwards. `createRepeatableDispatch` retries on other servers. `isRepeatableCall` reads a path in every form it may take.

With an abandoned gate a recording server saw 0 bytes on a fresh and on a pooled connection.

--- a/packages/adapters/src/callers/createCallerListener.ts
+++ b/packages/adapters/src/callers/createCallerListener.ts
@@ -8,6 +8,7 @@
 } from '@camphorbarrow/core';
 import type { CallerFacts, InferenceRoute } from '@camphorbarrow/core';
 import type { CallerApi } from './CallerApi.js';
+import { servicePathOf } from './servicePathOf.js';
 import { streamEvents } from './streamEvents.js';
 import { toErrorBody } from './toErrorBody.js';
 
@@ -108,7 +109,7 @@
         facts,
         serviceName: service,
         method: request.method,
-        path: request.url.slice(`/v1/services/${encodeURIComponent(service)}`.length),
+        path: servicePathOf(request.url),
         contentType: request.headers['content-type'],
         body: typeof request.body === 'string' ? request.body : undefined,
       },
--- a/packages/adapters/src/index.ts
+++ b/packages/adapters/src/index.ts
@@ -3,6 +3,7 @@
 export * from './backends/loadReportSchema.js';
 export * from './callers/CallerApi.js';
 export * from './callers/createCallerListener.js';
+export * from './callers/servicePathOf.js';
 export * from './callers/streamEvents.js';
 export * from './callers/toErrorBody.js';
 export * from './http/classifyHttpError.js';
--- /dev/null
+++ b/packages/core/src/dispatch/createOrderDispatch.ts
@@ -0,0 +1,110 @@
+import { BackendFailedError } from '../errors/BackendFailedError.js';
+import { ConnectFailedError } from '../errors/ConnectFailedError.js';
+import { DeadlineExceededError } from '../errors/DeadlineExceededError.js';
+import { NoServerError } from '../errors/NoServerError.js';
+import type { ServiceRequest } from '../gateway/ServiceRequest.js';
+import { requireService } from '../gateway/requireService.js';
+import type { ServerRegistry } from '../membership/createServerRegistry.js';
+import type { OrderOutcome } from '../once/OrderOutcome.js';
+import type { LogSink } from '../ports/LogSink.js';
+import type { RandomSource } from '../ports/RandomSource.js';
+import type { ServiceClient } from '../ports/ServiceClient.js';
+import type { ServerView } from '../routing/ServerView.js';
+import { chooseServiceServer } from './chooseServiceServer.js';
+import type { SendGate } from './createSendGate.js';
+
+export interface OrderDispatchOptions {
+  readonly random: RandomSource;
+  readonly log: LogSink;
+  readonly registry: ServerRegistry;
+  readonly serviceClient: ServiceClient;
+}
+
+/** Sends one order, at most once; `gate` holds its point of no return. Never rejects. */
+export type OrderDispatch = (request: ServiceRequest, gate: SendGate) => Promise<OrderOutcome>;
+
+function notRun(gate: SendGate, triedServers: number): OrderOutcome {
+  if (gate.state() === 'abandoned') {
+    const message = 'The order was given up before it was sent.';
+    return {
+      kind: 'not-run',
+      error: new DeadlineExceededError(message, { props: { outcome: 'not-run' } }),
+    };
+  }
+  if (triedServers === 0) {
+    return { kind: 'not-run', error: new NoServerError('No live backend server takes orders.') };
+  }
+  const message = 'No connection to a backend server could be made.';
+  return {
+    kind: 'not-run',
+    error: new BackendFailedError(message, { props: { outcome: 'not-run' } }),
+  };
+}
+
+/** Creates the dispatch of orders: servers are tried in turn until the gate has been passed. */
+export function createOrderDispatch(options: OrderDispatchOptions): OrderDispatch {
+  const { registry, log } = options;
+
+  async function attempt(
+    request: ServiceRequest,
+    server: ServerView,
+    gate: SendGate,
+  ): Promise<OrderOutcome | undefined> {
+    const reservation = registry.reserve(server.entry.serverId, 0);
+    try {
+      const answer = await options.serviceClient.call(
+        {
+          baseUrl: server.entry.baseUrl,
+          method: request.method,
+          path: request.path,
+          contentType: request.contentType,
+          body: request.body,
+          requestId: request.facts.requestId,
+          connectTimeoutMs: request.facts.settings.timeouts.connectTimeoutMs,
+          answerTimeoutMs: requireService(request).answerTimeoutMs,
+          freshConnection: true,
+          onPossiblyRun: gate.startAttempt(),
+        },
+        gate.signal,
+      );
+      gate.markAnswered();
+      return { kind: 'run', answer };
+    } catch (cause) {
+      const sent = gate.state() === 'possibly-sent';
+      log.warn('order-attempt-failed', {
+        requestId: request.facts.requestId,
+        serverId: server.entry.serverId,
+        sent,
+        error: cause instanceof Error ? cause.name : 'unknown',
+      });
+      if (cause instanceof ConnectFailedError) {
+        registry.markUnreachable(server.entry.serverId);
+      }
+      if (!sent) {
+        return undefined;
+      }
+      const message = 'The service did not answer; the order may have run.';
+      return { kind: 'unknown', error: new BackendFailedError(message, { cause }) };
+    } finally {
+      reservation.release();
+    }
+  }
+
+  return async (request, gate) => {
+    const tried = new Set<string>();
+    while (gate.state() === 'not-sent' && tried.size < request.facts.settings.retry.maxAttempts) {
+      const server = chooseServiceServer(registry, request.serviceName, tried, options.random);
+      if (server === undefined) {
+        break;
+      }
+      tried.add(server.entry.serverId);
+      const outcome = await attempt(request, server, gate);
+      if (outcome !== undefined) {
+        return outcome;
+      }
+    }
+    const outcome = notRun(gate, tried.size);
+    gate.abandon();
+    return outcome;
+  };
+}
--- /dev/null
+++ b/packages/core/tests/support/createServiceRequest.ts
@@ -0,0 +1,38 @@
+import { fleetDefaultsSchema } from '../../src/config/fleetDefaultsSchema.js';
+import type { ServiceRequest } from '../../src/gateway/ServiceRequest.js';
+import type { CustomerId } from '../../src/ids/CustomerId.js';
+import type { RequestId } from '../../src/ids/RequestId.js';
+import { asId } from '../../src/ids/asId.js';
+import type { CallerFacts } from '../../src/requests/CallerFacts.js';
+
+const settings = fleetDefaultsSchema.parse({
+  customers: { workshop: { keySha256: '0'.repeat(64) }, other: { keySha256: '1'.repeat(64) } },
+  services: { orders: { nonRepeatableCalls: ['POST /orders'] } },
+});
+
+/** A call of `POST /orders` by customer `workshop`, received at monotonic time 0. */
+export function createServiceRequest(
+  facts: Partial<CallerFacts> = {},
+  request: Partial<ServiceRequest> = {},
+): ServiceRequest {
+  return {
+    facts: {
+      requestId: asId<RequestId>('request'),
+      customerId: asId<CustomerId>('workshop'),
+      homeRegionId: undefined,
+      rank: undefined,
+      deadlineMs: undefined,
+      idempotencyKey: undefined,
+      path: [],
+      receivedAtMs: 0,
+      settings,
+      ...facts,
+    },
+    serviceName: 'orders',
+    method: 'POST',
+    path: '/orders',
+    contentType: 'application/json',
+    body: '{"order":"a"}',
+    ...request,
+  };
+}
--- a/packages/daemon/src/entryHost/createEntryHost.ts
+++ b/packages/daemon/src/entryHost/createEntryHost.ts
@@ -19,7 +19,9 @@
   createConfigKeeper,
   createInferenceGateway,
   createInferenceRequest,
+  createOrderDispatch,
   createPeerTable,
+  createRepeatableDispatch,
   createSeededRandom,
   createServerRegistry,
   createServiceGateway,
@@ -135,7 +137,11 @@
     chooseRoute: chooseLeastLoaded,
     entryHostCount,
   });
-  const services = createServiceGateway({ random, registry, serviceClient });
+  const serviceOptions = { clock, random, log, registry, serviceClient };
+  const services = createServiceGateway({
+    dispatchRepeatable: createRepeatableDispatch(serviceOptions),
+    dispatchOrder: createOrderDispatch(serviceOptions),
+  });
   const callerReader = createCallerReader({
     clock,
     hostId,
