Run orders at most once with permits and claimed keys

Cause: a non-repeatable call was sent for every resend. An Idempotency-Key was required and then ignored, so an order sent through three entry hosts ran three times.

Ruled out (docs/design.md 4.1): batched claims and key ranges under leases. Also ruled out: a permit that runs again after "not run", because a delayed earlier send could then start after the caller has taken a new permit; and claims kept by region for customers without a home region, because the same key sent to two regions would run twice.

Change: `core/once` issues and checks permits (POST /v1/order-permits), keeps outcomes in a bounded table, relays a permit to its issuer inside the region (`relayOrder`), and claims callers' own keys by compare-and-swap. A claim that is found is resolved by asking its claimant (`orderOutcome`). Claims share one lease per host and hour, so a claim costs one write and no delete. The age of a claim is checked inside `onPossiblyRun`. Orders go on without their caller, and a shutdown waits for them.

Evidence: the property runs generated schedules of sends through 3 hosts, restarts, lost, late and missing store and peer responses, late runs and deadlines.

--- a/packages/adapters/src/callers/CallerApi.ts
+++ b/packages/adapters/src/callers/CallerApi.ts
@@ -3,6 +3,7 @@
   Headers,
   InferenceAnswer,
   InferenceRoute,
+  IssuedPermits,
   ServiceAnswer,
   ServiceRequest,
 } from '@camphorbarrow/core';
@@ -25,6 +26,8 @@
     signal: AbortSignal,
   ): Promise<InferenceAnswer>;
   callService(request: ServiceRequest, signal: AbortSignal): Promise<ServiceAnswer>;
+  /** Issues permits for orders of the customer. */
+  issueOrderPermits(facts: CallerFacts, count: number): IssuedPermits;
   models(): readonly string[];
   entryHosts(): EntryHostList;
   /** Whether the host can take requests; the reason when it can't. */
--- /dev/null
+++ b/packages/adapters/src/callers/addOrderPermitRoute.ts
@@ -0,0 +1,33 @@
+import type { FastifyInstance, FastifyRequest } from 'fastify';
+import { z } from 'zod';
+import { InvalidBodyError } from '@camphorbarrow/core';
+import type { CallerFacts } from '@camphorbarrow/core';
+import type { CallerApi } from './CallerApi.js';
+
+const MAX_PERMITS = 100;
+
+const permitRequestSchema = z.strictObject({
+  /** Number of permits. */
+  count: z.int().min(1).max(MAX_PERMITS).default(1),
+});
+
+function readCount(body: unknown): number {
+  try {
+    const text = String(body ?? '');
+    return permitRequestSchema.parse(text === '' ? {} : JSON.parse(text)).count;
+  } catch (cause) {
+    const message = `The body must be { "count": n } with n from 1 to ${MAX_PERMITS}.`;
+    throw new InvalidBodyError(message, { cause });
+  }
+}
+
+/** Adds `POST /v1/order-permits` (docs/orders.md). */
+export function addOrderPermitRoute(
+  app: FastifyInstance,
+  api: CallerApi,
+  readFacts: (request: FastifyRequest) => CallerFacts,
+): void {
+  app.post('/v1/order-permits', async (request) =>
+    api.issueOrderPermits(readFacts(request), readCount(request.body)),
+  );
+}
--- a/packages/adapters/src/callers/createCallerListener.ts
+++ b/packages/adapters/src/callers/createCallerListener.ts
@@ -8,6 +8,7 @@
 } from '@camphorbarrow/core';
 import type { CallerFacts, InferenceRoute } from '@camphorbarrow/core';
 import type { CallerApi } from './CallerApi.js';
+import { addOrderPermitRoute } from './addOrderPermitRoute.js';
 import { servicePathOf } from './servicePathOf.js';
 import { streamEvents } from './streamEvents.js';
 import { toErrorBody } from './toErrorBody.js';
@@ -163,6 +164,11 @@
   }));
   addInferenceRoutes(app, api, factsOf);
   addServiceRoutes(app, api, factsOf);
+  addOrderPermitRoute(
+    app,
+    api,
+    (request) => factsOf.get(request) ?? api.readCaller(rawHeaders(request)),
+  );
   await app.listen({ host: options.address, port: options.port });
   return { close: () => app.close() };
 }
--- a/packages/adapters/src/peers/createTrpcPeerClient.ts
+++ b/packages/adapters/src/peers/createTrpcPeerClient.ts
@@ -3,12 +3,14 @@
 import { Agent, fetch } from 'undici';
 import { PeerUnavailableError } from '@camphorbarrow/core';
 import type { PeerClient } from '@camphorbarrow/core';
+import { claimStatusSchema } from './claimStatusSchema.js';
 import { heartbeatSchema } from './heartbeatSchema.js';
 import type { PeerRouter } from './peerRouter.js';
+import { relayResultSchema } from './relayResultSchema.js';
 
 export interface TrpcPeerClientOptions {
   readonly peerKey: string;
-  /** Limit for every call. */
+  /** Limit for every call that names none of its own, and for making a connection. */
   readonly timeoutMs: number;
 }
 
@@ -45,7 +47,9 @@
     return client;
   }
 
-  const limit = (): { signal: AbortSignal } => ({ signal: AbortSignal.timeout(options.timeoutMs) });
+  const limit = (timeoutMs = options.timeoutMs): { signal: AbortSignal } => ({
+    signal: AbortSignal.timeout(timeoutMs),
+  });
 
   return {
     heartbeat: async (peerUrl, message) =>
@@ -59,6 +63,14 @@
     },
     pushConfig: (peerUrl, document) =>
       translate(clientOf(peerUrl).pushConfig.mutate(document, limit())),
+    async relayOrder(peerUrl, order, timeoutMs) {
+      const call = clientOf(peerUrl).relayOrder.mutate(order, limit(timeoutMs));
+      return relayResultSchema.parse(await translate(call));
+    },
+    async orderOutcome(peerUrl, query, timeoutMs) {
+      const call = clientOf(peerUrl).orderOutcome.query(query, limit(timeoutMs));
+      return claimStatusSchema.parse(await translate(call));
+    },
     close: () => agent.destroy(),
   };
 }
--- a/packages/adapters/src/peers/peerRouter.ts
+++ b/packages/adapters/src/peers/peerRouter.ts
@@ -1,7 +1,9 @@
 import { initTRPC } from '@trpc/server';
 import { fleetDocumentSchema } from '@camphorbarrow/core';
 import type { PeerApi } from './PeerApi.js';
+import { claimQuerySchema } from './claimQuerySchema.js';
 import { heartbeatSchema } from './heartbeatSchema.js';
+import { relayedOrderSchema } from './relayedOrderSchema.js';
 
 const trpc = initTRPC.context<{ api: PeerApi }>().create();
 
@@ -14,6 +16,12 @@
   pushConfig: trpc.procedure
     .input(fleetDocumentSchema)
     .mutation(({ ctx, input }) => ctx.api.adoptConfig(input)),
+  relayOrder: trpc.procedure
+    .input(relayedOrderSchema)
+    .mutation(({ ctx, input }) => ctx.api.relayOrder(input)),
+  orderOutcome: trpc.procedure
+    .input(claimQuerySchema)
+    .query(({ ctx, input }) => ctx.api.orderOutcome(input)),
 });
 
 export type PeerRouter = typeof peerRouter;
--- /dev/null
+++ b/packages/adapters/src/peers/serviceAnswerSchema.ts
@@ -0,0 +1,15 @@
+import { z } from 'zod';
+import type { ServiceAnswer } from '@camphorbarrow/core';
+
+/** Wire form of a service's answer; JSON leaves an absent content type out. */
+export const serviceAnswerSchema = z
+  .object({
+    statusCode: z.int(),
+    contentType: z.string().optional(),
+    body: z.string(),
+  })
+  .transform(({ statusCode, contentType, body }): ServiceAnswer => ({
+    statusCode,
+    contentType,
+    body,
+  }));
--- /dev/null
+++ b/packages/core/src/errors/ClaimStoreUnavailableError.ts
@@ -0,0 +1,6 @@
+import { RequestError } from './RequestError.js';
+
+/** The key-value service cannot record the claim of a caller's own key; nothing was sent. */
+export const ClaimStoreUnavailableError = RequestError.subclass('ClaimStoreUnavailableError', {
+  props: { code: 'claim-store-unavailable', statusCode: 503, outcome: 'not-run' as const },
+});
--- /dev/null
+++ b/packages/core/src/errors/describeRequestError.ts
@@ -0,0 +1,9 @@
+import { RequestError } from './RequestError.js';
+import type { RequestErrorDescription } from './RequestErrorDescription.js';
+
+/** Wire form of any failure; a failure that is no `RequestError` shows no internal text. */
+export function describeRequestError(cause: unknown): RequestErrorDescription {
+  const known = cause instanceof RequestError ? cause : new RequestError('The gateway failed.');
+  const { message, code, outcome, statusCode, retryAfterMs, details } = known;
+  return { message, code, outcome, statusCode, retryAfterMs, details };
+}
--- /dev/null
+++ b/packages/core/src/errors/restoreRequestError.ts
@@ -0,0 +1,10 @@
+import { RequestError } from './RequestError.js';
+import type { RequestErrorDescription } from './RequestErrorDescription.js';
+
+/** Turns the wire form of a failure into an error that is answered to a caller. */
+export function restoreRequestError(description: RequestErrorDescription): RequestError {
+  const { message, code, outcome, statusCode, retryAfterMs, details } = description;
+  return new RequestError(message, {
+    props: { code, outcome, statusCode, retryAfterMs, details },
+  });
+}
--- a/packages/core/src/gateway/createServiceGateway.ts
+++ b/packages/core/src/gateway/createServiceGateway.ts
@@ -1,23 +1,19 @@
-import type { OrderDispatch } from '../dispatch/createOrderDispatch.js';
 import type { RepeatableDispatch } from '../dispatch/createRepeatableDispatch.js';
-import { createSendGate } from '../dispatch/createSendGate.js';
-import { InvalidHeaderError } from '../errors/InvalidHeaderError.js';
-import { answerOf } from '../once/answerOf.js';
+import type { OrderExecutor } from '../once/createOrderExecutor.js';
 import type { ServiceAnswer } from '../ports/ServiceClient.js';
-import { headerNames } from '../requests/headerNames.js';
 import type { ServiceRequest } from './ServiceRequest.js';
 import { isRepeatableCall } from './isRepeatableCall.js';
 import { requireService } from './requireService.js';
 
 export interface ServiceGatewayOptions {
   readonly dispatchRepeatable: RepeatableDispatch;
-  readonly dispatchOrder: OrderDispatch;
+  readonly orders: Pick<OrderExecutor, 'execute'>;
 }
 
 export interface ServiceGateway {
   /**
    * Serves a call to a plain service in this region. Rejects with a `RequestError`. The caller's
-   * signal ends repeatable calls only.
+   * signal ends repeatable calls only: an order goes on, so that a resend finds its outcome.
    */
   handle(request: ServiceRequest, signal: AbortSignal): Promise<ServiceAnswer>;
 }
@@ -27,15 +23,9 @@
   return {
     async handle(request, signal) {
       const { nonRepeatableCalls } = requireService(request);
-      if (isRepeatableCall(request.method, request.path, nonRepeatableCalls)) {
-        return options.dispatchRepeatable(request, signal);
-      }
-      if (request.facts.idempotencyKey === undefined) {
-        throw new InvalidHeaderError(
-          `This call may not be repeated; send ${headerNames.idempotencyKey}.`,
-        );
-      }
-      return answerOf(await options.dispatchOrder(request, createSendGate()));
+      return isRepeatableCall(request.method, request.path, nonRepeatableCalls)
+        ? options.dispatchRepeatable(request, signal)
+        : options.orders.execute(request);
     },
   };
 }
--- /dev/null
+++ b/packages/core/src/once/OrderSelf.ts
@@ -0,0 +1,10 @@
+import type { HostId } from '../ids/HostId.js';
+import type { Incarnation } from '../ids/Incarnation.js';
+import type { RegionId } from '../ids/RegionId.js';
+
+/** The process that executes orders. */
+export interface OrderSelf {
+  readonly hostId: HostId;
+  readonly incarnation: Incarnation;
+  readonly regionId: RegionId;
+}
--- /dev/null
+++ b/packages/core/src/once/createClaimStore.ts
@@ -0,0 +1,149 @@
+import { StoreUnavailableError } from '../errors/StoreUnavailableError.js';
+import type { Clock } from '../ports/Clock.js';
+import type { KeyValue, KeyValueStore, LeaseId, StoreRevision } from '../ports/KeyValueStore.js';
+import type { ClaimRecord } from './ClaimRecord.js';
+import type { OrderSelf } from './OrderSelf.js';
+import { claimRecordSchema } from './claimRecordSchema.js';
+
+export interface ClaimStoreOptions {
+  readonly clock: Clock;
+  readonly store: KeyValueStore;
+  readonly self: OrderSelf;
+}
+
+export type ClaimResult =
+  | {
+      readonly kind: 'acquired';
+      readonly revision: StoreRevision;
+      /** Whether enough of the claim's life is left to send the order. */
+      readonly maySend: () => boolean;
+    }
+  | { readonly kind: 'held'; readonly revision: StoreRevision; readonly record: ClaimRecord }
+  | { readonly kind: 'unavailable' };
+
+export interface ClaimStore {
+  /**
+   * Claims a key by compare-and-swap. A lost response is resolved by re-reading the claim id.
+   *
+   * @param expectedRevision 0 for a new claim, else the revision of the abandoned claim to replace
+   */
+  acquire(key: string, claimId: string, expectedRevision: StoreRevision): Promise<ClaimResult>;
+  /** Reads a claim without making one; undefined when there is none. */
+  read(key: string): Promise<ClaimResult | undefined>;
+  /** Records that a claim was given up. Failures are ignored: the claimant's memory says the same. */
+  abandon(key: string, claimId: string, revision: StoreRevision): Promise<void>;
+}
+
+const MAX_TRIES = 3;
+const MS_PER_SECOND = 1_000;
+/** A resend is allowed this long. */
+const CLAIM_LIFE_MS = 86_400_000;
+/** Claims made within this time share one lease, so that a claim costs no lease call of its own. */
+const LEASE_USE_MS = 3_600_000;
+/** Longest time from the start of a claim to the sending of its order. */
+const MAX_SEND_DELAY_MS = 300_000;
+const LEASE_TTL_SECONDS = (CLAIM_LIFE_MS + LEASE_USE_MS + 2 * MAX_SEND_DELAY_MS) / MS_PER_SECOND;
+
+/** Elapsed time that counts both pauses of the process and suspensions of the machine. */
+function createStopwatch(clock: Clock): () => number {
+  const wallMs = clock.nowMs();
+  const monotonicMs = clock.monotonicMs();
+  return () => Math.max(clock.nowMs() - wallMs, clock.monotonicMs() - monotonicMs);
+}
+
+/** Creates the records of callers' own keys in the key-value service. */
+export function createClaimStore(options: ClaimStoreOptions): ClaimStore {
+  const { clock, store, self } = options;
+  let lease: { readonly id: LeaseId; readonly ageMs: () => number } | undefined;
+
+  async function currentLease(): Promise<LeaseId> {
+    if (lease === undefined || lease.ageMs() > LEASE_USE_MS) {
+      const ageMs = createStopwatch(clock);
+      lease = { id: await store.grantLease(LEASE_TTL_SECONDS), ageMs };
+    }
+    return lease.id;
+  }
+
+  function recordOf(claimId: string, state: ClaimRecord['state']): string {
+    const { hostId, incarnation } = self;
+    const record = { claimId, hostId, incarnation, state, claimedAtMs: clock.nowMs() };
+    return JSON.stringify(record satisfies ClaimRecord);
+  }
+
+  function heldBy(current: KeyValue): ClaimResult {
+    const record = claimRecordSchema.parse(JSON.parse(current.value));
+    return { kind: 'held', revision: current.modRevision, record };
+  }
+
+  /** State of the key after a try; undefined when the try has to be repeated. */
+  async function tryOnce(
+    key: string,
+    claimId: string,
+    expectedRevision: StoreRevision,
+    maySend: () => boolean,
+  ): Promise<ClaimResult | undefined> {
+    let current: KeyValue | undefined;
+    try {
+      const leaseId = await currentLease();
+      const value = recordOf(claimId, 'claimed');
+      const result = await store.compareAndSwap({ key, expectedRevision, value, leaseId });
+      if (result.swapped) {
+        return { kind: 'acquired', revision: result.modRevision, maySend };
+      }
+      current = result.current;
+    } catch (cause) {
+      if (!(cause instanceof StoreUnavailableError)) {
+        throw cause;
+      }
+      // The lease may be what the service refused; the next try takes a new one.
+      lease = undefined;
+      current = await store.get(key);
+    }
+    if (current === undefined || current.modRevision === expectedRevision) {
+      return undefined;
+    }
+    const held = heldBy(current);
+    return held.kind === 'held' && held.record.claimId === claimId
+      ? { kind: 'acquired', revision: current.modRevision, maySend }
+      : held;
+  }
+
+  return {
+    async acquire(key, claimId, expectedRevision) {
+      const ageMs = createStopwatch(clock);
+      const maySend = (): boolean => ageMs() <= MAX_SEND_DELAY_MS;
+      let revision = expectedRevision;
+      try {
+        for (let count = 0; count < MAX_TRIES; count += 1) {
+          const result = await tryOnce(key, claimId, revision, maySend);
+          if (result !== undefined) {
+            return result;
+          }
+          if (revision !== 0 && (await store.get(key)) === undefined) {
+            revision = 0;
+          }
+        }
+        return { kind: 'unavailable' };
+      } catch {
+        return { kind: 'unavailable' };
+      }
+    },
+    async read(key) {
+      try {
+        const current = await store.get(key);
+        return current === undefined ? undefined : heldBy(current);
+      } catch {
+        return { kind: 'unavailable' };
+      }
+    },
+    async abandon(key, claimId, revision) {
+      try {
+        const leaseId = await currentLease();
+        const value = recordOf(claimId, 'abandoned');
+        await store.compareAndSwap({ key, expectedRevision: revision, value, leaseId });
+      } catch {
+        // The claimant's memory answers for the claim as long as the process lives.
+      }
+    },
+  };
+}
--- /dev/null
+++ b/packages/core/src/once/createOrderExecutor.ts
@@ -0,0 +1,97 @@
+import type { OrderDispatch } from '../dispatch/createOrderDispatch.js';
+import { InvalidHeaderError } from '../errors/InvalidHeaderError.js';
+import { describeRequestError } from '../errors/describeRequestError.js';
+import type { ServiceRequest } from '../gateway/ServiceRequest.js';
+import { requireService } from '../gateway/requireService.js';
+import type { CustomerId } from '../ids/CustomerId.js';
+import type { HostId } from '../ids/HostId.js';
+import type { RegionId } from '../ids/RegionId.js';
+import type { PeerDescription } from '../membership/PeerDescription.js';
+import type { Clock } from '../ports/Clock.js';
+import type { KeyValueStore } from '../ports/KeyValueStore.js';
+import type { LogSink } from '../ports/LogSink.js';
+import type { PeerClient } from '../ports/PeerClient.js';
+import type { ServiceAnswer } from '../ports/ServiceClient.js';
+import { headerNames } from '../requests/headerNames.js';
+import type { ClaimQuery, ClaimStatus } from './ClaimStatus.js';
+import type { OrderSelf } from './OrderSelf.js';
+import type { RelayResult } from './RelayedOrder.js';
+import { createClaimOrders } from './createClaimOrders.js';
+import { createClaimResolver } from './createClaimResolver.js';
+import { createClaimStore } from './createClaimStore.js';
+import { createOrderRelay } from './createOrderRelay.js';
+import { createPermitOrders } from './createPermitOrders.js';
+import type { IssuedPermits } from './createPermitOrders.js';
+
+export interface OrderExecutorOptions {
+  readonly clock: Clock;
+  readonly log: LogSink;
+  readonly self: OrderSelf;
+  /** Key of the hashes and permits, shared by all entry hosts. */
+  readonly recordKey: string;
+  readonly store: KeyValueStore;
+  readonly peerClient: PeerClient;
+  readonly findPeer: (hostId: HostId) => PeerDescription | undefined;
+  readonly entryHostUrls: (regionId: RegionId) => readonly string[];
+  readonly dispatch: OrderDispatch;
+  readonly hasServer: (request: ServiceRequest) => boolean;
+}
+
+export interface OrderExecutor {
+  issuePermits(customerId: CustomerId, count: number): IssuedPermits;
+  /** Executes a non-repeatable call at most once. Rejects with a `RequestError`. */
+  execute(request: ServiceRequest): Promise<ServiceAnswer>;
+  /** Executes an order that a peer relayed because this process issued its permit. */
+  executeRelayed(request: ServiceRequest): Promise<RelayResult>;
+  /** Answers a peer about a claim of this process. */
+  orderOutcome(query: ClaimQuery): Promise<ClaimStatus>;
+  /** Waits for all orders in flight, also those whose callers have disconnected. */
+  close(): Promise<void>;
+}
+
+/** Creates the at-most-once execution of orders (docs/orders.md). */
+export function createOrderExecutor(options: OrderExecutorOptions): OrderExecutor {
+  const permitOrders = createPermitOrders({ ...options, relay: createOrderRelay(options) });
+  const claimOrders = createClaimOrders({
+    ...options,
+    claims: createClaimStore(options),
+    resolveClaim: createClaimResolver({
+      ...options,
+      ownStatus: (query) => claimOrders.statusOf(query),
+    }),
+  });
+
+  function requireKey(request: ServiceRequest): string {
+    const { idempotencyKey } = request.facts;
+    if (idempotencyKey === undefined) {
+      throw new InvalidHeaderError(
+        `This call may not be repeated; send ${headerNames.idempotencyKey}, best with a permit from POST /v1/order-permits.`,
+      );
+    }
+    return idempotencyKey;
+  }
+
+  return {
+    issuePermits: permitOrders.issue,
+    async execute(request) {
+      const key = requireKey(request);
+      requireService(request);
+      return permitOrders.isPermit(key)
+        ? permitOrders.execute(request, key, false)
+        : claimOrders.execute(request, key);
+    },
+    async executeRelayed(request) {
+      try {
+        requireService(request);
+        const answer = await permitOrders.execute(request, requireKey(request), true);
+        return { kind: 'answer', answer };
+      } catch (cause) {
+        return { kind: 'refusal', error: describeRequestError(cause) };
+      }
+    },
+    orderOutcome: claimOrders.statusOf,
+    async close() {
+      await Promise.all([permitOrders.close(), claimOrders.close()]);
+    },
+  };
+}
--- /dev/null
+++ b/packages/core/src/once/createOrderRelay.ts
@@ -0,0 +1,88 @@
+import { BodyTooLargeError } from '../errors/BodyTooLargeError.js';
+import { OutcomeUnknownError } from '../errors/OutcomeUnknownError.js';
+import { restoreRequestError } from '../errors/restoreRequestError.js';
+import type { ServiceRequest } from '../gateway/ServiceRequest.js';
+import { requireService } from '../gateway/requireService.js';
+import type { HostId } from '../ids/HostId.js';
+import type { PeerDescription } from '../membership/PeerDescription.js';
+import type { Clock } from '../ports/Clock.js';
+import type { LogSink } from '../ports/LogSink.js';
+import type { PeerClient } from '../ports/PeerClient.js';
+import type { ServiceAnswer } from '../ports/ServiceClient.js';
+import type { OrderSelf } from './OrderSelf.js';
+import type { RelayedOrder } from './RelayedOrder.js';
+
+export interface OrderRelayOptions {
+  readonly clock: Clock;
+  readonly log: LogSink;
+  readonly self: OrderSelf;
+  readonly peerClient: PeerClient;
+  readonly findPeer: (hostId: HostId) => PeerDescription | undefined;
+}
+
+/** Relays an order to the issuer of its permit. Rejects with a `RequestError`. */
+export type OrderRelay = (
+  request: ServiceRequest,
+  permit: string,
+  issuerId: HostId,
+) => Promise<ServiceAnswer>;
+
+/** Bound of a relayed body in its JSON form; below the limit of the peer listener. */
+const MAX_RELAYED_CHARS = 1_000_000;
+const RELAY_MARGIN_MS = 2_000;
+
+/** Creates the relay of orders to another entry host of the region. */
+export function createOrderRelay(options: OrderRelayOptions): OrderRelay {
+  const { clock, self } = options;
+
+  function relayTimeoutMs(request: ServiceRequest, deadlineMs: number | undefined): number {
+    const { timeouts, retry } = request.facts.settings;
+    const connectMs = timeouts.connectTimeoutMs * retry.maxAttempts;
+    const longestMs = connectMs + requireService(request).answerTimeoutMs;
+    return Math.min(longestMs, deadlineMs ?? longestMs) + RELAY_MARGIN_MS;
+  }
+
+  return async (request, permit, issuerId) => {
+    const { facts, serviceName, method, path, contentType, body } = request;
+    const issuer = options.findPeer(issuerId);
+    if (issuer === undefined || issuer.regionId !== self.regionId) {
+      throw new OutcomeUnknownError('The issuer of the permit is not known in this region.');
+    }
+    if (JSON.stringify(body ?? '').length > MAX_RELAYED_CHARS) {
+      throw new BodyTooLargeError('The order is too large to be relayed; send it to its issuer.', {
+        props: { details: { entryHostUrls: [issuer.callerUrl] } },
+      });
+    }
+    const { customerId, homeRegionId } = facts;
+    const elapsedMs = clock.monotonicMs() - facts.receivedAtMs;
+    const deadlineMs =
+      facts.deadlineMs === undefined
+        ? undefined
+        : Math.max(1, Math.floor(facts.deadlineMs - elapsedMs));
+    const order: RelayedOrder = {
+      regionId: self.regionId,
+      fromHostId: self.hostId,
+      requestId: facts.requestId,
+      customerId,
+      homeRegionId,
+      permit,
+      deadlineMs,
+      serviceName,
+      method,
+      path,
+      contentType,
+      body,
+    };
+    const result = await options.peerClient
+      .relayOrder(issuer.peerUrl, order, relayTimeoutMs(request, deadlineMs))
+      .catch((cause: unknown) => {
+        options.log.warn('order-relay-failed', { requestId: facts.requestId, issuerId });
+        const message = 'The issuer of the permit did not answer; the order may have run.';
+        throw new OutcomeUnknownError(message, { cause });
+      });
+    if (result.kind === 'refusal') {
+      throw restoreRequestError(result.error);
+    }
+    return result.answer;
+  };
+}
--- a/packages/core/src/ports/PeerClient.ts
+++ b/packages/core/src/ports/PeerClient.ts
@@ -1,5 +1,7 @@
 import type { StoredFleetDocument } from '../config/FleetDocument.js';
 import type { Heartbeat } from '../membership/Heartbeat.js';
+import type { ClaimQuery, ClaimStatus } from '../once/ClaimStatus.js';
+import type { RelayResult, RelayedOrder } from '../once/RelayedOrder.js';
 
 /**
  * Calls to other entry hosts. Methods reject with `PeerUnavailableError` when the peer does not
@@ -11,5 +13,9 @@
   fetchConfig(peerUrl: string): Promise<StoredFleetDocument | undefined>;
   /** Hands a configuration to a peer; resolves to the version in force there afterwards. */
   pushConfig(peerUrl: string, document: StoredFleetDocument): Promise<number>;
+  /** Hands an order to the issuer of its permit. After a failure the order may have run. */
+  relayOrder(peerUrl: string, order: RelayedOrder, timeoutMs: number): Promise<RelayResult>;
+  /** Asks a claimant what became of its claim. */
+  orderOutcome(peerUrl: string, query: ClaimQuery, timeoutMs: number): Promise<ClaimStatus>;
   close(): Promise<void>;
 }
--- /dev/null
+++ b/packages/core/tests/once/checkOrderHistory.ts
@@ -0,0 +1,66 @@
+import type { OrderEvent } from './OrderEvent.js';
+
+type Send = Extract<OrderEvent, { kind: 'send' }>;
+type Run = Extract<OrderEvent, { kind: 'run' }>;
+type Answer = Extract<OrderEvent, { kind: 'answer' }>;
+
+function checkNotRun(answer: Answer, send: Send, runs: readonly Run[]): string[] {
+  const ran = runs.some(({ sendId }) => sendId === answer.sendId)
+    ? [`send ${answer.sendId} was answered not-run and ran`]
+    : [];
+  const ranLater = runs.some(({ order }) => order === send.order)
+    ? [`order ${send.order} was answered not-run for good and ran`]
+    : [];
+  return answer.finalForKey === true ? [...ran, ...ranLater] : ran;
+}
+
+function checkRun(answer: Answer, send: Send, events: readonly OrderEvent[]): string[] {
+  const before = events.slice(0, events.indexOf(answer));
+  const run = before.find((event) => event.kind === 'run' && event.order === send.order);
+  if (run?.kind !== 'run') {
+    return [`send ${answer.sendId} was answered run before order ${send.order} ran`];
+  }
+  return answer.confirmation === undefined || answer.confirmation === run.confirmation
+    ? []
+    : [`send ${answer.sendId} got a foreign answer`];
+}
+
+/** Finds violations of at-most-once execution in a history; empty for a correct one. */
+export function checkOrderHistory(events: readonly OrderEvent[]): readonly string[] {
+  const sends = new Map<string, Send>();
+  const runs: Run[] = [];
+  const answers: Answer[] = [];
+  events.forEach((event) => {
+    if (event.kind === 'send') {
+      sends.set(event.sendId, event);
+    } else if (event.kind === 'run') {
+      runs.push(event);
+    } else {
+      answers.push(event);
+    }
+  });
+  const doubled = runs
+    .filter(({ order }, index) => runs.findIndex((run) => run.order === order) < index)
+    .map(({ order }) => `order ${order} ran twice`);
+  const wrongAnswers = answers.flatMap((answer): string[] => {
+    const send = sends.get(answer.sendId);
+    if (send === undefined) {
+      return [`answer to unknown send ${answer.sendId}`];
+    }
+    const lost =
+      send.mustFind === true && answer.confirmation === undefined
+        ? [`send ${answer.sendId} did not find the known outcome`]
+        : [];
+    if (answer.outcome === 'unknown') {
+      return lost;
+    }
+    return answer.outcome === 'run'
+      ? [...lost, ...checkRun(answer, send, events)]
+      : [...lost, ...checkNotRun(answer, send, runs)];
+  });
+  const answered = new Set(answers.map(({ sendId }) => sendId));
+  const unanswered = [...sends.values()]
+    .filter(({ sendId, mustFind }) => mustFind === true && !answered.has(sendId))
+    .map(({ sendId }) => `send ${sendId} was never answered`);
+  return [...doubled, ...wrongAnswers, ...unanswered];
+}
--- /dev/null
+++ b/packages/core/tests/once/createClaimStore.test.ts
@@ -0,0 +1,122 @@
+import { randomUUID } from 'node:crypto';
+import test from 'ava';
+import type { HostId } from '../../src/ids/HostId.js';
+import type { Incarnation } from '../../src/ids/Incarnation.js';
+import type { RegionId } from '../../src/ids/RegionId.js';
+import { asId } from '../../src/ids/asId.js';
+import { createClaimStore } from '../../src/once/createClaimStore.js';
+import type { ClaimStore } from '../../src/once/createClaimStore.js';
+import type { KeyValueStore } from '../../src/ports/KeyValueStore.js';
+import { createSimulatedStore } from './createSimulatedStore.js';
+import type { StoreFault } from './createSimulatedStore.js';
+
+interface Fixture {
+  readonly claims: ClaimStore;
+  readonly store: KeyValueStore;
+  readonly faults: StoreFault[];
+  readonly calls: string[];
+  readonly time: { wallMs: number; monotonicMs: number };
+}
+
+const KEY = '/claims/_/hash';
+const self = {
+  hostId: asId<HostId>('norte-1'),
+  incarnation: asId<Incarnation>(randomUUID()),
+  regionId: asId<RegionId>('norte'),
+};
+
+/** Claims on a store whose next calls fail as `faults` says. */
+function createFixture(): Fixture {
+  const faults: StoreFault[] = [];
+  const calls: string[] = [];
+  const time = { wallMs: 5_000, monotonicMs: 0 };
+  const simulated = createSimulatedStore({
+    step: async () => undefined,
+    nextFault: () => faults.shift() ?? 'none',
+  });
+  const store: KeyValueStore = {
+    ...simulated,
+    get: (key) => {
+      calls.push('get');
+      return simulated.get(key);
+    },
+    compareAndSwap: (request) => {
+      calls.push('compareAndSwap');
+      return simulated.compareAndSwap(request);
+    },
+    grantLease: (ttlSeconds) => {
+      calls.push(`grantLease ${ttlSeconds}`);
+      return simulated.grantLease(ttlSeconds);
+    },
+  };
+  const clock = {
+    nowMs: () => time.wallMs,
+    monotonicMs: () => time.monotonicMs,
+    sleep: async () => undefined,
+  };
+  return { claims: createClaimStore({ clock, store, self }), store, faults, calls, time };
+}
+
+test('a claim costs one write; one lease per hour outlives every claim by a day', async (t) => {
+  const { claims, calls, time } = createFixture();
+  for (let index = 0; index < 3; index += 1) {
+    t.like(await claims.acquire(`${KEY}${index}`, randomUUID(), 0), { kind: 'acquired' });
+  }
+  time.monotonicMs += 3_600_001;
+  await claims.acquire(`${KEY}3`, randomUUID(), 0);
+  const grant = 'grantLease 90600';
+  const swap = 'compareAndSwap';
+  t.deepEqual(calls, [grant, swap, swap, swap, grant, swap]);
+});
+
+test('the record holds claim id, host, incarnation, state and time only', async (t) => {
+  const { claims, store } = createFixture();
+  const claimId = randomUUID();
+  await claims.acquire(KEY, claimId, 0);
+  const { hostId, incarnation } = self;
+  t.deepEqual(JSON.parse((await store.get(KEY))?.value ?? ''), {
+    claimId,
+    hostId,
+    incarnation,
+    state: 'claimed',
+    claimedAtMs: 5_000,
+  });
+});
+
+test('a lost response of the claim is resolved by its claim id', async (t) => {
+  const { claims, faults } = createFixture();
+  faults.push('none', 'lost-response');
+  t.like(await claims.acquire(KEY, randomUUID(), 0), { kind: 'acquired' });
+  faults.push('lost-response');
+  t.like(await claims.acquire(KEY, randomUUID(), 0), { kind: 'held' });
+});
+
+test('a store that cannot be reached gives no claim', async (t) => {
+  const { claims, faults } = createFixture();
+  faults.push('none', 'lost-response', 'outage');
+  t.deepEqual(await claims.acquire(KEY, randomUUID(), 0), { kind: 'unavailable' });
+  t.like(await claims.acquire(KEY, randomUUID(), 0), { kind: 'held' });
+});
+
+test('of two hosts that replace an abandoned claim one succeeds', async (t) => {
+  const { claims } = createFixture();
+  const first = await claims.acquire(KEY, randomUUID(), 0);
+  const revision = first.kind === 'acquired' ? first.revision : 0;
+  const [winner, loser] = [
+    await claims.acquire(KEY, randomUUID(), revision),
+    await claims.acquire(KEY, randomUUID(), revision),
+  ];
+  t.is(winner.kind, 'acquired');
+  t.is(loser.kind, 'held');
+});
+
+// Guards against a process that is paused between its claim and the sending until the claim lapses.
+test('a claim gives no right to send after a long pause, on either clock', async (t) => {
+  for (const name of ['wallMs', 'monotonicMs'] as const) {
+    const { claims, time } = createFixture();
+    const claim = await claims.acquire(KEY, randomUUID(), 0);
+    t.true(claim.kind === 'acquired' && claim.maySend());
+    time[name] += 300_001;
+    t.false(claim.kind === 'acquired' && claim.maySend());
+  }
+});
--- /dev/null
+++ b/packages/core/tests/once/createSimulatedRegion.ts
@@ -0,0 +1,259 @@
+import { randomUUID } from 'node:crypto';
+import { createOrderDispatch } from '../../src/dispatch/createOrderDispatch.js';
+import { ConnectFailedError } from '../../src/errors/ConnectFailedError.js';
+import { PeerUnavailableError } from '../../src/errors/PeerUnavailableError.js';
+import { ProgressTimeoutError } from '../../src/errors/ProgressTimeoutError.js';
+import { RequestError } from '../../src/errors/RequestError.js';
+import type { HostId } from '../../src/ids/HostId.js';
+import type { Incarnation } from '../../src/ids/Incarnation.js';
+import type { RegionId } from '../../src/ids/RegionId.js';
+import type { RequestId } from '../../src/ids/RequestId.js';
+import { asId } from '../../src/ids/asId.js';
+import type { PeerDescription } from '../../src/membership/PeerDescription.js';
+import { createOrderExecutor } from '../../src/once/createOrderExecutor.js';
+import type { OrderExecutor } from '../../src/once/createOrderExecutor.js';
+import type { Clock } from '../../src/ports/Clock.js';
+import type { PeerClient } from '../../src/ports/PeerClient.js';
+import type { RandomSource } from '../../src/ports/RandomSource.js';
+import type { ServiceCall } from '../../src/ports/ServiceClient.js';
+import { createFakeRegistry } from '../support/createFakeRegistry.js';
+import { createServiceRequest } from '../support/createServiceRequest.js';
+import { silentLog } from '../support/silentLog.js';
+import type { OrderEvent } from './OrderEvent.js';
+import { createSimulatedStore } from './createSimulatedStore.js';
+
+export interface SimulatedRegionOptions {
+  /** Resolves at a time the schedule chooses. */
+  readonly step: () => Promise<void>;
+  readonly random: RandomSource;
+  readonly hostCount: number;
+  /** Trial variant: every claim succeeds. */
+  readonly everyClaimSucceeds?: boolean;
+  /** Trial variant: every host takes itself for the issuer of every permit. */
+  readonly everyHostIssues?: boolean;
+}
+
+export interface SimulatedOrder {
+  readonly name: string;
+  readonly key: string;
+}
+
+export interface SimulatedRegion {
+  readonly events: readonly OrderEvent[];
+  readonly faults: { storeRatio: number; peerRatio: number; serverRatio: number };
+  issuePermit(host: number): string;
+  send(host: number, order: SimulatedOrder, deadlineMs?: number, mustFind?: boolean): Promise<void>;
+  restart(host: number): void;
+  advance(durationMs: number): void;
+  /** Orders whose answer reached a process that is still alive. */
+  knownOrders(): ReadonlySet<string>;
+}
+
+interface SimulatedHost {
+  readonly executor: OrderExecutor;
+  readonly died: AbortController;
+}
+
+const regionId = asId<RegionId>('r');
+const never = new Promise<never>(() => {});
+
+/** Region of entry hosts in one process, with faults at every call between the parts. */
+export function createSimulatedRegion(options: SimulatedRegionOptions): SimulatedRegion {
+  const { step, random } = options;
+  const events: OrderEvent[] = [];
+  const faults = { storeRatio: 0, peerRatio: 0, serverRatio: 0 };
+  const answeredTo = new Map<string, AbortSignal>();
+  const hosts: SimulatedHost[] = [];
+  let timeMs = 0;
+  let sends = 0;
+
+  const pick = <Choice>(ratio: number, good: Choice, bad: readonly Choice[]): Choice =>
+    random.next() < ratio ? (bad[Math.floor(random.next() * bad.length)] ?? good) : good;
+  const clock: Clock = {
+    nowMs: () => 1_000_000 + timeMs,
+    monotonicMs: () => timeMs,
+    async sleep(durationMs) {
+      const endMs = timeMs + durationMs;
+      await step();
+      timeMs = Math.max(timeMs, endMs);
+    },
+  };
+  const store = createSimulatedStore({
+    step,
+    everyClaimSucceeds: options.everyClaimSucceeds ?? false,
+    nextFault: () => pick(faults.storeRatio, 'none', ['outage', 'lost-response', 'late-effect']),
+  });
+
+  /** A dead process gets no results, so that none of its code goes on. */
+  async function whileAlive<Result>(died: AbortSignal, result: Promise<Result>): Promise<Result> {
+    try {
+      const value = await result;
+      return died.aborted ? await never : value;
+    } catch (cause) {
+      if (died.aborted) {
+        return never;
+      }
+      throw cause;
+    }
+  }
+
+  function run(call: ServiceCall): string {
+    const { order } = JSON.parse(call.body ?? '') as { order: string };
+    const confirmation = randomUUID();
+    events.push({ kind: 'run', order, sendId: call.requestId, confirmation });
+    return confirmation;
+  }
+
+  async function serve(call: ServiceCall, died: AbortSignal): Promise<string> {
+    const fault = pick(faults.serverRatio, 'none', ['refused', 'lost', 'late']);
+    await step();
+    if (died.aborted) {
+      return never;
+    }
+    if (fault === 'refused') {
+      throw new ConnectFailedError(fault);
+    }
+    call.onPossiblyRun();
+    if (fault === 'late') {
+      void step().then(() => run(call));
+      throw new ProgressTimeoutError(fault);
+    }
+    await step();
+    const confirmation = run(call);
+    await step();
+    if (fault === 'lost') {
+      throw new ProgressTimeoutError(fault);
+    }
+    if (!died.aborted) {
+      answeredTo.set((JSON.parse(call.body ?? '') as { order: string }).order, died);
+    }
+    return confirmation;
+  }
+
+  async function callPeer<Result>(
+    peerUrl: string,
+    call: (executor: OrderExecutor) => Promise<Result>,
+  ): Promise<Result> {
+    const fault = pick(faults.peerRatio, 'none', ['lost-request', 'lost-response', 'timeout']);
+    await step();
+    const peer = hosts[Number(peerUrl)];
+    if (peer === undefined || fault === 'lost-request') {
+      throw new PeerUnavailableError('lost request');
+    }
+    const died = new Promise<never>((_resolve, reject) => {
+      peer.died.signal.addEventListener('abort', () => reject(new PeerUnavailableError('died')));
+    });
+    const answer = Promise.race([call(peer.executor), died]);
+    answer.catch(() => undefined);
+    if (fault === 'timeout') {
+      await step();
+      throw new PeerUnavailableError('timeout');
+    }
+    const result = await answer;
+    await step();
+    if (fault === 'lost-response') {
+      throw new PeerUnavailableError('lost response');
+    }
+    return result;
+  }
+
+  function createHost(index: number): SimulatedHost {
+    const died = new AbortController();
+    const alive = <Result>(result: Promise<Result>): Promise<Result> =>
+      whileAlive(died.signal, result);
+    const peerClient = {
+      relayOrder: (peerUrl, { requestId, deadlineMs, permit, body }) =>
+        alive(
+          callPeer(peerUrl, (executor) => {
+            const facts = { requestId, deadlineMs, idempotencyKey: permit, receivedAtMs: timeMs };
+            return executor.executeRelayed(createServiceRequest(facts, { body }));
+          }),
+        ),
+      orderOutcome: (peerUrl, query) =>
+        alive(callPeer(peerUrl, (executor) => executor.orderOutcome(query))),
+    } as Pick<PeerClient, 'relayOrder' | 'orderOutcome'> as PeerClient;
+    const executor = createOrderExecutor({
+      clock,
+      log: silentLog,
+      self: {
+        hostId: asId<HostId>(options.everyHostIssues === true ? 'h0' : `h${index}`),
+        incarnation: asId<Incarnation>(
+          options.everyHostIssues === true ? '0'.repeat(36) : randomUUID(),
+        ),
+        regionId,
+      },
+      recordKey: 'record-key',
+      store: {
+        ...store,
+        get: (key) => alive(store.get(key)),
+        compareAndSwap: (request) => alive(store.compareAndSwap(request)),
+        grantLease: (ttlSeconds) => alive(store.grantLease(ttlSeconds)),
+      },
+      peerClient,
+      findPeer: (hostId) => ({ hostId, regionId, peerUrl: hostId.slice(1) }) as PeerDescription,
+      entryHostUrls: () => [],
+      dispatch: createOrderDispatch({
+        random,
+        log: silentLog,
+        registry: createFakeRegistry(2),
+        serviceClient: {
+          call: async (call) => ({
+            statusCode: 200,
+            contentType: undefined,
+            body: await alive(serve(call, died.signal)),
+          }),
+          close: async () => undefined,
+        },
+      }),
+      hasServer: () => true,
+    });
+    return { executor, died };
+  }
+
+  for (let index = 0; index < options.hostCount; index += 1) {
+    hosts.push(createHost(index));
+  }
+
+  return {
+    events,
+    faults,
+    issuePermit: (host) =>
+      hosts[host]?.executor.issuePermits(createServiceRequest().facts.customerId, 1).permits[0] ??
+      '',
+    async send(host, order, deadlineMs, mustFind = false) {
+      sends += 1;
+      const sendId = `${sends}`;
+      events.push({ kind: 'send', sendId, order: order.name, mustFind });
+      const facts = {
+        requestId: asId<RequestId>(sendId),
+        idempotencyKey: order.key,
+        deadlineMs,
+        receivedAtMs: timeMs,
+      };
+      const body = JSON.stringify({ order: order.name });
+      const target = hosts[host];
+      try {
+        const answer = target?.executor.execute(createServiceRequest(facts, { body }));
+        const confirmation = (await answer)?.body;
+        if (target?.died.signal.aborted === false) {
+          events.push({ kind: 'answer', sendId, outcome: 'run', confirmation });
+        }
+      } catch (cause) {
+        if (!(cause instanceof RequestError)) {
+          throw cause;
+        }
+        const { finalForKey = false } = cause.details as { finalForKey?: boolean };
+        events.push({ kind: 'answer', sendId, outcome: cause.outcome, finalForKey });
+      }
+    },
+    restart(host) {
+      hosts[host]?.died.abort();
+      hosts[host] = createHost(host);
+    },
+    advance(durationMs) {
+      timeMs += durationMs;
+    },
+    knownOrders: () =>
+      new Set([...answeredTo].filter(([, died]) => !died.aborted).map(([order]) => order)),
+  };
+}
--- a/packages/daemon/src/entryHost/createEntryHost.ts
+++ b/packages/daemon/src/entryHost/createEntryHost.ts
@@ -20,6 +20,7 @@
   createInferenceGateway,
   createInferenceRequest,
   createOrderDispatch,
+  createOrderExecutor,
   createPeerTable,
   createRepeatableDispatch,
   createSeededRandom,
@@ -38,6 +39,7 @@
   RegionId,
 } from '@camphorbarrow/core';
 import { createEntryHostRanking } from './createEntryHostRanking.js';
+import { createOrderApi } from './createOrderApi.js';
 import { publishDirectory } from './publishDirectory.js';
 
 export interface EntryHost {
@@ -138,9 +140,22 @@
     entryHostCount,
   });
   const serviceOptions = { clock, random, log, registry, serviceClient };
+  const orders = createOrderExecutor({
+    clock,
+    log,
+    self: { hostId, incarnation, regionId },
+    recordKey: settings.secrets.recordKey,
+    store,
+    peerClient,
+    findPeer: (peerId) => peers.peers().find((peer) => peer.hostId === peerId),
+    entryHostUrls: ranking.entryHostUrls,
+    dispatch: createOrderDispatch(serviceOptions),
+    hasServer: ({ serviceName }) =>
+      registry.servers().some((view) => view.accepting && view.entry.serviceName === serviceName),
+  });
   const services = createServiceGateway({
     dispatchRepeatable: createRepeatableDispatch(serviceOptions),
-    dispatchOrder: createOrderDispatch(serviceOptions),
+    orders,
   });
   const callerReader = createCallerReader({
     clock,
@@ -150,10 +165,17 @@
     knownRegions: ranking.knownRegions,
     entryHostUrls: ranking.entryHostUrls,
   });
+  const orderApi = createOrderApi({
+    self: { hostId, incarnation, regionId },
+    orders,
+    readForwarded: callerReader.readForwarded,
+    isDraining: () => state === 'draining',
+  });
   const peerListener = await createPeerListener({
     ...settings.peerListener,
     peerKey: settings.secrets.peerKey,
     api: {
+      ...orderApi,
       receiveHeartbeat: peers.receive,
       currentConfig: config.stored,
       adoptConfig: (document) => {
@@ -174,6 +196,7 @@
           signal,
         ),
       callService: services.handle,
+      issueOrderPermits: orderApi.issueOrderPermits,
       models: () => Object.keys(config.current().defaults.models),
       entryHosts: ranking.list,
       readiness: () => ({
@@ -204,6 +227,7 @@
       await stopPublishing();
       await clock.sleep(settings.drain.steerMs);
       await callerListener.close();
+      await orders.close();
       await peers.close();
       await Promise.all([registry.close(), config.close(), peerListener.close()]);
       await Promise.all([
--- /dev/null
+++ b/packages/daemon/src/entryHost/createOrderApi.ts
@@ -0,0 +1,58 @@
+import type { CallerApi, PeerApi } from '@camphorbarrow/adapters';
+import {
+  DrainingError,
+  OutcomeUnknownError,
+  describeRequestError,
+  headerNames,
+} from '@camphorbarrow/core';
+import type { CallerReader, OrderExecutor, OrderSelf } from '@camphorbarrow/core';
+
+export interface OrderApiOptions {
+  readonly self: OrderSelf;
+  readonly orders: OrderExecutor;
+  readonly readForwarded: CallerReader['readForwarded'];
+  readonly isDraining: () => boolean;
+}
+
+export type OrderApi = Pick<CallerApi, 'issueOrderPermits'> &
+  Pick<PeerApi, 'relayOrder' | 'orderOutcome'>;
+
+/** Connects the execution of orders to the listeners for callers and for peers. */
+export function createOrderApi(options: OrderApiOptions): OrderApi {
+  const { orders, self } = options;
+  return {
+    issueOrderPermits(facts, count) {
+      // A permit ends with its issuer, so a host that is about to stop issues none.
+      if (options.isDraining()) {
+        throw new DrainingError('The entry host is shutting down; take permits from another one.');
+      }
+      return orders.issuePermits(facts.customerId, count);
+    },
+    async relayOrder(order) {
+      try {
+        if (order.regionId !== self.regionId) {
+          throw new OutcomeUnknownError('Orders are relayed only inside their region.');
+        }
+        const facts = options.readForwarded({
+          [headerNames.customer]: order.customerId,
+          [headerNames.path]: order.fromHostId,
+          [headerNames.homeRegion]: order.homeRegionId,
+          [headerNames.deadline]: order.deadlineMs?.toString(),
+          [headerNames.idempotencyKey]: order.permit,
+        });
+        const { serviceName, method, path, contentType, body } = order;
+        return await orders.executeRelayed({
+          facts: { ...facts, requestId: order.requestId },
+          serviceName,
+          method,
+          path,
+          contentType,
+          body,
+        });
+      } catch (cause) {
+        return { kind: 'refusal', error: describeRequestError(cause) };
+      }
+    },
+    orderOutcome: orders.orderOutcome,
+  };
+}
