--- a/packages/adapters/src/callers/createCallerListener.ts
+++ b/packages/adapters/src/callers/createCallerListener.ts
@@ -6,6 +6,8 @@
 import { disconnectSignal } from './disconnectSignal.js';
 import { rawHeaders } from './rawHeaders.js';
 import { sendError } from './sendError.js';
+import { addOrderPermitRoute } from './addOrderPermitRoute.js';
+import { servicePathOf } from './servicePathOf.js';
 import { streamEvents } from './streamEvents.js';
 import { trackInFlight } from './trackInFlight.js';
 
@@ -66,7 +68,7 @@
         facts,
         serviceName: service,
         method: request.method,
-        path: request.url.slice(`/v1/services/${encodeURIComponent(service)}`.length),
+        path: servicePathOf(request.url),
         contentType: request.headers['content-type'],
         body: typeof request.body === 'string' ? request.body : undefined,
       },
@@ -127,6 +129,11 @@
   }));
   addInferenceRoutes(app, api, factsOf);
   addServiceRoutes(app, api, factsOf);
+  addOrderPermitRoute(
+    app,
+    api,
+    (request) => factsOf.get(request) ?? api.readCaller(rawHeaders(request)),
+  );
   await app.listen({ host: options.address, port: options.port });
   return { ...requests, close: () => app.close() };
 }
--- a/packages/adapters/src/peers/PeerApi.ts
+++ b/packages/adapters/src/peers/PeerApi.ts
@@ -3,6 +3,10 @@
   CrashReport,
   Heartbeat,
   HostListEntry,
+  ClaimQuery,
+  ClaimStatus,
+  RelayResult,
+  RelayedOrder,
   StoredFleetDocument,
 } from '@camphorbarrow/core';
 
@@ -16,4 +20,8 @@
   receiveCrash(report: CrashReport): CrashReport;
   /** Entries of the host list that this host uses. */
   servers(): readonly HostListEntry[];
+  /** Executes an order that a peer relayed to the issuer of its permit. */
+  relayOrder(order: RelayedOrder): Promise<RelayResult>;
+  /** Answers about a claim of this process. */
+  orderOutcome(query: ClaimQuery): Promise<ClaimStatus>;
 }
--- a/packages/adapters/src/peers/createTrpcPeerClient.ts
+++ b/packages/adapters/src/peers/createTrpcPeerClient.ts
@@ -7,12 +7,17 @@
 import { hostListEntrySchema } from '../platform/hostListEntrySchema.js';
 import { crashReportSchema } from './crashReportSchema.js';
 import { outgoingFrom } from '../http/outgoingFrom.js';
+import { claimStatusSchema } from './claimStatusSchema.js';
 import { heartbeatSchema } from './heartbeatSchema.js';
 import type { PeerRouter } from './peerRouter.js';
+import { relayResultSchema } from './relayResultSchema.js';
 
 export interface TrpcPeerClientOptions {
   readonly peerKey: string;
-  /** Limit for every call but those that carry a configuration document. */
+  /**
+   * Limit for making a connection and for every call that names none of its own or carries no
+   * configuration document.
+   */
   readonly timeoutMs: number;
   /** Limit for calls that carry a configuration document of up to 1 MB. @default 3000 */
   readonly documentTimeoutMs?: number;
@@ -59,7 +64,9 @@
     return client;
   }
 
-  const limit = (): { signal: AbortSignal } => ({ signal: AbortSignal.timeout(options.timeoutMs) });
+  const limit = (timeoutMs = options.timeoutMs): { signal: AbortSignal } => ({
+    signal: AbortSignal.timeout(timeoutMs),
+  });
   const documentLimit = (): { signal: AbortSignal } => ({
     signal: AbortSignal.timeout(options.documentTimeoutMs ?? DEFAULT_DOCUMENT_TIMEOUT_MS),
   });
@@ -85,6 +92,14 @@
       serversSchema.parse(
         await translate(clientOf(peerUrl).fetchServers.query(undefined, limit())),
       ),
+    async relayOrder(peerUrl, order, timeoutMs) {
+      const call = clientOf(peerUrl).relayOrder.mutate(order, limit(timeoutMs));
+      return relayResultSchema.parse(await translate(call));
+    },
+    async orderOutcome(peerUrl, query, timeoutMs) {
+      const call = clientOf(peerUrl).orderOutcome.query(query, limit(timeoutMs));
+      return claimStatusSchema.parse(await translate(call));
+    },
     close: () => agent.destroy(),
   };
 }
--- a/packages/adapters/src/peers/peerRouter.ts
+++ b/packages/adapters/src/peers/peerRouter.ts
@@ -3,7 +3,9 @@
 import type { PeerApi } from './PeerApi.js';
 import { toWireHost } from '../platform/toWireHost.js';
 import { crashReportSchema } from './crashReportSchema.js';
+import { claimQuerySchema } from './claimQuerySchema.js';
 import { heartbeatSchema } from './heartbeatSchema.js';
+import { relayedOrderSchema } from './relayedOrderSchema.js';
 
 const trpc = initTRPC.context<{ api: PeerApi }>().create();
 
@@ -20,6 +22,12 @@
     .input(crashReportSchema)
     .mutation(({ ctx, input }) => ctx.api.receiveCrash(input)),
   fetchServers: trpc.procedure.query(({ ctx }) => ctx.api.servers().map(toWireHost)),
+  relayOrder: trpc.procedure
+    .input(relayedOrderSchema)
+    .mutation(({ ctx, input }) => ctx.api.relayOrder(input)),
+  orderOutcome: trpc.procedure
+    .input(claimQuerySchema)
+    .query(({ ctx, input }) => ctx.api.orderOutcome(input)),
 });
 
 export type PeerRouter = typeof peerRouter;
--- a/packages/adapters/tests/peers/createFakePeerApi.ts
+++ b/packages/adapters/tests/peers/createFakePeerApi.ts
@@ -8,5 +8,7 @@
     adoptConfig: unused,
     receiveCrash: unused,
     servers: unused,
+    relayOrder: unused,
+    orderOutcome: unused,
   };
 }
--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -8,6 +8,7 @@
 export * from './experiment/createBenchFleet.js';
 export * from './experiment/createBenchHost.js';
 export * from './experiment/createBenchRequest.js';
+export * from './experiment/createBenchServices.js';
 export * from './experiment/runBench.js';
 export * from './experiment/runExperiment.js';
 export * from './experiment/scheduleFaults.js';
--- a/packages/core/src/ports/PeerClient.ts
+++ b/packages/core/src/ports/PeerClient.ts
@@ -3,6 +3,8 @@
 import type { Heartbeat } from '../membership/Heartbeat.js';
 import type { CrashReport } from '../quarantine/CrashReport.js';
 import type { HostListEntry } from './HostList.js';
+import type { ClaimQuery, ClaimStatus } from '../once/ClaimStatus.js';
+import type { RelayResult, RelayedOrder } from '../once/RelayedOrder.js';
 
 /**
  * Calls to other entry hosts. Methods reject with `PeerUnavailableError` when the peer does not
@@ -18,5 +20,9 @@
   reportCrash(peerUrl: string, report: CrashReport): Promise<CrashReport>;
   /** The host list as the peer last read it. */
   fetchServers(peerUrl: string): Promise<readonly HostListEntry[]>;
+  /** Hands an order to the issuer of its permit. After a failure the order may have run. */
+  relayOrder(peerUrl: string, order: RelayedOrder, timeoutMs: number): Promise<RelayResult>;
+  /** Asks a claimant what became of its claim. */
+  orderOutcome(peerUrl: string, query: ClaimQuery, timeoutMs: number): Promise<ClaimStatus>;
   close(): Promise<void>;
 }
--- a/packages/daemon/src/entryHost/createEntryHost.ts
+++ b/packages/daemon/src/entryHost/createEntryHost.ts
@@ -14,6 +14,9 @@
   createPeerBackedHostList,
   createPeerTable,
   createQuarantine,
+  createOrderDispatch,
+  createOrderExecutor,
+  createRepeatableDispatch,
   createSeededRandom,
   createServerRegistry,
   createServiceGateway,
@@ -41,6 +44,7 @@
 import { createRegionRouting } from './createRegionRouting.js';
 import { createRegionSpill } from './createRegionSpill.js';
 import { describeFleet } from './describeFleet.js';
+import { createOrderApi } from './createOrderApi.js';
 import { publishDirectory } from './publishDirectory.js';
 
 export interface EntryHost {
@@ -172,7 +176,24 @@
         createInferenceRequest(facts, route, body, settings.secrets.recordKey),
         signal,
       );
-  const services = createServiceGateway({ random, registry, serviceClient });
+  const serviceOptions = { clock, random, log, registry, serviceClient };
+  const orders = createOrderExecutor({
+    clock,
+    log,
+    self: { hostId, incarnation, regionId },
+    recordKey: settings.secrets.recordKey,
+    store,
+    peerClient,
+    findPeer: (peerId) => peers.peers().find((peer) => peer.hostId === peerId),
+    entryHostUrls: ranking.entryHostUrls,
+    dispatch: createOrderDispatch(serviceOptions),
+    hasServer: ({ serviceName }) =>
+      registry.servers().some((view) => view.accepting && view.entry.serviceName === serviceName),
+  });
+  const services = createServiceGateway({
+    dispatchRepeatable: createRepeatableDispatch(serviceOptions),
+    orders,
+  });
   const callerReader = createCallerReader({
     clock,
     hostId,
@@ -181,10 +202,17 @@
     knownRegions: ranking.knownRegions,
     entryHostUrls: ranking.entryHostUrls,
   });
+  const orderApi = createOrderApi({
+    self: { hostId, incarnation, regionId },
+    orders,
+    readForwarded: callerReader.readForwarded,
+    isDraining: () => drain.state() === 'draining',
+  });
   const peerListener = await createPeerListener({
     ...settings.peerListener,
     peerKey: settings.secrets.peerKey,
     api: {
+      ...orderApi,
       receiveHeartbeat: peers.receive,
       currentConfig: config.stored,
       receiveCrash: quarantine.receive,
@@ -218,6 +246,7 @@
       readCaller: callerReader.readCaller,
       infer: inferThrough(spilling),
       callService: services.handle,
+      issueOrderPermits: orderApi.issueOrderPermits,
       models: () => Object.keys(config.current().defaults.models),
       entryHosts: ranking.list,
       requireAccepting: drain.requireAccepting,
@@ -252,6 +281,7 @@
         await stopPublishing();
       });
       await callerListener.close();
+      await orders.close();
       await peers.close();
       await Promise.all([registry.close(), routing.close(), config.close(), peerListener.close()]);
       await ports.close();
