Bound the whole time of one service call

Cause: the HTTP client's time-outs restart with every byte, so an ordering server that sends one byte now and then held its order in flight for ever, with its key and the graceful shutdown.

Change: one limit of connect and answer time-out together ends the call. It is reported as ProgressTimeoutError, which leaves a sent order unknown.

--- a/packages/adapters/src/backends/createHttpServiceClient.ts
+++ b/packages/adapters/src/backends/createHttpServiceClient.ts
@@ -17,7 +17,11 @@
   const response = await request(`${call.baseUrl}${call.path}`, {
     method: call.method,
     dispatcher: notifyBeforeSend(dispatcher, call.onPossiblyRun),
-    signal,
+    // The client's own limits restart with every byte, so a slow answer could last for ever.
+    signal: AbortSignal.any([
+      signal,
+      AbortSignal.timeout(call.connectTimeoutMs + call.answerTimeoutMs),
+    ]),
     headersTimeout: call.answerTimeoutMs,
     bodyTimeout: call.answerTimeoutMs,
     headers: {
--- a/packages/adapters/tests/backends/createHttpServiceClient.test.ts
+++ b/packages/adapters/tests/backends/createHttpServiceClient.test.ts
@@ -109,3 +109,21 @@
   await t.throwsAsync(client.call(call, idle), { instanceOf: ConnectFailedError });
   t.is(gate.state(), 'not-sent');
 });
+
+// Guards against an order that never ends: it would hold its key and block a graceful shutdown.
+test('an answer that trickles without end is given up at the time limit', async (t) => {
+  const server = createServer((socket) => {
+    socket.on('error', () => undefined);
+    socket.write('HTTP/1.1 200 OK\r\ncontent-length: 100000\r\n\r\n');
+    const timer = setInterval(() => socket.write('x'), 20);
+    socket.on('close', () => clearInterval(timer));
+  }).listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const { port } = server.address() as AddressInfo;
+  const gate = createSendGate();
+  const call = createCall(`http://127.0.0.1:${port}`, gate.startAttempt());
+  const limited = { ...call, connectTimeoutMs: 100, answerTimeoutMs: 200 };
+  await t.throwsAsync(client.call(limited, idle), { name: 'ProgressTimeoutError' });
+  t.is(gate.state(), 'possibly-sent');
+  server.close();
+});
