Make the stand-ins lose responses when told to

Cause: `loseAnswers` and silenced connections took the reply over in fastify's onSend hook, where that has no effect: a range request with loseAnswers set got status 200. With the change it times out.

`loseAnswersTo` limits the fault to one path, so that a scenario can lose the responses to writes alone.

--- a/packages/standins/src/faults/createFaultyServer.ts
+++ b/packages/standins/src/faults/createFaultyServer.ts
@@ -17,6 +17,7 @@
   const faults: Faults = {
     delayMs: 0,
     loseAnswers: false,
+    loseAnswersTo: '',
     unavailable: false,
     silenceOpenConnections: false,
   };
@@ -50,9 +51,11 @@
       await reply.code(503).send({ error: 'unavailable' });
     }
   });
-  app.addHook('onSend', async (request, reply) => {
-    if (request.url !== '/control' && (faults.loseAnswers || silenced.has(request.socket))) {
-      void reply.hijack();
+  app.addHook('onSend', async (request) => {
+    const isLost = faults.loseAnswers && request.url.startsWith(faults.loseAnswersTo);
+    if (request.url !== '/control' && (isLost || silenced.has(request.socket))) {
+      // Taking the reply over has no effect at this point: fastify sends it all the same.
+      await new Promise(() => {});
     }
   });
   return { app, faults };
