Write back what came from a peer, and survive silent store connections

Causes: - A host that read an older document from a restored store before it learned of the newer one from a peer did not look at the store again until its next full read, up to a minute later. A unit test repeats the case. - A proposal whose first read went over a connection that had gone silent was refused, although the store was up.

Change: the follower remembers which document the store held and reads again while that one is older than its own. A call that times out makes the store client use new connections from then on, and a proposal reads a second time before it refuses.

--- a/packages/adapters/src/platform/createEtcdKeyValueStore.ts
+++ b/packages/adapters/src/platform/createEtcdKeyValueStore.ts
@@ -1,6 +1,6 @@
 import { Agent, request } from 'undici';
 import { z } from 'zod';
-import { StoreUnavailableError, asId } from '@camphorbarrow/core';
+import { ProgressTimeoutError, StoreUnavailableError, asId } from '@camphorbarrow/core';
 import type { KeyValue, KeyValueStore, LeaseId, WatchEvent } from '@camphorbarrow/core';
 import { requestJson } from '../http/requestJson.js';
 import { readJsonLines } from './readJsonLines.js';
@@ -54,32 +54,53 @@
 
 /** Key-value service in the JSON form of the etcd v3 interface. */
 export function createEtcdKeyValueStore(options: EtcdKeyValueStoreOptions): KeyValueStore {
-  const agent = new Agent({ connectTimeout: options.timeoutMs, bodyTimeout: 0, headersTimeout: 0 });
+  const createAgent = (): Agent =>
+    new Agent({ connectTimeout: options.timeoutMs, bodyTimeout: 0, headersTimeout: 0 });
+  const agents = new Set<Agent>();
+  let agent = createAgent();
+
+  /** Leaves the connections of an agent to their open calls and makes new ones for later calls. */
+  function replaceAgent(old: Agent): void {
+    if (old === agent) {
+      agent = createAgent();
+      agents.add(old);
+      void old
+        .close()
+        .catch(() => undefined)
+        .finally(() => agents.delete(old));
+    }
+  }
 
   async function call<Schema extends z.ZodType>(
     path: string,
     body: unknown,
     schema: Schema,
   ): Promise<z.infer<Schema>> {
+    const used = agent;
     try {
       const answer = await requestJson({
         url: `${options.url}${path}`,
         method: 'POST',
         body,
         timeoutMs: options.timeoutMs,
-        dispatcher: agent,
+        dispatcher: used,
       });
       return schema.parse(answer);
     } catch (cause) {
+      if (cause instanceof ProgressTimeoutError) {
+        // When one connection has gone silent, the idle ones beside it usually have as well.
+        replaceAgent(used);
+      }
       throw new StoreUnavailableError('The key-value service did not answer.', { cause });
     }
   }
 
   async function* watch(prefix: string, signal: AbortSignal): AsyncGenerator<WatchEvent, void> {
+    const used = agent;
     try {
       const response = await request(`${options.url}/v3/watch`, {
         method: 'POST',
-        dispatcher: agent,
+        dispatcher: used,
         signal,
         headers: { 'content-type': 'application/json' },
         // The service confirms a watch at once; a connection that does not is taken as silent.
@@ -100,6 +121,7 @@
       }
     } catch (cause) {
       if (!signal.aborted) {
+        replaceAgent(used);
         throw new StoreUnavailableError('The watch broke.', { cause });
       }
     }
@@ -158,6 +180,8 @@
       await call('/v3/lease/revoke', { ID: leaseId }, z.unknown());
     },
     watch,
-    close: () => agent.destroy(),
+    async close() {
+      await Promise.all([...agents, agent].map((open) => open.destroy()));
+    },
   };
 }
--- a/packages/core/src/config/createChangeProposer.ts
+++ b/packages/core/src/config/createChangeProposer.ts
@@ -108,7 +108,14 @@
     }
 
     async function attempt(): Promise<AttemptResult> {
-      const found = await readStore();
+      // A second read covers a connection that went silent; the first one made the store's client
+      // discard it.
+      const found = await readStore().catch((cause: unknown) => {
+        if (cause instanceof StoreUnavailableError) {
+          return readStore();
+        }
+        throw cause;
+      });
       if (containsChange(state.stored(), change.changeId)) {
         return 'written';
       }
@@ -136,7 +143,6 @@
         throw cause instanceof StoreUnavailableError
           ? new ConfigStoreUnavailableError(
               'The key-value service did not answer; the change was not made.',
-              { cause },
             )
           : cause;
       }
--- a/packages/core/src/config/createStoreFollower.ts
+++ b/packages/core/src/config/createStoreFollower.ts
@@ -2,6 +2,7 @@
 import type { KeyValue, KeyValueStore, StoreRevision } from '../ports/KeyValueStore.js';
 import type { LogSink } from '../ports/LogSink.js';
 import type { RandomSource } from '../ports/RandomSource.js';
+import type { ConfigRevision } from './ConfigRevision.js';
 import { compareRevisions } from './compareRevisions.js';
 import { CONFIGURATION_KEY } from './configurationKey.js';
 import type { ConfigState } from './createConfigState.js';
@@ -48,6 +49,8 @@
   const tasks: Promise<void>[] = [];
   let watching = new AbortController();
   let seenRevision: StoreRevision | undefined;
+  /** Document that the store held at `seenRevision`. */
+  let seenDocument: ConfigRevision | undefined;
   let pollsUntilFullRead = 0;
   let reachable = false;
 
@@ -60,16 +63,21 @@
     }
   }
 
-  /** Adopts what the store holds; returns whether the store holds something older. */
-  function take(found: KeyValue | undefined): boolean {
+  function isStoreOlder(): boolean {
+    return compareRevisions(seenDocument, state.stored()) < 0;
+  }
+
+  /** Adopts what the store holds or held. */
+  function take(found: KeyValue | undefined): void {
     const { document, revision } = readStoredDocument(found?.value);
+    seenRevision = found?.modRevision ?? 0;
+    seenDocument = revision;
     if (found !== undefined && document === undefined) {
       log.error('configuration-invalid', { version: revision?.version });
     }
     if (document !== undefined) {
       state.adopt(document);
     }
-    return compareRevisions(revision, state.stored()) < 0;
   }
 
   async function writeBack(found: KeyValue | undefined): Promise<void> {
@@ -89,6 +97,7 @@
     const result = await store.compareAndSwap({ key: CONFIGURATION_KEY, expectedRevision, value });
     if (result.swapped) {
       seenRevision = result.modRevision;
+      seenDocument = document;
       log.warn('configuration-written-back', { version: document.version });
     }
   }
@@ -96,16 +105,15 @@
   async function read(): Promise<void> {
     const found = await store.get(CONFIGURATION_KEY);
     pollsUntilFullRead = POLLS_PER_FULL_READ;
-    const isOlder = take(found);
-    seenRevision = isOlder ? undefined : (found?.modRevision ?? 0);
-    if (isOlder) {
+    take(found);
+    if (isStoreOlder()) {
       await writeBack(found);
     }
   }
 
   async function comparePoll(): Promise<void> {
     pollsUntilFullRead -= 1;
-    if (seenRevision === undefined || pollsUntilFullRead <= 0) {
+    if (seenRevision === undefined || pollsUntilFullRead <= 0 || isStoreOlder()) {
       await read();
       return;
     }
@@ -144,8 +152,8 @@
     watching = new AbortController();
     const signal = AbortSignal.any([stopping.signal, watching.signal]);
     for await (const event of store.watch(CONFIGURATION_KEY, signal)) {
-      if (event.key === CONFIGURATION_KEY && event.kind === 'put' && !take(event)) {
-        seenRevision = event.modRevision;
+      if (event.key === CONFIGURATION_KEY && event.kind === 'put') {
+        take(event);
       }
     }
   }
--- a/packages/core/tests/config/createConfigKeeper.test.ts
+++ b/packages/core/tests/config/createConfigKeeper.test.ts
@@ -164,6 +164,21 @@
   t.is(hostAt(fleet, 1).version(), 2);
 });
 
+test('a host that learns of a newer document from a peer writes it back to the store', async (t) => {
+  // Guards against polls that look only for a new revision of the store.
+  const fleet = await createFleetAt(1, 2);
+  fleet.store.snapshot();
+  await hostAt(fleet, 1).poll();
+  fleet.cutOff.add(1);
+  await hostAt(fleet, 0).propose(change('x'));
+  fleet.cutOff.delete(1);
+  fleet.store.restore();
+  await hostAt(fleet, 1).poll();
+  await fleet.deliver(0, 1);
+  await hostAt(fleet, 1).poll();
+  t.is(storedIn(fleet).version, 2);
+});
+
 test('a store that lost all data gets the document back', async (t) => {
   const fleet = createFakeFleet(1);
   fleet.store.snapshot();
