Refuse new requests while draining, and never wait for unused connections

Change: both listeners wait for the requests in flight and then close all connections. Until then the caller listener refuses new requests as draining and not run.

Ruled out: closing connections without a request when draining begins, which would break a caller whose request is on its way.

--- a/packages/adapters/src/callers/createCallerListener.ts
+++ b/packages/adapters/src/callers/createCallerListener.ts
@@ -2,11 +2,13 @@
 import type { FastifyInstance, FastifyReply, FastifyRequest } from 'fastify';
 import {
   BodyTooLargeError,
+  DrainingError,
   InvalidBodyError,
   NotFoundError,
   RequestError,
 } from '@camphorbarrow/core';
 import type { CallerFacts, InferenceRoute } from '@camphorbarrow/core';
+import { createGracefulClose } from '../http/createGracefulClose.js';
 import type { CallerApi } from './CallerApi.js';
 import { streamEvents } from './streamEvents.js';
 import { toErrorBody } from './toErrorBody.js';
@@ -23,7 +25,7 @@
 }
 
 export interface CallerListener {
-  /** Stops accepting, waits for requests in flight and releases the port. */
+  /** Refuses new requests as draining, waits for requests in flight and releases the port. */
   close(): Promise<void>;
 }
 
@@ -132,7 +134,11 @@
     bodyLimit: options.maxBodyBytes,
     requestTimeout: options.requestTimeoutMs,
     http: { headersTimeout: HEADERS_TIMEOUT_MS },
-    forceCloseConnections: 'idle',
+    forceCloseConnections: true,
+  });
+  let closing = false;
+  const close = createGracefulClose(app, () => {
+    closing = true;
   });
   app.removeAllContentTypeParsers();
   app.addContentTypeParser('*', { parseAs: 'string' }, (_request, body, done) => {
@@ -145,6 +151,9 @@
   // Runs before the body is read, so that a request bound to another region leaves its body there.
   app.addHook('onRequest', async (request) => {
     const isPublic = request.url === '/healthz' || request.url === '/v1/entry-hosts';
+    if (closing && request.url.startsWith('/v1/')) {
+      throw new DrainingError('This entry host is shutting down; ask another one.');
+    }
     if (!isPublic && request.url.startsWith('/v1/')) {
       factsOf.set(request, api.readCaller(rawHeaders(request)));
     }
@@ -163,5 +172,5 @@
   addInferenceRoutes(app, api, factsOf);
   addServiceRoutes(app, api, factsOf);
   await app.listen({ host: options.address, port: options.port });
-  return { close: () => app.close() };
+  return { close };
 }
--- a/packages/adapters/src/peers/createPeerListener.ts
+++ b/packages/adapters/src/peers/createPeerListener.ts
@@ -3,6 +3,7 @@
 import { fastifyTRPCPlugin } from '@trpc/server/adapters/fastify';
 import type { FastifyTRPCPluginOptions } from '@trpc/server/adapters/fastify';
 import { UnauthenticatedError } from '@camphorbarrow/core';
+import { createGracefulClose } from '../http/createGracefulClose.js';
 import { toErrorBody } from '../callers/toErrorBody.js';
 import type { PeerApi } from './PeerApi.js';
 import { peerRouter } from './peerRouter.js';
@@ -26,7 +27,8 @@
 
 /** Starts the listener for other entry hosts. Every call has to carry the peer key. */
 export async function createPeerListener(options: PeerListenerOptions): Promise<PeerListener> {
-  const app = fastify({ bodyLimit: MAX_BODY_BYTES, forceCloseConnections: 'idle' });
+  const app = fastify({ bodyLimit: MAX_BODY_BYTES, forceCloseConnections: true });
+  const close = createGracefulClose(app);
   const expected = sha256(`Bearer ${options.peerKey}`);
   app.addHook('onRequest', async (request) => {
     if (!timingSafeEqual(sha256(request.headers.authorization ?? ''), expected)) {
@@ -42,5 +44,5 @@
     trpcOptions: { router: peerRouter, createContext: () => ({ api: options.api }) },
   } satisfies FastifyTRPCPluginOptions<PeerRouter>);
   await app.listen({ host: options.address, port: options.port });
-  return { close: () => app.close() };
+  return { close };
 }
