Poll loads independently of the host list

Cause: one loop read the host list and then all loads. With a stalled list (2 s time-out) and one frozen server (1 s time-out) a round took 4 s, and a leaving server got work up to 4 s after its leave; the bound is 3 s.

Change: the list and the loads are polled by loops of their own, so a round of loads takes at most the load time-out and the pause, 2 s.

--- a/packages/core/src/membership/createServerRegistry.ts
+++ b/packages/core/src/membership/createServerRegistry.ts
@@ -121,18 +121,28 @@
     }
   }
 
+  async function refreshLoads(): Promise<void> {
+    await Promise.all([...states.values()].map(refreshLoad));
+  }
+
   async function refresh(): Promise<void> {
     await refreshList();
-    await Promise.all([...states.values()].map(refreshLoad));
+    await refreshLoads();
   }
 
-  async function poll(): Promise<void> {
+  async function repeat(task: () => Promise<void>): Promise<void> {
     while (!stopping.signal.aborted) {
-      await refresh();
+      await task();
       await clock.sleep(pollIntervalMs, stopping.signal).catch(() => undefined);
     }
   }
 
+  // A host list that does not answer must not hold back the polls that show leaving servers.
+  async function poll(): Promise<void> {
+    await refreshList();
+    await Promise.all([repeat(refreshList), repeat(refreshLoads)]);
+  }
+
   return {
     servers: () => [...states.values()].map(toView),
     get(serverId) {
