Replace a server's connections after silence

Cause: when all open connections to the engines fell silent, every call took one silent connection per engine, waited for the progress timeout on each and was then answered as unknown, and a load poll on a silent connection took a live engine out of use.

Change: connections are pooled per server. A time-out on one gives the whole pool up: requests in flight go on, new ones use new connections. A load poll splits its limit into a try on a pooled connection and one on a new connection.

--- a/packages/adapters/src/backends/createOpenAiEngineClient.ts
+++ b/packages/adapters/src/backends/createOpenAiEngineClient.ts
@@ -1,10 +1,11 @@
-import { Agent, request } from 'undici';
+import { request } from 'undici';
 import type { Dispatcher } from 'undici';
 import { createParser } from 'eventsource-parser';
 import { z } from 'zod';
-import { asId } from '@camphorbarrow/core';
+import { ProgressTimeoutError, asId } from '@camphorbarrow/core';
 import type { EngineAnswer, EngineClient } from '@camphorbarrow/core';
 import { classifyHttpError } from '../http/classifyHttpError.js';
+import { createServerPools } from '../http/createServerPools.js';
 import { notifyBeforeSend } from '../http/notifyBeforeSend.js';
 import { outgoingFrom } from '../http/outgoingFrom.js';
 import { requestJson } from '../http/requestJson.js';
@@ -62,17 +63,36 @@
 
 /** Model engines with the OpenAI-compatible HTTP interface (docs/platform.md). */
 export function createOpenAiEngineClient(options: OpenAiEngineClientOptions): EngineClient {
-  const agent = new Agent({
+  const pools = createServerPools({
     connectTimeout: options.connectTimeoutMs,
     connections: MAX_CONNECTIONS_PER_SERVER,
     ...outgoingFrom(options.localAddress),
   });
+
+  /** Maps a failure; after silence, later requests to the server use new connections. */
+  function failed(cause: unknown, baseUrl: string, pool: Dispatcher): Error {
+    const error = classifyHttpError(cause);
+    if (error instanceof ProgressTimeoutError) {
+      pools.renew(baseUrl, pool);
+    }
+    return error;
+  }
+
+  async function getJson(baseUrl: string, path: string, timeoutMs: number): Promise<unknown> {
+    const dispatcher = pools.poolOf(baseUrl);
+    const get = { url: `${baseUrl}${path}`, method: 'GET', timeoutMs, dispatcher } as const;
+    return requestJson(get).catch((cause: unknown) => {
+      throw failed(cause, baseUrl, dispatcher);
+    });
+  }
+
   return {
     async start(attempt, signal) {
+      const pool = pools.poolOf(attempt.baseUrl);
       try {
         const response = await request(`${attempt.baseUrl}/v1/${attempt.route}`, {
           method: 'POST',
-          dispatcher: notifyBeforeSend(agent, attempt.onPossiblyRun),
+          dispatcher: notifyBeforeSend(pool, attempt.onPossiblyRun),
           signal,
           headersTimeout: attempt.progressTimeoutMs,
           bodyTimeout: attempt.progressTimeoutMs,
@@ -81,20 +101,25 @@
         });
         return await toAnswer(response);
       } catch (cause) {
-        throw classifyHttpError(cause);
+        throw failed(cause, attempt.baseUrl, pool);
       }
     },
+    // A silent connection must not make a live server look dead: the second try is a new connection.
     async readLoad(baseUrl, timeoutMs) {
-      const url = `${baseUrl}/load`;
-      const answer = await requestJson({ url, method: 'GET', timeoutMs, dispatcher: agent });
+      const tryMs = Math.ceil(timeoutMs / 2);
+      const answer = await getJson(baseUrl, '/load', tryMs).catch((error: unknown) => {
+        if (error instanceof ProgressTimeoutError) {
+          return getJson(baseUrl, '/load', tryMs);
+        }
+        throw error;
+      });
       const report = loadReportSchema.parse(answer);
       return { ...report, incarnation: asId(report.incarnation) };
     },
     async readCacheEvents(baseUrl, afterSequence, timeoutMs) {
-      const url = `${baseUrl}/cache-events?after=${afterSequence}`;
-      const answer = await requestJson({ url, method: 'GET', timeoutMs, dispatcher: agent });
+      const answer = await getJson(baseUrl, `/cache-events?after=${afterSequence}`, timeoutMs);
       return cacheEventsSchema.parse(answer).events;
     },
-    close: () => agent.destroy(),
+    close: () => pools.close(),
   };
 }
--- a/packages/adapters/src/index.ts
+++ b/packages/adapters/src/index.ts
@@ -7,6 +7,7 @@
 export * from './callers/toErrorBody.js';
 export * from './http/classifyHttpError.js';
 export * from './http/createGracefulClose.js';
+export * from './http/createServerPools.js';
 export * from './http/notifyBeforeSend.js';
 export * from './http/outgoingFrom.js';
 export * from './http/requestJson.js';
