--- a/packages/scenarios/src/caller/createCaller.ts
+++ b/packages/scenarios/src/caller/createCaller.ts
@@ -93,7 +93,7 @@
       const inference =
         plan.kind === 'stream' || plan.kind === 'plain'
           ? { prompt: promptOf(inferenceBody(plan) as EngineBody), tokens: plan.tokens }
-          : {};
+          : { order: plan.order };
       const attempts: AttemptResult[] = [];
       for (let number = 1; number <= plan.resend + 1; number += 1) {
         const first = (number - 1) % hosts.length;
--- a/packages/scenarios/src/checker/findForeignAnswers.ts
+++ b/packages/scenarios/src/checker/findForeignAnswers.ts
@@ -16,8 +16,8 @@
   return text === '' || expected.startsWith(text) ? undefined : `partial answer "${text}"`;
 }
 
-function wrongOrder(call: string, { text, label }: AnsweredEvent): string | undefined {
-  return label === 'complete' && text !== call ? `answer names order "${text}"` : undefined;
+function wrongOrder({ order }: InvokedEvent, { text, label }: AnsweredEvent): string | undefined {
+  return label === 'complete' && text !== order ? `answer names order "${text}"` : undefined;
 }
 
 /** An answer belongs to another call, is shortened or mixed, or counts as complete and is not. */
@@ -31,7 +31,7 @@
       return [{ rule: 'foreign-answer', message: `answer to ${answer.call}, which was not sent` }];
     }
     const wrong =
-      call.prompt === undefined ? wrongOrder(call.call, answer) : wrongInference(call, answer);
+      call.prompt === undefined ? wrongOrder(call, answer) : wrongInference(call, answer);
     return wrong === undefined
       ? []
       : [{ rule: 'foreign-answer', message: `${answer.call}: ${wrong}` }];
--- a/packages/scenarios/src/history/HistoryEvent.ts
+++ b/packages/scenarios/src/history/HistoryEvent.ts
@@ -20,6 +20,8 @@
   readonly prompt?: string | undefined;
   /** Tokens of the whole answer, for inference. */
   readonly tokens?: number | undefined;
+  /** Order that is placed or asked for, for orders and status checks. */
+  readonly order?: string | undefined;
 }
 
 /** An attempt ended for its caller. */
--- a/packages/scenarios/src/language/findReferenceProblems.ts
+++ b/packages/scenarios/src/language/findReferenceProblems.ts
@@ -67,6 +67,13 @@
   });
 }
 
+const MISSING: Readonly<Record<Reference['to'], string>> = {
+  process: 'there is no process',
+  link: 'there is no process or region',
+  calls: 'no earlier step sends calls',
+  race: 'there is no earlier race',
+};
+
 /** Names in steps that refer to no process, region or earlier step. */
 export function findReferenceProblems(steps: readonly Step[]): ReferenceProblem[] {
   const [start, ...rest] = steps;
@@ -89,7 +96,7 @@
   return steps.flatMap((step, index) => {
     const problems = referencesOf(step, index)
       .filter(({ name, to }) => !known[to].has(name))
-      .map(({ path, name, to }) => ({ path, message: `"${name}" is no ${to} known here` }));
+      .map(({ path, name, to }) => ({ path, message: `${MISSING[to]} "${name}"` }));
     if (step.do === 'send' || step.do === 'crashRequest') {
       known.calls.add(step.id);
     } else if (step.do === 'race') {
--- a/packages/scenarios/tests/checker/findForeignAnswers.test.ts
+++ b/packages/scenarios/tests/checker/findForeignAnswers.test.ts
@@ -17,8 +17,16 @@
 
 function order(text: string): History {
   return [
-    { kind: 'invoked', atMs: 1, call: 'a', attempt: 1, hosts: ['norte-1'], repeatable: false },
-    { kind: 'answered', atMs: 2, call: 'a', attempt: 1, label: 'complete', text },
+    {
+      kind: 'invoked',
+      atMs: 1,
+      call: 'status-a',
+      attempt: 1,
+      hosts: ['norte-1'],
+      repeatable: true,
+      order: 'a',
+    },
+    { kind: 'answered', atMs: 2, call: 'status-a', attempt: 1, label: 'complete', text },
   ];
 }
 
