--- a/packages/adapters/src/callers/createCallerListener.ts
+++ b/packages/adapters/src/callers/createCallerListener.ts
@@ -9,7 +9,7 @@
 import { addOrderPermitRoute } from './addOrderPermitRoute.js';
 import { servicePathOf } from './servicePathOf.js';
 import { streamEvents } from './streamEvents.js';
-import { trackInFlight } from './trackInFlight.js';
+import { trackInFlight } from '../http/trackInFlight.js';
 
 export interface CallerListenerOptions {
   /** IP address to bind. */
--- a/packages/adapters/src/peers/createPeerListener.ts
+++ b/packages/adapters/src/peers/createPeerListener.ts
@@ -3,6 +3,7 @@
 import { fastifyTRPCPlugin } from '@trpc/server/adapters/fastify';
 import type { FastifyTRPCPluginOptions } from '@trpc/server/adapters/fastify';
 import { UnauthenticatedError, headerNames } from '@camphorbarrow/core';
+import { createGracefulClose } from '../http/createGracefulClose.js';
 import { sendError } from '../callers/sendError.js';
 import { operatorPrefix } from '../operators/operatorPrefix.js';
 import { registerOperatorApi } from '../operators/registerOperatorApi.js';
@@ -38,7 +39,8 @@
  * key, or an operator's key for the operators' interface.
  */
 export async function createPeerListener(options: PeerListenerOptions): Promise<PeerListener> {
-  const app = fastify({ bodyLimit: MAX_BODY_BYTES, forceCloseConnections: 'idle' });
+  const app = fastify({ bodyLimit: MAX_BODY_BYTES, forceCloseConnections: true });
+  const close = createGracefulClose(app);
   const expected = sha256(`Bearer ${options.peerKey}`);
   app.addHook('onRequest', async (request) => {
     // The matched route decides, not the URL as sent; the operators' routes check their own keys.
@@ -60,5 +62,5 @@
   } satisfies FastifyTRPCPluginOptions<PeerRouter>);
   await registerOperatorApi(app, options.operators);
   await app.listen({ host: options.address, port: options.port });
-  return { close: () => app.close() };
+  return { close };
 }
--- a/packages/daemon/src/entryHost/createEntryHost.ts
+++ b/packages/daemon/src/entryHost/createEntryHost.ts
@@ -234,7 +234,10 @@
     forwardApi: {
       hostId,
       maxBodyBytes: MAX_BODY_BYTES,
-      readForwarded: callerReader.readForwarded,
+      readForwarded(headers) {
+        drain.requireAccepting();
+        return callerReader.readForwarded(headers);
+      },
       infer: inferThrough(inference),
     },
   });
