--- a/packages/scenarios/src/index.ts
+++ b/packages/scenarios/src/index.ts
@@ -41,6 +41,7 @@
 export * from './launcher/DeploymentSpec.js';
 export * from './launcher/createAddressPlan.js';
 export * from './launcher/createNetworkControl.js';
+export * from './launcher/isRefusing.js';
 export * from './launcher/planDeployment.js';
 export * from './launcher/requestJson.js';
 export * from './launcher/seedConfiguration.js';
--- a/packages/scenarios/src/runner/verbs/runProcessStep.ts
+++ b/packages/scenarios/src/runner/verbs/runProcessStep.ts
@@ -1,5 +1,7 @@
 import type { StepOf } from '../../language/Step.js';
+import { isRefusing } from '../../launcher/isRefusing.js';
 import { requestJson } from '../../launcher/requestJson.js';
+import { waitUntil } from '../../launcher/waitUntil.js';
 import type { ScenarioContext } from '../ScenarioContext.js';
 import { chooseTarget } from '../chooseTarget.js';
 import { processOf } from '../processOf.js';
@@ -8,6 +10,8 @@
   'kill' | 'freeze' | 'thaw' | 'restart' | 'drain' | 'leave' | 'removeFromHostList'
 >;
 
+const REFUSE_TIMEOUT_MS = 5_000;
+
 async function removeFromHostList(context: ScenarioContext, serverId: string): Promise<void> {
   const url = `${processOf(context, 'hostlist').directUrl}/v1/hosts`;
   const { hosts } = (await requestJson('GET', url)) as { hosts: { serverId: string }[] };
@@ -20,7 +24,12 @@
   const deployed = processOf(context, target);
   switch (step.do) {
     case 'kill':
-      return deployed.process.close();
+      await deployed.process.close();
+      // The relay notices the end a moment later; until then it would accept and reset connections.
+      await waitUntil(`${target} refuses connections`, REFUSE_TIMEOUT_MS, () =>
+        isRefusing(deployed.url),
+      );
+      return undefined;
     case 'freeze':
       return deployed.process.signal('SIGSTOP');
     case 'thaw':
