Report a change as lost when it never came into force

Cause: a write that the store took counted as accepted even when the host had meanwhile adopted a newer document that lacks the change. It needs a store that lost data between two concurrent changes.

Change: a proposal is accepted only when the document in force includes it. A proposal that ran out of time without an unanswered write is lost, not unknown.

A unit test covers the case directly.

--- a/packages/core/src/config/createChangeProposer.ts
+++ b/packages/core/src/config/createChangeProposer.ts
@@ -7,11 +7,11 @@
 import type { LogSink } from '../ports/LogSink.js';
 import type { ConfigChange } from './ConfigChange.js';
 import type { ConfigChangeResult, WinningChange } from './ConfigChangeResult.js';
+import type { ConfigRevision } from './ConfigRevision.js';
 import type { StoredFleetDocument } from './FleetDocument.js';
 import { applyChange } from './applyChange.js';
 import { compareRevisions } from './compareRevisions.js';
 import { CONFIGURATION_KEY } from './configurationKey.js';
-import { containsChange } from './containsChange.js';
 import type { ConfigExchange } from './createConfigExchange.js';
 import type { ConfigState } from './createConfigState.js';
 import { encodeDocument } from './encodeDocument.js';
@@ -36,8 +36,26 @@
 /** Time after which an unanswered write is reported as unknown. */
 const RESOLVE_TIMEOUT_MS = 10_000;
 
-/** Result of one attempt; undefined when the next one may decide. */
-type AttemptResult = 'written' | 'lost' | 'unknown' | undefined;
+/** Revision of the accepted change, or why there is none. */
+type ChangeDecision = ConfigRevision | 'lost' | 'unknown';
+/** Undefined when the next attempt may decide. */
+type AttemptResult = ChangeDecision | undefined;
+
+interface Attempts {
+  next(): Promise<AttemptResult>;
+  /** Whether a write was sent that the store did not answer. */
+  mayBeWritten(): boolean;
+}
+
+/** Revision that a change made, when the document includes it. */
+function revisionMadeBy(
+  document: StoredFleetDocument | undefined,
+  changeId: string,
+): ConfigRevision | undefined {
+  const entry = document?.history.find((candidate) => candidate.changeId === changeId);
+  const version = entry?.version ?? (document?.changeId === changeId ? document.version : 0);
+  return version > 0 ? { version, changeId } : undefined;
+}
 
 function winnerOf(document: StoredFleetDocument | undefined): WinningChange {
   const { version = 0, changeId = '', history = [] } = document ?? {};
@@ -69,8 +87,8 @@
     return found;
   }
 
-  /** One proposal: what is known of its writes so far, and the next attempt. */
-  function createAttempt(change: ConfigChange): () => Promise<AttemptResult> {
+  /** Creates the attempts of one proposal, with what is known of its writes so far. */
+  function createAttempts(change: ConfigChange): Attempts {
     const changedAtMs = clock.nowMs();
     let { basedOnVersion } = change;
     /** Store revision that an unanswered write replaces if it takes effect. */
@@ -96,7 +114,8 @@
         });
         if (result.swapped) {
           state.adopt(document);
-          return 'written';
+          // After the store lost data, another change may have taken the same or a higher version.
+          return revisionMadeBy(state.stored(), change.changeId) ?? 'lost';
         }
       } catch (cause) {
         if (!(cause instanceof StoreUnavailableError)) {
@@ -116,8 +135,9 @@
         }
         throw cause;
       });
-      if (containsChange(state.stored(), change.changeId)) {
-        return 'written';
+      const accepted = revisionMadeBy(state.stored(), change.changeId);
+      if (accepted !== undefined) {
+        return accepted;
       }
       const revision = found?.modRevision ?? 0;
       if (unansweredAt !== undefined && revision < unansweredAt) {
@@ -132,49 +152,51 @@
       return currentVersion > basedOnVersion ? 'lost' : write(revision);
     }
 
-    return async () => {
-      try {
-        return await attempt();
-      } catch (cause) {
-        if (unansweredAt !== undefined) {
-          // Something may have been written, so no error may claim the contrary.
-          return undefined;
+    return {
+      mayBeWritten: () => unansweredAt !== undefined,
+      async next() {
+        try {
+          return await attempt();
+        } catch (cause) {
+          if (unansweredAt !== undefined) {
+            // Something may have been written, so no error may claim the contrary.
+            return undefined;
+          }
+          throw cause instanceof StoreUnavailableError
+            ? new ConfigStoreUnavailableError(
+                'The key-value service did not answer; the change was not made.',
+              )
+            : cause;
         }
-        throw cause instanceof StoreUnavailableError
-          ? new ConfigStoreUnavailableError(
-              'The key-value service did not answer; the change was not made.',
-            )
-          : cause;
-      }
+      },
     };
   }
 
-  async function decide(change: ConfigChange): Promise<AttemptResult> {
-    const attempt = createAttempt(change);
+  async function decide(change: ConfigChange): Promise<ChangeDecision> {
+    const attempts = createAttempts(change);
     const endMs = clock.monotonicMs() + RESOLVE_TIMEOUT_MS;
     while (clock.monotonicMs() < endMs) {
-      const result = await attempt();
+      const result = await attempts.next();
       if (result !== undefined) {
         return result;
       }
       await clock.sleep(RETRY_INTERVAL_MS);
     }
-    return 'unknown';
+    return attempts.mayBeWritten() ? 'unknown' : 'lost';
   }
 
   return async (change) => {
     await exchange.refresh();
     const result = await decide(change);
     const document = state.stored();
+    const outcome = typeof result === 'object' ? 'accepted' : result;
     log.info('configuration-change', {
       changeId: change.changeId,
       author: change.author,
-      result: result ?? 'unknown',
+      outcome,
     });
-    if (document !== undefined && result === 'written') {
-      const { version } = document.history.find((e) => e.changeId === change.changeId) ?? document;
-      const revision = { version, changeId: change.changeId };
-      return { outcome: 'accepted', revision, ...(await exchange.tell(document)) };
+    if (document !== undefined && typeof result === 'object') {
+      return { outcome: 'accepted', revision: result, ...(await exchange.tell(document)) };
     }
     return result === 'lost'
       ? { outcome: 'lost', against: winnerOf(document) }
