Name the reason in failed operator calls without repeating the cause

modern-errors puts a cause's text into the message, so an operator saw "fetch failed", "TRPCClientError: fetch failed" and then the message. The message now carries the error codes alone. The tests use loopback addresses of their own instead of a port that was free a moment before.

--- a/packages/adapters/src/operators/createOperatorClient.ts
+++ b/packages/adapters/src/operators/createOperatorClient.ts
@@ -41,20 +41,24 @@
     : own;
 }
 
+/** modern-errors puts the text of a cause into the message, so the cause is only named here. */
 function toCallError(cause: unknown, url: string): Error {
   const response = cause instanceof TRPCClientError ? cause.meta?.response : undefined;
   const { status } = (response ?? {}) as { status?: number };
-  const notRun = { cause, props: { mayHaveRun: false } };
+  const codes = codesOf(cause);
+  const notRun = { props: { mayHaveRun: false } };
   if (status === UNAUTHORIZED) {
     return new OperatorCallError(`${url} does not accept the operator key.`, notRun);
   }
-  if (codesOf(cause).some((code) => NOT_CONNECTED.has(code))) {
-    return new OperatorCallError(`${url} cannot be reached.`, notRun);
+  if (codes.some((code) => NOT_CONNECTED.has(code))) {
+    return new OperatorCallError(`${url} cannot be reached (${codes.join(', ')}).`, notRun);
   }
-  const isRefused = status !== undefined && status >= 400 && status < 500;
-  return isRefused
-    ? new OperatorCallError(`${url} refused the call with status ${status}.`, notRun)
-    : new OperatorCallError(`${url} did not answer.`, { cause, props: { mayHaveRun: true } });
+  if (status !== undefined && status >= 400 && status < 500) {
+    return new OperatorCallError(`${url} refused the call with status ${status}.`, notRun);
+  }
+  const reason = status === undefined ? codes.join(', ') || 'timeout' : `status ${status}`;
+  const message = `${url} did not answer (${reason}).`;
+  return new OperatorCallError(message, { props: { mayHaveRun: true } });
 }
 
 /** Creates the client of the operators' interface. */
--- a/packages/adapters/tests/operators/operatorApi.test.ts
+++ b/packages/adapters/tests/operators/operatorApi.test.ts
@@ -1,5 +1,5 @@
 import { createServer } from 'node:net';
-import type { AddressInfo, Socket } from 'node:net';
+import type { Socket } from 'node:net';
 import anyTest from 'ava';
 import type { TestFn } from 'ava';
 import { request } from 'undici';
@@ -11,24 +11,16 @@
 import { createPeerListener } from '../../src/peers/createPeerListener.js';
 import type { PeerListener } from '../../src/peers/createPeerListener.js';
 
-const ADDRESS = '127.0.0.1';
+/** Loopback addresses that other tests do not use, so that ports never collide. */
+const ADDRESS = '127.211.7.1';
+const SILENT_ADDRESS = '127.211.7.2';
+const UNUSED_ADDRESS = '127.211.7.3';
+const PORT = 9_080;
 const PEER_KEY = 'peer-key-0123456789';
 const ANA_KEY = 'ana-key-0123456789';
 
 const test = anyTest as TestFn<{ listener: PeerListener; url: string; proposed: ConfigChange[] }>;
 
-async function freePort(): Promise<number> {
-  const server = createServer();
-  await new Promise<void>((resolve) => {
-    server.listen(0, ADDRESS, resolve);
-  });
-  const { port } = server.address() as AddressInfo;
-  await new Promise((resolve) => {
-    server.close(resolve);
-  });
-  return port;
-}
-
 function clientOf(url: string, key: string, timeoutMs = 5_000): OperatorClient {
   return createOperatorClient({ url, key, timeoutMs });
 }
@@ -40,11 +32,10 @@
 });
 
 test.before(async (t) => {
-  const port = await freePort();
   const proposed: ConfigChange[] = [];
   const listener = await createPeerListener({
     address: ADDRESS,
-    port,
+    port: PORT,
     peerKey: PEER_KEY,
     api: {
       receiveHeartbeat: (message) => message,
@@ -66,7 +57,7 @@
       },
     },
   });
-  t.context = { listener, url: `http://${ADDRESS}:${port}`, proposed };
+  t.context = { listener, url: `http://${ADDRESS}:${PORT}`, proposed };
 });
 
 test.after.always((t) => t.context.listener.close());
@@ -111,7 +102,7 @@
 });
 
 test('a host that cannot be reached has made no change', async (t) => {
-  const client = clientOf(`http://${ADDRESS}:${await freePort()}`, ANA_KEY);
+  const client = clientOf(`http://${UNUSED_ADDRESS}:${PORT}`, ANA_KEY);
   const error = await t.throwsAsync(client.propose(change('change-0002')), {
     instanceOf: OperatorCallError,
   });
@@ -123,10 +114,9 @@
   const sockets = new Set<Socket>();
   const server = createServer((socket) => sockets.add(socket));
   await new Promise<void>((resolve) => {
-    server.listen(0, ADDRESS, resolve);
+    server.listen(PORT, SILENT_ADDRESS, resolve);
   });
-  const { port } = server.address() as AddressInfo;
-  const client = clientOf(`http://${ADDRESS}:${port}`, ANA_KEY, 200);
+  const client = clientOf(`http://${SILENT_ADDRESS}:${PORT}`, ANA_KEY, 200);
   const error = await t.throwsAsync(client.propose(change('change-0003')), {
     instanceOf: OperatorCallError,
   });
