Add the operators' commands

config check, show, set and history, and status. Exit codes: 0 ok, 1 failure, 2 bad input, 3 rejected, 4 outcome unknown. BaseCommand prints failures as plain messages; clipanion printed a stack trace and ended with 1, so the exit code for bad settings in main.ts was never reached. Output to pipes and files carries no color codes.

The process-level test makes changes through the bundled binary in a deployment of four entry hosts in two regions.

--- /dev/null
+++ b/packages/daemon/src/commands/fileKinds.ts
@@ -0,0 +1,14 @@
+import {
+  exceptionsFileSchema,
+  fleetDefaultsSchema,
+  fleetDocumentSchema,
+  hostSettingsSchema,
+} from '@camphorbarrow/core';
+
+/** Kinds of files that operators write, with their schemas. */
+export const fileKinds = {
+  defaults: { title: 'fleet defaults', schema: fleetDefaultsSchema },
+  exceptions: { title: 'exceptions', schema: exceptionsFileSchema },
+  settings: { title: 'host settings', schema: hostSettingsSchema },
+  document: { title: 'configuration document', schema: fleetDocumentSchema },
+} as const;
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -1,25 +1,41 @@
 import { Builtins, Cli } from 'clipanion';
-import { SettingsError } from '@camphorbarrow/core';
+import type { Command } from 'clipanion';
+import { ConfigCheckCommand } from './commands/ConfigCheckCommand.js';
+import { ConfigHistoryCommand } from './commands/ConfigHistoryCommand.js';
+import { ConfigSetCommand } from './commands/ConfigSetCommand.js';
+import { ConfigShowCommand } from './commands/ConfigShowCommand.js';
 import { ServeCommand } from './commands/ServeCommand.js';
-
-const EXIT_FAILURE = 1;
-const EXIT_BAD_INPUT = 2;
+import { StatusCommand } from './commands/StatusCommand.js';
+import { exitCodes } from './commands/exitCodes.js';
 
 const cli = new Cli({
   binaryName: 'camphorbarrow',
   binaryLabel: 'Multi-region inference gateway',
   binaryVersion: '0.1.0',
+  // clipanion would color the output for pipes and files as well.
+  enableColors: process.stdout.isTTY === true,
 });
 cli.register(Builtins.HelpCommand);
 cli.register(Builtins.VersionCommand);
+cli.register(ConfigCheckCommand);
+cli.register(ConfigHistoryCommand);
+cli.register(ConfigSetCommand);
+cli.register(ConfigShowCommand);
 cli.register(ServeCommand);
+cli.register(StatusCommand);
+
+function parse(args: string[]): Command | undefined {
+  try {
+    return cli.process(args, Cli.defaultContext);
+  } catch (error) {
+    process.stderr.write(cli.error(error));
+    return undefined;
+  }
+}
 
-cli
-  .run(process.argv.slice(2))
-  .then((exitCode) => {
-    process.exitCode = exitCode;
-  })
-  .catch((error: unknown) => {
-    process.stderr.write(`${error instanceof Error ? error.message : String(error)}\n`);
-    process.exitCode = error instanceof SettingsError ? EXIT_BAD_INPUT : EXIT_FAILURE;
-  });
+const command = parse(process.argv.slice(2));
+if (command === undefined) {
+  process.exitCode = exitCodes.badInput;
+} else {
+  void cli.runExit(command, Cli.defaultContext);
+}
--- a/packages/scenarios/src/launcher/Deployment.ts
+++ b/packages/scenarios/src/launcher/Deployment.ts
@@ -16,6 +16,10 @@
   readonly customerKey: string;
   /** Keys of the customers bound to a region, by region. */
   readonly homedCustomerKeys: ReadonlyMap<string, string>;
+  /** Key of the operator `operator`. */
+  readonly operatorKey: string;
+  /** Base URL of an entry host for peers and operators. */
+  peerUrlOf(name: string): string;
   /** Starts a stopped process again with the same settings. */
   restart(name: string): Promise<void>;
   close(): Promise<void>;
--- a/packages/scenarios/src/launcher/startDeployment.ts
+++ b/packages/scenarios/src/launcher/startDeployment.ts
@@ -15,6 +15,7 @@
 const START_TIMEOUT_MS = 20_000;
 const CUSTOMER_KEY = 'demo-key-unbound-0001';
 const PEER_KEY = 'demo-peer-key-0123456789';
+const OPERATOR_KEY = 'demo-operator-key-0123456789';
 
 export interface LaunchOptions {
   /** File of the daemon's bundle. @default 'dist/camphorbarrow.cjs' */
@@ -176,7 +177,11 @@
         clientDirectory: { url: directoryUrl },
         weightStore: { url: weightStoreUrl },
         seedPeers,
-        secrets: { peerKey: PEER_KEY, recordKey: 'demo-record-key-0123456789' },
+        secrets: {
+          peerKey: PEER_KEY,
+          recordKey: 'demo-record-key-0123456789',
+          operatorKeys: { operator: OPERATOR_KEY },
+        },
         ...(spec.drain === undefined ? {} : { drain: spec.drain }),
       };
       await writeFile(file, JSON.stringify(settings, undefined, 2));
@@ -245,6 +250,12 @@
   return {
     processes,
     customerKey: CUSTOMER_KEY,
+    operatorKey: OPERATOR_KEY,
+    peerUrlOf(name) {
+      const url = new URL(processes.get(name)?.url ?? '');
+      url.port = String(PEER_PORT);
+      return url.origin;
+    },
     homedCustomerKeys: new Map(spec.regions.map(({ name }) => [name, homedKeyOf(name)])),
     async restart(name) {
       const planned = plan.processes.find((candidate) => candidate.name === name);
