--- a/packages/core/src/config/fleetDefaultsSchema.ts
+++ b/packages/core/src/config/fleetDefaultsSchema.ts
@@ -37,12 +37,20 @@
 export const fleetDefaultsSchema = z.strictObject({
   customers: z.record(name, customerSchema).default({}),
   models: z
-    .record(name, z.strictObject({ maxPromptTokens: z.int().positive().default(131_072) }))
+    .record(
+      name,
+      z.strictObject({
+        /** Longest prompt the model takes. */
+        maxPromptTokens: z.int().positive().default(131_072),
+      }),
+    )
     .default({}),
   services: z.record(name, serviceSchema).default({}),
   routeRanks: z
     .strictObject({
+      /** Rank of chat completions whose caller names none. */
       'chat/completions': z.enum(['urgent', 'patient']).default('urgent'),
+      /** Rank of completions whose caller names none. */
       completions: z.enum(['urgent', 'patient']).default('patient'),
     })
     .prefault({}),
@@ -74,6 +82,7 @@
       patientMinimumShareRatio: ratio.default(0.1),
       /** Service calls in flight at one entry host. */
       maxServiceCalls: z.int().min(1).max(100_000).default(256),
+      /** Largest request body. */
       maxBodyBytes: z.int().min(1024).max(268_435_456).default(8_388_608),
     })
     .prefault({}),
@@ -87,6 +96,7 @@
     .prefault({}),
   retry: z
     .strictObject({
+      /** Attempts for one request, the first one included. */
       maxAttempts: z.int().min(1).max(10).default(3),
       /** Retries allowed per first attempt. */
       budgetRatio: ratio.default(0.1),
@@ -96,9 +106,11 @@
     .prefault({}),
   timeouts: z
     .strictObject({
+      /** Limit for opening a connection to a backend server. */
       connectTimeoutMs: milliseconds.default(1_000),
       /** Longest silence of an engine before the attempt is aborted. */
       progressTimeoutMs: milliseconds.default(10_000),
+      /** Limit for reading a caller's request body. */
       bodyTimeoutMs: milliseconds.default(15_000),
     })
     .prefault({}),
@@ -106,6 +118,7 @@
     .strictObject({
       /** Server crashes after which a request is refused. */
       crashLimit: z.int().min(1).max(10).default(2),
+      /** Time for which such a request is refused. */
       holdMs: milliseconds.default(600_000),
     })
     .prefault({}),
--- a/packages/core/src/settings/hostSettingsSchema.ts
+++ b/packages/core/src/settings/hostSettingsSchema.ts
@@ -5,22 +5,33 @@
 const listener = z.strictObject({
   /** IP address to bind and to announce. */
   address: z.union([z.ipv4(), z.ipv6()]),
+  /** TCP port to bind and to announce. */
   port: z.int().min(1).max(65_535),
 });
 
+const platformService = z.strictObject({
+  /** Base URL of the service, with an IP address. */
+  url,
+  /** Limit for one call to the service. */
+  timeoutMs: z.int().min(1).max(60_000).default(2_000),
+});
+
 /** Schema of the settings file of one entry host. docs/settings.md documents every field. */
 export const hostSettingsSchema = z.strictObject({
-  host: z.strictObject({ hostId: name, region: name, availabilityZone: name }),
+  host: z.strictObject({
+    /** Name of the entry host, unique in the deployment. */
+    hostId: name,
+    /** Region the host serves. */
+    region: name,
+    /** Availability zone the host runs in. */
+    availabilityZone: name,
+  }),
   callerListener: listener,
   peerListener: listener,
-  keyValueService: z.strictObject({ url, timeoutMs: z.int().min(1).max(60_000).default(2_000) }),
-  hostList: z.strictObject({ url, timeoutMs: z.int().min(1).max(60_000).default(2_000) }),
-  clientDirectory: z
-    .strictObject({ url, timeoutMs: z.int().min(1).max(60_000).default(2_000) })
-    .optional(),
-  weightStore: z
-    .strictObject({ url, timeoutMs: z.int().min(1).max(60_000).default(2_000) })
-    .optional(),
+  keyValueService: platformService,
+  hostList: platformService,
+  clientDirectory: platformService.optional(),
+  weightStore: platformService.optional(),
   /** Peer listeners asked while the key-value service is unavailable. */
   seedPeers: z.array(url).default([]),
   secrets: z.strictObject({
@@ -33,13 +44,19 @@
   }),
   metrics: z
     .strictObject({
+      /** IP address of the StatsD receiver. */
       address: z.union([z.ipv4(), z.ipv6()]),
+      /** UDP port of the StatsD receiver. */
       port: z.int().min(1).max(65_535).default(8_125),
+      /** Prefix of the names of all metrics. */
       prefix: z.string().default('camphorbarrow.'),
     })
     .optional(),
   log: z
-    .strictObject({ level: z.enum(['debug', 'info', 'warn', 'error']).default('info') })
+    .strictObject({
+      /** Least severe events that are logged. */
+      level: z.enum(['debug', 'info', 'warn', 'error']).default('info'),
+    })
     .prefault({}),
   drain: z
     .strictObject({
