--- a/packages/core/src/config/fleetDefaultsSchema.ts
+++ b/packages/core/src/config/fleetDefaultsSchema.ts
@@ -40,6 +40,7 @@
     .record(
       name,
       z.strictObject({
+        /** Longest prompt the model takes. */
         maxPromptTokens: z.int().positive().default(131_072),
         /** Name of the model's weights in the weight store; engines are left alone without it. */
         weights: z.string().min(1).optional(),
@@ -51,7 +52,9 @@
   services: z.record(name, serviceSchema).default({}),
   routeRanks: z
     .strictObject({
+      /** Rank of chat completions whose caller names none. */
       'chat/completions': z.enum(['urgent', 'patient']).default('urgent'),
+      /** Rank of completions whose caller names none. */
       completions: z.enum(['urgent', 'patient']).default('patient'),
     })
     .prefault({}),
@@ -83,6 +86,7 @@
       patientMinimumShareRatio: ratio.default(0.1),
       /** Service calls in flight at one entry host. */
       maxServiceCalls: z.int().min(1).max(100_000).default(256),
+      /** Largest request body. */
       maxBodyBytes: z.int().min(1024).max(268_435_456).default(8_388_608),
     })
     .prefault({}),
@@ -96,6 +100,7 @@
     .prefault({}),
   retry: z
     .strictObject({
+      /** Attempts for one request, the first one included. */
       maxAttempts: z.int().min(1).max(10).default(3),
       /** Retries allowed per first attempt. */
       budgetRatio: ratio.default(0.1),
@@ -105,9 +110,11 @@
     .prefault({}),
   timeouts: z
     .strictObject({
+      /** Limit for opening a connection to a backend server. */
       connectTimeoutMs: milliseconds.default(1_000),
       /** Longest silence of an engine before the attempt is aborted. */
       progressTimeoutMs: milliseconds.default(10_000),
+      /** Limit for reading a caller's request body. */
       bodyTimeoutMs: milliseconds.default(15_000),
     })
     .prefault({}),
@@ -121,6 +128,7 @@
     .strictObject({
       /** Server crashes after which a request is refused. */
       crashLimit: z.int().min(1).max(10).default(2),
+      /** Time for which such a request is refused. */
       holdMs: milliseconds.default(600_000),
     })
     .prefault({}),
