Estimate queueing per rank and measure routing

Change: own prompts are counted per rank and an urgent request waits only for urgent ones; 0.3 of the reported waiting requests count as ahead of it. packages/bench/src/routing runs the real spill gateway over the bench's engines, links and workloads; the bench's own caller cannot give a chooser an engine client to learn from, nor use core's spill policies.

--- /dev/null
+++ b/packages/bench/src/routing/createRoutingHost.ts
@@ -0,0 +1,196 @@
+import {
+  asId,
+  createCacheEventPoller,
+  createFirstTokenEstimator,
+  createInferenceGateway,
+  createLocalEstimate,
+  createPrefixIndex,
+  createRegionDelays,
+  createRouteObserver,
+  createSeededRandom,
+  createServerRates,
+  createServerRegistry,
+  createSpillDecider,
+  createSpillGateway,
+  summarizeRegionLoad,
+  toRegionViews,
+} from '@camphorbarrow/core';
+import type {
+  EngineClient,
+  EstimateContext,
+  ForwardClient,
+  HostId,
+  HostList,
+  InferenceGateway,
+  PeerView,
+  RegionId,
+  RegionLoadSummary,
+  RouteChooser,
+  SpillPolicy,
+} from '@camphorbarrow/core';
+import type { VirtualClock } from '../clock/VirtualClock.js';
+import { createNoLog } from '../fakes/createNoLog.js';
+import { createNoMetrics } from '../fakes/createNoMetrics.js';
+import type { RoutingPolicy } from './RoutingPolicy.js';
+import { routeFactories, spillPolicies } from './routingChoices.js';
+
+export interface RoutingHostOptions {
+  readonly hostId: HostId;
+  readonly regionId: RegionId;
+  readonly clock: VirtualClock;
+  readonly seed: number;
+  readonly policy: RoutingPolicy;
+  /** Entry hosts of the region and of the whole fleet. */
+  readonly entryHostCount: number;
+  readonly fleetHostCount: number;
+  readonly hostList: HostList;
+  readonly engineClient: EngineClient;
+  readonly forwardClient: ForwardClient;
+}
+
+/** One entry host made of the real routing and spill code. */
+export interface RoutingHost {
+  readonly hostId: HostId;
+  readonly regionId: RegionId;
+  /** Serves in the own region or forwards. */
+  readonly gateway: InferenceGateway;
+  /** Serves in the own region. */
+  readonly local: InferenceGateway;
+  summary(): RegionLoadSummary;
+  /** Takes a heartbeat of a host in another region; undefined when it did not arrive. */
+  hear(
+    from: Pick<RoutingHost, 'hostId' | 'regionId'>,
+    load: RegionLoadSummary | undefined,
+    roundTripMs: number,
+  ): void;
+  close(): Promise<void>;
+}
+
+const FAILURE_TIMEOUT_MS = 3_500;
+const LOAD_TIMEOUT_MS = 1_000;
+
+/** Creates and starts an entry host of a routing experiment. */
+export function createRoutingHost(options: RoutingHostOptions): RoutingHost {
+  const { clock, regionId, hostId, policy } = options;
+  const log = createNoLog();
+  const metrics = createNoMetrics();
+  const random = createSeededRandom(options.seed);
+  const registry = createServerRegistry({
+    clock,
+    log,
+    hostList: options.hostList,
+    isUsed: (entry) => entry.regionId === regionId && entry.kind === 'engine',
+    readLoad: (entry) => options.engineClient.readLoad(entry.baseUrl, LOAD_TIMEOUT_MS),
+  });
+  const index = createPrefixIndex();
+  const rates = createServerRates();
+  const estimator = createFirstTokenEstimator(rates);
+  const chooser = routeFactories[policy.route] as (e: typeof estimator) => RouteChooser;
+  const routing = createRouteObserver({
+    clock,
+    index,
+    rates,
+    estimator,
+    chooseRoute: chooser(estimator),
+    engineClient: options.engineClient,
+  });
+  const poller = createCacheEventPoller({
+    clock,
+    log,
+    index,
+    servers: registry.servers,
+    readCacheEvents: (entry, after) =>
+      options.engineClient.readCacheEvents(entry.baseUrl, after, LOAD_TIMEOUT_MS),
+  });
+  const context = (): Omit<EstimateContext, 'rank'> => ({
+    nowMs: clock.monotonicMs(),
+    entryHostCount: options.entryHostCount,
+  });
+  const delays = createRegionDelays(clock);
+  const heard = new Map<HostId, Omit<PeerView, 'reachable'>>();
+  const peers = (): PeerView[] =>
+    [...heard.values()].map((peer) => ({
+      ...peer,
+      reachable: clock.monotonicMs() - peer.heardAtMs < FAILURE_TIMEOUT_MS,
+    }));
+  const decider = createSpillDecider({
+    policy: spillPolicies[policy.spill] as SpillPolicy,
+    regions: () =>
+      toRegionViews({
+        ownRegionId: regionId,
+        peers: peers(),
+        nowMs: clock.monotonicMs(),
+        roundTripMs: delays.roundTripMs,
+      }),
+    fleetHostCount: () => options.fleetHostCount,
+  });
+  const local = createInferenceGateway({
+    clock,
+    random,
+    log,
+    metrics,
+    registry,
+    engineClient: routing.engineClient,
+    chooseRoute: routing.chooseRoute,
+    entryHostCount: () => options.entryHostCount,
+  });
+  registry.start();
+  poller.start();
+
+  return {
+    hostId,
+    regionId,
+    local,
+    gateway: createSpillGateway({
+      clock,
+      random,
+      log,
+      metrics,
+      hostId,
+      local,
+      forwardClient: options.forwardClient,
+      decider,
+      estimateLocal: (request) =>
+        createLocalEstimate({
+          request,
+          servers: registry.servers(),
+          estimator,
+          context: context(),
+          cachedTokens: ({ entry }) => index.cachedTokens(entry.serverId, request.blockHashes),
+          ownQueueMs: 0,
+        }),
+    }),
+    summary: () =>
+      summarizeRegionLoad({
+        servers: registry.servers(),
+        estimator,
+        context: context(),
+        ownQueueMs: 0,
+        spilling: decider.isSpilling(clock.monotonicMs()),
+      }),
+    hear(from, load, roundTripMs) {
+      if (load === undefined) {
+        delays.record(from.regionId, undefined);
+        return;
+      }
+      delays.record(from.regionId, roundTripMs);
+      heard.set(from.hostId, {
+        hostId: from.hostId,
+        incarnation: asId('1'),
+        startedAtMs: 0,
+        regionId: from.regionId,
+        availabilityZoneId: asId('a'),
+        callerUrl: from.hostId,
+        peerUrl: from.hostId,
+        state: 'live',
+        sequence: 0,
+        configVersion: 1,
+        regionLoad: load,
+        heardAtMs: clock.monotonicMs(),
+      });
+    },
+    async close() {
+      await Promise.all([registry.close(), poller.close()]);
+    },
+  };
+}
--- /dev/null
+++ b/packages/bench/src/routing/main.ts
@@ -0,0 +1,6 @@
+import { Cli } from 'clipanion';
+import { RoutingBenchCommand } from './RoutingBenchCommand.js';
+
+const cli = new Cli({ binaryName: 'routing-bench', binaryLabel: 'Measurement of routing' });
+cli.register(RoutingBenchCommand);
+process.exitCode = await cli.run(process.argv.slice(2));
--- a/packages/core/src/routing/createFirstTokenChooser.ts
+++ b/packages/core/src/routing/createFirstTokenChooser.ts
@@ -37,12 +37,13 @@
 
   return (request, candidates, context) => {
     const { nowMs, random } = context;
+    const estimate = { ...context, rank: request.rank };
     const ratios = candidates.map((server) => warmth.capacityRatio(server, nowMs));
     const someWarm = ratios.some((ratio) => ratio === 1);
     const scored = candidates.map((server, index): Scored => {
       const prefillMs = estimator.prefillMs(request, server, context.cachedTokens(server));
       // While every candidate is cold, limiting them would only distort the comparison.
-      const queueMs = estimator.queueMs(server, context, someWarm ? ratios[index] : 1);
+      const queueMs = estimator.queueMs(server, estimate, someWarm ? ratios[index] : 1);
       return { server, prefillMs, scoreMs: queueMs + prefillMs };
     });
     const best = leastOf(scored);
@@ -52,7 +53,7 @@
     const limitMs = best.scoreMs + Math.max(NEAR_MS, best.scoreMs * NEAR_RATIO);
     const near = scored.filter(({ scoreMs }) => scoreMs <= limitMs);
     const chosen = leastOf(pickDistinct(near, random)) ?? best;
-    estimator.dispatched(chosen.server.entry.serverId, chosen.prefillMs, chosen.server, nowMs);
+    estimator.dispatched(chosen.server, chosen.prefillMs, estimate);
     return chosen.server;
   };
 }
--- a/packages/core/src/routing/createFirstTokenEstimator.ts
+++ b/packages/core/src/routing/createFirstTokenEstimator.ts
@@ -1,10 +1,14 @@
 import type { ServerId } from '../ids/ServerId.js';
 import type { InferenceRequest } from '../requests/InferenceRequest.js';
+import type { Rank } from '../requests/Rank.js';
 import type { RouteContext } from './RouteChooser.js';
 import type { ServerView } from './ServerView.js';
 import type { ServerRates } from './createServerRates.js';
 
-export type EstimateContext = Pick<RouteContext, 'nowMs' | 'entryHostCount'>;
+export interface EstimateContext extends Pick<RouteContext, 'nowMs' | 'entryHostCount'> {
+  /** Rank of the waiting request; engines start urgent requests and read their prompts first. */
+  readonly rank: Rank;
+}
 
 /** Estimates of the time to the first token (docs/routing.md). */
 export interface FirstTokenEstimator {
@@ -17,17 +21,19 @@
   /** Expected time to read the part of the prompt that is not cached. */
   prefillMs(request: InferenceRequest, server: ServerView, cachedTokens: number): number;
   /** Counts a request that is being sent to a server. */
-  dispatched(serverId: ServerId, prefillMs: number, server: ServerView, nowMs: number): void;
+  dispatched(server: ServerView, prefillMs: number, context: EstimateContext): void;
 }
 
 interface OwnWork {
   /** Arrival of the load report the count starts from. */
   reportAtMs: number;
   requestsSinceReport: number;
-  /** Time at which the prompts this entry host sent will have been read. */
-  prefillUntilMs: number;
+  /** Time at which the prompts this entry host sent will have been read, by rank. */
+  readonly prefillUntilMs: Record<Rank, number>;
 }
 
+/** Share of the reported waiting requests that start before a new one; reports have no ranks. */
+const WAITING_AHEAD_RATIO: Readonly<Record<Rank, number>> = { urgent: 0.3, patient: 1 };
 const DEFAULT_CONCURRENT_REQUESTS = 8;
 const MAX_SERVERS = 8_192;
 
@@ -44,17 +50,20 @@
         : {
             reportAtMs: server.loadAtMs,
             requestsSinceReport: 0,
-            prefillUntilMs: known?.prefillUntilMs ?? 0,
+            prefillUntilMs: known?.prefillUntilMs ?? { urgent: 0, patient: 0 },
           };
     return work;
   }
 
   /** Requests at the server: the last report, plus what all entry hosts have sent since. */
-  function occupied(server: ServerView, { entryHostCount }: EstimateContext): number {
+  function occupied(server: ServerView, { entryHostCount, rank }: EstimateContext): number {
     const { load, ownInFlightRequests } = server;
-    const reported = (load?.runningRequests ?? 0) + (load?.waitingRequests ?? 0);
+    const waiting = (load?.waitingRequests ?? 0) * WAITING_AHEAD_RATIO[rank];
+    const reported = (load?.runningRequests ?? 0) + waiting;
     const sinceReport = workOf(server).requestsSinceReport * Math.max(1, entryHostCount);
-    return Math.max(reported + sinceReport, ownInFlightRequests);
+    return rank === 'urgent'
+      ? reported + sinceReport
+      : Math.max(reported + sinceReport, ownInFlightRequests);
   }
 
   return {
@@ -64,17 +73,21 @@
       const usable = Math.max(1, places * capacityRatio);
       const ahead = occupied(server, context) - usable + 1;
       const placeMs = ahead <= 0 ? 0 : (ahead * rates.of(serverId).serviceMs) / usable;
-      return placeMs + Math.max(0, workOf(server).prefillUntilMs - context.nowMs);
+      const { urgent, patient } = workOf(server).prefillUntilMs;
+      const prefillUntilMs = context.rank === 'urgent' ? urgent : Math.max(urgent, patient);
+      return placeMs + Math.max(0, prefillUntilMs - context.nowMs);
     },
     prefillMs(request, server, cachedTokens) {
       const { prefillMsPerToken, cacheTrustRatio } = rates.of(server.entry.serverId);
       const cached = Math.min(request.promptTokens, cachedTokens * cacheTrustRatio);
       return (request.promptTokens - cached) * prefillMsPerToken;
     },
-    dispatched(serverId, prefillMs, server, nowMs) {
+    dispatched(server, prefillMs, { nowMs, rank }) {
+      const { serverId } = server.entry;
       const work = workOf(server);
       work.requestsSinceReport += 1;
-      work.prefillUntilMs = Math.max(nowMs, work.prefillUntilMs) + prefillMs;
+      const { prefillUntilMs } = work;
+      prefillUntilMs[rank] = Math.max(nowMs, prefillUntilMs[rank]) + prefillMs;
       works.delete(serverId);
       works.set(serverId, work);
       const [oldest] = works.keys();
--- a/packages/core/src/routing/createRouteObserver.ts
+++ b/packages/core/src/routing/createRouteObserver.ts
@@ -44,7 +44,10 @@
     const cachedTokens = (server: ServerView): number =>
       index.cachedTokens(server.entry.serverId, request.blockHashes);
     const queues = new Map(
-      candidates.map((server) => [server.entry.serverId, estimator.queueMs(server, context)]),
+      candidates.map((server) => [
+        server.entry.serverId,
+        estimator.queueMs(server, { ...context, rank: request.rank }),
+      ]),
     );
     const server = options.chooseRoute(request, candidates, { ...context, cachedTokens });
     if (server === undefined) {
--- a/packages/core/src/routing/spill/createLocalEstimate.ts
+++ b/packages/core/src/routing/spill/createLocalEstimate.ts
@@ -7,7 +7,7 @@
   readonly request: InferenceRequest;
   readonly servers: readonly ServerView[];
   readonly estimator: Pick<FirstTokenEstimator, 'queueMs' | 'prefillMs'>;
-  readonly context: EstimateContext;
+  readonly context: Omit<EstimateContext, 'rank'>;
   readonly cachedTokens: (server: ServerView) => number;
   /** Wait in this entry host's own queue, before a server is chosen. */
   readonly ownQueueMs: number;
@@ -15,7 +15,8 @@
 
 /** Estimates the first token of a request in the own region. */
 export function createLocalEstimate(facts: LocalEstimateFacts): LocalEstimate {
-  const { request, estimator, context } = facts;
+  const { request, estimator } = facts;
+  const context = { ...facts.context, rank: request.rank };
   const servers = facts.servers.filter(
     ({ entry, accepting }) =>
       accepting && entry.kind === 'engine' && entry.models.includes(request.model),
--- a/packages/core/src/routing/spill/summarizeRegionLoad.ts
+++ b/packages/core/src/routing/spill/summarizeRegionLoad.ts
@@ -6,7 +6,7 @@
 export interface RegionLoadFacts {
   readonly servers: readonly ServerView[];
   readonly estimator: Pick<FirstTokenEstimator, 'queueMs'>;
-  readonly context: EstimateContext;
+  readonly context: Omit<EstimateContext, 'rank'>;
   /** Wait in this entry host's own queue, before a server is chosen. */
   readonly ownQueueMs: number;
   readonly spilling: boolean;
@@ -25,7 +25,10 @@
   const sum = (pick: (server: ServerView) => number): number =>
     toCount(engines.reduce((total, server) => total + pick(server), 0));
   const queueMs = Math.min(
-    ...engines.map((server) => facts.estimator.queueMs(server, facts.context)),
+    // The wait of the rank that waits longer, since one figure stands for both.
+    ...engines.map((server) =>
+      facts.estimator.queueMs(server, { ...facts.context, rank: 'patient' }),
+    ),
   );
   return {
     capacity: sum(({ load }) => load?.maxConcurrentRequests ?? 0),
--- a/packages/daemon/src/entryHost/createRegionSpill.ts
+++ b/packages/daemon/src/entryHost/createRegionSpill.ts
@@ -48,7 +48,7 @@
   let table: PeerTable | undefined;
   const peers = (): readonly PeerView[] => table?.peers() ?? [];
   const ownQueueMs = options.ownQueueMs ?? ((): number => 0);
-  const context = (): EstimateContext => ({
+  const context = (): Omit<EstimateContext, 'rank'> => ({
     nowMs: clock.monotonicMs(),
     entryHostCount: (table?.livePeers(regionId).length ?? 0) + 1,
   });
