Forward nothing on a stale configuration

Cause: a host that has not yet heard that a customer became bound to a region would forward that customer's request.

Change: no region is offered while a reachable peer announces a newer configuration version than the own one. A request whose own attempts certainly did not run (backend-failed, not-run) may go to another region as well.

Seen: the process-level test fails in about half of its runs on this commit, "a request without home region is served whole": within the first second after its engines stop, a host still tries them, and the region's gateway reports refused connections as outcome unknown.

--- a/packages/bench/src/routing/createRoutingHost.ts
+++ b/packages/bench/src/routing/createRoutingHost.ts
@@ -122,6 +122,7 @@
       toRegionViews({
         ownRegionId: regionId,
         peers: peers(),
+        ownConfigVersion: 1,
         nowMs: clock.monotonicMs(),
         roundTripMs: delays.roundTripMs,
       }),
--- a/packages/core/src/gateway/createSpillGateway.ts
+++ b/packages/core/src/gateway/createSpillGateway.ts
@@ -31,8 +31,8 @@
 
 /** Regions asked for one request; each forward is a single hop from this host. */
 const MAX_FORWARDS = 2;
-/** Refusals of the own region after which another region may still serve the request. */
-const CAPACITY_CODES = new Set(['no-server', 'overloaded']);
+/** Refusals as not run after which another region may still serve the request. */
+const CAPACITY_CODES = new Set(['backend-failed', 'no-server', 'overloaded']);
 /**
  * Refusals that depend on the peer. `wrong-region` is none of them: the peer knows a home region
  * that this host has not heard of yet, so the request must go nowhere else.
--- a/packages/core/src/routing/spill/toRegionViews.ts
+++ b/packages/core/src/routing/spill/toRegionViews.ts
@@ -6,6 +6,7 @@
 export interface RegionViewFacts {
   readonly ownRegionId: RegionId;
   readonly peers: readonly PeerView[];
+  readonly ownConfigVersion: number;
   readonly nowMs: number;
   readonly roundTripMs: (regionId: RegionId) => number | undefined;
 }
@@ -37,8 +38,14 @@
   };
 }
 
-/** Views of all other regions with at least one reachable entry host that takes requests. */
+/**
+ * Views of all other regions with at least one reachable entry host that takes requests. There are
+ * none while a peer has a newer configuration, because it may bind a customer to a home region.
+ */
 export function toRegionViews(facts: RegionViewFacts): RegionView[] {
+  if (facts.peers.some((p) => p.reachable && p.configVersion > facts.ownConfigVersion)) {
+    return [];
+  }
   const byRegion = new Map<RegionId, PeerView[]>();
   facts.peers
     .filter(({ regionId, reachable, state }) => {
--- a/packages/core/tests/gateway/createSpillGateway.test.ts
+++ b/packages/core/tests/gateway/createSpillGateway.test.ts
@@ -1,8 +1,10 @@
 import test from 'ava';
 import fc from 'fast-check';
 import { AttemptBrokenError } from '../../src/errors/AttemptBrokenError.js';
+import { BackendFailedError } from '../../src/errors/BackendFailedError.js';
 import { ConnectFailedError } from '../../src/errors/ConnectFailedError.js';
 import { NoServerError } from '../../src/errors/NoServerError.js';
+import { OverloadedError } from '../../src/errors/OverloadedError.js';
 import { RequestError } from '../../src/errors/RequestError.js';
 import { TruncatedStreamError } from '../../src/errors/TruncatedStreamError.js';
 import type { InferenceAnswer } from '../../src/gateway/InferenceAnswer.js';
@@ -152,15 +154,25 @@
   }
 });
 
-test('a refusal of the own region for lack of capacity leads to another region', async (t) => {
-  const world = createWorld({
-    localMs: 0,
-    forward: async () => peerAnswer,
-    local: async () => {
-      throw new NoServerError('none');
-    },
-  });
-  t.is(await handle(world), peerAnswer);
+test('a request that the own region could not run goes to another region', async (t) => {
+  const refusals = [
+    new NoServerError('none'),
+    new OverloadedError('full'),
+    new BackendFailedError('refused connections', { props: { outcome: 'not-run' } }),
+  ];
+  for (const error of refusals) {
+    const local = (): Promise<never> => Promise.reject(error);
+    const world = createWorld({ localMs: 0, forward: async () => peerAnswer, local });
+    t.is(await handle(world), peerAnswer);
+  }
+});
+
+test('a request that may have run in the own region goes nowhere else', async (t) => {
+  const error = new BackendFailedError('broken');
+  const local = (): Promise<never> => Promise.reject(error);
+  const world = createWorld({ localMs: 0, forward: async () => peerAnswer, local });
+  t.is(await t.throwsAsync(handle(world)), error);
+  t.is(world.attempts.length, 0);
 });
 
 test('a truncated forwarded stream never passes for a whole one', async (t) => {
--- a/packages/core/tests/routing/spill/toRegionViews.test.ts
+++ b/packages/core/tests/routing/spill/toRegionViews.test.ts
@@ -36,6 +36,7 @@
       createPeer('a', { regionLoad: idle }),
       createPeer('b', { regionLoad: busy, heardAtMs: 400 }),
     ],
+    ownConfigVersion: 1,
     nowMs: 2_000,
     roundTripMs: () => 160,
   });
@@ -51,12 +52,31 @@
       createPeer('b', { reachable: false, regionLoad: idle }),
       createPeer('c', { regionId: asId('sierra-sur'), regionLoad: idle }),
     ],
+    ownConfigVersion: 1,
     nowMs: 0,
     roundTripMs: () => 160,
   });
   t.deepEqual(views, []);
 });
 
+test('a host that knows of a newer configuration forwards nothing', (t) => {
+  const viewsAt = (configVersion: number, reachable: boolean): number =>
+    toRegionViews({
+      ownRegionId: asId('sierra-sur'),
+      peers: [
+        createPeer('a', { regionLoad: idle }),
+        createPeer('b', { regionId: asId('sierra-sur'), configVersion, reachable }),
+      ],
+      ownConfigVersion: 1,
+      nowMs: 0,
+      roundTripMs: () => 160,
+    }).length;
+  t.is(viewsAt(2, true), 0);
+  t.is(viewsAt(1, true), 1);
+  // A host that is gone must not stop the others for as long as it is remembered.
+  t.is(viewsAt(2, false), 1);
+});
+
 test('a region whose heartbeats fail or are old has no round trip', (t) => {
   let nowMs = 0;
   const delays = createRegionDelays({
--- a/packages/daemon/src/entryHost/createEntryHost.ts
+++ b/packages/daemon/src/entryHost/createEntryHost.ts
@@ -109,7 +109,13 @@
     readLoad: (entry) => engineClient.readLoad(entry.baseUrl, LOAD_TIMEOUT_MS),
   });
   const routing = createRegionRouting({ clock, log, registry, engineClient });
-  const spill = createRegionSpill({ clock, regionId, registry, routing });
+  const spill = createRegionSpill({
+    clock,
+    regionId,
+    registry,
+    routing,
+    configVersion: config.version,
+  });
   const forwardClient = createHttpForwardClient({ peerKey: settings.secrets.peerKey });
 
   async function fetchNewerConfig(peer: PeerDescription): Promise<void> {
--- a/packages/daemon/src/entryHost/createRegionSpill.ts
+++ b/packages/daemon/src/entryHost/createRegionSpill.ts
@@ -27,6 +27,7 @@
   readonly regionId: RegionId;
   readonly registry: ServerRegistry;
   readonly routing: Pick<RegionRouting, 'estimator' | 'index' | 'correction'>;
+  readonly configVersion: () => number;
   /** Wait in this entry host's own queue, before a server is chosen. @default none */
   readonly ownQueueMs?: (rank: Rank) => number;
 }
@@ -60,6 +61,7 @@
       toRegionViews({
         ownRegionId: regionId,
         peers: peers(),
+        ownConfigVersion: options.configVersion(),
         nowMs: clock.monotonicMs(),
         roundTripMs: delays.roundTripMs,
       }),
