Admit by rank, limit dispatch and budget retries

Cause: every request was sent to an engine at once, so that all waiting happened in the engines, where it can be neither reordered nor refused in time; failed attempts were repeated without a budget. Change: createRankAdmission (rank queues, minimum share of patient tokens, deficit round robin, refusal and drop by learned service times, dispatch limit shared between entry hosts), createServiceLane for orders and status checks, createRetryBudget per entry host and customer, jittered back-off, deadline for attempts before the first byte. Refusals of a retry after an attempt that may have run are reported as unknown, not as not-run. Next: patient requests must not use all places of a server, and the margin of the refusals.

--- a/packages/bench/src/experiment/createBenchHost.ts
+++ b/packages/bench/src/experiment/createBenchHost.ts
@@ -5,6 +5,7 @@
   createSeededRandom,
   createServerRegistry,
   createServiceGateway,
+  createServiceLane,
 } from '@camphorbarrow/core';
 import type {
   EngineClient,
@@ -22,6 +23,8 @@
 import type { BenchPolicy } from '../policies/BenchPolicy.js';
 import type { RegionLoad } from '../policies/RegionLoad.js';
 import type { SpillChooser } from '../policies/SpillChooser.js';
+import { admissionChoices } from '../policies/admissionChoices.js';
+import { retryChoices } from '../policies/retryChoices.js';
 import { routeChoices } from '../policies/routeChoices.js';
 import { spillChoices } from '../policies/spillChoices.js';
 
@@ -76,12 +79,26 @@
       return load;
     },
   });
-  const context = { clock, random, regionId, registry, engineClient };
+  const entryHostCount = (): number => options.entryHostCount;
+  const context = { clock, random, regionId, registry, engineClient, entryHostCount };
   const createChooser = routeChoices[policy.route];
   const createSpill = spillChoices[policy.spill];
-  if (createChooser === undefined || createSpill === undefined) {
+  const createAdmission = admissionChoices[policy.admission];
+  const createRetries = retryChoices[policy.retry];
+  if (
+    createChooser === undefined ||
+    createSpill === undefined ||
+    createAdmission === undefined ||
+    createRetries === undefined
+  ) {
     throw new PlatformError(`Policy ${policy.name} is not complete.`);
   }
+  const services = createServiceGateway({
+    random,
+    registry,
+    serviceClient: options.serviceClient,
+  });
+  const serviceLane = createServiceLane();
   let spilledAtMs = -Infinity;
   registry.start();
 
@@ -96,9 +113,14 @@
       registry,
       engineClient,
       chooseRoute: createChooser(context),
-      entryHostCount: () => options.entryHostCount,
+      entryHostCount,
+      admission: createAdmission(context),
+      retryBudget: createRetries(context),
     }),
-    services: createServiceGateway({ random, registry, serviceClient: options.serviceClient }),
+    services: {
+      handle: (request, signal) =>
+        serviceLane.run(request.facts, () => services.handle(request, signal), signal),
+    },
     chooseSpill: createSpill(context),
     regionLoad() {
       const loads = registry
--- a/packages/bench/src/policies/BenchPolicy.ts
+++ b/packages/bench/src/policies/BenchPolicy.ts
@@ -3,4 +3,6 @@
   readonly name: string;
   readonly route: string;
   readonly spill: string;
+  readonly admission: string;
+  readonly retry: string;
 }
--- a/packages/bench/src/policies/PolicyContext.ts
+++ b/packages/bench/src/policies/PolicyContext.ts
@@ -13,4 +13,6 @@
   readonly regionId: RegionId;
   readonly registry: ServerRegistry;
   readonly engineClient: EngineClient;
+  /** Entry hosts of the region, this one included. */
+  readonly entryHostCount: () => number;
 }
--- a/packages/bench/src/policies/parsePolicy.ts
+++ b/packages/bench/src/policies/parsePolicy.ts
@@ -1,17 +1,23 @@
 import { UnknownChoiceError } from '../errors/UnknownChoiceError.js';
 import type { BenchPolicy } from './BenchPolicy.js';
+import { admissionChoices } from './admissionChoices.js';
+import { retryChoices } from './retryChoices.js';
 import { routeChoices } from './routeChoices.js';
 import { spillChoices } from './spillChoices.js';
 
 type Parts = Omit<BenchPolicy, 'name'>;
 
 const PRESETS: Readonly<Record<string, Parts>> = {
-  baseline: { route: 'least-loaded', spill: 'never' },
+  baseline: { route: 'least-loaded', spill: 'never', admission: 'all', retry: 'unlimited' },
+  fifo: { route: 'least-loaded', spill: 'never', admission: 'fifo', retry: 'budget' },
+  current: { route: 'least-loaded', spill: 'never', admission: 'ranks', retry: 'budget' },
 };
 
 const CHOICES: Readonly<Record<keyof Parts, Readonly<Record<string, unknown>>>> = {
   route: routeChoices,
   spill: spillChoices,
+  admission: admissionChoices,
+  retry: retryChoices,
 };
 
 function requireKnown(kind: string, name: string, known: Readonly<Record<string, unknown>>): void {
--- /dev/null
+++ b/packages/core/tests/createManualClock.ts
@@ -0,0 +1,44 @@
+import type { Clock } from '../src/ports/Clock.js';
+
+export interface ManualClock extends Clock {
+  /** Moves time forward, ends the sleeps that are due and runs what follows from them. */
+  advance(durationMs: number): Promise<void>;
+}
+
+const nextTurn = (): Promise<void> =>
+  new Promise((resolve) => {
+    setImmediate(resolve);
+  });
+
+/** Clock that stands still until it is advanced. */
+export function createManualClock(): ManualClock {
+  let timeMs = 0;
+  let sleeps: { readonly atMs: number; readonly resolve: () => void }[] = [];
+
+  return {
+    nowMs: () => timeMs,
+    monotonicMs: () => timeMs,
+    sleep(durationMs, signal) {
+      return new Promise((resolve, reject) => {
+        sleeps.push({ atMs: timeMs + durationMs, resolve });
+        signal?.addEventListener('abort', () => reject(signal.reason), { once: true });
+      });
+    },
+    async advance(durationMs) {
+      const untilMs = timeMs + durationMs;
+      await nextTurn();
+      for (;;) {
+        const next = Math.min(...sleeps.map(({ atMs }) => atMs));
+        if (next > untilMs) {
+          break;
+        }
+        timeMs = Math.max(timeMs, next);
+        const due = sleeps.filter(({ atMs }) => atMs <= next);
+        sleeps = sleeps.filter(({ atMs }) => atMs > next);
+        due.forEach(({ resolve }) => resolve());
+        await nextTurn();
+      }
+      timeMs = untilMs;
+    },
+  };
+}
--- /dev/null
+++ b/packages/core/tests/fakeRequest.ts
@@ -0,0 +1,31 @@
+import { fleetDefaultsSchema } from '../src/config/fleetDefaultsSchema.js';
+import { asId } from '../src/ids/asId.js';
+import type { InferenceRequest } from '../src/requests/InferenceRequest.js';
+
+let created = 0;
+
+/** A request of customer `a` with default settings, received at time zero. */
+export function fakeRequest(overrides: Partial<InferenceRequest> = {}): InferenceRequest {
+  created += 1;
+  const settings = fleetDefaultsSchema.parse({});
+  return {
+    requestId: asId(`request-${created}`),
+    customerId: asId('a'),
+    rank: 'urgent',
+    homeRegionId: undefined,
+    route: 'chat/completions',
+    model: 'm',
+    streamed: true,
+    body: '{}',
+    promptTokens: 100,
+    maxOutputTokens: 100,
+    receivedAtMs: 0,
+    firstTokenDueAtMs: 1_700,
+    deadlineAtMs: 10_000,
+    fingerprint: asId(`fingerprint-${created}`),
+    blockHashes: [],
+    path: [],
+    settings,
+    ...overrides,
+  };
+}
--- /dev/null
+++ b/packages/core/tests/retry/createRetryBudget.test.ts
@@ -0,0 +1,60 @@
+import test from 'ava';
+import fc from 'fast-check';
+import { fleetDefaultsSchema } from '../../src/config/fleetDefaultsSchema.js';
+import { asId } from '../../src/ids/asId.js';
+import { createRetryBudget } from '../../src/retry/createRetryBudget.js';
+import { createManualClock } from '../createManualClock.js';
+import { fakeRequest } from '../fakeRequest.js';
+
+const settings = fleetDefaultsSchema.parse({
+  retry: { budgetRatio: 0.1, minimumRetriesPerSecond: 1 },
+});
+
+test('retries stay within ratio, floor and stored burst, whatever fails', async (t) => {
+  await fc.assert(
+    fc.asyncProperty(
+      fc.array(fc.record({ waitMs: fc.nat({ max: 500 }), customer: fc.nat({ max: 3 }) }), {
+        maxLength: 200,
+      }),
+      async (steps) => {
+        const clock = createManualClock();
+        const budget = createRetryBudget(clock);
+        let retries = 0;
+        let requests = 0;
+        for (const { waitMs, customer } of steps) {
+          await clock.advance(waitMs);
+          const request = fakeRequest({ settings, customerId: asId(`c${customer}`) });
+          requests += 1;
+          budget.earn(request);
+          retries += [1, 2, 3].filter(() => budget.spend(request)).length;
+          const limit = 0.1 * requests + clock.monotonicMs() / 1000 + 10;
+          t.true(retries <= limit, `${retries} retries of ${requests} requests`);
+        }
+      },
+    ),
+    { numRuns: 30 },
+  );
+});
+
+test('one customer whose requests fail does not use up the retries of the others', async (t) => {
+  const clock = createManualClock();
+  const budget = createRetryBudget(clock);
+  const bad = fakeRequest({ settings, customerId: asId('bad') });
+  const good = fakeRequest({ settings, customerId: asId('good') });
+  for (let count = 0; count < 100; count += 1) {
+    budget.earn(good);
+  }
+  budget.earn(bad);
+  t.false(budget.spend(bad), 'the customer has earned a tenth of a retry');
+  t.true(budget.spend(good));
+});
+
+test('the floor allows a retry to a host that gets few requests', async (t) => {
+  const clock = createManualClock();
+  const budget = createRetryBudget(clock);
+  const request = fakeRequest({ settings });
+  budget.earn(request);
+  t.false(budget.spend(request));
+  await clock.advance(1_000);
+  t.true(budget.spend(request));
+});
--- a/packages/daemon/src/entryHost/createEntryHost.ts
+++ b/packages/daemon/src/entryHost/createEntryHost.ts
@@ -20,9 +20,13 @@
   createInferenceGateway,
   createInferenceRequest,
   createPeerTable,
+  createRankAdmission,
+  createRetryBudget,
   createSeededRandom,
   createServerRegistry,
   createServiceGateway,
+  createServiceLane,
+  createSharedDispatchLimit,
   createSystemClock,
 } from '@camphorbarrow/core';
 import type {
@@ -134,8 +138,15 @@
     engineClient,
     chooseRoute: chooseLeastLoaded,
     entryHostCount,
+    admission: createRankAdmission({
+      clock,
+      servers: registry.servers,
+      dispatchLimit: createSharedDispatchLimit(entryHostCount),
+    }),
+    retryBudget: createRetryBudget(clock),
   });
   const services = createServiceGateway({ random, registry, serviceClient });
+  const serviceLane = createServiceLane();
   const callerReader = createCallerReader({
     clock,
     hostId,
@@ -167,7 +178,8 @@
           createInferenceRequest(facts, route, body, settings.secrets.recordKey),
           signal,
         ),
-      callService: services.handle,
+      callService: (request, signal) =>
+        serviceLane.run(request.facts, () => services.handle(request, signal), signal),
       models: () => Object.keys(config.current().defaults.models),
       entryHosts: ranking.list,
       readiness: () => ({
