--- a/packages/daemon/src/entryHost/createEntryHost.ts
+++ b/packages/daemon/src/entryHost/createEntryHost.ts
@@ -17,9 +17,13 @@
   createOrderDispatch,
   createOrderExecutor,
   createRepeatableDispatch,
+  createRankAdmission,
+  createRetryBudget,
   createSeededRandom,
   createServerRegistry,
   createServiceGateway,
+  createServiceLane,
+  createSharedDispatchLimit,
   createSpillGateway,
   createSystemClock,
 } from '@camphorbarrow/core';
@@ -109,7 +113,13 @@
     readLoad,
   });
   const routing = createRegionRouting({ clock, log, registry, engineClient });
-  const spill = createRegionSpill({ clock, regionId, registry, routing });
+  const spill = createRegionSpill({
+    clock,
+    regionId,
+    registry,
+    routing,
+    configVersion: config.version,
+  });
   const peers = createPeerTable({
     clock,
     random,
@@ -136,6 +146,7 @@
     return results.flatMap((result) => (result.status === 'fulfilled' ? [result.value] : []));
   }
 
+  const entryHostCount = (): number => peers.livePeers(regionId).length + 1;
   const quarantine = createQuarantine({
     clock,
     log,
@@ -151,7 +162,13 @@
     registry,
     engineClient: routing.engineClient,
     chooseRoute: routing.chooseRoute,
-    entryHostCount: () => peers.livePeers(regionId).length + 1,
+    entryHostCount,
+    admission: createRankAdmission({
+      clock,
+      servers: registry.servers,
+      dispatchLimit: createSharedDispatchLimit(entryHostCount),
+    }),
+    retryBudget: createRetryBudget(clock),
   });
   const spilling = createSpillGateway({
     clock,
@@ -194,6 +211,7 @@
     dispatchRepeatable: createRepeatableDispatch(serviceOptions),
     orders,
   });
+  const serviceLane = createServiceLane();
   const callerReader = createCallerReader({
     clock,
     hostId,
@@ -248,7 +266,8 @@
     api: {
       readCaller: callerReader.readCaller,
       infer: inferThrough(spilling),
-      callService: services.handle,
+      callService: (request, signal) =>
+        serviceLane.run(request.facts, () => services.handle(request, signal), signal),
       issueOrderPermits: orderApi.issueOrderPermits,
       models: () => Object.keys(config.current().defaults.models),
       entryHosts: ranking.list,
