Stop crashing requests, and charge retries only for work that may have run

Cause 1: crash-request crashed 4 engines and then made the region refuse everything, because the request path did not use the quarantine. The dispatch of an attempt now tracks crashes, suspects never share a server, and a request to blame for two crashes is refused as request-quarantined. Cause 2: host-kill, leaving-servers and silent-connections lost calls after the retry budget came in, because it also charged retries of attempts that had reached no server (1 of 20, 3 of 150 and 11 of 12 calls). Such retries are free now; the number of attempts still bounds them. The buckets start full with 50 retries per host and 25 per customer, for the requests in flight when all open connections fail at once: the trace of silent-connections has 12 of them in one second. Ruled out: a larger rate of retries per second, which would raise the lasting load under faults.

--- a/packages/adapters/src/backends/createOpenAiEngineClient.ts
+++ b/packages/adapters/src/backends/createOpenAiEngineClient.ts
@@ -94,7 +94,7 @@
           method: 'POST',
           dispatcher: notifyBeforeSend(pool, attempt.onPossiblyRun),
           signal,
-          headersTimeout: attempt.progressTimeoutMs,
+          headersTimeout: attempt.firstByteTimeoutMs,
           bodyTimeout: attempt.progressTimeoutMs,
           headers: { 'content-type': 'application/json', 'x-request-id': attempt.requestId },
           body: attempt.body,
--- a/packages/bench/src/experiment/createBenchHost.ts
+++ b/packages/bench/src/experiment/createBenchHost.ts
@@ -1,7 +1,9 @@
 import {
   ConnectFailedError,
   PlatformError,
+  createEngineDispatcher,
   createInferenceGateway,
+  createNoQuarantine,
   createSeededRandom,
   createServerRegistry,
   createServiceLane,
@@ -100,6 +102,7 @@
     registry,
     serviceClient: options.serviceClient,
   });
+  const quarantine = createNoQuarantine();
   const serviceLane = createServiceLane();
   let spilledAtMs = -Infinity;
   registry.start();
@@ -113,7 +116,8 @@
       log: createNoLog(),
       metrics: createNoMetrics(),
       registry,
-      engineClient,
+      dispatcher: createEngineDispatcher({ clock, engineClient, quarantine }),
+      quarantine,
       chooseRoute: createChooser(context),
       entryHostCount,
       admission: createAdmission(context),
--- a/packages/bench/src/routing/createRoutingHost.ts
+++ b/packages/bench/src/routing/createRoutingHost.ts
@@ -3,7 +3,9 @@
   createAdmitAll,
   createCacheEventPoller,
   createFirstTokenEstimator,
+  createEngineDispatcher,
   createInferenceGateway,
+  createNoQuarantine,
   createLocalEstimate,
   createPrefixIndex,
   createRegionDelays,
@@ -130,13 +132,15 @@
       }),
     fleetHostCount: () => options.fleetHostCount,
   });
+  const quarantine = createNoQuarantine();
   const local = createInferenceGateway({
     clock,
     random,
     log,
     metrics,
     registry,
-    engineClient: routing.engineClient,
+    dispatcher: createEngineDispatcher({ clock, engineClient: routing.engineClient, quarantine }),
+    quarantine,
     chooseRoute: routing.chooseRoute,
     entryHostCount: () => options.entryHostCount,
     admission: createAdmitAll(),
--- a/packages/core/src/gateway/createInferenceGateway.ts
+++ b/packages/core/src/gateway/createInferenceGateway.ts
@@ -1,5 +1,6 @@
-import { AttemptBrokenError } from '../errors/AttemptBrokenError.js';
 import type { AdmissionController, HasRoom } from '../admission/AdmissionController.js';
+import type { AttemptResult, EngineDispatcher } from '../dispatch/createEngineDispatcher.js';
+import { AttemptBrokenError } from '../errors/AttemptBrokenError.js';
 import { BackendFailedError } from '../errors/BackendFailedError.js';
 import { ConnectFailedError } from '../errors/ConnectFailedError.js';
 import { DeadlineExceededError } from '../errors/DeadlineExceededError.js';
@@ -7,10 +8,10 @@
 import type { Outcome } from '../errors/Outcome.js';
 import type { ServerRegistry } from '../membership/createServerRegistry.js';
 import type { Clock } from '../ports/Clock.js';
-import type { EngineAnswer, EngineClient } from '../ports/EngineClient.js';
 import type { LogSink } from '../ports/LogSink.js';
 import type { MetricsSink } from '../ports/MetricsSink.js';
 import type { RandomSource } from '../ports/RandomSource.js';
+import type { Quarantine } from '../quarantine/createQuarantine.js';
 import type { InferenceRequest } from '../requests/InferenceRequest.js';
 import type { RetryBudget } from '../retry/RetryBudget.js';
 import { retryDelayMs } from '../retry/retryDelayMs.js';
@@ -18,7 +19,6 @@
 import type { ServerView } from '../routing/ServerView.js';
 import type { InferenceAnswer } from './InferenceAnswer.js';
 import { createDeadlineSignal } from './createDeadlineSignal.js';
-import { requireCompleteStream } from './requireCompleteStream.js';
 
 export interface InferenceGatewayOptions {
   readonly clock: Clock;
@@ -26,18 +26,14 @@
   readonly log: LogSink;
   readonly metrics: MetricsSink;
   readonly registry: ServerRegistry;
-  readonly engineClient: EngineClient;
+  readonly dispatcher: EngineDispatcher;
+  readonly quarantine: Quarantine;
   readonly chooseRoute: RouteChooser;
   readonly entryHostCount: () => number;
   readonly admission: AdmissionController;
   readonly retryBudget: RetryBudget;
 }
 
-interface AttemptProgress {
-  /** Whether a byte of the attempt may have reached the server. */
-  possiblyRun: boolean;
-}
-
 export interface InferenceGateway {
   /** Serves a request in this region. Rejects with a `RequestError`. */
   handle(request: InferenceRequest, signal: AbortSignal): Promise<InferenceAnswer>;
@@ -45,34 +41,23 @@
 
 interface Placement {
   readonly server: ServerView;
-  /** Gives the place at the server back; may be called more than once. */
+  /** Gives the place at the server back. */
   readonly release: () => void;
 }
 
-/** Yields the first event, already received, and then the rest; `onEnd` gets their number. */
-async function* prepend(
-  first: string,
-  rest: AsyncIterator<string>,
-  onEnd: (events: number, complete: boolean) => void,
-): AsyncGenerator<string, void> {
-  let events = 1;
-  let complete = false;
-  try {
-    yield first;
-    for (let next = await rest.next(); next.done !== true; next = await rest.next()) {
-      events += 1;
-      yield next.value;
-    }
-    complete = true;
-  } finally {
-    await rest.return?.();
-    onEnd(events, complete);
-  }
+/** Attempts of one request so far. */
+interface Attempts {
+  readonly tried: Set<string>;
+  /** Outcome to report when no further attempt succeeds. */
+  outcome: Outcome;
+  /** Whether the last attempt may have cost a server work. */
+  lastPossiblyRan: boolean;
 }
 
 /** Creates the path of an inference request: admission, route choice, dispatch and retry. */
 export function createInferenceGateway(options: InferenceGatewayOptions): InferenceGateway {
-  const { admission, clock, registry, metrics, log, random, retryBudget } = options;
+  const { admission, clock, dispatcher, registry, metrics, log, random, retryBudget } = options;
+  const { quarantine } = options;
 
   function candidatesFor(request: InferenceRequest, tried: ReadonlySet<string>): ServerView[] {
     return registry
@@ -86,6 +71,11 @@
       );
   }
 
+  /** Two suspects never share a server, so that a crash tells which of them causes it. */
+  function mayRunOn(request: InferenceRequest, { entry }: ServerView): boolean {
+    return !quarantine.isSuspect(request.fingerprint) || !quarantine.runsSuspect(entry.serverId);
+  }
+
   function place(
     request: InferenceRequest,
     tried: ReadonlySet<string>,
@@ -95,7 +85,8 @@
     if (candidates.length === 0) {
       throw new NoServerError(`No live backend server serves model ${request.model}.`);
     }
-    const server = options.chooseRoute(request, candidates.filter(hasRoom), {
+    const available = candidates.filter((server) => hasRoom(server) && mayRunOn(request, server));
+    const server = options.chooseRoute(request, available, {
       nowMs: clock.monotonicMs(),
       random,
       entryHostCount: options.entryHostCount(),
@@ -113,56 +104,24 @@
     return { server, release };
   }
 
-  function startAttempt(
-    request: InferenceRequest,
-    server: ServerView,
-    progress: AttemptProgress,
-    signal: AbortSignal,
-  ): Promise<EngineAnswer> {
-    const { connectTimeoutMs, progressTimeoutMs } = request.settings.timeouts;
-    return options.engineClient.start(
-      {
-        baseUrl: server.entry.baseUrl,
-        route: request.route,
-        body: request.body,
-        requestId: request.requestId,
-        connectTimeoutMs,
-        progressTimeoutMs,
-        onPossiblyRun: () => {
-          progress.possiblyRun = true;
-        },
-      },
-      signal,
-    );
-  }
-
   async function attempt(
     request: InferenceRequest,
     { server, release }: Placement,
-    progress: AttemptProgress,
+    attempts: Attempts,
     signal: AbortSignal,
-  ): Promise<InferenceAnswer | undefined> {
+  ): Promise<AttemptResult> {
     const dispatchedAtMs = clock.monotonicMs();
-    let streaming = false;
-    try {
-      const answer = await startAttempt(request, server, progress, signal);
-      if (answer.kind === 'refused') {
-        progress.possiblyRun = false;
-        return undefined;
-      }
-      if (answer.kind === 'plain') {
-        return answer;
-      }
-      const events = requireCompleteStream(answer.events);
-      const first = await events.next();
-      if (first.done === true) {
-        return undefined;
-      }
-      streaming = true;
-      const firstAtMs = clock.monotonicMs();
-      metrics.timingMs('first_token', firstAtMs - request.receivedAtMs, { rank: request.rank });
-      const onEnd = (outputEvents: number, complete: boolean): void => {
-        if (complete) {
+    let firstAtMs = dispatchedAtMs;
+    const result = await dispatcher.attempt({
+      request,
+      server,
+      signal,
+      onPossiblyRun() {
+        attempts.lastPossiblyRan = true;
+      },
+      onEnd(outputEvents) {
+        release();
+        if (outputEvents !== undefined && outputEvents > 0) {
           admission.observe({
             serverId: server.entry.serverId,
             request,
@@ -171,27 +130,30 @@
             outputEvents,
           });
         }
-        release();
-      };
-      return { kind: 'stream', events: prepend(first.value, events, onEnd) };
-    } finally {
-      if (!streaming) {
-        release();
-      }
+      },
+    });
+    if (result.kind === 'stream') {
+      firstAtMs = clock.monotonicMs();
+      metrics.timingMs('first_token', firstAtMs - request.receivedAtMs, { rank: request.rank });
+    }
+    if (result.kind === 'refused') {
+      attempts.lastPossiblyRan = false;
     }
+    return result;
   }
 
   /** One attempt; undefined when it failed and another one may follow. */
   async function tryOnce(
     request: InferenceRequest,
     placement: Placement,
-    progress: AttemptProgress,
+    attempts: Attempts,
     signal: AbortSignal,
   ): Promise<InferenceAnswer | undefined> {
     const { serverId } = placement.server.entry;
     const limit = createDeadlineSignal(clock, signal, request.deadlineAtMs);
     try {
-      return await attempt(request, placement, progress, limit.signal);
+      const result = await attempt(request, placement, attempts, limit.signal);
+      return result.kind === 'refused' ? undefined : result;
     } catch (cause) {
       signal.throwIfAborted();
       const error = cause instanceof Error ? cause.name : 'unknown';
@@ -207,11 +169,11 @@
 
   async function admit(
     request: InferenceRequest,
-    tried: ReadonlySet<string>,
-    outcome: Outcome,
+    { tried, outcome }: Attempts,
     signal: AbortSignal,
   ): Promise<Placement> {
     try {
+      quarantine.check(request.fingerprint, request.settings.quarantine.crashLimit);
       return await admission.admit(
         { request, retry: tried.size > 0, place: (hasRoom) => place(request, tried, hasRoom) },
         signal,
@@ -225,41 +187,46 @@
     }
   }
 
+  /** A retry after an attempt that cost no server any work is not charged to the budget. */
+  function mayRetry(request: InferenceRequest, { tried, lastPossiblyRan }: Attempts): boolean {
+    if (tried.size >= request.settings.retry.maxAttempts) {
+      return false;
+    }
+    return !lastPossiblyRan || retryBudget.spend(request);
+  }
+
   async function waitBeforeRetry(
     request: InferenceRequest,
-    failedAttempts: number,
-    outcome: Outcome,
+    attempts: Attempts,
     signal: AbortSignal,
   ): Promise<void> {
-    const delayMs = retryDelayMs(failedAttempts, random);
+    const props = { outcome: attempts.outcome };
+    const delayMs = retryDelayMs(attempts.tried.size, random);
     if (clock.monotonicMs() + delayMs >= request.deadlineAtMs) {
-      throw new DeadlineExceededError('The deadline leaves no time for an attempt.', {
-        props: { outcome },
-      });
+      throw new DeadlineExceededError('The deadline leaves no time for an attempt.', { props });
     }
-    if (failedAttempts >= request.settings.retry.maxAttempts || !retryBudget.spend(request)) {
-      throw new BackendFailedError('Attempts failed and no retry is left.', { props: { outcome } });
+    if (!mayRetry(request, attempts)) {
+      throw new BackendFailedError('Attempts failed and no retry is left.', { props });
     }
     await clock.sleep(delayMs, signal);
   }
 
   return {
     async handle(request, signal) {
-      const tried = new Set<string>();
-      let outcome: Outcome = 'not-run';
+      const attempts: Attempts = { tried: new Set(), outcome: 'not-run', lastPossiblyRan: false };
       retryBudget.earn(request);
-      for (let failedAttempts = 0; ; failedAttempts += 1) {
-        if (failedAttempts > 0) {
-          await waitBeforeRetry(request, failedAttempts, outcome, signal);
+      for (;;) {
+        if (attempts.tried.size > 0) {
+          await waitBeforeRetry(request, attempts, signal);
         }
-        const placement = await admit(request, tried, outcome, signal);
-        tried.add(placement.server.entry.serverId);
-        const progress: AttemptProgress = { possiblyRun: false };
-        const answer = await tryOnce(request, placement, progress, signal);
+        const placement = await admit(request, attempts, signal);
+        attempts.tried.add(placement.server.entry.serverId);
+        attempts.lastPossiblyRan = false;
+        const answer = await tryOnce(request, placement, attempts, signal);
         if (answer !== undefined) {
           return answer;
         }
-        outcome = progress.possiblyRun ? 'unknown' : outcome;
+        attempts.outcome = attempts.lastPossiblyRan ? 'unknown' : attempts.outcome;
       }
     },
   };
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -164,6 +164,7 @@
 export * from './quarantine/CrashReport.js';
 export * from './quarantine/createBlameLedger.js';
 export * from './quarantine/createCrashProbe.js';
+export * from './quarantine/createNoQuarantine.js';
 export * from './quarantine/createQuarantine.js';
 export * from './requests/CallerFacts.js';
 export * from './requests/Headers.js';
--- a/packages/core/src/ports/EngineClient.ts
+++ b/packages/core/src/ports/EngineClient.ts
@@ -12,7 +12,9 @@
   readonly requestId: RequestId;
   /** Limit for making the connection. */
   readonly connectTimeoutMs: number;
-  /** Longest silence of the engine before the attempt is aborted. */
+  /** Longest silence before the first byte of the answer. */
+  readonly firstByteTimeoutMs: number;
+  /** Longest silence inside the answer before the attempt is aborted. */
   readonly progressTimeoutMs: number;
   /** Called immediately before the first byte is written to the connection. */
   readonly onPossiblyRun: () => void;
--- a/packages/core/src/retry/createRetryBudget.ts
+++ b/packages/core/src/retry/createRetryBudget.ts
@@ -3,28 +3,39 @@
 import type { Clock } from '../ports/Clock.js';
 import type { RetryBudget } from './RetryBudget.js';
 
-/** Retries a bucket holds at most, which bounds a burst after a quiet time. */
-const MAX_STORED_RETRIES = 10;
+/**
+ * Retries the entry host's bucket holds at most. They serve the requests in flight when a server
+ * or all open connections fail at once.
+ */
+const MAX_STORED_RETRIES = 50;
+/** Retries a customer's bucket holds at most, so that one customer leaves half for the others. */
+const MAX_STORED_RETRIES_PER_CUSTOMER = 25;
 const MAX_CUSTOMERS = 4_096;
 const MS_PER_SECOND = 1000;
 
 interface Bucket {
+  readonly depth: number;
   retries: number;
   filledAtMs: number;
 }
 
 /**
  * Creates token buckets for the entry host and for each customer; a retry takes one token from
- * both. In any time T with N first attempts the host sends at most
- * `N × (1 + budgetRatio) + T × minimumRetriesPerSecond + 10` attempts.
+ * both. Buckets start full. In any time T with N first attempts the host sends at most
+ * `N × (1 + budgetRatio) + T × minimumRetriesPerSecond + 50` attempts that may cost a server work.
  */
 export function createRetryBudget(clock: Clock): RetryBudget {
-  const host: Bucket = { retries: 0, filledAtMs: clock.monotonicMs() };
+  const createBucket = (depth: number): Bucket => ({
+    depth,
+    retries: depth,
+    filledAtMs: clock.monotonicMs(),
+  });
+  const host = createBucket(MAX_STORED_RETRIES);
   const customers = new Map<CustomerId, Bucket>();
 
   /** The customer's bucket, moved to the end of the order in which buckets are forgotten. */
   function bucketOf(customerId: CustomerId): Bucket {
-    const bucket = customers.get(customerId) ?? { retries: 0, filledAtMs: clock.monotonicMs() };
+    const bucket = customers.get(customerId) ?? createBucket(MAX_STORED_RETRIES_PER_CUSTOMER);
     customers.delete(customerId);
     customers.set(customerId, bucket);
     if (customers.size > MAX_CUSTOMERS) {
@@ -39,7 +50,7 @@
     const elapsedSeconds = (nowMs - bucket.filledAtMs) / MS_PER_SECOND;
     bucket.filledAtMs = nowMs;
     bucket.retries = Math.min(
-      MAX_STORED_RETRIES,
+      bucket.depth,
       bucket.retries + earned + elapsedSeconds * retry.minimumRetriesPerSecond,
     );
   }
--- a/packages/core/tests/routing/createRouteObserver.test.ts
+++ b/packages/core/tests/routing/createRouteObserver.test.ts
@@ -47,6 +47,7 @@
     body: request.body,
     requestId: request.requestId,
     connectTimeoutMs: 1,
+    firstByteTimeoutMs: 1,
     progressTimeoutMs: 1,
     onPossiblyRun: () => {},
   };
--- a/packages/daemon/src/entryHost/createEntryHost.ts
+++ b/packages/daemon/src/entryHost/createEntryHost.ts
@@ -9,6 +9,7 @@
   createCallerReader,
   createConfigKeeper,
   createCrashProbe,
+  createEngineDispatcher,
   createInferenceGateway,
   createInferenceRequest,
   createPeerBackedHostList,
@@ -160,7 +161,12 @@
     log,
     metrics,
     registry,
-    engineClient: routing.engineClient,
+    dispatcher: createEngineDispatcher({
+      clock,
+      engineClient: routing.engineClient,
+      quarantine,
+    }),
+    quarantine,
     chooseRoute: routing.chooseRoute,
     entryHostCount,
     admission: createRankAdmission({
