Let retries be admitted until their deadline

Cause: admission refused a retry when its first-token target had passed. After 5 s on a silent connection the target of 1.7 s has always passed, so the caller got an error although 5 s of the deadline were left. Ruled out: the retry budget, which had tokens left; a larger deadline. Conclusion: a first attempt is refused early by its target, a retry by its deadline only.

--- a/packages/core/src/admission/createRankAdmission.ts
+++ b/packages/core/src/admission/createRankAdmission.ts
@@ -6,6 +6,7 @@
 import type { AdmissionController, AdmissionEntry, HasRoom } from './AdmissionController.js';
 import type { DispatchLimit } from './DispatchLimit.js';
 import type { FairQueue, FairQueueEntry } from './FairQueue.js';
+import type { ServiceEstimate } from './ServiceEstimate.js';
 import { createFairQueue } from './createFairQueue.js';
 import { createPumpTimer } from './createPumpTimer.js';
 import { createServiceTimeEstimator } from './createServiceTimeEstimator.js';
@@ -13,6 +14,9 @@
 
 /** Tokens a customer is served per turn. */
 const QUANTUM_TOKENS = 4_096;
+/** docs/policy.md compares other values of these two. */
+const DEFAULT_PATIENT_LIMIT_RATIO = 0.5;
+const DEFAULT_MARGIN_DEVIATIONS = 2;
 const MIN_RETRY_AFTER_MS = 100;
 const MAX_RETRY_AFTER_MS = 60_000;
 
@@ -21,8 +25,10 @@
   /** Servers of the region. */
   readonly servers: () => readonly ServerView[];
   readonly dispatchLimit: DispatchLimit;
-  /** Part of the limit at a server that patient requests may use. @default 1 */
+  /** Part of the limit at a server that patient requests may use. @default 0.5 */
   readonly patientLimitRatio?: number;
+  /** Mean deviations of the first-token time kept as a margin to its target. @default 2 */
+  readonly marginDeviations?: number;
 }
 
 interface Waiting extends FairQueueEntry {
@@ -47,7 +53,8 @@
  */
 export function createRankAdmission(options: RankAdmissionOptions): AdmissionController {
   const { clock, dispatchLimit } = options;
-  const patientLimitRatio = options.patientLimitRatio ?? 1;
+  const patientLimitRatio = options.patientLimitRatio ?? DEFAULT_PATIENT_LIMIT_RATIO;
+  const marginDeviations = options.marginDeviations ?? DEFAULT_MARGIN_DEVIATIONS;
   const estimator = createServiceTimeEstimator(clock);
   const shareKeeper = createShareKeeper();
   const queues: Readonly<Record<Rank, FairQueue<Waiting>>> = {
@@ -67,6 +74,26 @@
     return rank === 'urgent' || owed ? limit : Math.max(1, limit * patientLimitRatio);
   }
 
+  /**
+   * Time after which a request can no longer make its targets. A retry has usually missed the
+   * first-token target already, so only its deadline counts.
+   */
+  function latestStartOf(
+    request: InferenceRequest,
+    retry: boolean,
+    estimate: ServiceEstimate | undefined,
+  ): number | undefined {
+    if (estimate === undefined) {
+      return undefined;
+    }
+    const byDeadlineMs = request.deadlineAtMs - estimate.totalMs;
+    if (retry) {
+      return byDeadlineMs;
+    }
+    const marginMs = marginDeviations * estimate.firstTokenDeviationMs;
+    return Math.min(byDeadlineMs, request.firstTokenDueAtMs - estimate.firstTokenMs - marginMs);
+  }
+
   /** Expected wait of a request behind the work that is served before it. */
   function waitMs(waiting: FairQueueEntry, request: InferenceRequest, serviceMs: number): number {
     const queue = queues[request.rank];
@@ -183,13 +210,7 @@
           retry: entry.retry,
           customerId: request.customerId,
           cost: request.promptTokens + request.maxOutputTokens,
-          latestStartAtMs:
-            estimate === undefined
-              ? undefined
-              : Math.min(
-                  request.firstTokenDueAtMs - estimate.firstTokenMs,
-                  request.deadlineAtMs - estimate.totalMs,
-                ),
+          latestStartAtMs: latestStartOf(request, entry.retry, estimate),
           serviceMs,
           start(hasRoom) {
             try {
