--- a/packages/bench/src/routing/createRoutingHost.ts
+++ b/packages/bench/src/routing/createRoutingHost.ts
@@ -1,5 +1,6 @@
 import {
   asId,
+  createAdmitAll,
   createCacheEventPoller,
   createFirstTokenEstimator,
   createInferenceGateway,
@@ -12,6 +13,7 @@
   createServerRegistry,
   createSpillDecider,
   createSpillGateway,
+  createUnlimitedRetries,
   createWaitCorrection,
   summarizeRegionLoad,
   toRegionViews,
@@ -137,6 +139,8 @@
     engineClient: routing.engineClient,
     chooseRoute: routing.chooseRoute,
     entryHostCount: () => options.entryHostCount,
+    admission: createAdmitAll(),
+    retryBudget: createUnlimitedRetries(),
   });
   registry.start();
   poller.start();
