Count waits at the own entry host in the spill estimate

Cause: with the rank admission requests queue in the entry hosts. Load reports then show no queue, so neither the local estimate nor the announced region load contained that wait.

Change: observeAdmissionWait wraps the admission and feeds its waits, and the waits named by its refusals, into the estimate and the summary. The routing measurement can use the rank admission (ROUTE/SPILL/ranks).

Kept, because without it a region with full queues announces no wait.

--- a/packages/bench/src/routing/RoutingBenchCommand.ts
+++ b/packages/bench/src/routing/RoutingBenchCommand.ts
@@ -3,6 +3,7 @@
 import { Command, Option } from 'clipanion';
 import { UnknownChoiceError } from '../errors/UnknownChoiceError.js';
 import type { RunSummary } from '../report/RunSummary.js';
+import { admissionChoices } from '../policies/admissionChoices.js';
 import { formatTable } from '../report/formatTable.js';
 import { summarizeRun } from '../report/summarizeRun.js';
 import { drawArrivals } from '../workload/drawArrivals.js';
@@ -12,16 +13,20 @@
 import { runRoutingExperiment } from './runRoutingExperiment.js';
 
 function parsePolicy(name: string): RoutingPolicy {
-  const [route = '', spill = ''] = name.split('/');
-  if (!Object.hasOwn(routeFactories, route) || !Object.hasOwn(spillPolicies, spill)) {
+  const [route = '', spill = '', admission = 'all'] = name.split('/');
+  if (
+    !Object.hasOwn(routeFactories, route) ||
+    !Object.hasOwn(spillPolicies, spill) ||
+    !Object.hasOwn(admissionChoices, admission)
+  ) {
     const routes = Object.keys(routeFactories).join(', ');
     const spills = Object.keys(spillPolicies).join(', ');
     throw new UnknownChoiceError(`Unknown policy "${name}"; routes: ${routes}; spills: ${spills}.`);
   }
-  return { name, route, spill };
+  return { name, route, spill, admission };
 }
 
-/** `main.ts --workload FILE --policy ROUTE/SPILL[,...] --seed N[,N...] --case NAME[,NAME...]`. */
+/** `main.ts --workload FILE --policy ROUTE/SPILL[/ADMISSION][,...] --seed N[,N...] --case NAME[,NAME...]`. */
 export class RoutingBenchCommand extends Command {
   static override paths = [Command.Default];
 
--- a/packages/bench/src/routing/createRoutingHost.ts
+++ b/packages/bench/src/routing/createRoutingHost.ts
@@ -14,6 +14,8 @@
   createSpillDecider,
   createSpillGateway,
   createUnlimitedRetries,
+  createRetryBudget,
+  observeAdmissionWait,
   createWaitCorrection,
   summarizeRegionLoad,
   toRegionViews,
@@ -26,6 +28,7 @@
   HostList,
   InferenceGateway,
   PeerView,
+  Rank,
   RegionId,
   RegionLoadSummary,
   RouteChooser,
@@ -34,6 +37,7 @@
 import type { VirtualClock } from '../clock/VirtualClock.js';
 import { createNoLog } from '../fakes/createNoLog.js';
 import { createNoMetrics } from '../fakes/createNoMetrics.js';
+import { admissionChoices } from '../policies/admissionChoices.js';
 import type { RoutingPolicy } from './RoutingPolicy.js';
 import { routeFactories, spillPolicies } from './routingChoices.js';
 
@@ -89,6 +93,9 @@
   const rates = createServerRates();
   const estimator = createFirstTokenEstimator(rates);
   const correction = createWaitCorrection();
+  const admissionWaits = createWaitCorrection();
+  const waitMs = (rank: Rank): number =>
+    correction.waitMs(rank, clock.monotonicMs()) + admissionWaits.waitMs(rank, clock.monotonicMs());
   const chooser = routeFactories[policy.route] as (e: typeof estimator) => RouteChooser;
   const routing = createRouteObserver({
     clock,
@@ -130,6 +137,15 @@
       }),
     fleetHostCount: () => options.fleetHostCount,
   });
+  const createAdmission = admissionChoices[policy.admission] ?? createAdmitAll;
+  const policyContext = {
+    clock,
+    random,
+    regionId,
+    registry,
+    engineClient: options.engineClient,
+    entryHostCount: () => options.entryHostCount,
+  };
   const local = createInferenceGateway({
     clock,
     random,
@@ -139,8 +155,8 @@
     engineClient: routing.engineClient,
     chooseRoute: routing.chooseRoute,
     entryHostCount: () => options.entryHostCount,
-    admission: createAdmitAll(),
-    retryBudget: createUnlimitedRetries(),
+    admission: observeAdmissionWait(createAdmission(policyContext), clock, admissionWaits),
+    retryBudget: policy.admission === 'all' ? createUnlimitedRetries() : createRetryBudget(clock),
   });
   registry.start();
   poller.start();
@@ -165,7 +181,7 @@
           estimator,
           context: context(),
           cachedTokens: ({ entry }) => index.cachedTokens(entry.serverId, request.blockHashes),
-          ownQueueMs: correction.waitMs(request.rank, clock.monotonicMs()),
+          ownQueueMs: waitMs(request.rank),
         }),
     }),
     summary: () =>
@@ -173,7 +189,7 @@
         servers: registry.servers(),
         estimator,
         context: context(),
-        ownQueueMs: correction.waitMs('patient', clock.monotonicMs()),
+        ownQueueMs: waitMs('patient'),
         spilling: decider.isSpilling(clock.monotonicMs()),
       }),
     hear(from, load, roundTripMs) {
--- a/packages/bench/src/routing/runRoutingExperiment.ts
+++ b/packages/bench/src/routing/runRoutingExperiment.ts
@@ -213,6 +213,6 @@
   const closing = [...hosts.values()].map((host) => host.close());
   await clock.runUntil(clock.monotonicMs() + HEARTBEAT_INTERVAL_MS);
   await Promise.all(closing);
-  const unused = { admission: 'all', retry: 'unlimited' };
-  return { policy: { ...policy, ...unused }, records: finished, busyMs };
+  const retry = policy.admission === 'all' ? 'unlimited' : 'budget';
+  return { policy: { ...policy, retry }, records: finished, busyMs };
 }
--- a/packages/bench/tests/routing/runRoutingExperiment.test.ts
+++ b/packages/bench/tests/routing/runRoutingExperiment.test.ts
@@ -11,7 +11,7 @@
   const workload = await smallWorkload('gremio');
   const workloadCase = workload.cases[caseName] ?? { floods: [], faults: [] };
   const arrivals = drawArrivals(workload, workloadCase, SEED);
-  const policy = { name: `${route}/${spill}`, route, spill };
+  const policy = { name: `${route}/${spill}`, route, spill, admission: 'all' };
   const options = { workload, workloadCase, arrivals, policy, seed: SEED };
   return summarizeRun(workload, caseName, SEED, await runRoutingExperiment(options));
 }
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -12,6 +12,7 @@
 export * from './admission/createServiceTimeEstimator.js';
 export * from './admission/createShareKeeper.js';
 export * from './admission/createSharedDispatchLimit.js';
+export * from './admission/observeAdmissionWait.js';
 export * from './config/FleetDefaults.js';
 export * from './config/FleetDocument.js';
 export * from './config/createConfigKeeper.js';
--- a/packages/daemon/src/entryHost/createEntryHost.ts
+++ b/packages/daemon/src/entryHost/createEntryHost.ts
@@ -29,6 +29,7 @@
   createSharedDispatchLimit,
   createSpillGateway,
   createSystemClock,
+  observeAdmissionWait,
 } from '@camphorbarrow/core';
 import type {
   AvailabilityZoneId,
@@ -158,11 +159,15 @@
     engineClient: routing.engineClient,
     chooseRoute: routing.chooseRoute,
     entryHostCount,
-    admission: createRankAdmission({
+    admission: observeAdmissionWait(
+      createRankAdmission({
+        clock,
+        servers: registry.servers,
+        dispatchLimit: createSharedDispatchLimit(entryHostCount),
+      }),
       clock,
-      servers: registry.servers,
-      dispatchLimit: createSharedDispatchLimit(entryHostCount),
-    }),
+      spill.admissionWaits,
+    ),
     retryBudget: createRetryBudget(clock),
   });
   const spilling = createSpillGateway({
--- a/packages/daemon/src/entryHost/createRegionSpill.ts
+++ b/packages/daemon/src/entryHost/createRegionSpill.ts
@@ -2,6 +2,7 @@
   createLocalEstimate,
   createRegionDelays,
   createSpillDecider,
+  createWaitCorrection,
   spillWhenItPays,
   summarizeRegionLoad,
   toRegionViews,
@@ -19,6 +20,7 @@
   RegionLoadSummary,
   ServerRegistry,
   SpillDecider,
+  WaitCorrection,
 } from '@camphorbarrow/core';
 import type { RegionRouting } from './createRegionRouting.js';
 
@@ -28,12 +30,12 @@
   readonly registry: ServerRegistry;
   readonly routing: Pick<RegionRouting, 'estimator' | 'index' | 'correction'>;
   readonly configVersion: () => number;
-  /** Wait in this entry host's own queue, before a server is chosen. @default none */
-  readonly ownQueueMs?: (rank: Rank) => number;
 }
 
 export interface RegionSpill {
   readonly decider: SpillDecider;
+  /** Waits in this entry host's own queue, to be fed by its admission. */
+  readonly admissionWaits: WaitCorrection;
   /** The peer table to take the other regions from; there are none before this call. */
   follow(peers: PeerTable): void;
   readonly recordExchange: RegionDelays['record'];
@@ -49,8 +51,9 @@
   const delays = createRegionDelays(clock);
   let table: PeerTable | undefined;
   const peers = (): readonly PeerView[] => table?.peers() ?? [];
+  const admissionWaits = createWaitCorrection();
   const waitMs = (rank: Rank): number =>
-    correction.waitMs(rank, clock.monotonicMs()) + (options.ownQueueMs?.(rank) ?? 0);
+    correction.waitMs(rank, clock.monotonicMs()) + admissionWaits.waitMs(rank, clock.monotonicMs());
   const context = (): Omit<EstimateContext, 'rank'> => ({
     nowMs: clock.monotonicMs(),
     entryHostCount: (table?.livePeers(regionId).length ?? 0) + 1,
@@ -69,6 +72,7 @@
   });
   return {
     decider,
+    admissionWaits,
     follow(followed) {
       table = followed;
     },
