--- a/packages/bench/src/routing/createRoutingHost.ts
+++ b/packages/bench/src/routing/createRoutingHost.ts
@@ -16,6 +16,8 @@
   createSpillDecider,
   createSpillGateway,
   createUnlimitedRetries,
+  createRetryBudget,
+  observeAdmissionWait,
   createWaitCorrection,
   summarizeRegionLoad,
   toRegionViews,
@@ -28,6 +30,7 @@
   HostList,
   InferenceGateway,
   PeerView,
+  Rank,
   RegionId,
   RegionLoadSummary,
   RouteChooser,
@@ -36,6 +39,7 @@
 import type { VirtualClock } from '../clock/VirtualClock.js';
 import { createNoLog } from '../fakes/createNoLog.js';
 import { createNoMetrics } from '../fakes/createNoMetrics.js';
+import { admissionChoices } from '../policies/admissionChoices.js';
 import type { RoutingPolicy } from './RoutingPolicy.js';
 import { routeFactories, spillPolicies } from './routingChoices.js';
 
@@ -91,6 +95,9 @@
   const rates = createServerRates();
   const estimator = createFirstTokenEstimator(rates);
   const correction = createWaitCorrection();
+  const admissionWaits = createWaitCorrection();
+  const waitMs = (rank: Rank): number =>
+    correction.waitMs(rank, clock.monotonicMs()) + admissionWaits.waitMs(rank, clock.monotonicMs());
   const chooser = routeFactories[policy.route] as (e: typeof estimator) => RouteChooser;
   const routing = createRouteObserver({
     clock,
@@ -133,6 +140,15 @@
     fleetHostCount: () => options.fleetHostCount,
   });
   const quarantine = createNoQuarantine();
+  const createAdmission = admissionChoices[policy.admission] ?? createAdmitAll;
+  const policyContext = {
+    clock,
+    random,
+    regionId,
+    registry,
+    engineClient: options.engineClient,
+    entryHostCount: () => options.entryHostCount,
+  };
   const local = createInferenceGateway({
     clock,
     random,
@@ -143,8 +159,8 @@
     quarantine,
     chooseRoute: routing.chooseRoute,
     entryHostCount: () => options.entryHostCount,
-    admission: createAdmitAll(),
-    retryBudget: createUnlimitedRetries(),
+    admission: observeAdmissionWait(createAdmission(policyContext), clock, admissionWaits),
+    retryBudget: policy.admission === 'all' ? createUnlimitedRetries() : createRetryBudget(clock),
   });
   registry.start();
   poller.start();
@@ -169,7 +185,7 @@
           estimator,
           context: context(),
           cachedTokens: ({ entry }) => index.cachedTokens(entry.serverId, request.blockHashes),
-          ownQueueMs: correction.waitMs(request.rank, clock.monotonicMs()),
+          ownQueueMs: waitMs(request.rank),
         }),
     }),
     summary: () =>
@@ -177,7 +193,7 @@
         servers: registry.servers(),
         estimator,
         context: context(),
-        ownQueueMs: correction.waitMs('patient', clock.monotonicMs()),
+        ownQueueMs: waitMs('patient'),
         spilling: decider.isSpilling(clock.monotonicMs()),
       }),
     hear(from, load, roundTripMs) {
