Race two operators with the real commands; read before taking engine ownership

A race step can name files for its commands. Every host that is not the owner of a region's engines made three store writes every 5 s (646 a second at the target size, computed); it makes one read now.

--- a/packages/core/src/engineOrders/createOwnership.ts
+++ b/packages/core/src/engineOrders/createOwnership.ts
@@ -69,6 +69,10 @@
   }
 
   async function take(): Promise<void> {
+    // A read first: hosts that are not the owner would otherwise make three writes in every round.
+    if ((await store.get(key, { keyOnly: true })) !== undefined) {
+      return;
+    }
     const askedAtMs = clock.monotonicMs();
     const lease = await store.grantLease(ttlSeconds);
     const value = JSON.stringify({ hostId: options.hostId, incarnation: options.incarnation });
--- a/packages/scenarios/src/language/stepSchema.ts
+++ b/packages/scenarios/src/language/stepSchema.ts
@@ -64,7 +64,12 @@
   z.strictObject({
     do: z.literal('race'),
     id: nameSchema,
-    /** Arguments of the binary, one list per operator; all are started at the same time. */
+    /** JSON files for the commands, by name; an argument names one as `{file:NAME}`. */
+    files: z.record(nameSchema, z.unknown()).default({}),
+    /**
+     * Arguments of the binary, one list per operator; all are started at the same time.
+     * `{peer:HOST}` stands for a peer URL and `{keyFile:OPERATOR}` for a file with a key.
+     */
     commands: z.array(z.array(z.string()).min(1)).min(1).max(10),
   }),
   expectSchema,
--- a/packages/scenarios/src/runner/verbs/runRace.ts
+++ b/packages/scenarios/src/runner/verbs/runRace.ts
@@ -1,28 +1,49 @@
+import { mkdtemp, rm, writeFile } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import path from 'node:path';
 import type { StepOf } from '../../language/Step.js';
 import { startProcess } from '../../launcher/startProcess.js';
 import type { ScenarioContext } from '../ScenarioContext.js';
 import { processOf } from '../processOf.js';
 
 const DAEMON = 'dist/camphorbarrow.cjs';
-const PLACEHOLDER = /\{(url|key):([a-z0-9-]+)\}/g;
+const PLACEHOLDER = /\{(peer|keyFile|file):([a-z0-9-]+)\}/g;
 
-/** Replaces `{url:HOST}` and `{key:OPERATOR}`. */
-function fillIn(context: ScenarioContext, argument: string): string {
-  return argument.replace(PLACEHOLDER, (_, kind: string, name: string) =>
-    kind === 'url'
-      ? processOf(context, name).url
-      : (context.deployment.operatorKeys[name] ?? `unknown-operator-${name}`),
-  );
+/** Writes the step's files and the operators' keys; returns the name of each file. */
+async function writeFiles(
+  { deployment }: ScenarioContext,
+  { files }: StepOf<'race'>,
+  directory: string,
+): Promise<(kind: string, name: string) => string> {
+  const pathOf = (kind: string, name: string): string => path.join(directory, `${kind}-${name}`);
+  const texts = [
+    ...Object.entries(files).map(([name, value]) => ['file', name, JSON.stringify(value)] as const),
+    ...Object.entries(deployment.operatorKeys).map(
+      ([name, key]) => ['keyFile', name, key] as const,
+    ),
+  ];
+  await Promise.all(texts.map(([kind, name, text]) => writeFile(pathOf(kind, name), text)));
+  return pathOf;
 }
 
 /** Starts commands of the binary at the same time and waits for all of them. */
 export async function runRace(context: ScenarioContext, step: StepOf<'race'>): Promise<void> {
-  const processes = step.commands.map((command, index) =>
-    startProcess({
-      name: `${step.id}-${index + 1}`,
-      program: DAEMON,
-      args: command.map((argument) => fillIn(context, argument)),
-    }),
-  );
-  context.races.set(step.id, await Promise.all(processes.map((one) => one.exited())));
+  const directory = await mkdtemp(path.join(tmpdir(), 'camphorbarrow-race-'));
+  try {
+    const pathOf = await writeFiles(context, step, directory);
+    const fillIn = (argument: string): string =>
+      argument.replace(PLACEHOLDER, (_, kind: string, name: string) =>
+        kind === 'peer' ? (processOf(context, name).peerUrl ?? '') : pathOf(kind, name),
+      );
+    const processes = step.commands.map((command, index) =>
+      startProcess({
+        name: `${step.id}-${index + 1}`,
+        program: DAEMON,
+        args: command.map(fillIn),
+      }),
+    );
+    context.races.set(step.id, await Promise.all(processes.map((one) => one.exited())));
+  } finally {
+    await rm(directory, { recursive: true, force: true });
+  }
 }
