Measure how control work grows with the fleet

The target size of design.md had no figures behind it. `npm run capacity` measures heartbeats, peer table, server registry, load polls over HTTP, configuration and the per-entry tables at several sizes and fits a line.

The first version of the memory measurement gave negative figures, and the test failed on them: the suspended async function kept the last awaited object alive, so its release hid the next one, and single small objects were lost in heap noise of some 10 KB. It now keeps all copies and adds copies until they retain 4 MB. The test was not changed for this.

Heartbeats are measured as JSON without HTTP, because the peer listener needs the whole gateway; load polls are measured over loopback with both ends in one process.

--- /dev/null
+++ b/packages/bench/src/capacity/main.ts
@@ -0,0 +1,6 @@
+import { Cli } from 'clipanion';
+import { CapacityCommand } from './CapacityCommand.js';
+
+const cli = new Cli({ binaryName: 'capacity', binaryLabel: 'Measurement of control work' });
+cli.register(CapacityCommand);
+process.exitCode = await cli.run(process.argv.slice(2));
--- /dev/null
+++ b/packages/bench/tests/capacity/runCapacity.test.ts
@@ -0,0 +1,14 @@
+import test from 'ava';
+import { runCapacity } from '../../src/capacity/runCapacity.js';
+
+// Guards against a measurement that breaks, or measures nothing, after a change of the core.
+test('the smallest size yields finite positive figures', async (t) => {
+  const measurements = await runCapacity('small');
+  const values = measurements.flatMap(({ subject, unit, points }) =>
+    points.map(({ size, value }) => ({ subject, unit, size, value })),
+  );
+  t.true(values.length >= measurements.length && measurements.length > 0);
+  values.forEach((point) => {
+    t.true(Number.isFinite(point.value) && point.value > 0, JSON.stringify(point));
+  });
+});
