Add the fleet-wide report on service-level burn

Cause: the counters and the report existed, but nothing recorded results, collected them from other hosts or showed them. Hosts that do not answer, and hosts that count only since their start, are named. Ruled out: counters in the key-value service; at 1,100 hosts a write per minute and host would be 18 writes a second for data that may be lost. Conclusion: the report works fleet-wide while hosts live; what a replaced host counted is lost and said to be.

--- a/packages/adapters/src/index.ts
+++ b/packages/adapters/src/index.ts
@@ -42,6 +42,7 @@
 export * from './peers/createPeerListener.js';
 export * from './peers/createTrpcPeerClient.js';
 export * from './peers/heartbeatSchema.js';
+export * from './peers/hostBurnSchema.js';
 export * from './peers/keepStreamAlive.js';
 export * from './peers/parseRefusal.js';
 export * from './peers/peerRouter.js';
--- a/packages/adapters/src/operators/OperatorApi.ts
+++ b/packages/adapters/src/operators/OperatorApi.ts
@@ -1,4 +1,9 @@
-import type { ConfigChange, ConfigChangeResult, StoredFleetDocument } from '@camphorbarrow/core';
+import type {
+  BurnReport,
+  ConfigChange,
+  ConfigChangeResult,
+  StoredFleetDocument,
+} from '@camphorbarrow/core';
 import type { FleetStatus } from './FleetStatus.js';
 
 /** What the operators' interface needs from the gateway. */
@@ -7,4 +12,6 @@
   /** Rejects with `ConfigChangeError` when the change was not made. */
   propose(change: ConfigChange): Promise<ConfigChangeResult>;
   status(): FleetStatus;
+  /** Rejects with `NoConfigurationError` while the host has no objectives. */
+  burnReport(): Promise<BurnReport>;
 }
--- a/packages/adapters/src/operators/createOperatorClient.ts
+++ b/packages/adapters/src/operators/createOperatorClient.ts
@@ -1,7 +1,7 @@
 import { TRPCClientError, createTRPCClient, httpLink } from '@trpc/client';
 import { Agent, fetch } from 'undici';
 import { OperatorCallError } from '@camphorbarrow/core';
-import type { StoredFleetDocument } from '@camphorbarrow/core';
+import type { BurnReport, StoredFleetDocument } from '@camphorbarrow/core';
 import type { ChangeAnswer } from './ChangeAnswer.js';
 import type { ChangeRequest } from './ChangeRequest.js';
 import type { FleetStatus } from './FleetStatus.js';
@@ -21,6 +21,7 @@
 export interface OperatorClient {
   show(): Promise<StoredFleetDocument | undefined>;
   status(): Promise<FleetStatus>;
+  burnReport(): Promise<BurnReport>;
   propose(change: ChangeRequest): Promise<ChangeAnswer>;
   close(): Promise<void>;
 }
@@ -89,6 +90,7 @@
       return (await translate(client.show.query(undefined, limit()))) ?? undefined;
     },
     status: () => translate(client.status.query(undefined, limit())) as Promise<FleetStatus>,
+    burnReport: () => translate(client.burnReport.query(undefined, limit())) as Promise<BurnReport>,
     propose: (change) => translate(client.propose.mutate(change, limit())) as Promise<ChangeAnswer>,
     close: () => agent.destroy(),
   };
--- a/packages/adapters/src/operators/operatorRouter.ts
+++ b/packages/adapters/src/operators/operatorRouter.ts
@@ -16,6 +16,7 @@
 export const operatorRouter = trpc.router({
   show: trpc.procedure.query(({ ctx }) => ctx.api.currentConfig() ?? null),
   status: trpc.procedure.query(({ ctx }) => ctx.api.status()),
+  burnReport: trpc.procedure.query(({ ctx }) => ctx.api.burnReport()),
   propose: trpc.procedure
     .input(changeRequestSchema)
     .mutation(async ({ ctx, input }): Promise<ChangeAnswer> => {
--- a/packages/adapters/src/peers/PeerApi.ts
+++ b/packages/adapters/src/peers/PeerApi.ts
@@ -2,6 +2,7 @@
   ConfigRevision,
   CrashReport,
   Heartbeat,
+  HostBurn,
   HostListEntry,
   ClaimQuery,
   ClaimStatus,
@@ -16,6 +17,8 @@
   currentConfig(): StoredFleetDocument | undefined;
   /** Takes a configuration over when it is newer; returns the revision in force afterwards. */
   adoptConfig(document: StoredFleetDocument): ConfigRevision;
+  /** Counters of this host for the report on service-level burn. */
+  burnCounters(): HostBurn;
   /** Merges a crash report and answers with this host's view of the crash. */
   receiveCrash(report: CrashReport): CrashReport;
   /** Entries of the host list that this host uses. */
--- a/packages/adapters/src/peers/createTrpcPeerClient.ts
+++ b/packages/adapters/src/peers/createTrpcPeerClient.ts
@@ -8,6 +8,7 @@
 import { crashReportSchema } from './crashReportSchema.js';
 import { outgoingFrom } from '../http/outgoingFrom.js';
 import { claimStatusSchema } from './claimStatusSchema.js';
+import { hostBurnSchema } from './hostBurnSchema.js';
 import { heartbeatSchema } from './heartbeatSchema.js';
 import type { PeerRouter } from './peerRouter.js';
 import { relayResultSchema } from './relayResultSchema.js';
@@ -100,6 +101,10 @@
       const call = clientOf(peerUrl).orderOutcome.query(query, limit(timeoutMs));
       return claimStatusSchema.parse(await translate(call));
     },
+    burnCounters: async (peerUrl) =>
+      hostBurnSchema.parse(
+        await translate(clientOf(peerUrl).burnCounters.query(undefined, documentLimit())),
+      ),
     close: () => agent.destroy(),
   };
 }
--- a/packages/adapters/src/peers/peerRouter.ts
+++ b/packages/adapters/src/peers/peerRouter.ts
@@ -21,6 +21,7 @@
   reportCrash: trpc.procedure
     .input(crashReportSchema)
     .mutation(({ ctx, input }) => ctx.api.receiveCrash(input)),
+  burnCounters: trpc.procedure.query(({ ctx }) => ctx.api.burnCounters()),
   fetchServers: trpc.procedure.query(({ ctx }) => ctx.api.servers().map(toWireHost)),
   relayOrder: trpc.procedure
     .input(relayedOrderSchema)
--- a/packages/adapters/tests/operators/operatorApi.test.ts
+++ b/packages/adapters/tests/operators/operatorApi.test.ts
@@ -66,6 +66,7 @@
           }
           return { outcome: 'unknown', changeId: received.changeId };
         },
+        burnReport: unused,
         status: () => ({ self: {} as never, storeReachable: true, peers: [], servers: [] }),
       },
     },
--- a/packages/adapters/tests/peers/createFakePeerApi.ts
+++ b/packages/adapters/tests/peers/createFakePeerApi.ts
@@ -8,6 +8,7 @@
     adoptConfig: unused,
     receiveCrash: unused,
     servers: unused,
+    burnCounters: unused,
     relayOrder: unused,
     orderOutcome: unused,
   };
--- a/packages/adapters/tests/peers/createHttpForwardClient.test.ts
+++ b/packages/adapters/tests/peers/createHttpForwardClient.test.ts
@@ -73,7 +73,10 @@
     port: PORT,
     peerKey: PEER_KEY,
     api: createFakePeerApi(unused),
-    operators: { keys: {}, api: { currentConfig: unused, propose: unused, status: unused } },
+    operators: {
+      keys: {},
+      api: { currentConfig: unused, propose: unused, status: unused, burnReport: unused },
+    },
     forwardApi: {
       hostId: asId('costa-1'),
       maxBodyBytes: 1_000_000,
--- a/packages/adapters/tests/peers/orderProcedures.test.ts
+++ b/packages/adapters/tests/peers/orderProcedures.test.ts
@@ -71,7 +71,10 @@
     port: 9_080,
     peerKey,
     api,
-    operators: { keys: {}, api: { currentConfig: unused, propose: unused, status: unused } },
+    operators: {
+      keys: {},
+      api: { currentConfig: unused, propose: unused, status: unused, burnReport: unused },
+    },
     forwardApi: {
       hostId: asId('norte-1'),
       maxBodyBytes: 1_000,
--- a/packages/core/src/ports/PeerClient.ts
+++ b/packages/core/src/ports/PeerClient.ts
@@ -1,3 +1,4 @@
+import type { HostBurn } from '../burn/HostBurn.js';
 import type { ConfigRevision } from '../config/ConfigRevision.js';
 import type { StoredFleetDocument } from '../config/FleetDocument.js';
 import type { Heartbeat } from '../membership/Heartbeat.js';
@@ -24,5 +25,7 @@
   relayOrder(peerUrl: string, order: RelayedOrder, timeoutMs: number): Promise<RelayResult>;
   /** Asks a claimant what became of its claim. */
   orderOutcome(peerUrl: string, query: ClaimQuery, timeoutMs: number): Promise<ClaimStatus>;
+  /** The peer's counters for the report on service-level burn. */
+  burnCounters(peerUrl: string): Promise<HostBurn>;
   close(): Promise<void>;
 }
--- /dev/null
+++ b/packages/daemon/src/entryHost/collectBurnReport.ts
@@ -0,0 +1,44 @@
+import { createBurnReport } from '@camphorbarrow/core';
+import type {
+  BurnReport,
+  Clock,
+  FleetDocument,
+  HostBurn,
+  PeerClient,
+  PeerTable,
+  PeerView,
+} from '@camphorbarrow/core';
+
+export interface CollectBurnReportOptions {
+  readonly clock: Clock;
+  readonly document: FleetDocument;
+  readonly own: HostBurn;
+  readonly peers: PeerTable;
+  readonly peerClient: Pick<PeerClient, 'burnCounters'>;
+}
+
+const MAX_CONCURRENT_CALLS = 64;
+
+/** Collects the counters of all known entry hosts into one report. */
+export async function collectBurnReport(options: CollectBurnReportOptions): Promise<BurnReport> {
+  const { clock, document, own, peers, peerClient } = options;
+  const waiting: PeerView[] = [...peers.peers()];
+  const silentHosts = waiting.filter((peer) => !peer.reachable).map((peer) => peer.hostId);
+  const hosts: HostBurn[] = [own];
+
+  async function askWaiting(): Promise<void> {
+    for (let peer = waiting.pop(); peer !== undefined; peer = waiting.pop()) {
+      if (!peer.reachable) {
+        continue;
+      }
+      try {
+        hosts.push(await peerClient.burnCounters(peer.peerUrl));
+      } catch {
+        silentHosts.push(peer.hostId);
+      }
+    }
+  }
+
+  await Promise.all(Array.from({ length: MAX_CONCURRENT_CALLS }, askWaiting));
+  return createBurnReport({ nowMs: clock.nowMs(), document, hosts, silentHosts });
+}
--- a/packages/daemon/src/entryHost/createEntryHost.ts
+++ b/packages/daemon/src/entryHost/createEntryHost.ts
@@ -6,6 +6,7 @@
 } from '@camphorbarrow/adapters';
 import {
   asId,
+  createBurnCounters,
   createCallerReader,
   createConfigKeeper,
   createCrashProbe,
@@ -28,10 +29,13 @@
   createSpillGateway,
   createSystemClock,
   observeAdmissionWait,
+  recordInference,
+  recordServices,
 } from '@camphorbarrow/core';
 import type {
   AvailabilityZoneId,
   CallerFacts,
+  HostBurn,
   HostId,
   HostListEntry,
   HostSettings,
@@ -43,6 +47,7 @@
   PeerDescription,
   RegionId,
 } from '@camphorbarrow/core';
+import { collectBurnReport } from './collectBurnReport.js';
 import { announcedUrl } from './announcedUrl.js';
 import { createDrain } from './createDrain.js';
 import { createEntryHostRanking } from './createEntryHostRanking.js';
@@ -149,6 +154,8 @@
   }
 
   const entryHostCount = (): number => peers.livePeers(regionId).length + 1;
+  const burn = createBurnCounters(clock);
+  const ownBurn = (): HostBurn => ({ hostId, regionId, startedAtMs, minutes: burn.minutes() });
   const quarantine = createQuarantine({
     clock,
     log,
@@ -218,10 +225,11 @@
     hasServer: ({ serviceName }) =>
       registry.servers().some((view) => view.accepting && view.entry.serviceName === serviceName),
   });
-  const services = createServiceGateway({
+  const servicePath = createServiceGateway({
     dispatchRepeatable: createRepeatableDispatch(serviceOptions),
     orders,
   });
+  const services = recordServices(servicePath, burn);
   const serviceLane = createServiceLane();
   const callerReader = createCallerReader({
     clock,
@@ -245,6 +253,7 @@
       receiveHeartbeat: peers.receive,
       currentConfig: config.stored,
       receiveCrash: quarantine.receive,
+      burnCounters: ownBurn,
       servers: () => registry.servers().map(({ entry }) => entry),
       adoptConfig: (document) => {
         config.adopt(document);
@@ -256,6 +265,14 @@
       api: {
         currentConfig: config.stored,
         propose: config.propose,
+        burnReport: async () =>
+          collectBurnReport({
+            clock,
+            document: config.current(),
+            own: ownBurn(),
+            peers,
+            peerClient,
+          }),
         status: () => describeFleet({ self: describeSelf, config, peers, registry }),
       },
     },
@@ -276,7 +293,7 @@
     requestTimeoutMs: REQUEST_TIMEOUT_MS,
     api: {
       readCaller: callerReader.readCaller,
-      infer: inferThrough(spilling),
+      infer: inferThrough(recordInference(spilling, burn, clock)),
       callService: (request, signal) =>
         serviceLane.run(request.facts, () => services.handle(request, signal), signal),
       issueOrderPermits: orderApi.issueOrderPermits,
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -4,6 +4,7 @@
 import { ConfigHistoryCommand } from './commands/ConfigHistoryCommand.js';
 import { ConfigSetCommand } from './commands/ConfigSetCommand.js';
 import { ConfigShowCommand } from './commands/ConfigShowCommand.js';
+import { ReportBurnCommand } from './commands/ReportBurnCommand.js';
 import { ServeCommand } from './commands/ServeCommand.js';
 import { StatusCommand } from './commands/StatusCommand.js';
 import { exitCodes } from './commands/exitCodes.js';
@@ -21,6 +22,7 @@
 cli.register(ConfigHistoryCommand);
 cli.register(ConfigSetCommand);
 cli.register(ConfigShowCommand);
+cli.register(ReportBurnCommand);
 cli.register(ServeCommand);
 cli.register(StatusCommand);
 
