Test request and settings readers with generated input

Cause: no test covered input outside the expected forms. fast-check with fixed seeds found four faults: the message for malformed JSON quoted the prompt, because modern-errors adds the cause's message; deep nesting in a body or settings file ended in a RangeError, which was answered as an untyped 500; the home region header, of any length, was echoed; and a body with many problems was answered with a message of the same length. Inherited names such as "constructor" were accepted as a model and, on forwarded requests, as a customer.

Ruled out: catching RangeError, because the depth that fails depends on the stack in use.

Change: nesting is bounded at 100 levels, at most 5 problems are reported, messages no longer quote input, names are looked up as own properties.

--- a/packages/core/src/requests/createCallerReader.ts
+++ b/packages/core/src/requests/createCallerReader.ts
@@ -104,12 +104,12 @@
     }
     if (configured !== undefined && configured !== value) {
       throw new InvalidHeaderError(
-        `The customer's data is bound to region ${configured}; header ${headerNames.homeRegion} names ${value}.`,
+        `The customer's data is bound to region ${configured}; header ${headerNames.homeRegion} names another.`,
       );
     }
     const regionId = asId<RegionId>(value);
     if (regionId !== options.regionId && !options.knownRegions().has(regionId)) {
-      throw new UnknownRegionError(`Region ${value} is unknown.`);
+      throw new UnknownRegionError(`Header ${headerNames.homeRegion} names an unknown region.`);
     }
     return regionId;
   }
@@ -199,7 +199,7 @@
       const path = readPath(headers);
       requireTarget(headers);
       const customerId = asId<CustomerId>(singleHeader(headers, headerNames.customer) ?? '');
-      if (document.defaults.customers[customerId] === undefined) {
+      if (!Object.hasOwn(document.defaults.customers, customerId)) {
         throw new UnauthenticatedError('The forwarded customer is unknown.');
       }
       return readFacts(headers, document, customerId, path, readRequestId(headers));
--- a/packages/core/src/requests/createInferenceRequest.ts
+++ b/packages/core/src/requests/createInferenceRequest.ts
@@ -23,8 +23,8 @@
   recordKey: string,
 ): InferenceRequest {
   const parsed = parseInferenceBody(route, body);
-  if (facts.settings.models[parsed.model] === undefined) {
-    throw new UnknownModelError(`Model ${parsed.model} is not configured.`);
+  if (!Object.hasOwn(facts.settings.models, parsed.model)) {
+    throw new UnknownModelError('The model of the request is not configured.');
   }
   const rank = facts.rank ?? facts.settings.routeRanks[route];
   const targets = facts.settings.ranks[rank];
--- a/packages/core/src/requests/parseInferenceBody.ts
+++ b/packages/core/src/requests/parseInferenceBody.ts
@@ -1,6 +1,11 @@
 import { z } from 'zod';
 import { InvalidBodyError } from '../errors/InvalidBodyError.js';
 import type { InferenceRoute } from '../ports/EngineClient.js';
+import { isNestedDeeper } from './isNestedDeeper.js';
+
+/** `JSON.stringify` exhausts the stack at some thousand levels. */
+const MAX_NESTING = 100;
+const MAX_REPORTED_PROBLEMS = 5;
 
 const messageSchema = z.looseObject({
   role: z.string(),
@@ -33,11 +38,17 @@
 }
 
 function parseJson(body: string): unknown {
+  let value: unknown;
   try {
-    return JSON.parse(body);
-  } catch (cause) {
-    throw new InvalidBodyError('The body is not valid JSON.', { cause });
+    value = JSON.parse(body);
+  } catch {
+    // The cause is left out: modern-errors adds its message, which quotes the body.
+    throw new InvalidBodyError('The body is not valid JSON.');
+  }
+  if (isNestedDeeper(value, MAX_NESTING)) {
+    throw new InvalidBodyError(`The body is nested more than ${MAX_NESTING} levels deep.`);
   }
+  return value;
 }
 
 function validate<Schema extends z.ZodType>(schema: Schema, value: unknown): z.infer<Schema> {
@@ -45,9 +56,9 @@
   if (result.success) {
     return result.data;
   }
-  const problems = result.error.issues.map(
-    (issue) => `${issue.path.join('.') || 'body'}: ${issue.message}`,
-  );
+  const problems = result.error.issues
+    .slice(0, MAX_REPORTED_PROBLEMS)
+    .map((issue) => `${issue.path.join('.') || 'body'}: ${issue.message}`);
   throw new InvalidBodyError(`The body is not valid: ${problems.join('; ')}`);
 }
 
--- a/packages/core/src/settings/parseJsonc.ts
+++ b/packages/core/src/settings/parseJsonc.ts
@@ -4,9 +4,12 @@
 import { SettingsError } from '../errors/SettingsError.js';
 import type { SettingsProblem } from '../errors/SettingsError.js';
 import { describeIssue } from './describeIssue.js';
+import { findDeepNesting } from './findDeepNesting.js';
 import { findDuplicateFields } from './findDuplicateFields.js';
 import { toJsonSchema } from './toJsonSchema.js';
 
+/** The parser is recursive and exhausts the stack at some thousand levels. */
+const MAX_NESTING = 100;
 const NOTHING_KNOWN = { value: undefined, unit: undefined, allowed: undefined };
 
 function locate(text: string, offset: number): { line: number; column: number } {
@@ -49,6 +52,16 @@
   text: string,
   schema: Schema,
 ): z.infer<Schema> {
+  const deepOffset = findDeepNesting(text, MAX_NESTING);
+  if (deepOffset !== undefined) {
+    const problem: SettingsProblem = {
+      path: '',
+      ...locate(text, deepOffset),
+      message: `The file is nested more than ${MAX_NESTING} levels deep`,
+      ...NOTHING_KNOWN,
+    };
+    throw new SettingsError(toLine(fileName, problem), { props: { problems: [problem] } });
+  }
   const errors: ParseError[] = [];
   const value: unknown = parse(text, errors, { allowTrailingComma: true });
   const root = parseTree(text, [], { allowTrailingComma: true });
--- /dev/null
+++ b/packages/core/tests/requests/badInput.property.test.ts
@@ -0,0 +1,155 @@
+import test from 'ava';
+import fc from 'fast-check';
+import { createHash } from 'node:crypto';
+import { createFleetDocument } from '../../src/config/createFleetDocument.js';
+import { fleetDocumentSchema } from '../../src/config/fleetDocumentSchema.js';
+import { RequestError } from '../../src/errors/RequestError.js';
+import { asId } from '../../src/ids/asId.js';
+import { createPermitCodec } from '../../src/once/createPermitCodec.js';
+import { createCallerReader } from '../../src/requests/createCallerReader.js';
+import { headerNames } from '../../src/requests/headerNames.js';
+import { parseInferenceBody } from '../../src/requests/parseInferenceBody.js';
+
+const RUNS = { seed: 20_261, numRuns: 1_000 };
+const MARK = 'pelican-jug-7731';
+
+/** Runs the reader and checks that it gives a value or a typed refusal that does not show the mark. */
+function holds(read: () => unknown, statusCodes: readonly number[] = []): boolean {
+  try {
+    read();
+    return true;
+  } catch (error) {
+    return (
+      error instanceof RequestError &&
+      error.outcome === 'not-run' &&
+      ((error.statusCode >= 400 && error.statusCode < 500) ||
+        statusCodes.includes(error.statusCode)) &&
+      !error.message.includes(MARK) &&
+      error.message.length < 1_000
+    );
+  }
+}
+
+const text = fc.oneof(
+  fc.string({ unit: 'binary' }),
+  fc.constantFrom('', ' ', MARK, `Bearer ${MARK}`, 'x'.repeat(20_000), '99999999', '-1', '1e3'),
+  fc.constantFrom('urgent', 'costa', 'constructor', '__proto__', 'Bearer key', 'é', 'a,b', 'sur-1'),
+);
+const headers = fc.dictionary(
+  fc.constantFrom(...Object.values(headerNames)),
+  fc.oneof(text, fc.array(text, { maxLength: 3 })),
+);
+const routes = fc.constantFrom('chat/completions' as const, 'completions' as const);
+
+const reader = createCallerReader({
+  clock: { nowMs: () => 0, monotonicMs: () => 0, sleep: async () => {} },
+  hostId: asId('costa-1'),
+  regionId: asId('costa'),
+  configuration: () =>
+    createFleetDocument(
+      fleetDocumentSchema.parse({
+        version: 1,
+        changeId: 'initial',
+        defaults: {
+          customers: {
+            workshop: { keySha256: createHash('sha256').update('key').digest('hex') },
+          },
+        },
+      }),
+    ),
+  knownRegions: () => new Set([asId('costa')]),
+  entryHostUrls: () => [],
+});
+
+// Guards against an untyped exception and against a message that quotes the prompt.
+test('any inference body is parsed or refused with a typed error', (t) => {
+  const fields = fc.record(
+    {
+      model: fc.oneof(fc.constant(MARK), fc.jsonValue()),
+      messages: fc.oneof(
+        fc.array(fc.record({ role: fc.jsonValue(), content: fc.jsonValue() })),
+        fc.jsonValue(),
+      ),
+      prompt: fc.oneof(fc.constant([MARK, 1]), fc.jsonValue()),
+      stream: fc.jsonValue(),
+      max_tokens: fc.jsonValue(),
+    },
+    { requiredKeys: [] },
+  );
+  const body = fc.oneof(
+    text,
+    fc.json(),
+    fields.map((value) => JSON.stringify(value)),
+    fields.map((value) => `${MARK}${JSON.stringify(value)}`),
+  );
+  t.notThrows(() =>
+    fc.assert(
+      fc.property(routes, body, (route, value) => holds(() => parseInferenceBody(route, value))),
+      RUNS,
+    ),
+  );
+});
+
+test('a body of deep nesting or of very many problems is refused with a short typed error', (t) => {
+  const deep = `${'['.repeat(50_000)}${']'.repeat(50_000)}`;
+  const bodies = [
+    `{"model":"m","messages":[{"role":"user","content":[{"type":"text","text":${deep}}]}]}`,
+    `{"model":"m","messages":[${Array.from({ length: 10_000 }, () => '1').join(',')}]}`,
+  ];
+  bodies.forEach((body) => {
+    t.true(holds(() => parseInferenceBody('chat/completions', body)));
+    t.throws(() => parseInferenceBody('chat/completions', body), { name: 'InvalidBodyError' });
+  });
+});
+
+// Guards against inherited names such as "constructor" being taken for customers.
+test('any headers give facts or a typed refusal that shows no header value', (t) => {
+  t.notThrows(() =>
+    fc.assert(
+      fc.property(headers, (value) =>
+        holds(() => reader.readCaller({ authorization: 'Bearer key', ...value })),
+      ),
+      RUNS,
+    ),
+  );
+  t.notThrows(() =>
+    fc.assert(
+      fc.property(headers, (value) => holds(() => reader.readForwarded(value), [508])),
+      RUNS,
+    ),
+  );
+  ['constructor', '__proto__', 'toString'].forEach((customer) => {
+    const forwarded = {
+      [headerNames.path]: 'sur-1',
+      [headerNames.targetRegion]: 'costa',
+      [headerNames.requestId]: 'r',
+      [headerNames.customer]: customer,
+    };
+    t.throws(() => reader.readForwarded(forwarded), { name: 'UnauthenticatedError' });
+  });
+});
+
+test('any text that is not an issued permit is refused, and an issued one is read back', (t) => {
+  const codec = createPermitCodec({
+    recordKey: MARK,
+    self: { hostId: asId('costa-1.a'), incarnation: asId('0'.repeat(36)), regionId: asId('costa') },
+  });
+  const workshop = asId<Parameters<typeof codec.issue>[0]>('workshop');
+  const issued = codec.issue(workshop, 1_000);
+  t.like(codec.read(issued, workshop), { hostId: 'costa-1.a', expiresAtMs: 1_000 });
+  const forged = fc.oneof(
+    text,
+    fc
+      .tuple(fc.nat({ max: issued.length - 1 }), fc.string({ unit: 'binary', maxLength: 3 }))
+      .map(([at, part]) => `${issued.slice(0, at)}${part}${issued.slice(at + 1)}`),
+  );
+  const isRefused = (key: string): boolean =>
+    holds(() => codec.read(key, workshop)) &&
+    t.throws(() => codec.read(key, workshop)) !== undefined;
+  t.notThrows(() =>
+    fc.assert(
+      fc.property(forged, (key) => key === issued || isRefused(key)),
+      RUNS,
+    ),
+  );
+});
