Enforce body size, body time and prompt length of callers' requests

Cause: admission.maxBodyBytes, timeouts.bodyTimeoutMs and a model's maxPromptTokens were in the schema but read nowhere. A body was bounded by a constant of 256 MiB, a slow sender by the server's request timeout, which closes the connection without a typed body. Unexpected failures and malformed permit requests showed the inner message, because modern-errors adds the cause's message.

Ruled out: the framework's own body limit, which is fixed per route and cannot follow exceptions.

Change: the caller listener reads bodies with the limits of the caller's effective settings and discards a refused rest. A slow sender gets 408 body-timeout and a closed connection. A long prompt gets 400 prompt-too-long. A URL that cannot be decoded gets 404 not-found. The server's request timeout is 120 s now, an upper bound of bodyTimeoutMs.

--- a/packages/adapters/src/callers/addOrderPermitRoute.ts
+++ b/packages/adapters/src/callers/addOrderPermitRoute.ts
@@ -15,9 +15,9 @@
   try {
     const text = String(body ?? '');
     return permitRequestSchema.parse(text === '' ? {} : JSON.parse(text)).count;
-  } catch (cause) {
-    const message = `The body must be { "count": n } with n from 1 to ${MAX_PERMITS}.`;
-    throw new InvalidBodyError(message, { cause });
+  } catch {
+    // The cause is left out: modern-errors adds its message, which quotes the body.
+    throw new InvalidBodyError(`The body must be { "count": n } with n from 1 to ${MAX_PERMITS}.`);
   }
 }
 
--- a/packages/adapters/src/callers/createCallerListener.ts
+++ b/packages/adapters/src/callers/createCallerListener.ts
@@ -1,3 +1,4 @@
+import type { IncomingMessage } from 'node:http';
 import fastify from 'fastify';
 import type { FastifyInstance, FastifyRequest } from 'fastify';
 import { NotFoundError } from '@camphorbarrow/core';
@@ -5,6 +6,7 @@
 import type { CallerApi } from './CallerApi.js';
 import { disconnectSignal } from './disconnectSignal.js';
 import { rawHeaders } from './rawHeaders.js';
+import { readBody } from './readBody.js';
 import { sendError } from './sendError.js';
 import { addOrderPermitRoute } from './addOrderPermitRoute.js';
 import { servicePathOf } from './servicePathOf.js';
@@ -16,9 +18,9 @@
   readonly address: string;
   readonly port: number;
   readonly api: CallerApi;
-  /** Bound of a request body, in bytes. */
+  /** Upper bound of `admission.maxBodyBytes`, in bytes. */
   readonly maxBodyBytes: number;
-  /** Time in which the whole request has to arrive. */
+  /** Upper bound of `timeouts.bodyTimeoutMs`, after which the connection is closed. */
   readonly requestTimeoutMs: number;
 }
 
@@ -93,12 +95,20 @@
     requestTimeout: options.requestTimeoutMs,
     http: { headersTimeout: HEADERS_TIMEOUT_MS },
     forceCloseConnections: true,
+    frameworkErrors: (_error, _request, reply) => {
+      sendError(reply, new NotFoundError('The route does not exist.'));
+    },
     return503OnClosing: false,
   });
   const requests = trackInFlight(app);
   app.removeAllContentTypeParsers();
-  app.addContentTypeParser('*', { parseAs: 'string' }, (_request, body, done) => {
-    done(null, body);
+  app.addContentTypeParser('*', async (request: FastifyRequest, payload: IncomingMessage) => {
+    const { admission, timeouts } = (factsOf.get(request) ?? api.readCaller(rawHeaders(request)))
+      .settings;
+    return readBody(payload, request.headers['content-length'], {
+      maxBodyBytes: Math.min(admission.maxBodyBytes, options.maxBodyBytes),
+      bodyTimeoutMs: timeouts.bodyTimeoutMs,
+    });
   });
   app.setErrorHandler((error, _request, reply) => sendError(reply, error));
   app.setNotFoundHandler((_request, reply) =>
--- a/packages/adapters/src/callers/sendError.ts
+++ b/packages/adapters/src/callers/sendError.ts
@@ -14,7 +14,7 @@
   }
   const statusCode = 'statusCode' in error ? Number(error.statusCode) : 500;
   if (statusCode >= 400 && statusCode < 500) {
-    return new InvalidBodyError(error.message, { cause: error });
+    return new InvalidBodyError('The request is malformed.');
   }
   return error;
 }
--- a/packages/adapters/src/callers/toErrorBody.ts
+++ b/packages/adapters/src/callers/toErrorBody.ts
@@ -15,10 +15,7 @@
 
 /** Maps any failure to the public error form; unknown errors show no internal text. */
 export function toErrorBody(error: unknown): { statusCode: number; body: ErrorBody } {
-  const known =
-    error instanceof RequestError
-      ? error
-      : new RequestError('The gateway failed.', { cause: error });
+  const known = error instanceof RequestError ? error : new RequestError('The gateway failed.');
   const { message, code, outcome, statusCode, retryAfterMs, details } = known;
   return {
     statusCode,
--- a/packages/adapters/src/index.ts
+++ b/packages/adapters/src/index.ts
@@ -8,6 +8,7 @@
 export * from './callers/disconnectSignal.js';
 export * from './callers/eventStreamHeaders.js';
 export * from './callers/rawHeaders.js';
+export * from './callers/readBody.js';
 export * from './callers/sendError.js';
 export * from './callers/servicePathOf.js';
 export * from './callers/streamEvents.js';
--- /dev/null
+++ b/packages/adapters/tests/callers/badInput.test.ts
@@ -0,0 +1,123 @@
+import test from 'ava';
+import { once } from 'node:events';
+import { connect } from 'node:net';
+import {
+  asId,
+  createCallerReader,
+  createFleetDocument,
+  createInferenceRequest,
+  fleetDocumentSchema,
+} from '@camphorbarrow/core';
+import { createHash } from 'node:crypto';
+import type { CallerApi } from '../../src/callers/CallerApi.js';
+import { createCallerListener } from '../../src/callers/createCallerListener.js';
+
+const PORT = 18_943;
+const MARK = 'pelican-jug-7731';
+const document = createFleetDocument(
+  fleetDocumentSchema.parse({
+    version: 1,
+    changeId: 'initial',
+    defaults: {
+      customers: { workshop: { keySha256: createHash('sha256').update('key').digest('hex') } },
+      models: { small: { maxPromptTokens: 100 } },
+      admission: { maxBodyBytes: 2048 },
+      timeouts: { bodyTimeoutMs: 300 },
+    },
+  }),
+);
+const reader = createCallerReader({
+  clock: { nowMs: () => 0, monotonicMs: () => 0, sleep: async () => {} },
+  hostId: asId('costa-1'),
+  regionId: asId('costa'),
+  configuration: () => document,
+  knownRegions: () => new Set([asId('costa')]),
+  entryHostUrls: () => [],
+});
+const api: CallerApi = {
+  readCaller: reader.readCaller,
+  async infer(facts, route, body) {
+    createInferenceRequest(facts, route, body, 'record-key');
+    return { kind: 'plain', statusCode: 200, body: '{}' };
+  },
+  callService: () => Promise.reject(new Error(MARK)),
+  issueOrderPermits: () => ({ permits: [], validForMs: 1 }),
+  models: () => ['small'],
+  entryHosts: () => ({ region: 'costa', entryHostUrls: [], validForMs: 1 }),
+  requireAccepting: () => undefined,
+  readiness: () => ({ ready: true, reason: 'live' }),
+};
+
+/** Sends raw text and returns all that the server answers until it closes or falls silent. */
+async function exchange(parts: readonly string[]): Promise<string> {
+  const socket = connect(PORT, '127.0.0.1');
+  let answer = '';
+  socket.setEncoding('utf8').on('data', (data: string) => {
+    answer += data;
+    if (answer.includes('}}') || answer.endsWith('{}')) {
+      socket.destroy();
+    }
+  });
+  socket.on('error', () => undefined);
+  parts.forEach((part) => socket.write(part));
+  socket.setTimeout(3_000, () => socket.destroy());
+  await once(socket, 'close');
+  return answer;
+}
+
+const head = (line: string, ...headers: readonly string[]): string =>
+  `${[`${line} HTTP/1.1`, 'host: x', 'authorization: Bearer key', ...headers].join('\r\n')}\r\n\r\n`;
+const post = (body: string, ...headers: readonly string[]): string[] => [
+  head('POST /v1/completions', `content-length: ${Buffer.byteLength(body)}`, ...headers),
+  body,
+];
+const completion = (model: string, prompt: string): string => JSON.stringify({ model, prompt });
+const chunked = head('POST /v1/completions', 'transfer-encoding: chunked');
+
+test('bad input is refused with a typed body that shows no input', async (t) => {
+  const listener = await createCallerListener({
+    address: '127.0.0.1',
+    port: PORT,
+    api,
+    maxBodyBytes: 1_000_000,
+    requestTimeoutMs: 15_000,
+  });
+  t.teardown(() => listener.close());
+  const small = completion('small', 'x');
+  const rank = 'x-camphorbarrow-rank: urgent';
+  const cases: readonly (readonly [string, number, string, readonly string[]])[] = [
+    ['declared size', 413, 'body-too-large', post(completion('small', 'x'.repeat(3_000)))],
+    ['chunked size', 413, 'body-too-large', [chunked, `1000\r\n${'x'.repeat(4_096)}\r\n`]],
+    ['malformed JSON', 400, 'invalid-body', post(MARK)],
+    ['unknown model', 404, 'unknown-model', post(completion(MARK, 'x'))],
+    ['inherited model name', 404, 'unknown-model', post(completion('constructor', 'x'))],
+    ['long prompt', 400, 'prompt-too-long', post(completion('small', 'x'.repeat(401)))],
+    ['unknown region', 400, 'unknown-region', post(small, `x-camphorbarrow-home-region: ${MARK}`)],
+    ['header twice', 400, 'invalid-header', post(small, rank, rank)],
+    ['slow sender', 408, 'body-timeout', [head('POST /v1/completions', 'content-length: 9'), 'x']],
+    ['unknown route', 404, 'not-found', [head(`GET /v1/${MARK}`)]],
+    ['undecodable route', 404, 'not-found', [head('GET /v1/%zz')]],
+    ['wrong method', 404, 'not-found', [head('GET /v1/completions')]],
+    ['unexpected failure', 500, 'internal-error', [head('GET /v1/services/orders/x')]],
+  ];
+  for (const [name, status, code, parts] of cases) {
+    const answer = await exchange(parts);
+    t.regex(answer, new RegExp(`^HTTP/1.1 ${status} `), name);
+    t.regex(
+      answer,
+      new RegExp(`"code":"${code}".*"outcome":"${status < 500 ? 'not-run' : 'unknown'}"`),
+      name,
+    );
+    t.false(answer.includes(MARK), name);
+  }
+  t.regex(await exchange(post(small)), /^HTTP\/1.1 200 /);
+
+  const before = process.memoryUsage().rss;
+  const large = `10000000\r\n${'x'.repeat(1_048_576)}`;
+  const answers = await Promise.all(Array.from({ length: 20 }, () => exchange([chunked, large])));
+  const grownBytes = process.memoryUsage().rss - before;
+  t.log(`20 refused bodies of 1 MiB sent: memory grew by ${grownBytes} bytes`);
+  answers.forEach((answer) => t.regex(answer, /^HTTP\/1.1 413 /));
+  // Guards against refused bodies being kept: 20 of them hold 20 MiB.
+  t.true(grownBytes < 15_000_000);
+});
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -90,6 +90,7 @@
 export * from './errors/PermitExpiredError.js';
 export * from './errors/PlatformError.js';
 export * from './errors/ProgressTimeoutError.js';
+export * from './errors/PromptTooLongError.js';
 export * from './errors/RequestError.js';
 export * from './errors/RequestErrorDescription.js';
 export * from './errors/RequestQuarantinedError.js';
--- a/packages/core/src/requests/createInferenceRequest.ts
+++ b/packages/core/src/requests/createInferenceRequest.ts
@@ -1,3 +1,4 @@
+import { PromptTooLongError } from '../errors/PromptTooLongError.js';
 import { UnknownModelError } from '../errors/UnknownModelError.js';
 import type { InferenceRoute } from '../ports/EngineClient.js';
 import type { CallerFacts } from './CallerFacts.js';
@@ -14,7 +15,7 @@
  * Joins a request's headers and body into the form the decisions work on.
  *
  * @param recordKey secret of the deployment, for the request's fingerprint
- * @throws InvalidBodyError or UnknownModelError
+ * @throws InvalidBodyError, UnknownModelError or PromptTooLongError
  */
 export function createInferenceRequest(
   facts: CallerFacts,
@@ -23,9 +24,17 @@
   recordKey: string,
 ): InferenceRequest {
   const parsed = parseInferenceBody(route, body);
-  if (!Object.hasOwn(facts.settings.models, parsed.model)) {
+  const { models } = facts.settings;
+  const model = Object.hasOwn(models, parsed.model) ? models[parsed.model] : undefined;
+  if (model === undefined) {
     throw new UnknownModelError('The model of the request is not configured.');
   }
+  const promptTokens = Math.ceil(parsed.prompt.length / CHARACTERS_PER_TOKEN);
+  if (promptTokens > model.maxPromptTokens) {
+    throw new PromptTooLongError(
+      `The prompt has about ${promptTokens} tokens; the model takes ${model.maxPromptTokens}.`,
+    );
+  }
   const rank = facts.rank ?? facts.settings.routeRanks[route];
   const targets = facts.settings.ranks[rank];
   const deadlineMs = facts.deadlineMs ?? targets.deadlineMs;
@@ -38,7 +47,7 @@
     model: parsed.model,
     streamed: parsed.streamed,
     body: JSON.stringify({ ...parsed.fields, priority: ENGINE_PRIORITY[rank] }),
-    promptTokens: Math.ceil(parsed.prompt.length / CHARACTERS_PER_TOKEN),
+    promptTokens,
     maxOutputTokens: parsed.maxOutputTokens ?? DEFAULT_MAX_OUTPUT_TOKENS,
     receivedAtMs: facts.receivedAtMs,
     firstTokenDueAtMs: facts.receivedAtMs + Math.min(targets.firstTokenTargetMs, deadlineMs),
--- a/packages/daemon/src/entryHost/createEntryHost.ts
+++ b/packages/daemon/src/entryHost/createEntryHost.ts
@@ -61,7 +61,8 @@
 const MAX_BODY_BYTES = 268_435_456;
 const MAX_SEED = 2 ** 31;
 const LOAD_TIMEOUT_MS = 1_000;
-const REQUEST_TIMEOUT_MS = 15_000;
+/** Above the default `timeouts.bodyTimeoutMs`, so that a slow sender gets the typed refusal first. */
+const REQUEST_TIMEOUT_MS = 120_000;
 
 /** Wires and starts one entry host. */
 export async function createEntryHost(settings: HostSettings): Promise<EntryHost> {
