Apply exceptions of a rank to ranks that follow from the route

Cause: effective settings were computed from the headers only, so an exception with scope.rank left out every request whose rank comes from routeRanks.

Ruled out: moving the whole computation behind the body, because the limits of the body come from the effective settings.

Change: CallerFacts carries settingsOf(rank), which createInferenceRequest calls once the rank is known.

The limits of the body still follow the rank in the header only.

--- a/packages/adapters/tests/peers/createHttpForwardClient.test.ts
+++ b/packages/adapters/tests/peers/createHttpForwardClient.test.ts
@@ -39,6 +39,7 @@
   path: [asId('sur-1')],
   receivedAtMs: 0,
   settings: fleetDefaultsSchema.parse({}),
+  settingsOf: () => fleetDefaultsSchema.parse({}),
 };
 
 function attemptAt(peerUrl: string, changes: Partial<ForwardAttempt> = {}): ForwardAttempt {
--- a/packages/bench/src/experiment/createBenchCaller.ts
+++ b/packages/bench/src/experiment/createBenchCaller.ts
@@ -160,6 +160,7 @@
           path,
           receivedAtMs,
           settings,
+          settingsOf: () => settings,
         },
         serviceName: 'orders',
         method: requestClass.method,
--- a/packages/core/src/requests/CallerFacts.ts
+++ b/packages/core/src/requests/CallerFacts.ts
@@ -15,5 +15,8 @@
   readonly idempotencyKey: string | undefined;
   readonly path: readonly HostId[];
   readonly receivedAtMs: number;
+  /** Effective settings of the rank in the headers; exceptions of a rank are left out without one. */
   readonly settings: FleetDefaults;
+  /** Effective settings once the rank is known, which may follow from the route. */
+  readonly settingsOf: (rank: Rank) => FleetDefaults;
 }
--- a/packages/core/src/requests/createCallerReader.ts
+++ b/packages/core/src/requests/createCallerReader.ts
@@ -1,4 +1,5 @@
 import { createHash, randomUUID } from 'node:crypto';
+import type { FleetDefaults } from '../config/FleetDefaults.js';
 import type { FleetDocument } from '../config/FleetDocument.js';
 import { effectiveDefaults } from '../config/effectiveDefaults.js';
 import { InvalidHeaderError } from '../errors/InvalidHeaderError.js';
@@ -141,6 +142,12 @@
     const homeRegionId = readHomeRegion(headers, document, customerId);
     requireHome(homeRegionId);
     const rank = readRank(headers);
+    const settingsOf = (known: Rank | undefined): FleetDefaults =>
+      effectiveDefaults(
+        document,
+        { customerId, regionId: options.regionId, rank: known },
+        options.clock.nowMs(),
+      );
     return {
       requestId: asId<RequestId>(requestId),
       customerId,
@@ -150,11 +157,8 @@
       idempotencyKey: readIdempotencyKey(headers),
       path,
       receivedAtMs: options.clock.monotonicMs(),
-      settings: effectiveDefaults(
-        document,
-        { customerId, regionId: options.regionId, rank },
-        options.clock.nowMs(),
-      ),
+      settings: settingsOf(rank),
+      settingsOf,
     };
   }
 
--- a/packages/core/src/requests/createInferenceRequest.ts
+++ b/packages/core/src/requests/createInferenceRequest.ts
@@ -36,7 +36,8 @@
     );
   }
   const rank = facts.rank ?? facts.settings.routeRanks[route];
-  const targets = facts.settings.ranks[rank];
+  const settings = facts.settingsOf(rank);
+  const targets = settings.ranks[rank];
   const deadlineMs = facts.deadlineMs ?? targets.deadlineMs;
   return {
     requestId: facts.requestId,
@@ -55,6 +56,6 @@
     fingerprint: fingerprintOf(recordKey, route, body),
     blockHashes: prefixBlockHashes(parsed.model, parsed.prompt),
     path: facts.path,
-    settings: facts.settings,
+    settings,
   };
 }
--- a/packages/core/tests/admission/createServiceLane.test.ts
+++ b/packages/core/tests/admission/createServiceLane.test.ts
@@ -19,6 +19,7 @@
     path: [],
     receivedAtMs: 0,
     settings,
+    settingsOf: () => settings,
   };
 }
 
--- a/packages/core/tests/support/createServiceRequest.ts
+++ b/packages/core/tests/support/createServiceRequest.ts
@@ -26,6 +26,7 @@
       path: [],
       receivedAtMs: 0,
       settings,
+      settingsOf: () => settings,
       ...facts,
     },
     serviceName: 'orders',
