--- a/packages/core/src/requests/createCallerReader.ts
+++ b/packages/core/src/requests/createCallerReader.ts
@@ -1,4 +1,5 @@
 import { createHash, randomUUID } from 'node:crypto';
+import type { FleetDefaults } from '../config/FleetDefaults.js';
 import type { FleetDocument } from '../config/FleetDocument.js';
 import { effectiveDefaults } from '../config/effectiveDefaults.js';
 import { InvalidHeaderError } from '../errors/InvalidHeaderError.js';
@@ -104,12 +105,12 @@
     }
     if (configured !== undefined && configured !== value) {
       throw new InvalidHeaderError(
-        `The customer's data is bound to region ${configured}; header ${headerNames.homeRegion} names ${value}.`,
+        `The customer's data is bound to region ${configured}; header ${headerNames.homeRegion} names another.`,
       );
     }
     const regionId = asId<RegionId>(value);
     if (regionId !== options.regionId && !options.knownRegions().has(regionId)) {
-      throw new UnknownRegionError(`Region ${value} is unknown.`);
+      throw new UnknownRegionError(`Header ${headerNames.homeRegion} names an unknown region.`);
     }
     return regionId;
   }
@@ -141,6 +142,12 @@
     const homeRegionId = readHomeRegion(headers, document, customerId);
     requireHome(homeRegionId);
     const rank = readRank(headers);
+    const settingsOf = (known: Rank | undefined): FleetDefaults =>
+      effectiveDefaults(
+        document,
+        { customerId, regionId: options.regionId, rank: known },
+        options.clock.nowMs(),
+      );
     return {
       requestId: asId<RequestId>(requestId),
       customerId,
@@ -150,11 +157,8 @@
       idempotencyKey: readIdempotencyKey(headers),
       path,
       receivedAtMs: options.clock.monotonicMs(),
-      settings: effectiveDefaults(
-        document,
-        { customerId, regionId: options.regionId, rank },
-        options.clock.nowMs(),
-      ),
+      settings: settingsOf(rank),
+      settingsOf,
     };
   }
 
@@ -199,7 +203,7 @@
       const path = readPath(headers);
       requireTarget(headers);
       const customerId = asId<CustomerId>(singleHeader(headers, headerNames.customer) ?? '');
-      if (document.defaults.customers[customerId] === undefined) {
+      if (!Object.hasOwn(document.defaults.customers, customerId)) {
         throw new UnauthenticatedError('The forwarded customer is unknown.');
       }
       return readFacts(headers, document, customerId, path, readRequestId(headers));
