--- a/packages/core/src/dispatch/createOrderDispatch.ts
+++ b/packages/core/src/dispatch/createOrderDispatch.ts
@@ -84,7 +84,7 @@
         return undefined;
       }
       const message = 'The service did not answer; the order may have run.';
-      return { kind: 'unknown', error: new BackendFailedError(message, { cause }) };
+      return { kind: 'unknown', error: new BackendFailedError(message) };
     } finally {
       reservation.release();
     }
--- a/packages/core/src/gateway/createSpillGateway.ts
+++ b/packages/core/src/gateway/createSpillGateway.ts
@@ -115,7 +115,7 @@
         return undefined;
       }
       metrics.increment('forward', { regionId, result: 'broken' });
-      throw new BackendFailedError('The other region did not answer.', { cause });
+      throw new BackendFailedError('The other region did not answer.');
     }
     if (answer.kind === 'refused') {
       log.info('forward-refused', { requestId, regionId, code: answer.code });
--- a/packages/core/src/once/createOrderRelay.ts
+++ b/packages/core/src/once/createOrderRelay.ts
@@ -76,9 +76,10 @@
     const result = await options.peerClient
       .relayOrder(issuer.peerUrl, order, relayTimeoutMs(request, deadlineMs))
       .catch((cause: unknown) => {
-        options.log.warn('order-relay-failed', { requestId: facts.requestId, issuerId });
+        const error = cause instanceof Error ? cause.name : 'unknown';
+        options.log.warn('order-relay-failed', { requestId: facts.requestId, issuerId, error });
         const message = 'The issuer of the permit did not answer; the order may have run.';
-        throw new OutcomeUnknownError(message, { cause });
+        throw new OutcomeUnknownError(message);
       });
     if (result.kind === 'refusal') {
       throw restoreRequestError(result.error);
