Wire engine orders, metrics and gauges; split the wiring of an entry host

Change: one owner per region loads the weights that the fleet defaults name; the stand-in engine takes orders and checks the fencing token. Refusals of the service lane count in the burn report now; they were outside its counters before. Ruled out: loading both engines at once, which would leave no server for the model meanwhile.

--- a/packages/adapters/src/backends/createHttpEngineOrderClient.ts
+++ b/packages/adapters/src/backends/createHttpEngineOrderClient.ts
@@ -3,12 +3,15 @@
 import { FencedOffError, PlatformError } from '@camphorbarrow/core';
 import type { EngineOrderCall, EngineOrderClient } from '@camphorbarrow/core';
 import { classifyHttpError } from '../http/classifyHttpError.js';
+import { outgoingFrom } from '../http/outgoingFrom.js';
 import { notifyBeforeSend } from '../http/notifyBeforeSend.js';
 import { requestJson } from '../http/requestJson.js';
 
 export interface HttpEngineOrderClientOptions {
   /** Limit for making a connection. */
   readonly connectTimeoutMs: number;
+  /** Local IP address of outgoing connections; the system chooses when absent. */
+  readonly localAddress?: string | undefined;
 }
 
 const HTTP_CONFLICT = 409;
@@ -38,7 +41,10 @@
 export function createHttpEngineOrderClient(
   options: HttpEngineOrderClientOptions,
 ): EngineOrderClient {
-  const agent = new Agent({ connectTimeout: options.connectTimeoutMs });
+  const agent = new Agent({
+    connectTimeout: options.connectTimeoutMs,
+    ...outgoingFrom(options.localAddress),
+  });
   return {
     async readState(baseUrl, timeoutMs) {
       const url = `${baseUrl}/engine-orders/state`;
@@ -46,7 +52,10 @@
       return stateSchema.parse(answer);
     },
     async send(call) {
-      const client = new Client(call.baseUrl, { connectTimeout: options.connectTimeoutMs });
+      const client = new Client(call.baseUrl, {
+        connectTimeout: options.connectTimeoutMs,
+        ...outgoingFrom(options.localAddress),
+      });
       try {
         await post(call, client);
       } catch (cause) {
--- a/packages/adapters/src/platform/createHttpWeightStore.ts
+++ b/packages/adapters/src/platform/createHttpWeightStore.ts
@@ -2,10 +2,13 @@
 import { PlatformError } from '@camphorbarrow/core';
 import type { WeightStore } from '@camphorbarrow/core';
 import { classifyHttpError } from '../http/classifyHttpError.js';
+import { outgoingFrom } from '../http/outgoingFrom.js';
 
 export interface HttpWeightStoreOptions {
   readonly url: string;
   readonly timeoutMs: number;
+  /** Local IP address of outgoing connections; the system chooses when absent. */
+  readonly localAddress?: string | undefined;
 }
 
 const HTTP_TOO_MANY_REQUESTS = 429;
@@ -14,7 +17,10 @@
 
 /** The platform's weight store over HTTP (docs/platform.md). */
 export function createHttpWeightStore(options: HttpWeightStoreOptions): WeightStore {
-  const agent = new Agent({ connectTimeout: options.timeoutMs });
+  const agent = new Agent({
+    connectTimeout: options.timeoutMs,
+    ...outgoingFrom(options.localAddress),
+  });
   return {
     async reserveDownload(weights) {
       try {
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -20,6 +20,7 @@
 export * from './burn/ServiceResult.js';
 export * from './burn/createBurnCounters.js';
 export * from './burn/createBurnReport.js';
+export * from './burn/meterResults.js';
 export * from './burn/recordInference.js';
 export * from './burn/recordServices.js';
 export * from './burn/resultOfError.js';
--- /dev/null
+++ b/packages/daemon/src/entryHost/createEngineOrders.ts
@@ -0,0 +1,57 @@
+import { createHttpEngineOrderClient, createHttpWeightStore } from '@camphorbarrow/adapters';
+import { createEngineOrderer, createOwnership } from '@camphorbarrow/core';
+import type { DesiredModel } from '@camphorbarrow/core';
+import type { HostContext } from './HostContext.js';
+import type { RegionView } from './createRegionView.js';
+
+export interface EngineOrders {
+  start(): void;
+  close(): Promise<void>;
+}
+
+const CONNECT_TIMEOUT_MS = 1_000;
+
+/** Wires the orders to engines; there are none when the settings name no weight store. */
+export function createEngineOrders(context: HostContext, view: RegionView): EngineOrders {
+  const { settings, clock, hostId, incarnation, regionId, ports } = context;
+  if (settings.weightStore === undefined) {
+    return { start: () => undefined, close: () => Promise.resolve() };
+  }
+  const localAddress = settings.outgoingAddress;
+  const client = createHttpEngineOrderClient({
+    connectTimeoutMs: CONNECT_TIMEOUT_MS,
+    localAddress,
+  });
+  const weightStore = createHttpWeightStore({ ...settings.weightStore, localAddress });
+
+  /** Models whose weights the fleet defaults name; the others are left as they are. */
+  function desired(): readonly DesiredModel[] {
+    const models = view.config.stored()?.defaults.models ?? {};
+    return Object.entries(models).flatMap(([model, { weights, serversPerRegion }]) =>
+      weights === undefined ? [] : [{ model, weights, servers: serversPerRegion }],
+    );
+  }
+
+  const orderer = createEngineOrderer({
+    clock,
+    log: ports.log,
+    ownership: createOwnership({ clock, store: ports.store, hostId, incarnation, regionId }),
+    client,
+    weightStore,
+    engines: () =>
+      view.registry
+        .servers()
+        .filter(({ entry, accepting }) => accepting && entry.kind === 'engine'),
+    desired,
+    ignoresFencing: (serverId) =>
+      view.config.stored()?.defaults.engineOrders.serversIgnoringFencing.includes(serverId) ===
+      true,
+  });
+  return {
+    start: orderer.start,
+    async close() {
+      await orderer.close();
+      await Promise.all([client.close(), weightStore.close()]);
+    },
+  };
+}
--- a/packages/daemon/src/entryHost/createEntryHost.ts
+++ b/packages/daemon/src/entryHost/createEntryHost.ts
@@ -8,55 +8,35 @@
   asId,
   createBurnCounters,
   createCallerReader,
-  createConfigKeeper,
-  createCrashProbe,
-  createEngineDispatcher,
-  createInferenceGateway,
   createInferenceRequest,
-  createPeerBackedHostList,
-  createPeerTable,
-  createQuarantine,
-  createOrderDispatch,
-  createOrderExecutor,
-  createRepeatableDispatch,
-  createRankAdmission,
-  createRetryBudget,
   createSeededRandom,
-  createServerRegistry,
-  createServiceGateway,
-  createServiceLane,
-  createSharedDispatchLimit,
-  createSpillGateway,
   createSystemClock,
-  observeAdmissionWait,
+  meterResults,
   recordInference,
-  recordServices,
 } from '@camphorbarrow/core';
 import type {
-  AvailabilityZoneId,
   CallerFacts,
   HostBurn,
   HostId,
-  HostListEntry,
   HostSettings,
   Incarnation,
   InferenceAnswer,
   InferenceGateway,
   InferenceRoute,
-  LoadReport,
-  PeerDescription,
   RegionId,
 } from '@camphorbarrow/core';
+import type { HostContext } from './HostContext.js';
 import { collectBurnReport } from './collectBurnReport.js';
-import { announcedUrl } from './announcedUrl.js';
 import { createDrain } from './createDrain.js';
-import { createEntryHostRanking } from './createEntryHostRanking.js';
+import { createEngineOrders } from './createEngineOrders.js';
+import { createInferencePath } from './createInferencePath.js';
+import { createOrderApi } from './createOrderApi.js';
 import { createPorts } from './createPorts.js';
-import { createRegionRouting } from './createRegionRouting.js';
-import { createRegionSpill } from './createRegionSpill.js';
+import { createRegionView } from './createRegionView.js';
+import { createServicePath } from './createServicePath.js';
 import { describeFleet } from './describeFleet.js';
-import { createOrderApi } from './createOrderApi.js';
 import { publishDirectory } from './publishDirectory.js';
+import { reportGauges } from './reportGauges.js';
 
 export interface EntryHost {
   /** Graceful shutdown: steers callers away, then lets requests in flight end. */
@@ -65,141 +45,36 @@
 
 const MAX_BODY_BYTES = 268_435_456;
 const MAX_SEED = 2 ** 31;
-const LOAD_TIMEOUT_MS = 1_000;
 /** Above the default `timeouts.bodyTimeoutMs`, so that a slow sender gets the typed refusal first. */
 const REQUEST_TIMEOUT_MS = 120_000;
 
-/** Wires and starts one entry host. */
-export async function createEntryHost(settings: HostSettings): Promise<EntryHost> {
-  const hostId = asId<HostId>(settings.host.hostId);
-  const regionId = asId<RegionId>(settings.host.region);
-  const incarnation = asId<Incarnation>(randomUUID());
+function createContext(settings: HostSettings): HostContext {
   const clock = createSystemClock();
-  const random = createSeededRandom(randomInt(MAX_SEED));
   const ports = createPorts(settings);
-  const { log, metrics, store, engineClient, serviceClient, peerClient, forwardClient } = ports;
-  const startedAtMs = clock.nowMs();
-  const drain = createDrain({ clock, log, settings: settings.drain });
-
-  const config = createConfigKeeper({
-    clock,
-    random,
-    log,
-    store,
-    peerClient,
-    seedPeerUrls: settings.seedPeers,
-    // eslint-disable-next-line @typescript-eslint/no-use-before-define -- each describes the other
-    listPeers: () => peers.peers(),
-  });
-
-  const describeSelf = (): Omit<PeerDescription, 'sequence'> => ({
-    hostId,
-    incarnation,
-    startedAtMs,
-    regionId,
-    availabilityZoneId: asId<AvailabilityZoneId>(settings.host.availabilityZone),
-    callerUrl: announcedUrl(settings.callerListener),
-    peerUrl: announcedUrl(settings.peerListener),
-    state: drain.state(),
-    configVersion: config.version(),
-    configChangeId: config.revision().changeId,
-  });
-
-  const readLoad = (entry: HostListEntry): Promise<LoadReport> =>
-    engineClient.readLoad(entry.baseUrl, LOAD_TIMEOUT_MS);
-  const hostList = createPeerBackedHostList({
-    log,
-    platform: ports.hostList,
-    // eslint-disable-next-line @typescript-eslint/no-use-before-define -- peers need the registry
-    askPeers: () => askRegion((peerUrl) => peerClient.fetchServers(peerUrl)),
-  });
-  const registry = createServerRegistry({
-    clock,
-    log,
-    hostList,
-    isUsed: (entry) => entry.regionId === regionId,
-    readLoad,
-  });
-  const routing = createRegionRouting({ clock, log, registry, engineClient });
-  const spill = createRegionSpill({
-    clock,
-    regionId,
-    registry,
-    routing,
-    configVersion: config.version,
-  });
-  const peers = createPeerTable({
+  return {
+    settings,
+    hostId: asId<HostId>(settings.host.hostId),
+    regionId: asId<RegionId>(settings.host.region),
+    incarnation: asId<Incarnation>(randomUUID()),
+    startedAtMs: clock.nowMs(),
     clock,
-    random,
-    log,
-    store,
-    peerClient,
-    self: describeSelf,
-    regionLoad: spill.summary,
-    onExchange: spill.recordExchange,
-    seedPeerUrls: settings.seedPeers,
-    onPeer: (peer) => {
-      void config.notice(peer);
-    },
-  });
-  spill.follow(peers);
-  const ranking = createEntryHostRanking({ self: describeSelf, peers });
-
-  /** Calls all reachable peers of the region at once and returns the answers that arrive. */
-  async function askRegion<Answer>(
-    call: (peerUrl: string) => Promise<Answer>,
-  ): Promise<readonly Answer[]> {
-    const reachable = peers.livePeers(regionId);
-    const results = await Promise.allSettled(reachable.map((peer) => call(peer.peerUrl)));
-    return results.flatMap((result) => (result.status === 'fulfilled' ? [result.value] : []));
-  }
+    random: createSeededRandom(randomInt(MAX_SEED)),
+    ports,
+    drain: createDrain({ clock, log: ports.log, settings: settings.drain }),
+  };
+}
 
-  const entryHostCount = (): number => peers.livePeers(regionId).length + 1;
-  const burn = createBurnCounters(clock);
+/** Wires and starts one entry host. */
+export async function createEntryHost(settings: HostSettings): Promise<EntryHost> {
+  const context = createContext(settings);
+  const { hostId, regionId, incarnation, startedAtMs, clock, ports, drain } = context;
+  const { log, metrics, peerClient } = ports;
+  const view = createRegionView(context);
+  const { config, registry, peers, ranking, describeSelf } = view;
+  const burn = meterResults(createBurnCounters(clock), metrics);
   const ownBurn = (): HostBurn => ({ hostId, regionId, startedAtMs, minutes: burn.minutes() });
-  const quarantine = createQuarantine({
-    clock,
-    log,
-    holdMs: () => config.current().defaults.quarantine.holdMs,
-    hasCrashed: createCrashProbe({ clock, readLoad }),
-    share: (report) => askRegion((peerUrl) => peerClient.reportCrash(peerUrl, report)),
-  });
-  const inference = createInferenceGateway({
-    clock,
-    random,
-    log,
-    metrics,
-    registry,
-    dispatcher: createEngineDispatcher({
-      clock,
-      engineClient: routing.engineClient,
-      quarantine,
-    }),
-    quarantine,
-    chooseRoute: routing.chooseRoute,
-    entryHostCount,
-    admission: observeAdmissionWait(
-      createRankAdmission({
-        clock,
-        servers: registry.servers,
-        dispatchLimit: createSharedDispatchLimit(entryHostCount),
-      }),
-      clock,
-      spill.admissionWaits,
-    ),
-    retryBudget: createRetryBudget(clock),
-  });
-  const spilling = createSpillGateway({
-    clock,
-    random,
-    log,
-    metrics,
-    hostId,
-    local: inference,
-    forwardClient,
-    decider: spill.decider,
-    estimateLocal: spill.estimateLocal,
-  });
+  const { quarantine, local, spilling } = createInferencePath(context, view);
+  const { orders, services } = createServicePath(context, view, burn);
   const inferThrough =
     (gateway: InferenceGateway) =>
     async (
@@ -212,26 +87,6 @@
         createInferenceRequest(facts, route, body, settings.secrets.recordKey),
         signal,
       );
-  const serviceOptions = { clock, random, log, registry, serviceClient };
-  const orders = createOrderExecutor({
-    clock,
-    log,
-    self: { hostId, incarnation, regionId },
-    recordKey: settings.secrets.recordKey,
-    store,
-    peerClient,
-    findPeer: (peerId) => peers.peers().find((peer) => peer.hostId === peerId),
-    entryHostUrls: ranking.entryHostUrls,
-    dispatch: createOrderDispatch(serviceOptions),
-    hasServer: ({ serviceName }) =>
-      registry.servers().some((view) => view.accepting && view.entry.serviceName === serviceName),
-  });
-  const servicePath = createServiceGateway({
-    dispatchRepeatable: createRepeatableDispatch(serviceOptions),
-    orders,
-  });
-  const services = recordServices(servicePath, burn);
-  const serviceLane = createServiceLane();
   const callerReader = createCallerReader({
     clock,
     hostId,
@@ -285,7 +140,7 @@
         drain.requireAccepting();
         return callerReader.readForwarded(headers);
       },
-      infer: inferThrough(inference),
+      infer: inferThrough(local),
     },
   });
   const callerListener = await createCallerListener({
@@ -295,8 +150,7 @@
     api: {
       readCaller: callerReader.readCaller,
       infer: inferThrough(recordInference(spilling, burn, clock)),
-      callService: (request, signal) =>
-        serviceLane.run(request.facts, () => services.handle(request, signal), signal),
+      callService: services.handle,
       issueOrderPermits: orderApi.issueOrderPermits,
       models: () => Object.keys(config.current().defaults.models),
       entryHosts: ranking.list,
@@ -307,10 +161,9 @@
       }),
     },
   });
-  config.start();
-  peers.start();
-  registry.start();
-  routing.start();
+  const engineOrders = createEngineOrders(context, view);
+  view.start();
+  engineOrders.start();
   const stopPublishing = publishDirectory({
     clock,
     log,
@@ -323,6 +176,7 @@
           }),
     entry: () => ({ ...ranking.list(), regionId }),
   });
+  const gauges = reportGauges({ clock, metrics, view, callerListener });
   log.info('started', { incarnation });
 
   return {
@@ -333,8 +187,8 @@
       });
       await callerListener.close();
       await orders.close();
-      await peers.close();
-      await Promise.all([registry.close(), routing.close(), config.close(), peerListener.close()]);
+      await Promise.all([gauges.close(), engineOrders.close()]);
+      await Promise.all([view.close(), peerListener.close()]);
       await ports.close();
       log.info('stopped', {});
     },
--- /dev/null
+++ b/packages/daemon/src/entryHost/createRegionView.ts
@@ -0,0 +1,149 @@
+import {
+  asId,
+  createConfigKeeper,
+  createPeerBackedHostList,
+  createPeerTable,
+  createServerRegistry,
+} from '@camphorbarrow/core';
+import type {
+  AvailabilityZoneId,
+  ConfigKeeper,
+  HostListEntry,
+  LoadReport,
+  PeerDescription,
+  PeerTable,
+  ServerRegistry,
+} from '@camphorbarrow/core';
+import type { HostContext } from './HostContext.js';
+import { announcedUrl } from './announcedUrl.js';
+import { createEntryHostRanking } from './createEntryHostRanking.js';
+import type { EntryHostRanking } from './createEntryHostRanking.js';
+import { createRegionRouting } from './createRegionRouting.js';
+import type { RegionRouting } from './createRegionRouting.js';
+import { createRegionSpill } from './createRegionSpill.js';
+import type { RegionSpill } from './createRegionSpill.js';
+
+/** What the entry host knows of the fleet and of its region. */
+export interface RegionView {
+  readonly config: ConfigKeeper;
+  readonly registry: ServerRegistry;
+  readonly routing: RegionRouting;
+  readonly spill: RegionSpill;
+  readonly peers: PeerTable;
+  readonly ranking: EntryHostRanking;
+  readonly describeSelf: () => Omit<PeerDescription, 'sequence'>;
+  readonly readLoad: (entry: HostListEntry) => Promise<LoadReport>;
+  /** Calls all reachable peers of the region at once and returns the answers that arrive. */
+  readonly askRegion: <Answer>(
+    call: (peerUrl: string) => Promise<Answer>,
+  ) => Promise<readonly Answer[]>;
+  /** Entry hosts of the region that take new requests, this one included. */
+  readonly entryHostCount: () => number;
+  start(): void;
+  close(): Promise<void>;
+}
+
+const LOAD_TIMEOUT_MS = 1_000;
+
+/** Wires configuration, membership, server registry and routing of one entry host. */
+export function createRegionView(context: HostContext): RegionView {
+  const { settings, hostId, regionId, incarnation, startedAtMs, clock, random, drain } = context;
+  const { ports } = context;
+  const { log, store, engineClient, peerClient } = ports;
+
+  const config = createConfigKeeper({
+    clock,
+    random,
+    log,
+    store,
+    peerClient,
+    seedPeerUrls: settings.seedPeers,
+    // eslint-disable-next-line @typescript-eslint/no-use-before-define -- each describes the other
+    listPeers: () => peers.peers(),
+  });
+
+  const describeSelf = (): Omit<PeerDescription, 'sequence'> => ({
+    hostId,
+    incarnation,
+    startedAtMs,
+    regionId,
+    availabilityZoneId: asId<AvailabilityZoneId>(settings.host.availabilityZone),
+    callerUrl: announcedUrl(settings.callerListener),
+    peerUrl: announcedUrl(settings.peerListener),
+    state: drain.state(),
+    configVersion: config.version(),
+    configChangeId: config.revision().changeId,
+  });
+
+  const readLoad = (entry: HostListEntry): Promise<LoadReport> =>
+    engineClient.readLoad(entry.baseUrl, LOAD_TIMEOUT_MS);
+  const hostList = createPeerBackedHostList({
+    log,
+    platform: ports.hostList,
+    // eslint-disable-next-line @typescript-eslint/no-use-before-define -- peers need the registry
+    askPeers: () => askRegion((peerUrl) => peerClient.fetchServers(peerUrl)),
+  });
+  const registry = createServerRegistry({
+    clock,
+    log,
+    hostList,
+    isUsed: (entry) => entry.regionId === regionId,
+    readLoad,
+  });
+  const routing = createRegionRouting({ clock, log, registry, engineClient });
+  const spill = createRegionSpill({
+    clock,
+    regionId,
+    registry,
+    routing,
+    configVersion: config.version,
+  });
+  const peers = createPeerTable({
+    clock,
+    random,
+    log,
+    store,
+    peerClient,
+    self: describeSelf,
+    regionLoad: spill.summary,
+    onExchange: spill.recordExchange,
+    seedPeerUrls: settings.seedPeers,
+    onPeer: (peer) => {
+      void config.notice(peer);
+    },
+  });
+  spill.follow(peers);
+  const ranking = createEntryHostRanking({ self: describeSelf, peers });
+
+  /** Calls all reachable peers of the region at once and returns the answers that arrive. */
+  async function askRegion<Answer>(
+    call: (peerUrl: string) => Promise<Answer>,
+  ): Promise<readonly Answer[]> {
+    const reachable = peers.livePeers(regionId);
+    const results = await Promise.allSettled(reachable.map((peer) => call(peer.peerUrl)));
+    return results.flatMap((result) => (result.status === 'fulfilled' ? [result.value] : []));
+  }
+
+  return {
+    config,
+    registry,
+    routing,
+    spill,
+    peers,
+    ranking,
+    describeSelf,
+    readLoad,
+    askRegion,
+    entryHostCount: () => peers.livePeers(regionId).length + 1,
+    start() {
+      config.start();
+      peers.start();
+      registry.start();
+      routing.start();
+    },
+    async close() {
+      await peers.close();
+      await Promise.all([registry.close(), routing.close(), config.close()]);
+    },
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/entryHost/createServicePath.ts
@@ -0,0 +1,53 @@
+import {
+  createOrderDispatch,
+  createOrderExecutor,
+  createRepeatableDispatch,
+  createServiceGateway,
+  createServiceLane,
+  recordServices,
+} from '@camphorbarrow/core';
+import type { BurnCounters, OrderExecutor, ServiceGateway } from '@camphorbarrow/core';
+import type { HostContext } from './HostContext.js';
+import type { RegionView } from './createRegionView.js';
+
+export interface ServicePath {
+  readonly orders: OrderExecutor;
+  readonly services: ServiceGateway;
+}
+
+/** Wires the path of calls to plain services, orders included. */
+export function createServicePath(
+  context: HostContext,
+  view: RegionView,
+  burn: BurnCounters,
+): ServicePath {
+  const { settings, hostId, regionId, incarnation, clock, random, ports } = context;
+  const { log, store, peerClient, serviceClient } = ports;
+  const { registry, peers, ranking } = view;
+  const serviceOptions = { clock, random, log, registry, serviceClient };
+  const orders = createOrderExecutor({
+    clock,
+    log,
+    self: { hostId, incarnation, regionId },
+    recordKey: settings.secrets.recordKey,
+    store,
+    peerClient,
+    findPeer: (peerId) => peers.peers().find((peer) => peer.hostId === peerId),
+    entryHostUrls: ranking.entryHostUrls,
+    dispatch: createOrderDispatch(serviceOptions),
+    hasServer: ({ serviceName }) =>
+      registry
+        .servers()
+        .some((server) => server.accepting && server.entry.serviceName === serviceName),
+  });
+  const gateway = createServiceGateway({
+    dispatchRepeatable: createRepeatableDispatch(serviceOptions),
+    orders,
+  });
+  const serviceLane = createServiceLane();
+  const laned: ServiceGateway = {
+    handle: (request, signal) =>
+      serviceLane.run(request.facts, () => gateway.handle(request, signal), signal),
+  };
+  return { orders, services: recordServices(laned, burn) };
+}
--- /dev/null
+++ b/packages/daemon/src/entryHost/reportGauges.ts
@@ -0,0 +1,38 @@
+import type { CallerListener } from '@camphorbarrow/adapters';
+import type { Clock, MetricsSink } from '@camphorbarrow/core';
+import type { RegionView } from './createRegionView.js';
+
+export interface ReportGaugesOptions {
+  readonly clock: Clock;
+  readonly metrics: MetricsSink;
+  readonly view: Pick<RegionView, 'config' | 'registry' | 'peers'>;
+  readonly callerListener: Pick<CallerListener, 'inFlight'>;
+}
+
+const INTERVAL_MS = 10_000;
+
+/** Sends the state of the entry host as gauges until it is closed (docs/metrics.md). */
+export function reportGauges(options: ReportGaugesOptions): { close(): Promise<void> } {
+  const { clock, metrics, view, callerListener } = options;
+  const stopping = new AbortController();
+
+  async function run(): Promise<void> {
+    while (!stopping.signal.aborted) {
+      metrics.gauge('configuration_version', view.config.version());
+      metrics.gauge('in_flight', callerListener.inFlight());
+      const accepting = view.registry.servers().filter((server) => server.accepting);
+      metrics.gauge('servers_accepting', accepting.length);
+      const reachable = view.peers.peers().filter((peer) => peer.reachable);
+      metrics.gauge('peers_reachable', reachable.length);
+      await clock.sleep(INTERVAL_MS, stopping.signal).catch(() => undefined);
+    }
+  }
+
+  const task = run();
+  return {
+    async close() {
+      stopping.abort();
+      await task;
+    },
+  };
+}
--- a/packages/standins/src/engine/startEngine.ts
+++ b/packages/standins/src/engine/startEngine.ts
@@ -8,6 +8,7 @@
 import type { EngineBody } from './EngineBody.js';
 import type { EngineOptions } from './EngineOptions.js';
 import { CRASH_MARK } from './CRASH_MARK.js';
+import { addOrderRoutes } from './addOrderRoutes.js';
 import { answerTokens } from './answerTokens.js';
 import { createBatch } from './createBatch.js';
 import { createPrefixCache } from './createPrefixCache.js';
@@ -57,6 +58,7 @@
   const incarnation = randomUUID();
   const batch = createBatch(options.maxConcurrentRequests ?? 8);
   const cache = createPrefixCache(options.cacheBlocks ?? 512, options.cacheEventGapEvery);
+  const models = addOrderRoutes(app, options);
   const records = createRecordLog(options.recordFile);
   const maxWaiting = options.maxWaitingRequests ?? 64;
   const tokenMs = options.tokenMs ?? 10;
@@ -106,7 +108,7 @@
     const facts = { requestId: String(request.headers['x-request-id']), call: nonceOf(prompt) };
     const path = request.headers['x-camphorbarrow-path']?.toString();
     records.add({ kind: 'arrived', atMs: Date.now(), ...facts, path });
-    if (!options.models.includes(body.model)) {
+    if (!models.serves(body.model)) {
       return reply.code(404).send({ error: { message: 'unknown model', code: 'unknown-model' } });
     }
     if (leaving || batch.waiting() >= maxWaiting) {
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -3,6 +3,7 @@
 export * from './engine/CRASH_MARK.js';
 export * from './engine/EngineBody.js';
 export * from './engine/EngineOptions.js';
+export * from './engine/addOrderRoutes.js';
 export * from './engine/answerTokens.js';
 export * from './engine/createBatch.js';
 export * from './engine/createPrefixCache.js';
