Remove doubled logic: service calls, event streams and test fixtures

Orders and repeatable calls built the same call, and two adapters read server-sent events with the same loop; each is one module now. Three pairs of test fixtures in core are one each; no assertion changed.

--- a/packages/adapters/src/backends/createOpenAiEngineClient.ts
+++ b/packages/adapters/src/backends/createOpenAiEngineClient.ts
@@ -1,6 +1,5 @@
 import { request } from 'undici';
 import type { Dispatcher } from 'undici';
-import { createParser } from 'eventsource-parser';
 import { z } from 'zod';
 import { ProgressTimeoutError, asId } from '@camphorbarrow/core';
 import type { EngineAnswer, EngineClient } from '@camphorbarrow/core';
@@ -8,6 +7,7 @@
 import { createServerPools } from '../http/createServerPools.js';
 import { notifyBeforeSend } from '../http/notifyBeforeSend.js';
 import { outgoingFrom } from '../http/outgoingFrom.js';
+import { readServerSentEvents } from '../http/readServerSentEvents.js';
 import { requestJson } from '../http/requestJson.js';
 import { loadReportSchema } from './loadReportSchema.js';
 
@@ -23,17 +23,9 @@
   ),
 });
 
-async function* readEvents(body: AsyncIterable<Buffer>): AsyncGenerator<string, void> {
-  const ready: string[] = [];
-  const parser = createParser({ onEvent: (event) => ready.push(event.data) });
-  const decoder = new TextDecoder();
-  try {
-    for await (const chunk of body) {
-      parser.feed(decoder.decode(chunk, { stream: true }));
-      yield* ready.splice(0);
-    }
-  } catch (cause) {
-    throw classifyHttpError(cause);
+async function* readData(body: AsyncIterable<Buffer>): AsyncGenerator<string, void> {
+  for await (const event of readServerSentEvents(body)) {
+    yield event.data;
   }
 }
 
@@ -49,7 +41,7 @@
     };
   }
   if (String(headers['content-type']).startsWith('text/event-stream')) {
-    return { kind: 'stream', events: readEvents(body) };
+    return { kind: 'stream', events: readData(body) };
   }
   return body.text().then((text) => ({ kind: 'plain', statusCode, body: text }));
 }
--- a/packages/adapters/src/peers/readForwardEvents.ts
+++ b/packages/adapters/src/http/readServerSentEvents.ts
@@ -1,9 +1,13 @@
 import { createParser } from 'eventsource-parser';
 import type { EventSourceMessage } from 'eventsource-parser';
-import { classifyHttpError } from '../http/classifyHttpError.js';
+import { classifyHttpError } from './classifyHttpError.js';
 
-/** Yields the server-sent events of a forwarded request, errors included. */
-export async function* readForwardEvents(
+/**
+ * Yields the server-sent events of an answer, `error` events included.
+ *
+ * @throws AttemptBrokenError or ProgressTimeoutError when the connection breaks
+ */
+export async function* readServerSentEvents(
   body: AsyncIterable<Buffer>,
 ): AsyncGenerator<EventSourceMessage, void> {
   const ready: EventSourceMessage[] = [];
--- a/packages/adapters/src/peers/createHttpForwardClient.ts
+++ b/packages/adapters/src/peers/createHttpForwardClient.ts
@@ -6,7 +6,7 @@
 import { classifyHttpError } from '../http/classifyHttpError.js';
 import { outgoingFrom } from '../http/outgoingFrom.js';
 import { parseRefusal } from './parseRefusal.js';
-import { readForwardEvents } from './readForwardEvents.js';
+import { readServerSentEvents } from '../http/readServerSentEvents.js';
 
 export interface HttpForwardClientOptions {
   readonly peerKey: string;
@@ -88,7 +88,7 @@
   if (!String(headers['content-type']).startsWith('text/event-stream')) {
     return { kind: 'plain', statusCode, body: await body.text() };
   }
-  const events = readForwardEvents(body);
+  const events = readServerSentEvents(body);
   const first = await events.next();
   if (first.done === true) {
     throw new AttemptBrokenError('The forwarded stream ended before its first event.');
--- a/packages/core/src/dispatch/createOrderDispatch.ts
+++ b/packages/core/src/dispatch/createOrderDispatch.ts
@@ -3,7 +3,6 @@
 import { DeadlineExceededError } from '../errors/DeadlineExceededError.js';
 import { NoServerError } from '../errors/NoServerError.js';
 import type { ServiceRequest } from '../gateway/ServiceRequest.js';
-import { requireService } from '../gateway/requireService.js';
 import type { ServerRegistry } from '../membership/createServerRegistry.js';
 import type { OrderOutcome } from '../once/OrderOutcome.js';
 import type { LogSink } from '../ports/LogSink.js';
@@ -12,6 +11,7 @@
 import type { ServerView } from '../routing/ServerView.js';
 import { chooseServiceServer } from './chooseServiceServer.js';
 import type { SendGate } from './createSendGate.js';
+import { toServiceCall } from './toServiceCall.js';
 
 export interface OrderDispatchOptions {
   readonly random: RandomSource;
@@ -53,18 +53,10 @@
     const reservation = registry.reserve(server.entry.serverId, 0);
     try {
       const answer = await options.serviceClient.call(
-        {
-          baseUrl: server.entry.baseUrl,
-          method: request.method,
-          path: request.path,
-          contentType: request.contentType,
-          body: request.body,
-          requestId: request.facts.requestId,
-          connectTimeoutMs: request.facts.settings.timeouts.connectTimeoutMs,
-          answerTimeoutMs: requireService(request).answerTimeoutMs,
+        toServiceCall(request, server, {
           freshConnection: true,
           onPossiblyRun: gate.startAttempt(),
-        },
+        }),
         gate.signal,
       );
       gate.markAnswered();
--- a/packages/core/src/dispatch/createRepeatableDispatch.ts
+++ b/packages/core/src/dispatch/createRepeatableDispatch.ts
@@ -3,12 +3,12 @@
 import { DeadlineExceededError } from '../errors/DeadlineExceededError.js';
 import { NoServerError } from '../errors/NoServerError.js';
 import type { ServiceRequest } from '../gateway/ServiceRequest.js';
-import { requireService } from '../gateway/requireService.js';
 import type { Clock } from '../ports/Clock.js';
 import type { ServiceAnswer } from '../ports/ServiceClient.js';
 import type { ServerView } from '../routing/ServerView.js';
 import { chooseServiceServer } from './chooseServiceServer.js';
 import type { OrderDispatchOptions } from './createOrderDispatch.js';
+import { toServiceCall } from './toServiceCall.js';
 
 export interface RepeatableDispatchOptions extends OrderDispatchOptions {
   readonly clock: Clock;
@@ -36,18 +36,7 @@
     const reservation = registry.reserve(server.entry.serverId, 0);
     try {
       return await options.serviceClient.call(
-        {
-          baseUrl: server.entry.baseUrl,
-          method: request.method,
-          path: request.path,
-          contentType: request.contentType,
-          body: request.body,
-          requestId: request.facts.requestId,
-          connectTimeoutMs: request.facts.settings.timeouts.connectTimeoutMs,
-          answerTimeoutMs: requireService(request).answerTimeoutMs,
-          freshConnection: false,
-          onPossiblyRun,
-        },
+        toServiceCall(request, server, { freshConnection: false, onPossiblyRun }),
         signal,
       );
     } finally {
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -56,6 +56,7 @@
 export * from './dispatch/createOrderDispatch.js';
 export * from './dispatch/createRepeatableDispatch.js';
 export * from './dispatch/createSendGate.js';
+export * from './dispatch/toServiceCall.js';
 export * from './engineOrders/EngineOrder.js';
 export * from './engineOrders/EngineState.js';
 export * from './engineOrders/createEngineOrderer.js';
--- a/packages/core/tests/admission/createRankAdmission.test.ts
+++ b/packages/core/tests/admission/createRankAdmission.test.ts
@@ -8,8 +8,8 @@
 import type { InferenceRequest } from '../../src/requests/InferenceRequest.js';
 import type { ManualClock } from '../createManualClock.js';
 import { createManualClock } from '../createManualClock.js';
-import { fakeRequest } from '../fakeRequest.js';
-import { fakeServer } from '../fakeServer.js';
+import { createFakeRequest } from '../support/createFakeRequest.js';
+import { createFakeServer } from '../support/createFakeServer.js';
 
 const patient = { rank: 'patient', firstTokenDueAtMs: 30_000, deadlineAtMs: 300_000 } as const;
 
@@ -33,8 +33,8 @@
   const clock = createManualClock();
   const placed: InferenceRequest[] = [];
   let inFlight = 0;
-  const server = (): ReturnType<typeof fakeServer> =>
-    fakeServer({ ownInFlightRequests: inFlight }, { maxConcurrentRequests: places });
+  const server = (): ReturnType<typeof createFakeServer> =>
+    createFakeServer({ ownInFlightRequests: inFlight }, { maxConcurrentRequests: places });
   const admission = createRankAdmission({
     clock,
     servers: () => [server()],
@@ -78,9 +78,9 @@
 
 test('urgent requests go before patient ones that came earlier', async (t) => {
   const rig = createRig(1);
-  const first = fakeRequest();
-  const late = fakeRequest();
-  const draft = fakeRequest(patient);
+  const first = createFakeRequest();
+  const late = createFakeRequest();
+  const draft = createFakeRequest(patient);
   const waits = [first, draft, late].map((request) => rig.admit(request));
   rig.release();
   rig.release();
@@ -91,8 +91,10 @@
 test('patient work keeps its minimum share of tokens during an urgent flood', async (t) => {
   const rig = createRig(1);
   const settings = fleetDefaultsSchema.parse({ admission: { patientMinimumShareRatio: 0.25 } });
-  const waits = Array.from({ length: 41 }, () => rig.admit(fakeRequest({ settings })));
-  waits.push(...Array.from({ length: 41 }, () => rig.admit(fakeRequest({ ...patient, settings }))));
+  const waits = Array.from({ length: 41 }, () => rig.admit(createFakeRequest({ settings })));
+  waits.push(
+    ...Array.from({ length: 41 }, () => rig.admit(createFakeRequest({ ...patient, settings }))),
+  );
   for (let count = 0; count < 40; count += 1) {
     rig.release();
   }
@@ -105,9 +107,9 @@
 
 test('a request that cannot make its target is refused at once and told when to return', async (t) => {
   const rig = createRig(1);
-  rig.learn(fakeRequest(), 400, 600);
-  const waits = [1, 2].map(() => rig.admit(fakeRequest()));
-  const error = await t.throwsAsync(rig.admit(fakeRequest({ firstTokenDueAtMs: 1_300 })), {
+  rig.learn(createFakeRequest(), 400, 600);
+  const waits = [1, 2].map(() => rig.admit(createFakeRequest()));
+  const error = await t.throwsAsync(rig.admit(createFakeRequest({ firstTokenDueAtMs: 1_300 })), {
     instanceOf: OverloadedError,
   });
   const { outcome, statusCode, retryAfterMs } = error as InstanceType<typeof OverloadedError>;
@@ -118,18 +120,18 @@
 
 test('a request is refused when its deadline is shorter than the learned service time', async (t) => {
   const rig = createRig(1);
-  rig.learn(fakeRequest(), 400, 600);
-  await t.throwsAsync(rig.admit(fakeRequest({ deadlineAtMs: 900 })), {
+  rig.learn(createFakeRequest(), 400, 600);
+  await t.throwsAsync(rig.admit(createFakeRequest({ deadlineAtMs: 900 })), {
     instanceOf: OverloadedError,
   });
-  await rig.admit(fakeRequest({ deadlineAtMs: 1_100 }));
+  await rig.admit(createFakeRequest({ deadlineAtMs: 1_100 }));
 });
 
 test('a waiting request that can no longer make its target is dropped and never placed', async (t) => {
   const rig = createRig(1);
-  rig.learn(fakeRequest(), 400, 600);
-  await rig.admit(fakeRequest());
-  const waiting = t.throwsAsync(rig.admit(fakeRequest()), { instanceOf: OverloadedError });
+  rig.learn(createFakeRequest(), 400, 600);
+  await rig.admit(createFakeRequest());
+  const waiting = t.throwsAsync(rig.admit(createFakeRequest()), { instanceOf: OverloadedError });
   await rig.clock.advance(1_340);
   await waiting;
   rig.release();
@@ -139,9 +141,9 @@
 
 test('a caller that leaves takes its request out of the queue', async (t) => {
   const rig = createRig(1);
-  await rig.admit(fakeRequest());
+  await rig.admit(createFakeRequest());
   const leaving = new AbortController();
-  const waiting = rig.admit(fakeRequest(), { signal: leaving.signal });
+  const waiting = rig.admit(createFakeRequest(), { signal: leaving.signal });
   leaving.abort(new TypeError('left'));
   await t.throwsAsync(waiting, { instanceOf: TypeError });
   rig.release();
@@ -156,24 +158,24 @@
     throw new TypeError('no server');
   };
   await t.throwsAsync(
-    rig.admission.admit({ request: fakeRequest(), retry: false, place }, signal),
+    rig.admission.admit({ request: createFakeRequest(), retry: false, place }, signal),
     {
       instanceOf: TypeError,
     },
   );
-  await rig.admit(fakeRequest());
+  await rig.admit(createFakeRequest());
   t.is(rig.admission.queuedRequests(), 0);
 });
 
 test('a request for a model without a place does not block other models', async (t) => {
   const rig = createRig(1);
   const { signal } = new AbortController();
-  const stuck = fakeRequest({ model: 'other' });
+  const stuck = createFakeRequest({ model: 'other' });
   const waiting = rig.admission.admit(
     { request: stuck, retry: false, place: () => undefined },
     signal,
   );
-  await rig.admit(fakeRequest());
+  await rig.admit(createFakeRequest());
   t.is(rig.placed.length, 1);
   t.is(rig.admission.queuedRequests(), 1);
   void waiting;
@@ -184,15 +186,15 @@
   let limit = 0;
   const admission = createRankAdmission({
     clock,
-    servers: () => [fakeServer()],
+    servers: () => [createFakeServer()],
     dispatchLimit: () => limit,
   });
   const { signal } = new AbortController();
   const waiting = admission.admit(
     {
-      request: fakeRequest(),
+      request: createFakeRequest(),
       retry: false,
-      place: (hasRoom) => (hasRoom(fakeServer()) ? 'placed' : undefined),
+      place: (hasRoom) => (hasRoom(createFakeServer()) ? 'placed' : undefined),
     },
     signal,
   );
@@ -216,14 +218,14 @@
   await fc.assert(
     fc.asyncProperty(fc.array(stepArbitrary, { maxLength: 60 }), async (steps) => {
       const rig = createRig(2);
-      rig.learn(fakeRequest(), 100, 200);
+      rig.learn(createFakeRequest(), 100, 200);
       const controllers: AbortController[] = [];
       const results: Promise<string>[] = [];
       for (const step of steps) {
         if (step.kind === 'admit') {
           const controller = new AbortController();
           controllers.push(controller);
-          const request = fakeRequest({
+          const request = createFakeRequest({
             settings,
             rank: step.rank,
             customerId: asId(step.customer),
--- a/packages/core/tests/admission/createServiceTimeEstimator.test.ts
+++ b/packages/core/tests/admission/createServiceTimeEstimator.test.ts
@@ -2,18 +2,18 @@
 import { createServiceTimeEstimator } from '../../src/admission/createServiceTimeEstimator.js';
 import { asId } from '../../src/ids/asId.js';
 import { createManualClock } from '../createManualClock.js';
-import { fakeRequest } from '../fakeRequest.js';
+import { createFakeRequest } from '../support/createFakeRequest.js';
 
 const fast = asId<never>('fast');
 const slow = asId<never>('slow');
 
 test('times scale with the prompt and the output limit and differ by server', (t) => {
   const estimator = createServiceTimeEstimator(createManualClock());
-  const request = fakeRequest({ promptTokens: 100, maxOutputTokens: 100 });
+  const request = createFakeRequest({ promptTokens: 100, maxOutputTokens: 100 });
   const seen = { request, outputEvents: 50 };
   estimator.observe({ ...seen, serverId: fast, firstTokenMs: 100, decodeMs: 500 });
   estimator.observe({ ...seen, serverId: slow, firstTokenMs: 300, decodeMs: 1_500 });
-  const longer = fakeRequest({ promptTokens: 200, maxOutputTokens: 400 });
+  const longer = createFakeRequest({ promptTokens: 200, maxOutputTokens: 400 });
   t.deepEqual(estimator.estimate(longer, [fast]), {
     firstTokenMs: 200,
     firstTokenDeviationMs: 0,
@@ -34,7 +34,7 @@
 test('an old estimate expires, so that a bad one cannot refuse all requests for good', async (t) => {
   const clock = createManualClock();
   const estimator = createServiceTimeEstimator(clock);
-  const request = fakeRequest();
+  const request = createFakeRequest();
   estimator.observe({ request, serverId: fast, firstTokenMs: 9e9, decodeMs: 1, outputEvents: 1 });
   t.not(estimator.estimate(request, [fast]), undefined);
   await clock.advance(10_001);
@@ -43,14 +43,14 @@
 
 test('answers of one rank do not change the estimate of the other', (t) => {
   const estimator = createServiceTimeEstimator(createManualClock());
-  const request = fakeRequest({ rank: 'patient' });
+  const request = createFakeRequest({ rank: 'patient' });
   estimator.observe({ request, serverId: fast, firstTokenMs: 9, decodeMs: 1, outputEvents: 1 });
-  t.is(estimator.estimate(fakeRequest(), [fast]), undefined);
+  t.is(estimator.estimate(createFakeRequest(), [fast]), undefined);
 });
 
 test('varying first-token times widen the margin instead of only moving the mean', (t) => {
   const estimator = createServiceTimeEstimator(createManualClock());
-  const request = fakeRequest();
+  const request = createFakeRequest();
   const seen = { request, serverId: fast, decodeMs: 100, outputEvents: 50 };
   estimator.observe({ ...seen, firstTokenMs: 100 });
   estimator.observe({ ...seen, firstTokenMs: 300 });
--- a/packages/core/tests/dispatch/createEngineDispatcher.test.ts
+++ b/packages/core/tests/dispatch/createEngineDispatcher.test.ts
@@ -10,9 +10,9 @@
 import type { InferenceRequest } from '../../src/requests/InferenceRequest.js';
 import type { ServerView } from '../../src/routing/ServerView.js';
 import { createManualClock } from '../../src/time/createManualClock.js';
-import { createFakeServer } from '../support/createFakeServer.js';
+import { createNamedServer } from '../support/createNamedServer.js';
 import { createFakeRequest } from '../support/createFakeRequest.js';
-import { createSilentLog } from '../support/createSilentLog.js';
+import { silentLog } from '../support/silentLog.js';
 
 const CRASH_LIMIT = 2;
 const { signal } = new AbortController();
@@ -30,7 +30,7 @@
   const shared: CrashReport[] = [];
   const quarantine = createQuarantine({
     clock: createManualClock(),
-    log: createSilentLog(),
+    log: silentLog,
     holdMs: () => 600_000,
     hasCrashed: () => Promise.resolve(hasCrashed),
     share(report) {
@@ -71,7 +71,7 @@
   const { attempt, reserved } = createSubject(() =>
     Promise.resolve<EngineAnswer>({ kind: 'stream', events: stream(events) }),
   );
-  const answer = await attempt(createFakeRequest(), createFakeServer('s1'));
+  const answer = await attempt(createFakeRequest(), createNamedServer('s1'));
   t.is(reserved.size, 1);
   t.deepEqual(await drain(answer), events);
   t.is(reserved.size, 0);
@@ -81,7 +81,7 @@
   const { attempt, reserved } = createSubject(() =>
     Promise.resolve<EngineAnswer>({ kind: 'stream', events: stream(['{}', '{}', '{}']) }),
   );
-  const answer = await attempt(createFakeRequest(), createFakeServer('s1'));
+  const answer = await attempt(createFakeRequest(), createNamedServer('s1'));
   const events = answer.kind === 'stream' ? answer.events[Symbol.asyncIterator]() : undefined;
   t.is((await events?.next())?.value, '{}');
   await events?.return?.();
@@ -93,7 +93,7 @@
   const request = createFakeRequest();
   for (const server of ['s1', 's2']) {
     t.notThrows(() => quarantine.check(request.fingerprint, CRASH_LIMIT));
-    await t.throwsAsync(attempt(request, createFakeServer(server)), {
+    await t.throwsAsync(attempt(request, createNamedServer(server)), {
       instanceOf: AttemptBrokenError,
     });
   }
@@ -108,7 +108,7 @@
     Promise.resolve<EngineAnswer>({ kind: 'stream', events: stream(['{}'], broken()) }),
   );
   const request = createFakeRequest();
-  const answer = await attempt(request, createFakeServer('s1'));
+  const answer = await attempt(request, createNamedServer('s1'));
   await t.throwsAsync(drain(answer), { instanceOf: AttemptBrokenError });
   t.true(quarantine.isSuspect(request.fingerprint));
 });
@@ -116,7 +116,7 @@
 test('a cut network blames no request, because the server is still there', async (t) => {
   const { attempt, quarantine } = createSubject(() => Promise.reject(broken()), false);
   const request = createFakeRequest();
-  await t.throwsAsync(attempt(request, createFakeServer('s1')));
+  await t.throwsAsync(attempt(request, createNamedServer('s1')));
   t.false(quarantine.isSuspect(request.fingerprint));
 });
 
@@ -124,7 +124,7 @@
   const { attempt, reserved } = createSubject(() =>
     Promise.resolve<EngineAnswer>({ kind: 'stream', events: stream([]) }),
   );
-  await t.throwsAsync(attempt(createFakeRequest(), createFakeServer('s1')), {
+  await t.throwsAsync(attempt(createFakeRequest(), createNamedServer('s1')), {
     instanceOf: TruncatedStreamError,
   });
   t.is(reserved.size, 0);
--- a/packages/core/tests/engineOrders/createEngineOrderer.test.ts
+++ b/packages/core/tests/engineOrders/createEngineOrderer.test.ts
@@ -9,9 +9,9 @@
 import { createOwnership } from '../../src/engineOrders/createOwnership.js';
 import type { EngineOrderCall } from '../../src/ports/EngineOrderClient.js';
 import { createManualClock } from '../../src/time/createManualClock.js';
-import { createFakeServer } from '../support/createFakeServer.js';
+import { createNamedServer } from '../support/createNamedServer.js';
 import { createFakeStore } from '../support/createFakeStore.js';
-import { createSilentLog } from '../support/createSilentLog.js';
+import { silentLog } from '../support/silentLog.js';
 
 interface FakeEngine {
   weights: string | undefined;
@@ -40,7 +40,7 @@
   function createHost(name: string, beforeSend: () => void = () => undefined): EngineOrderer {
     return createEngineOrderer({
       clock,
-      log: createSilentLog(),
+      log: silentLog,
       ownership: createOwnership({
         clock,
         store,
@@ -64,7 +64,7 @@
         reserveDownload: () => Promise.resolve(downloadWaitMs),
         close: () => Promise.resolve(),
       },
-      engines: () => [createFakeServer('e1')],
+      engines: () => [createNamedServer('e1')],
       desired: () => [{ model: 'large', weights: desiredWeights, servers: 1 }],
       ignoresFencing: () => !checksFencing,
     });
--- a/packages/core/tests/gateway/createInferenceGateway.test.ts
+++ b/packages/core/tests/gateway/createInferenceGateway.test.ts
@@ -21,8 +21,8 @@
 import { chooseLeastLoaded } from '../../src/routing/chooseLeastLoaded.js';
 import type { ManualClock } from '../createManualClock.js';
 import { createManualClock } from '../createManualClock.js';
-import { fakeRequest } from '../fakeRequest.js';
-import { fakeServer } from '../fakeServer.js';
+import { createFakeRequest } from '../support/createFakeRequest.js';
+import { createFakeServer } from '../support/createFakeServer.js';
 
 type Behaviour = (attempt: EngineAttempt, signal: AbortSignal) => Promise<EngineAnswer>;
 
@@ -69,7 +69,7 @@
   const clock = createManualClock();
   const attempts: string[] = [];
   let reserved = 0;
-  const template = fakeServer();
+  const template = createFakeServer();
   const registry: ServerRegistry = {
     servers: () =>
       behaviours.map((_, index) => ({
@@ -123,7 +123,7 @@
   return { clock, gateway, attempts, reserved: () => reserved };
 }
 
-async function outcomeOf(rig: Rig, request = fakeRequest()): Promise<unknown> {
+async function outcomeOf(rig: Rig, request = createFakeRequest()): Promise<unknown> {
   const result = rig.gateway.handle(request, signal).catch((error: unknown) => error);
   await rig.clock.advance(20_000);
   return result;
@@ -182,7 +182,7 @@
   const requests = 2_000;
   const storedRetries = 50;
   for (let count = 0; count < requests; count += 1) {
-    await outcomeOf(rig, fakeRequest({ settings, deadlineAtMs: 1e9 }));
+    await outcomeOf(rig, createFakeRequest({ settings, deadlineAtMs: 1e9 }));
   }
   const limit = requests * 1.1 + storedRetries;
   t.true(rig.attempts.length > requests && rig.attempts.length <= limit, `${rig.attempts.length}`);
@@ -200,7 +200,7 @@
 test('a caller that leaves ends the attempt and gives the place back', async (t) => {
   const rig = createRig([hangs, answers]);
   const leaving = new AbortController();
-  const result = rig.gateway.handle(fakeRequest(), leaving.signal);
+  const result = rig.gateway.handle(createFakeRequest(), leaving.signal);
   await rig.clock.advance(10);
   leaving.abort(new TypeError('left'));
   await t.throwsAsync(result, { instanceOf: TypeError });
--- a/packages/core/tests/retry/createRetryBudget.test.ts
+++ b/packages/core/tests/retry/createRetryBudget.test.ts
@@ -4,7 +4,7 @@
 import { asId } from '../../src/ids/asId.js';
 import { createRetryBudget } from '../../src/retry/createRetryBudget.js';
 import { createManualClock } from '../createManualClock.js';
-import { fakeRequest } from '../fakeRequest.js';
+import { createFakeRequest } from '../support/createFakeRequest.js';
 
 const settings = fleetDefaultsSchema.parse({
   retry: { budgetRatio: 0.1, minimumRetriesPerSecond: 1 },
@@ -23,7 +23,7 @@
         let requests = 0;
         for (const { waitMs, customer } of steps) {
           await clock.advance(waitMs);
-          const request = fakeRequest({ settings, customerId: asId(`c${customer}`) });
+          const request = createFakeRequest({ settings, customerId: asId(`c${customer}`) });
           requests += 1;
           budget.earn(request);
           retries += [1, 2, 3].filter(() => budget.spend(request)).length;
@@ -39,8 +39,8 @@
 test('one customer whose requests fail does not use up the retries of the others', async (t) => {
   const clock = createManualClock();
   const budget = createRetryBudget(clock);
-  const bad = fakeRequest({ settings, customerId: asId('bad') });
-  const good = fakeRequest({ settings, customerId: asId('good') });
+  const bad = createFakeRequest({ settings, customerId: asId('bad') });
+  const good = createFakeRequest({ settings, customerId: asId('good') });
   for (let count = 0; count < 100; count += 1) {
     budget.earn(good);
   }
@@ -52,7 +52,7 @@
 test('the floor allows a retry to a host that gets few requests', async (t) => {
   const clock = createManualClock();
   const budget = createRetryBudget(clock);
-  const request = fakeRequest({ settings });
+  const request = createFakeRequest({ settings });
   while (budget.spend(request)) {
     // Uses up what the bucket starts with.
   }
--- a/packages/core/tests/support/createFakeRequest.ts
+++ b/packages/core/tests/support/createFakeRequest.ts
@@ -1,19 +1,20 @@
 import { fleetDefaultsSchema } from '../../src/config/fleetDefaultsSchema.js';
-import type { CustomerId } from '../../src/ids/CustomerId.js';
-import type { Fingerprint } from '../../src/ids/Fingerprint.js';
-import type { RequestId } from '../../src/ids/RequestId.js';
 import { asId } from '../../src/ids/asId.js';
 import type { InferenceRequest } from '../../src/requests/InferenceRequest.js';
 
-/** An urgent chat request bound to no region. */
-export function createFakeRequest(changes: Partial<InferenceRequest> = {}): InferenceRequest {
+let created = 0;
+
+/** A request of customer `a` with default settings, received at time zero. */
+export function createFakeRequest(overrides: Partial<InferenceRequest> = {}): InferenceRequest {
+  created += 1;
+  const settings = fleetDefaultsSchema.parse({});
   return {
-    requestId: asId<RequestId>('request'),
-    customerId: asId<CustomerId>('customer'),
+    requestId: asId(`request-${created}`),
+    customerId: asId('a'),
     rank: 'urgent',
     homeRegionId: undefined,
     route: 'chat/completions',
-    model: 'model',
+    model: 'm',
     streamed: true,
     body: '{}',
     promptTokens: 100,
@@ -21,10 +22,10 @@
     receivedAtMs: 0,
     firstTokenDueAtMs: 1_700,
     deadlineAtMs: 10_000,
-    fingerprint: asId<Fingerprint>('a'.repeat(64)),
+    fingerprint: asId(`fingerprint-${created}`),
     blockHashes: [],
     path: [],
-    settings: fleetDefaultsSchema.parse({}),
-    ...changes,
+    settings,
+    ...overrides,
   };
 }
--- a/packages/core/tests/support/createFakeServer.ts
+++ b/packages/core/tests/support/createFakeServer.ts
@@ -1,36 +1,37 @@
-import type { AvailabilityZoneId } from '../../src/ids/AvailabilityZoneId.js';
-import type { Incarnation } from '../../src/ids/Incarnation.js';
-import type { RegionId } from '../../src/ids/RegionId.js';
-import type { ServerId } from '../../src/ids/ServerId.js';
 import { asId } from '../../src/ids/asId.js';
+import type { LoadReport } from '../../src/ports/LoadReport.js';
 import type { ServerView } from '../../src/routing/ServerView.js';
 
-/** A live engine with no load. */
-export function createFakeServer(serverId: string, changes: Partial<ServerView> = {}): ServerView {
+/** A live engine for model `m` with four places. */
+export function createFakeServer(
+  overrides: Partial<ServerView> = {},
+  load: Partial<LoadReport> = {},
+): ServerView {
   return {
     entry: {
-      serverId: asId<ServerId>(serverId),
+      serverId: asId('s'),
       kind: 'engine',
-      baseUrl: 'http://127.0.0.1:7000',
-      regionId: asId<RegionId>('norte'),
-      availabilityZoneId: asId<AvailabilityZoneId>('norte-a'),
-      models: ['model'],
+      baseUrl: 'http://192.0.2.1:1',
+      regionId: asId('r'),
+      availabilityZoneId: asId('z'),
+      models: ['m'],
       state: 'live',
     },
     load: {
-      incarnation: asId<Incarnation>(`${serverId}-1`),
+      incarnation: asId('i'),
       state: 'live',
       runningRequests: 0,
       waitingRequests: 0,
       waitingTokens: 0,
-      maxConcurrentRequests: 8,
+      maxConcurrentRequests: 4,
       kvCacheUsageRatio: 0,
+      ...load,
     },
     loadAtMs: 0,
     ownInFlightRequests: 0,
     ownInFlightTokens: 0,
     ownTokensSinceReport: 0,
     accepting: true,
-    ...changes,
+    ...overrides,
   };
 }
