Forward on a stale summary when the own region has no server

Its region had lost all engines and the other region's load summary was older than 3 s, because a busy machine delayed heartbeats; the policy then refused although the other region was free. Ruled out: the retry budget and the spill budget (16 free places, one request); a pause after a refusal (the request before had been served). Change: without a server of the own region the age of the summary no longer rules a region out; the alternative is a refusal, and a busy region refuses by itself.

--- a/packages/core/src/routing/spill/spillWhenItPays.ts
+++ b/packages/core/src/routing/spill/spillWhenItPays.ts
@@ -11,7 +11,9 @@
 /** Estimated first token in another region; infinite when the region must not be used. */
 function remoteFirstTokenMs(view: RegionView, facts: SpillFacts): number {
   const { load, roundTripMs } = view;
-  const isStale = !(view.loadAgeMs <= MAX_SUMMARY_AGE_MS);
+  // Without a server of the own region the alternative is a refusal, and a busy region refuses too.
+  const isLocalUnavailable = facts.local.firstTokenMs === Infinity;
+  const isStale = !isLocalUnavailable && !(view.loadAgeMs <= MAX_SUMMARY_AGE_MS);
   if (load === undefined || load.spilling || load.capacity <= 0 || isStale) {
     return Infinity;
   }
--- a/packages/core/tests/routing/spill/spillWhenItPays.test.ts
+++ b/packages/core/tests/routing/spill/spillWhenItPays.test.ts
@@ -51,6 +51,13 @@
   t.is(choose({ localMs: localMs - 100, spillingTo: costa }), undefined);
 });
 
+// Guards against refusals while a region is free: a busy machine delays heartbeats by seconds.
+test('without a server at home a stale summary does not rule a region out', (t) => {
+  const localMs = Infinity;
+  t.is(choose({ localMs, regions: [createRegion({ loadAgeMs: 3_001 })] }), costa);
+  t.is(choose({ localMs, regions: [createRegion({ load: { capacity: 0 } })] }), undefined);
+});
+
 test('a region that spills, is stale, full, unreachable or unknown gets nothing', (t) => {
   const localMs = 30_000;
   t.is(choose({ localMs, regions: [createRegion({ load: { spilling: true } })] }), undefined);
