--- a/packages/scenarios/src/launcher/planDeployment.ts
+++ b/packages/scenarios/src/launcher/planDeployment.ts
@@ -6,7 +6,10 @@
 import type { ListenerRole, SocketAddress } from './createAddressPlan.js';
 
 export interface LaunchOptions {
-  /** File of the daemon's bundle. @default 'dist/camphorbarrow.cjs' */
+  /**
+   * File of the daemon's bundle or binary.
+   * @default the environment variable CAMPHORBARROW_DAEMON, else 'dist/camphorbarrow.cjs'
+   */
   readonly daemon?: string;
   /** File of the stand-ins' bundle. @default 'dist/standin.cjs' */
   readonly standIn?: string;
@@ -154,7 +157,7 @@
       secrets: { peerKey: PEER_KEY, recordKey: RECORD_KEY, operatorKeys: OPERATOR_KEYS },
       ...(spec.drain === undefined ? {} : { drain: spec.drain }),
     });
-    const program = options.daemon ?? 'dist/camphorbarrow.cjs';
+    const program = options.daemon ?? process.env.CAMPHORBARROW_DAEMON ?? 'dist/camphorbarrow.cjs';
     const args = ['serve', '--config', file];
     return { name, region, kind: 'entryHost', ...caller, peer: peer.bound, program, args };
   });
--- a/packages/scenarios/src/launcher/startProcess.ts
+++ b/packages/scenarios/src/launcher/startProcess.ts
@@ -4,7 +4,7 @@
 
 export interface ProcessOptions {
   readonly name: string;
-  /** Program file of Node.js and its arguments. */
+  /** Script for Node.js (`.cjs`) or executable, and its arguments. */
   readonly program: string;
   readonly args: readonly string[];
   /** Called for every line of standard output. */
@@ -40,7 +40,10 @@
 
 /** Starts a program as a process of its own. */
 export function startProcess(options: ProcessOptions): ManagedProcess {
-  const child = spawn(process.execPath, [options.program, ...options.args], {
+  const isScript = options.program.endsWith('.cjs');
+  const command = isScript ? process.execPath : options.program;
+  const args = isScript ? [options.program, ...options.args] : options.args;
+  const child = spawn(command, args, {
     stdio: ['ignore', 'pipe', 'inherit'],
   });
   const ended = once(child, 'exit').then(([code]) => (code as number | null) ?? undefined);
--- a/packages/scenarios/tests/launcher/startDeployment.test.ts
+++ b/packages/scenarios/tests/launcher/startDeployment.test.ts
@@ -4,6 +4,7 @@
 import OpenAI, { APIError } from 'openai';
 import { request } from 'undici';
 import { startDeployment } from '../../src/launcher/startDeployment.js';
+import { waitUntil } from '../../src/launcher/waitUntil.js';
 import type { Deployment } from '../../src/launcher/Deployment.js';
 
 const test = anyTest as TestFn<{ deployment: Deployment }>;
@@ -73,6 +74,25 @@
   );
 });
 
+test('a cancel by the openai client frees the place at the engine', async (t) => {
+  const { deployment } = t.context;
+  const runningAtEngine = async (): Promise<number> => {
+    const { body } = await request(`${urlOf(deployment, 'sul-engine-1')}/load`);
+    return ((await body.json()) as { runningRequests: number }).runningRequests;
+  };
+  const client = clientOf(deployment, 'sul-1', deployment.homedCustomerKeys.get('sul') ?? '');
+  const stream = await client.chat.completions.create({
+    model: 'layout-large',
+    stream: true,
+    max_tokens: 2_000,
+    messages: [{ role: 'user', content: 'Roof pitch?' }],
+  });
+  await waitUntil('the request runs', 5_000, async () => (await runningAtEngine()) > 0);
+  stream.controller.abort();
+  await waitUntil('the place is free', 5_000, async () => (await runningAtEngine()) === 0);
+  t.pass();
+});
+
 test('refusals carry a code and an outcome that the openai client can read', async (t) => {
   const { deployment } = t.context;
   const client = clientOf(deployment, 'norte-1', deployment.customerKey);
