--- /dev/null
+++ b/packages/bench/src/experiment/createAttemptRecord.ts
@@ -0,0 +1,31 @@
+import type { Clock, InferenceRequest } from '@camphorbarrow/core';
+import type { AttemptRecord } from '../fakes/AttemptRecord.js';
+import type { RequestRecord } from './RequestRecord.js';
+
+/** Attempts of one request at the fake engines, counted into the request's record. */
+export function createAttemptRecord(
+  clock: Clock,
+  record: RequestRecord,
+  request: InferenceRequest,
+): AttemptRecord {
+  let lastTokenAtMs = 0;
+  record.promptTokens = request.promptTokens;
+  return {
+    promptTokens: request.promptTokens,
+    outputTokens: record.arrival.outputTokens,
+    blockHashes: request.blockHashes,
+    onAttempt: () => {
+      record.attempts += 1;
+    },
+    onCacheLookup: (cachedTokens) => {
+      record.lookedUpTokens += request.promptTokens;
+      record.cachedTokens += cachedTokens;
+    },
+    onToken: (tokenIndex) => {
+      if (tokenIndex > 0) {
+        record.tokenGapsMs.push(clock.monotonicMs() - lastTokenAtMs);
+      }
+      lastTokenAtMs = clock.monotonicMs();
+    },
+  };
+}
--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -20,6 +20,7 @@
 export * from './commands/BenchCommand.js';
 export * from './errors/UnknownChoiceError.js';
 export * from './experiment/RequestRecord.js';
+export * from './experiment/createAttemptRecord.js';
 export * from './experiment/createBenchCaller.js';
 export * from './experiment/createBenchFleet.js';
 export * from './experiment/createBenchHost.js';
--- a/packages/core/src/gateway/createInferenceGateway.ts
+++ b/packages/core/src/gateway/createInferenceGateway.ts
@@ -71,11 +71,6 @@
       );
   }
 
-  /** Two suspects never share a server, so that a crash tells which of them causes it. */
-  function mayRunOn(request: InferenceRequest, { entry }: ServerView): boolean {
-    return !quarantine.isSuspect(request.fingerprint) || !quarantine.runsSuspect(entry.serverId);
-  }
-
   function place(
     request: InferenceRequest,
     tried: ReadonlySet<string>,
@@ -85,7 +80,11 @@
     if (candidates.length === 0) {
       throw new NoServerError(`No live backend server serves model ${request.model}.`);
     }
-    const available = candidates.filter((server) => hasRoom(server) && mayRunOn(request, server));
+    // Two suspects never share a server, so that a crash tells which of them causes it.
+    const isSuspect = quarantine.isSuspect(request.fingerprint);
+    const available = candidates.filter(
+      (server) => hasRoom(server) && !(isSuspect && quarantine.runsSuspect(server.entry.serverId)),
+    );
     const server = options.chooseRoute(request, available, {
       nowMs: clock.monotonicMs(),
       random,
