Run an entry host on the users' platform: store client, routing, streams, directory

Cause: the product spoke only its own interface. A new package, gateway, holds the decisions for requests that name a route by host and path; platform/ holds the platform's names, formats and calls. Ruled out: the existing caller listener, which answers only the OpenAI-compatible interface and keeps claims in the store; an attempt on the platform has its own id and arrives at one host. Before: nothing ran on the platform.

--- a/ava.config.mjs
+++ b/ava.config.mjs
@@ -1,5 +1,5 @@
 export default {
-  files: ['packages/*/tests/**/*.test.ts'],
+  files: ['packages/*/tests/**/*.test.ts', 'platform/tests/**/*.test.ts'],
   extensions: { ts: 'module' },
   nodeArguments: ['--import=tsx'],
   timeout: '2m',
--- /dev/null
+++ b/packages/gateway/src/exchange/Exchange.ts
@@ -0,0 +1,25 @@
+import type { Route } from '../model/Route.js';
+import type { RequestFacts } from '../model/RequestFacts.js';
+import type { ServiceSpec } from '../model/ServiceSpec.js';
+import type { AnswerSink } from './AnswerSink.js';
+
+/** One request that was read whole and has a route. */
+export interface Exchange {
+  readonly method: string;
+  /** Request target, as the caller sent it. */
+  readonly target: string;
+  /** Names and values by turns, as they arrived. */
+  readonly rawHeaders: readonly string[];
+  readonly body: Buffer;
+  readonly facts: RequestFacts;
+  readonly route: Route;
+  readonly service: ServiceSpec;
+  readonly tableVersion: number;
+  /** Monotonic time of arrival. */
+  readonly arrivedAtMs: number;
+  /** Monotonic time after which nobody waits for the answer. */
+  readonly deadlineAtMs: number;
+  /** Entry host that passed the request on; undefined for a caller's own request. */
+  readonly relayedBy: string | undefined;
+  readonly sink: AnswerSink;
+}
--- /dev/null
+++ b/packages/gateway/src/exchange/serveExchange.ts
@@ -0,0 +1,201 @@
+import {
+  BackendFailedError,
+  DeadlineExceededError,
+  NoServerError,
+  type RequestError,
+  type ServerId,
+} from '@camphorbarrow/core';
+import type { Destination } from '../routing/Destination.js';
+import type { Exchange } from './Exchange.js';
+import type { GatewayContext } from './GatewayContext.js';
+import { sendRefusal } from './sendRefusal.js';
+import { tryPeer } from './tryPeer.js';
+import type { TryResult, WholeAnswer } from './TryResult.js';
+import { tryServer } from './tryServer.js';
+
+/** Servers that may be offered a request as long as each of them refuses it unrun. */
+const MAX_OFFERS = 4;
+/** When to come back after a refusal for want of a server. */
+const RETRY_AFTER_MS = 300;
+
+interface Progress {
+  offers: number;
+  /** Servers that may have run the request. */
+  runs: number;
+  lastEventId: string | undefined;
+  failure: WholeAnswer | undefined;
+  readonly triedServers: Set<ServerId>;
+  readonly triedRegions: Set<string>;
+  readonly causes: string[];
+  destination: string;
+  estimateMs: number | undefined;
+}
+
+/** Takes a result into account. Returns whether another server may be tried. */
+function mayGoOn(exchange: Exchange, progress: Progress, result: TryResult): boolean {
+  const { route } = exchange;
+  switch (result.kind) {
+    case 'delivered':
+    case 'cancelled':
+      return false;
+    case 'not-run':
+      progress.causes.push(result.cause);
+      return progress.offers < MAX_OFFERS;
+    case 'failed-run':
+      progress.causes.push(`status ${result.answer.status}`);
+      progress.failure = result.answer;
+      progress.runs += 1;
+      return route.idempotent && progress.runs < route.maxServers;
+    case 'unknown':
+      progress.causes.push(result.cause);
+      progress.runs += 1;
+      return route.idempotent && progress.runs < route.maxServers;
+    case 'interrupted':
+      progress.causes.push(`interrupted: ${result.cause}`);
+      progress.lastEventId = result.lastEventId ?? progress.lastEventId;
+      progress.runs += 1;
+      return route.resumable && progress.runs < route.maxServers;
+  }
+}
+
+async function tryDestination(
+  context: GatewayContext,
+  exchange: Exchange,
+  progress: Progress,
+  destination: Exclude<Destination, { kind: 'none' }>,
+  signal: AbortSignal,
+): Promise<TryResult> {
+  const { lastEventId } = progress;
+  progress.estimateMs = destination.estimateMs;
+  if (destination.kind === 'region') {
+    const { host } = destination.peer.heartbeat;
+    progress.triedRegions.add(host.region);
+    progress.destination = host.id;
+    return tryPeer({ context, exchange, destination, lastEventId, signal });
+  }
+  const { id } = destination.server.registration;
+  progress.triedServers.add(id);
+  progress.destination = id;
+  const mayMoveOn =
+    exchange.route.idempotent &&
+    exchange.relayedBy === undefined &&
+    progress.runs + 1 < exchange.route.maxServers;
+  return tryServer({ context, exchange, destination, mayMoveOn, lastEventId, signal });
+}
+
+async function runTries(
+  context: GatewayContext,
+  exchange: Exchange,
+  progress: Progress,
+  signal: AbortSignal,
+): Promise<TryResult | undefined> {
+  let result: TryResult | undefined;
+  do {
+    const destination = context.router.choose({
+      route: exchange.route,
+      service: exchange.service,
+      facts: exchange.facts,
+      triedServers: progress.triedServers,
+      triedRegions: progress.triedRegions,
+      relayed: exchange.relayedBy !== undefined,
+    });
+    if (destination.kind === 'none') {
+      progress.causes.push(destination.reason);
+      return result;
+    }
+    if (progress.offers > 0 && !context.repeats.take(exchange.service.name)) {
+      progress.causes.push('repeat allowance used up');
+      return result;
+    }
+    progress.offers += 1;
+    result = await tryDestination(context, exchange, progress, destination, signal);
+  } while (mayGoOn(exchange, progress, result) && !signal.aborted);
+  return result;
+}
+
+function finalError(progress: Progress, expired: boolean): RequestError {
+  const cause = progress.causes.join(', ');
+  if (progress.runs > 0) {
+    return expired
+      ? new DeadlineExceededError(`No answer in time: ${cause}.`)
+      : new BackendFailedError(`The request may have run: ${cause}.`);
+  }
+  if (expired) {
+    return new DeadlineExceededError('No answer in time.');
+  }
+  return new NoServerError(`No server took the request: ${cause}.`, {
+    props: { retryAfterMs: RETRY_AFTER_MS },
+  });
+}
+
+function finish(
+  context: GatewayContext,
+  exchange: Exchange,
+  progress: Progress,
+  expired: boolean,
+): number {
+  const { sink } = exchange;
+  if (sink.left.aborted) {
+    return 0;
+  }
+  if (sink.isBegun()) {
+    sink.breakOff();
+    return 0;
+  }
+  if (progress.failure !== undefined) {
+    const { status, headers, body } = progress.failure;
+    sink.sendWhole(status, headers, body);
+    return status;
+  }
+  const error = finalError(progress, expired);
+  sendRefusal(sink, context.codec, error, exchange.relayedBy !== undefined);
+  return error.statusCode;
+}
+
+/** Serves one request: tries servers within its time and its limits, and answers in any case. */
+export async function serveExchange(context: GatewayContext, exchange: Exchange): Promise<void> {
+  const { clock } = context;
+  const { route, sink } = exchange;
+  const progress: Progress = {
+    offers: 0,
+    runs: 0,
+    lastEventId: exchange.facts.lastEventId,
+    failure: undefined,
+    triedServers: new Set(),
+    triedRegions: new Set(),
+    causes: [],
+    destination: '',
+    estimateMs: undefined,
+  };
+  const expiry = new AbortController();
+  const timer = setTimeout(
+    () => expiry.abort(),
+    Math.max(0, exchange.deadlineAtMs - clock.monotonicMs()),
+  );
+  // An order that a server has begun goes on without its caller: cut, it would be half done.
+  const stopsWithCaller = route.idempotent || route.delivery === 'events';
+  const signal = stopsWithCaller ? AbortSignal.any([expiry.signal, sink.left]) : expiry.signal;
+
+  context.repeats.noteRequest(exchange.service.name);
+  const result = await runTries(context, exchange, progress, signal);
+  clearTimeout(timer);
+  const status =
+    result?.kind === 'delivered'
+      ? result.status
+      : finish(context, exchange, progress, expiry.signal.aborted);
+  context.log.info('request', {
+    requestId: exchange.facts.attemptId,
+    route: route.name,
+    service: exchange.service.name,
+    tableVersion: exchange.tableVersion,
+    relayedBy: exchange.relayedBy,
+    destination: progress.destination,
+    estimateMs: progress.estimateMs === undefined ? undefined : Math.round(progress.estimateMs),
+    offers: progress.offers,
+    runs: progress.runs,
+    causes: progress.causes.join(', '),
+    callerLeft: sink.left.aborted,
+    status,
+    tookMs: Math.round(clock.monotonicMs() - exchange.arrivedAtMs),
+  });
+}
--- /dev/null
+++ b/packages/gateway/src/exchange/tryPeer.ts
@@ -0,0 +1,91 @@
+import { relayLoadId } from '../routing/createRouter.js';
+import type { Destination } from '../routing/Destination.js';
+import { endpointName } from '../upstream/createConnections.js';
+import { sendUpstream } from '../upstream/sendUpstream.js';
+import type { Exchange } from './Exchange.js';
+import type { GatewayContext } from './GatewayContext.js';
+import { receiveAnswer } from './receiveAnswer.js';
+import { relayHeaders, stripRelayHeaders } from './relayHeaders.js';
+import { stripHopHeaders } from './stripHopHeaders.js';
+import type { TryResult } from './TryResult.js';
+
+/** Added to the round trip as the time for a connection to another region. */
+const CONNECT_MARGIN_MS = 500;
+const DEFAULT_ROUND_TRIP_MS = 200;
+
+export interface TryPeerOptions {
+  readonly context: GatewayContext;
+  readonly exchange: Exchange;
+  readonly destination: Extract<Destination, { kind: 'region' }>;
+  readonly lastEventId: string | undefined;
+  readonly signal: AbortSignal;
+}
+
+/** Passes the request to an entry host of another region, which serves it there or refuses it. */
+export async function tryPeer(options: TryPeerOptions): Promise<TryResult> {
+  const { context, exchange, destination, signal } = options;
+  const { peer } = destination;
+  const { host } = peer.heartbeat;
+  const remainingMs = Math.floor(exchange.deadlineAtMs - context.clock.monotonicMs());
+  const ticket = context.loads.begin(relayLoadId(peer), exchange.facts.promptTokens);
+  const own = [
+    relayHeaders.relayedBy,
+    context.ownId,
+    relayHeaders.service,
+    exchange.service.name,
+    'Content-Length',
+    String(exchange.body.length),
+  ];
+  const headers = stripRelayHeaders(stripHopHeaders(exchange.rawHeaders));
+  const sent = await sendUpstream({
+    agent: context.connections.agentFor(endpointName(host.peers)),
+    endpoint: host.peers,
+    method: exchange.method,
+    path: exchange.target,
+    headers: [
+      ...context.codec.toPeer(headers, {
+        remainingMs: Math.max(1, remainingMs),
+        lastEventId: options.lastEventId,
+      }),
+      ...own,
+    ],
+    body: exchange.body,
+    connectTimeoutMs: (peer.roundTripMs ?? DEFAULT_ROUND_TRIP_MS) + CONNECT_MARGIN_MS,
+    answerTimeoutMs: undefined,
+    signal,
+  });
+  const result = await receive(options, sent, ticket.begun);
+  ticket.ended();
+  return result;
+}
+
+async function receive(
+  { context, exchange, signal }: TryPeerOptions,
+  sent: Awaited<ReturnType<typeof sendUpstream>>,
+  onBegun: () => void,
+): Promise<TryResult> {
+  if (sent.kind === 'failed') {
+    if (sent.failure === 'cancelled') {
+      return { kind: 'cancelled' };
+    }
+    return sent.mayHaveRun
+      ? { kind: 'unknown', cause: `peer ${sent.failure}` }
+      : { kind: 'not-run', cause: `peer ${sent.cause}`, arrived: false };
+  }
+  const { response } = sent;
+  const outcome = response.headers[relayHeaders.outcome];
+  if (outcome !== undefined) {
+    response.resume();
+    return outcome === 'not-run'
+      ? { kind: 'not-run', cause: 'refused by peer', arrived: false }
+      : { kind: 'unknown', cause: 'unknown at peer' };
+  }
+  return receiveAnswer({
+    exchange,
+    response,
+    facts: context.codec.readAnswer(response.headers),
+    signal,
+    onBegun,
+    gapLimitMs: undefined,
+  });
+}
--- /dev/null
+++ b/packages/gateway/src/ingress/createListener.ts
@@ -0,0 +1,64 @@
+import { createServer } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import { once } from 'node:events';
+import type { LogSink } from '@camphorbarrow/core';
+import type { CallerLimits } from '../model/CallerLimits.js';
+import type { Endpoint } from '../model/Endpoint.js';
+
+/** Largest head of a request that is read at all; the configuration may ask for less. */
+const MAX_HEADER_BYTES = 65_536;
+/** How often connections are looked at for time-outs. */
+const TIMEOUT_CHECK_MS = 500;
+
+export interface ListenerOptions {
+  readonly endpoint: Endpoint;
+  readonly log: LogSink;
+  readonly handle: (request: IncomingMessage, response: ServerResponse) => Promise<void>;
+  /** Connections beyond this are closed at once. */
+  readonly maxConnections: number;
+}
+
+export interface Listener {
+  /** Takes the limits of a new configuration. */
+  applyLimits(limits: CallerLimits): void;
+  /** Connections that are open. */
+  readonly server: Server;
+  /** Stops listening and closes idle connections. */
+  stopListening(): void;
+  /** Closes every connection at once. */
+  close(): void;
+}
+
+/** Starts an HTTP listener. */
+export async function createListener(options: ListenerOptions): Promise<Listener> {
+  const server = createServer({
+    maxHeaderSize: MAX_HEADER_BYTES,
+    connectionsCheckingInterval: TIMEOUT_CHECK_MS,
+    requestTimeout: 0,
+    noDelay: true,
+  });
+  server.maxConnections = options.maxConnections;
+  server.on('request', (request, response) => {
+    options.handle(request, response).catch((error: unknown) => {
+      options.log.error('request-handler-failed', {}, error);
+      response.destroy();
+    });
+  });
+  server.listen(options.endpoint.port, options.endpoint.host);
+  await once(server, 'listening');
+  return {
+    server,
+    applyLimits(limits) {
+      server.headersTimeout = limits.headerTimeoutMs;
+      server.keepAliveTimeout = limits.idleTimeoutMs;
+    },
+    stopListening() {
+      server.close();
+      server.closeIdleConnections();
+    },
+    close() {
+      server.close();
+      server.closeAllConnections();
+    },
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/lifecycle/createEntryHost.ts
@@ -0,0 +1,253 @@
+import { randomUUID } from 'node:crypto';
+import { asId } from '@camphorbarrow/core';
+import type { RegionId } from '@camphorbarrow/core';
+import type { GatewayContext } from '../exchange/GatewayContext.js';
+import { createFleetView } from '../fleet/createFleetView.js';
+import type { FleetView } from '../fleet/createFleetView.js';
+import { runHostRegistration } from '../fleet/runHostRegistration.js';
+import { runStoreFollower } from '../fleet/runStoreFollower.js';
+import { createListener } from '../ingress/createListener.js';
+import { createRequestHandler } from '../ingress/createRequestHandler.js';
+import { createColdPacer } from '../limits/createColdPacer.js';
+import { createRepeatAllowance } from '../limits/createRepeatAllowance.js';
+import type { HostRegistration } from '../model/HostRegistration.js';
+import { createHeartbeats } from '../peers/createHeartbeats.js';
+import { createPeerBook } from '../peers/createPeerBook.js';
+import type { HostState } from '../peers/PeerHeartbeat.js';
+import { createNewsExchange } from '../peers/createNewsExchange.js';
+import { runNewsFollower } from '../peers/runNewsFollower.js';
+import { createLoadBook } from '../routing/createLoadBook.js';
+import { createPrefixBook } from '../routing/createPrefixBook.js';
+import { createRouter } from '../routing/createRouter.js';
+import { createServerHealth } from '../routing/createServerHealth.js';
+import { createSpeedBook } from '../routing/createSpeedBook.js';
+import { createConnections, endpointName } from '../upstream/createConnections.js';
+import { chooseDirectoryHosts } from './chooseDirectoryHosts.js';
+import { createDrainState } from './createDrainState.js';
+import type { EntryHostOptions } from './EntryHostOptions.js';
+
+const WATCH_WAIT_MS = 2_000;
+/** Changes gather for this long before the store is asked again; every call is priced. */
+const WATCH_PAUSE_MS = 300;
+const STORE_RETRY_MS = 250;
+const HOST_LEASE_MS = 10_000;
+const HOST_RENEW_MS = 3_000;
+const HEARTBEAT_MS = 250;
+/** Heartbeats to other regions go out every second round. */
+const REMOTE_HEARTBEAT_EVERY = 2;
+/** How often state of servers that are gone is dropped. */
+const HOUSEKEEPING_MS = 1_000;
+/** Heartbeats of a server after an evacuation until its own word on being cold is trusted. */
+const COLD_HEARTBEATS = 2;
+
+export interface EntryHost {
+  readonly view: FleetView;
+  /** Whether this host takes callers' connections. */
+  isReady(): boolean;
+  /** Hosts that a caller of the region should use now. */
+  directory(region: RegionId): readonly HostRegistration[];
+  /** Drains and stops. */
+  close(): Promise<void>;
+}
+
+/** Starts an entry host: listeners, heartbeats, and the tasks that follow the store. */
+export async function createEntryHost(options: EntryHostOptions): Promise<EntryHost> {
+  const { clock, log, own, bounds, store } = options;
+  const stop = new AbortController();
+  const drain = createDrainState(clock, () => bounds().graceMs);
+  const peers = createPeerBook(clock, log);
+  const view = createFleetView({
+    clock,
+    log,
+    decode: options.decodeChange,
+    regionOfZone: options.regionOfZone,
+    coldAfterEvacuationMs: () => COLD_HEARTBEATS * bounds().serverHeartbeatMs,
+  });
+  const loads = createLoadBook(clock, () =>
+    peers.aliveIn(own.region).map(({ heartbeat }) => heartbeat.loads),
+  );
+  const speeds = createSpeedBook();
+  const health = createServerHealth(clock);
+  const prefixes = createPrefixBook();
+  const connections = createConnections();
+  const coldPacer = createColdPacer({
+    clock,
+    ownId: own.id,
+    regionHosts: () => [own.id, ...peers.aliveIn(own.region).map((p) => p.heartbeat.host.id)],
+  });
+  const router = createRouter({
+    clock,
+    random: options.random,
+    region: own.region,
+    view,
+    peers,
+    loads,
+    speeds,
+    health,
+    prefixes,
+    coldPacer,
+  });
+  const context: GatewayContext = {
+    ownId: own.id,
+    clock,
+    random: options.random,
+    log,
+    codec: options.codec,
+    router,
+    loads,
+    speeds,
+    health,
+    prefixes,
+    coldPacer,
+    repeats: createRepeatAllowance({
+      clock,
+      bounds,
+      hostCount: () => peers.known().length + 1,
+    }),
+    connections,
+  };
+  let inFlight = 0;
+
+  function state(): HostState {
+    if (drain.isDraining()) {
+      return 'draining';
+    }
+    return view.table() === undefined ? 'starting' : 'ready';
+  }
+
+  const handlerFor = (from: 'callers' | 'peers'): ReturnType<typeof createRequestHandler> => {
+    const handle = createRequestHandler({
+      context,
+      view,
+      isDraining: drain.isDraining,
+      refusesRequests: drain.refusesRequests,
+      from,
+    });
+    return async (request, response) => {
+      inFlight += 1;
+      try {
+        await handle(request, response);
+      } finally {
+        inFlight -= 1;
+      }
+    };
+  };
+
+  const news = createNewsExchange(view, connections);
+  const callerListener = await createListener({
+    endpoint: own.callers,
+    log,
+    handle: handlerFor('callers'),
+    maxConnections: options.maxConnections,
+  });
+  const peerListener = await createListener({
+    endpoint: own.peers,
+    log,
+    handle: news.wrap(handlerFor('peers')),
+    maxConnections: options.maxConnections,
+  });
+
+  const heartbeats = createHeartbeats({
+    clock,
+    log,
+    own,
+    peers,
+    registered: view.hosts,
+    seeds: options.seeds,
+    describe: (() => {
+      const incarnation = randomUUID();
+      return (echo) => ({
+        host: own,
+        incarnation,
+        sentAtMs: clock.monotonicMs(),
+        echo,
+        state: state(),
+        revision: view.revision(),
+        loads: loads.ownLoads(),
+        capacity: router.capacity(),
+        crashes: [],
+      });
+    })(),
+    onHeartbeat: peers.note,
+    intervalMs: HEARTBEAT_MS,
+    remoteEvery: REMOTE_HEARTBEAT_EVERY,
+  });
+
+  function keepHouse(): void {
+    const table = view.table();
+    if (table !== undefined) {
+      callerListener.applyLimits(table.limits);
+    }
+    const incarnations = new Set(view.servers.all().map(({ incarnation }) => incarnation));
+    [speeds, health, prefixes].forEach((book) => book.retain(incarnations));
+    connections.retain(
+      new Set([
+        ...incarnations,
+        ...peers.known().map(({ heartbeat }) => endpointName(heartbeat.host.peers)),
+      ]),
+    );
+  }
+  const housekeeping = setInterval(keepHouse, HOUSEKEEPING_MS);
+
+  const tasks = [
+    runStoreFollower({
+      clock,
+      log,
+      store,
+      view,
+      watchWaitMs: WATCH_WAIT_MS,
+      watchPauseMs: WATCH_PAUSE_MS,
+      retryPauseMs: STORE_RETRY_MS,
+      signal: stop.signal,
+    }),
+    runHostRegistration({
+      clock,
+      log,
+      store,
+      ...options.registration,
+      leaseTtlMs: HOST_LEASE_MS,
+      renewEveryMs: HOST_RENEW_MS,
+      isListed: () => view.hosts().some(({ id }) => id === own.id),
+      signal: stop.signal,
+    }),
+    runNewsFollower({
+      clock,
+      log,
+      view,
+      peers,
+      fetchNews: news.fetch,
+      signal: stop.signal,
+    }),
+  ];
+
+  return {
+    view,
+    isReady: () => state() === 'ready',
+    directory(region) {
+      const ready = peers
+        .alive()
+        .filter(({ heartbeat }) => heartbeat.state === 'ready')
+        .map(({ heartbeat }) => heartbeat.host);
+      const self = state() === 'ready' ? [own] : [];
+      return chooseDirectoryHosts({
+        region: asId(region),
+        ready: [...self, ...ready],
+        ownRegion: own.region,
+      });
+    },
+    async close() {
+      drain.begin();
+      heartbeats.announce();
+      log.info('drain-began', { inFlight });
+      await drain.finished(() => inFlight);
+      log.info('drain-ended', { inFlight });
+      stop.abort();
+      await Promise.race([Promise.all(tasks), clock.sleep(200)]);
+      clearInterval(housekeeping);
+      heartbeats.close();
+      [callerListener, peerListener].forEach((listener) => listener.close());
+      connections.close();
+      store.close();
+    },
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/model/AnswerFacts.ts
@@ -0,0 +1,13 @@
+import type { ServerLoad } from './ServerLoad.js';
+
+/** What the headers of a backend server's answer say of it. */
+export interface AnswerFacts {
+  readonly attemptId: string | undefined;
+  /** Whether the answer bears a server's proof of origin. */
+  readonly sealed: boolean;
+  /** Whether the server states that it has not run the request. */
+  readonly notRun: boolean;
+  /** Whether the body is in a transfer form that no caller asked for. */
+  readonly encoded: boolean;
+  readonly load: ServerLoad | undefined;
+}
--- /dev/null
+++ b/packages/gateway/src/model/FleetChange.ts
@@ -0,0 +1,22 @@
+import type { AvailabilityZoneId, HostId, ServerId } from '@camphorbarrow/core';
+import type { HostRegistration } from './HostRegistration.js';
+import type { RoutingTable } from './RoutingTable.js';
+import type { ServerRegistration } from './ServerRegistration.js';
+
+/** Meaning of one changed key of the store. */
+export type FleetChange =
+  | { readonly kind: 'configuration'; readonly table: RoutingTable }
+  | { readonly kind: 'evacuation'; readonly zone: AvailabilityZoneId; readonly active: boolean }
+  | {
+      readonly kind: 'server';
+      readonly id: ServerId;
+      /** Undefined when the entry was removed or names no usable server. */
+      readonly registration: ServerRegistration | undefined;
+    }
+  | {
+      readonly kind: 'host';
+      readonly id: HostId;
+      readonly registration: HostRegistration | undefined;
+    }
+  | { readonly kind: 'unreadable'; readonly problem: string }
+  | { readonly kind: 'unrelated' };
--- /dev/null
+++ b/packages/gateway/src/peers/createPeerBook.ts
@@ -0,0 +1,92 @@
+import type { Clock, HostId, LogSink, RegionId } from '@camphorbarrow/core';
+import type { HeartbeatEcho, PeerHeartbeat } from './PeerHeartbeat.js';
+
+/** Hosts that were silent for longer get no requests and are not named to callers. */
+export const PEER_SILENCE_MS = 2_500;
+/** Silent hosts are forgotten after this time. */
+const PEER_FORGET_MS = 60_000;
+/** Weight of a new sample in the smoothed round-trip time. */
+const ROUND_TRIP_WEIGHT = 0.2;
+
+export interface Peer {
+  readonly heartbeat: PeerHeartbeat;
+  /** Monotonic time of arrival of the newest heartbeat. */
+  readonly heardAtMs: number;
+  /** Smoothed time to the peer and back; undefined before the first echo. */
+  readonly roundTripMs: number | undefined;
+}
+
+export interface PeerBook {
+  note(heartbeat: PeerHeartbeat): void;
+  /** Peers heard lately, in any state. */
+  alive(): readonly Peer[];
+  aliveIn(region: RegionId): readonly Peer[];
+  /** Every peer ever heard that is not forgotten, to send heartbeats to. */
+  known(): readonly Peer[];
+  echoFor(id: HostId): HeartbeatEcho | undefined;
+}
+
+/** Creates the record of the other entry hosts, kept from their heartbeats. */
+export function createPeerBook(clock: Clock, log: LogSink): PeerBook {
+  const peers = new Map<HostId, Peer>();
+  const silent = new Set<HostId>();
+
+  function isAlive(peer: Peer): boolean {
+    return clock.monotonicMs() - peer.heardAtMs <= PEER_SILENCE_MS;
+  }
+
+  function noteSilence(): void {
+    const nowMs = clock.monotonicMs();
+    peers.forEach((peer, id) => {
+      if (nowMs - peer.heardAtMs > PEER_FORGET_MS) {
+        peers.delete(id);
+        silent.delete(id);
+      } else if (!isAlive(peer) && !silent.has(id)) {
+        silent.add(id);
+        log.warn('peer-silent', { hostId: id, silentMs: Math.round(nowMs - peer.heardAtMs) });
+      }
+    });
+  }
+
+  function alive(): readonly Peer[] {
+    noteSilence();
+    return [...peers.values()].filter(isAlive);
+  }
+
+  return {
+    note(heartbeat) {
+      const { id } = heartbeat.host;
+      const nowMs = clock.monotonicMs();
+      const known = peers.get(id);
+      const restarted = known !== undefined && known.heartbeat.incarnation !== heartbeat.incarnation;
+      if (known !== undefined && !restarted && heartbeat.sentAtMs < known.heartbeat.sentAtMs) {
+        return;
+      }
+      const sampleMs =
+        heartbeat.echo === undefined
+          ? undefined
+          : nowMs - heartbeat.echo.sentAtMs - heartbeat.echo.heldMs;
+      const previousMs = known?.roundTripMs;
+      const roundTripMs =
+        sampleMs === undefined || sampleMs < 0
+          ? previousMs
+          : sampleMs * ROUND_TRIP_WEIGHT + (previousMs ?? sampleMs) * (1 - ROUND_TRIP_WEIGHT);
+      if (known === undefined || restarted || silent.delete(id)) {
+        log.info('peer-heard', { hostId: id, state: heartbeat.state, restarted });
+      }
+      peers.set(id, { heartbeat, heardAtMs: nowMs, roundTripMs });
+    },
+    alive,
+    aliveIn: (region) => alive().filter(({ heartbeat }) => heartbeat.host.region === region),
+    known: () => [...peers.values()],
+    echoFor(id) {
+      const peer = peers.get(id);
+      return peer === undefined
+        ? undefined
+        : {
+            sentAtMs: peer.heartbeat.sentAtMs,
+            heldMs: clock.monotonicMs() - peer.heardAtMs,
+          };
+    },
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/peers/heartbeatCodec.ts
@@ -0,0 +1,96 @@
+import { asId } from '@camphorbarrow/core';
+import type { CrashReport, ServerId } from '@camphorbarrow/core';
+import { InvalidMessageError } from '../errors/InvalidMessageError.js';
+import type { HostRegistration } from '../model/HostRegistration.js';
+import type { ServiceName } from '../model/ServiceName.js';
+import type { HeartbeatEcho, HostState, PeerHeartbeat } from './PeerHeartbeat.js';
+
+/** Changes with the form of the message; hosts of another version are not understood. */
+const MESSAGE_VERSION = 1;
+
+interface WireHeartbeat {
+  readonly v: number;
+  readonly host: HostRegistration;
+  readonly inc: string;
+  readonly at: number;
+  readonly echo?: HeartbeatEcho;
+  readonly state: HostState;
+  readonly rev: number;
+  readonly load: readonly (readonly [ServerId, number, number])[];
+  readonly cap: readonly (readonly [ServiceName, number, number, number])[];
+  readonly crash: readonly CrashReport[];
+}
+
+const HOST_STATES: readonly string[] = ['starting', 'ready', 'draining'];
+
+function isWireHeartbeat(value: unknown): value is WireHeartbeat {
+  const message = value as Partial<WireHeartbeat> | null;
+  return (
+    typeof message === 'object' &&
+    message !== null &&
+    message.v === MESSAGE_VERSION &&
+    typeof message.host?.id === 'string' &&
+    typeof message.host.region === 'string' &&
+    typeof message.host.callers?.port === 'number' &&
+    typeof message.host.peers?.port === 'number' &&
+    typeof message.inc === 'string' &&
+    typeof message.at === 'number' &&
+    typeof message.rev === 'number' &&
+    HOST_STATES.includes(message.state ?? '') &&
+    Array.isArray(message.load) &&
+    Array.isArray(message.cap) &&
+    Array.isArray(message.crash)
+  );
+}
+
+export function encodeHeartbeat(heartbeat: PeerHeartbeat): Buffer {
+  const message: WireHeartbeat = {
+    v: MESSAGE_VERSION,
+    host: heartbeat.host,
+    inc: heartbeat.incarnation,
+    at: heartbeat.sentAtMs,
+    ...(heartbeat.echo === undefined ? {} : { echo: heartbeat.echo }),
+    state: heartbeat.state,
+    rev: heartbeat.revision,
+    load: [...heartbeat.loads].map(([id, load]) => [id, load.running, load.pendingTokens]),
+    cap: [...heartbeat.capacity].map(([service, capacity]) => [
+      service,
+      Math.round(capacity.queueMs),
+      capacity.msPerToken,
+      capacity.usableServers,
+    ]),
+    crash: heartbeat.crashes,
+  };
+  return Buffer.from(JSON.stringify(message));
+}
+
+/** @throws InvalidMessageError when the datagram is not a heartbeat of this version */
+export function decodeHeartbeat(datagram: Buffer): PeerHeartbeat {
+  let message: unknown;
+  try {
+    message = JSON.parse(datagram.toString());
+  } catch (error) {
+    throw new InvalidMessageError('The heartbeat is not JSON.', { cause: error });
+  }
+  if (!isWireHeartbeat(message)) {
+    throw new InvalidMessageError('The heartbeat has missing or malformed fields.');
+  }
+  return {
+    host: { ...message.host, id: asId(message.host.id) },
+    incarnation: message.inc,
+    sentAtMs: message.at,
+    echo: message.echo,
+    state: message.state,
+    revision: message.rev,
+    loads: new Map(
+      message.load.map(([id, running, pendingTokens]) => [id, { running, pendingTokens }]),
+    ),
+    capacity: new Map(
+      message.cap.map(([service, queueMs, msPerToken, usableServers]) => [
+        service,
+        { queueMs, msPerToken, usableServers },
+      ]),
+    ),
+    crashes: message.crash,
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/ports/WireCodec.ts
@@ -0,0 +1,31 @@
+import type { IncomingHttpHeaders } from 'node:http';
+import type { ServerId } from '@camphorbarrow/core';
+import type { AnswerFacts } from '../model/AnswerFacts.js';
+import type { RequestFacts } from '../model/RequestFacts.js';
+
+/** What the gateway tells a server beside the caller's own headers. */
+export interface ServerInstructions {
+  /** Only this server may run the request. */
+  readonly server: ServerId;
+  /** Time after which nobody waits for the answer. */
+  readonly remainingMs: number;
+  /** Priority class; 0 is the most urgent. */
+  readonly rank: number;
+  /** Last event of an interrupted stream that goes on. */
+  readonly lastEventId: string | undefined;
+}
+
+/** Reads and writes the headers of requests and answers. Decides nothing. */
+export interface WireCodec {
+  readRequest(headers: IncomingHttpHeaders): RequestFacts;
+  readAnswer(headers: IncomingHttpHeaders): AnswerFacts;
+  /** Headers for a server: the caller's, without those that are the system's to set. */
+  toServer(rawHeaders: readonly string[], instructions: ServerInstructions): readonly string[];
+  /** Headers for a peer: the caller's, with the time that is left. */
+  toPeer(
+    rawHeaders: readonly string[],
+    instructions: Pick<ServerInstructions, "remainingMs" | "lastEventId">,
+  ): readonly string[];
+  /** Header by which a refusal says when to come back. */
+  retryAfter(delayMs: number): readonly [string, string];
+}
--- /dev/null
+++ b/packages/gateway/src/routing/Destination.ts
@@ -0,0 +1,33 @@
+import type { ServerId } from '@camphorbarrow/core';
+import type { Route } from '../model/Route.js';
+import type { RequestFacts } from '../model/RequestFacts.js';
+import type { ServerState } from '../model/ServerState.js';
+import type { ServiceSpec } from '../model/ServiceSpec.js';
+import type { Peer } from '../peers/createPeerBook.js';
+
+/** A request that needs a place. */
+export interface Demand {
+  readonly route: Route;
+  readonly service: ServiceSpec;
+  readonly facts: RequestFacts;
+  /** Servers that were tried already. */
+  readonly triedServers: ReadonlySet<ServerId>;
+  /** Hosts that were asked already; one answer of a region speaks for the region. */
+  readonly triedRegions: ReadonlySet<string>;
+  /** Whether another entry host passed the request on; it must be served in this region. */
+  readonly relayed: boolean;
+}
+
+/** Where a request goes next. Estimates are of the time to its first event or answer. */
+export type Destination =
+  | {
+      readonly kind: 'server';
+      readonly server: ServerState;
+      readonly estimateMs: number;
+      /** Prompt tokens that the server has to read. */
+      readonly uncachedTokens: number;
+      /** Prompt tokens that it reads before this request's own. */
+      readonly tokensAhead: number;
+    }
+  | { readonly kind: 'region'; readonly peer: Peer; readonly estimateMs: number }
+  | { readonly kind: 'none'; readonly reason: 'no-server' | 'cold' };
--- /dev/null
+++ b/packages/gateway/src/routing/createRouter.ts
@@ -0,0 +1,237 @@
+import { asId } from '@camphorbarrow/core';
+import type { Clock, RandomSource, RegionId, ServerId } from '@camphorbarrow/core';
+import type { FleetView } from '../fleet/createFleetView.js';
+import type { ColdPacer } from '../limits/createColdPacer.js';
+import type { ServerState } from '../model/ServerState.js';
+import type { ServiceName } from '../model/ServiceName.js';
+import type { ServiceSpec } from '../model/ServiceSpec.js';
+import type { Peer, PeerBook } from '../peers/createPeerBook.js';
+import type { RegionCapacity } from '../peers/PeerHeartbeat.js';
+import type { LoadBook } from './createLoadBook.js';
+import { sharedParts } from './createPrefixBook.js';
+import type { PrefixBook } from './createPrefixBook.js';
+import type { ServerHealth } from './createServerHealth.js';
+import type { SpeedBook } from './createSpeedBook.js';
+import type { Demand, Destination } from './Destination.js';
+import { rankByRendezvous } from './rendezvous.js';
+
+/** Round trip that is assumed to a peer that has not answered a heartbeat yet. */
+const DEFAULT_ROUND_TRIP_MS = 160;
+/** Gain below which a request is not worth its way to another region. */
+const MIN_SPILL_GAIN_MS = 80;
+/** Requests that are expected within this part of their target stay in the region. */
+const STAY_TARGET_RATIO = 0.5;
+/** Part of the shared prompt that a server of another region is assumed to have cached. */
+const REMOTE_CACHED_RATIO = 0.5;
+/** Part of the reading time of a prompt by which its preferred server is favored. */
+const AFFINITY_RATIO = 0.5;
+/** Slowdown of an engine's first event by each request that it runs. */
+const MS_PER_RUNNING_REQUEST = 2;
+/** Time for which a request holds a slot of a full engine, for the wait it causes. */
+const SLOT_HOLD_MS = 1_500;
+
+export interface RouterOptions {
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly region: RegionId;
+  readonly view: FleetView;
+  readonly peers: PeerBook;
+  readonly loads: LoadBook;
+  readonly speeds: SpeedBook;
+  readonly health: ServerHealth;
+  readonly prefixes: PrefixBook;
+  readonly coldPacer: ColdPacer;
+}
+
+export interface Router {
+  choose(demand: Demand): Destination;
+  /** What this host expects of its region, for heartbeats. */
+  capacity(): ReadonlyMap<ServiceName, RegionCapacity>;
+}
+
+/** Name under which requests passed on to a peer are counted in the load book. */
+export const relayLoadId = (peer: Peer): ServerId => asId(`host ${peer.heartbeat.host.id}`);
+
+/** Creates the choice of a server, or of another region, for each request. */
+export function createRouter(options: RouterOptions): Router {
+  const { clock, view, peers, loads, speeds, health, prefixes } = options;
+
+  function isUsable(server: ServerState): boolean {
+    return (
+      server.region === options.region &&
+      server.registration.state === 'ready' &&
+      !view.isEvacuated(server.registration.zone) &&
+      health.isReachable(server)
+    );
+  }
+
+  /** Wait for the work that the server has already. */
+  function queueMs(server: ServerState, service: ServiceSpec): number {
+    const { id, slots } = server.registration;
+    const load = loads.total(id);
+    const excess = Math.max(0, load.running - slots + 1) / Math.max(1, slots);
+    if (service.kvCapacityTokens === undefined) {
+      const callMs = speeds.callMs(server.incarnation);
+      return callMs * (excess + load.running / Math.max(1, slots));
+    }
+    return (
+      load.pendingTokens * speeds.msPerToken(server.incarnation) +
+      load.running * MS_PER_RUNNING_REQUEST +
+      excess * SLOT_HOLD_MS
+    );
+  }
+
+  function connectionsLeft(server: ServerState, service: ServiceSpec): boolean {
+    const hosts = peers.aliveIn(options.region).length + 1;
+    return loads.own(server.registration.id).running < Math.floor(service.maxConnections / hosts);
+  }
+
+  function preferredServer(demand: Demand, servers: readonly ServerState[]): string | undefined {
+    const deepest = sharedParts(demand.facts.promptParts).at(-1);
+    return deepest === undefined
+      ? undefined
+      : rankByRendezvous(
+          deepest.id,
+          servers.map(({ registration }) => registration.id),
+        )[0];
+  }
+
+  type LocalChoice = Extract<Destination, { kind: 'server' }>;
+
+  function chooseLocal(demand: Demand): LocalChoice | 'cold' | undefined {
+    const { route, service, facts } = demand;
+    const mayServe =
+      route.homeRegions.length === 0 || route.homeRegions.includes(options.region);
+    if (!mayServe) {
+      return undefined;
+    }
+    const usable = view.servers
+      .all()
+      .filter(
+        (server) =>
+          server.registration.service === service.name &&
+          isUsable(server) &&
+          !demand.triedServers.has(server.registration.id) &&
+          connectionsLeft(server, service),
+      );
+    const permitted = usable.filter((server) =>
+      options.coldPacer.permits(server, service.coldRequestsPerSecond),
+    );
+    if (permitted.length === 0) {
+      return usable.length === 0 ? undefined : 'cold';
+    }
+    const preferred = preferredServer(demand, permitted);
+    const choices = permitted.map((server) => {
+      const cachedTokens = prefixes.cachedTokens(server.incarnation, facts.promptParts);
+      const uncachedTokens = Math.max(0, facts.promptTokens - cachedTokens);
+      const tokenMs = speeds.msPerToken(server.incarnation);
+      const readMs =
+        service.kvCapacityTokens === undefined
+          ? speeds.callMs(server.incarnation)
+          : speeds.firstEventBaseMs + uncachedTokens * tokenMs;
+      const estimateMs =
+        queueMs(server, service) + readMs + health.penaltyMs(server.incarnation);
+      const affinityMs =
+        preferred === undefined || preferred === server.registration.id
+          ? 0
+          : uncachedTokens * tokenMs * AFFINITY_RATIO;
+      return {
+        choice: {
+          kind: 'server' as const,
+          server,
+          estimateMs,
+          uncachedTokens,
+          tokensAhead: loads.total(server.registration.id).pendingTokens,
+        },
+        scoreMs: estimateMs + affinityMs + options.random.next(),
+      };
+    });
+    return choices.reduce((best, next) => (next.scoreMs < best.scoreMs ? next : best)).choice;
+  }
+
+  function regionEstimateMs(demand: Demand, peer: Peer): number | undefined {
+    const capacity = peer.heartbeat.capacity.get(demand.service.name);
+    if (capacity === undefined || capacity.usableServers === 0) {
+      return undefined;
+    }
+    const { facts } = demand;
+    const sharedTokens = sharedParts(facts.promptParts).reduce((sum, part) => sum + part.tokens, 0);
+    const tokens = facts.promptTokens - sharedTokens * REMOTE_CACHED_RATIO;
+    const relayed = loads.own(relayLoadId(peer));
+    const ownMs = (relayed.pendingTokens / capacity.usableServers) * capacity.msPerToken;
+    return (
+      capacity.queueMs +
+      ownMs +
+      tokens * capacity.msPerToken +
+      (peer.roundTripMs ?? DEFAULT_ROUND_TRIP_MS)
+    );
+  }
+
+  type RegionChoice = Extract<Destination, { kind: 'region' }>;
+
+  function chooseRegion(demand: Demand): RegionChoice | undefined {
+    const { homeRegions } = demand.route;
+    const choices = peers
+      .alive()
+      .filter(({ heartbeat: { host, state } }) => {
+        const isHome = homeRegions.length === 0 || homeRegions.includes(host.region);
+        return (
+          state === 'ready' &&
+          host.region !== options.region &&
+          isHome &&
+          !demand.triedRegions.has(host.region)
+        );
+      })
+      .flatMap((peer) => {
+        const estimateMs = regionEstimateMs(demand, peer);
+        return estimateMs === undefined ? [] : [{ kind: 'region' as const, peer, estimateMs }];
+      });
+    const relayedTo = ({ peer }: RegionChoice): number => loads.own(relayLoadId(peer)).running;
+    return choices.sort(
+      (a, b) =>
+        a.estimateMs + relayedTo(a) - (b.estimateMs + relayedTo(b)) || options.random.next() - 0.5,
+    )[0];
+  }
+
+  return {
+    choose(demand) {
+      const local = chooseLocal(demand);
+      const usableLocal = local === undefined || local === 'cold' ? undefined : local;
+      const stays =
+        usableLocal !== undefined &&
+        usableLocal.estimateMs <= demand.route.targetLatencyMs * STAY_TARGET_RATIO;
+      const region = demand.relayed || stays ? undefined : chooseRegion(demand);
+      if (usableLocal === undefined) {
+        return region ?? { kind: 'none', reason: local === 'cold' ? 'cold' : 'no-server' };
+      }
+      const spills =
+        region !== undefined && region.estimateMs + MIN_SPILL_GAIN_MS < usableLocal.estimateMs;
+      return spills ? region : usableLocal;
+    },
+    capacity() {
+      const table = view.table();
+      const capacities = new Map<ServiceName, RegionCapacity>();
+      table?.services.forEach((service) => {
+        const nowMs = clock.monotonicMs();
+        const servers = view.servers
+          .all()
+          .filter(
+            (server) =>
+              server.registration.service === service.name &&
+              isUsable(server) &&
+              (service.coldRequestsPerSecond <= 0 || server.coldUntilMs <= nowMs),
+          );
+        if (servers.length > 0) {
+          const queues = servers.map((server) => ({
+            queueMs: queueMs(server, service) + health.penaltyMs(server.incarnation),
+            msPerToken:
+              service.kvCapacityTokens === undefined ? 0 : speeds.msPerToken(server.incarnation),
+          }));
+          const best = queues.reduce((a, b) => (b.queueMs < a.queueMs ? b : a));
+          capacities.set(service.name, { ...best, usableServers: servers.length });
+        }
+      });
+      return capacities;
+    },
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/routing/createSpeedBook.ts
@@ -0,0 +1,58 @@
+/** Weight of a new sample in the smoothed figures of a server. */
+const SAMPLE_WEIGHT = 0.15;
+/** Reading speed that is assumed of an engine before any answer: 40 prompt tokens in a ms. */
+const DEFAULT_MS_PER_TOKEN = 0.025;
+/** Duration that is assumed of a call to a plain service before any answer. */
+const DEFAULT_CALL_MS = 50;
+/** Time from an empty engine's acceptance of a request to its first event. */
+const FIRST_EVENT_BASE_MS = 25;
+/** Samples of fewer tokens say more of the network than of the engine. */
+const MIN_SAMPLE_TOKENS = 400;
+/** A sample beyond this multiple of the present figure is cut, so that one stall does not rule. */
+const MAX_SAMPLE_RATIO = 4;
+
+export interface SpeedBook {
+  /** A first event came after `elapsedMs`, with this many prompt tokens to read before it. */
+  noteFirstEvent(incarnation: string, tokensAhead: number, elapsedMs: number): void;
+  /** A call to a plain service ended. */
+  noteCall(incarnation: string, elapsedMs: number): void;
+  msPerToken(incarnation: string): number;
+  callMs(incarnation: string): number;
+  readonly firstEventBaseMs: number;
+  retain(incarnations: ReadonlySet<string>): void;
+}
+
+function blend(current: number, sample: number): number {
+  const cut = Math.min(sample, current * MAX_SAMPLE_RATIO);
+  return current + SAMPLE_WEIGHT * (cut - current);
+}
+
+/** Creates the learned speeds of servers, one figure for each lifetime of a server. */
+export function createSpeedBook(): SpeedBook {
+  const msPerToken = new Map<string, number>();
+  const callMs = new Map<string, number>();
+
+  return {
+    noteFirstEvent(incarnation, tokensAhead, elapsedMs) {
+      if (tokensAhead >= MIN_SAMPLE_TOKENS) {
+        const sample = Math.max(0, elapsedMs - FIRST_EVENT_BASE_MS) / tokensAhead;
+        const current = msPerToken.get(incarnation) ?? DEFAULT_MS_PER_TOKEN;
+        msPerToken.set(incarnation, Math.max(DEFAULT_MS_PER_TOKEN / 4, blend(current, sample)));
+      }
+    },
+    noteCall(incarnation, elapsedMs) {
+      const current = callMs.get(incarnation) ?? DEFAULT_CALL_MS;
+      callMs.set(incarnation, blend(current, elapsedMs));
+    },
+    msPerToken: (incarnation) => msPerToken.get(incarnation) ?? DEFAULT_MS_PER_TOKEN,
+    callMs: (incarnation) => callMs.get(incarnation) ?? DEFAULT_CALL_MS,
+    firstEventBaseMs: FIRST_EVENT_BASE_MS,
+    retain(incarnations) {
+      [msPerToken, callMs].forEach((figures) => {
+        [...figures.keys()]
+          .filter((incarnation) => !incarnations.has(incarnation))
+          .forEach((incarnation) => figures.delete(incarnation));
+      });
+    },
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/upstream/readWhole.ts
@@ -0,0 +1,38 @@
+import type { IncomingMessage } from 'node:http';
+
+/** The whole body, or undefined when it broke off, stalled or exceeded the bound. */
+export function readWhole(
+  message: IncomingMessage,
+  maxBytes: number,
+  signal: AbortSignal,
+): Promise<Buffer | undefined> {
+  return new Promise((resolve) => {
+    const chunks: Buffer[] = [];
+    let sizeBytes = 0;
+    const onAbort = (): void => {
+      message.destroy();
+    };
+    const settle = (body: Buffer | undefined): void => {
+      signal.removeEventListener('abort', onAbort);
+      resolve(body);
+    };
+    if (signal.aborted) {
+      onAbort();
+      resolve(undefined);
+      return;
+    }
+    signal.addEventListener('abort', onAbort, { once: true });
+    message.on('data', (chunk: Buffer) => {
+      sizeBytes += chunk.length;
+      if (sizeBytes > maxBytes) {
+        settle(undefined);
+        message.destroy();
+        return;
+      }
+      chunks.push(chunk);
+    });
+    message.on('end', () => settle(message.complete ? Buffer.concat(chunks) : undefined));
+    message.on('error', () => settle(undefined));
+    message.on('close', () => settle(undefined));
+  });
+}
--- a/scripts/generate-index.mjs
+++ b/scripts/generate-index.mjs
@@ -2,7 +2,15 @@
 import { readFileSync, readdirSync, writeFileSync } from 'node:fs';
 import path from 'node:path';
 
-const packages = ['core', 'adapters', 'standins', 'scenarios', 'bench'];
+const packages = [
+  'packages/core',
+  'packages/adapters',
+  'packages/gateway',
+  'packages/standins',
+  'packages/scenarios',
+  'packages/bench',
+  'platform',
+];
 const check = process.argv.includes('--check');
 
 /** Files that are programs and have no exports for others. */
@@ -18,7 +26,7 @@
 
 let stale = 0;
 packages.forEach((name) => {
-  const directory = path.join('packages', name, 'src');
+  const directory = path.join(name, 'src');
   const file = path.join(directory, 'index.ts');
   const text = indexOf(directory);
   if (check) {
