Estimate waits by rank, from the lower third of reading speeds and fresher heartbeats

Ruled out: processor sharing in the engine; first events after 60,000 pending tokens took 1,200 to 1,400 ms whatever the request's own size, which is one queue per rank. Change: one figure per server that steps up 4% and down 7%, pending tokens by rank, heartbeats every 100 ms in the region, a failure penalty only beyond a ratio of 0.3, idle peer connections kept for 25 s.

--- a/packages/gateway/src/exchange/GatewayContext.ts
+++ b/packages/gateway/src/exchange/GatewayContext.ts
@@ -23,5 +23,8 @@
   readonly prefixes: PrefixBook;
   readonly coldPacer: ColdPacer;
   readonly repeats: RepeatAllowance;
+  /** Connections to backend servers. */
   readonly connections: Connections;
+  /** Connections to other entry hosts. */
+  readonly peerConnections: Connections;
 }
--- a/packages/gateway/src/exchange/TryResult.ts
+++ b/packages/gateway/src/exchange/TryResult.ts
@@ -22,6 +22,10 @@
   /** The request may have run; no event or body was forwarded. */
   | { readonly kind: 'unknown'; readonly cause: string }
   /** The stream broke after events were forwarded. */
-  | { readonly kind: 'interrupted'; readonly lastEventId: string | undefined; readonly cause: string }
+  | {
+      readonly kind: 'interrupted';
+      readonly lastEventId: string | undefined;
+      readonly cause: string;
+    }
   /** Nobody waits any more, or the time is over. */
   | { readonly kind: 'cancelled' };
--- a/packages/gateway/src/exchange/createAnswerSink.ts
+++ b/packages/gateway/src/exchange/createAnswerSink.ts
@@ -28,11 +28,7 @@
     isBegun: () => response.headersSent,
     sendWhole(status, headers, body) {
       if (isOpen()) {
-        response.writeHead(status, [
-          ...withClose(headers),
-          'Content-Length',
-          String(body.length),
-        ]);
+        response.writeHead(status, [...withClose(headers), 'Content-Length', String(body.length)]);
         response.end(body);
       }
     },
--- a/packages/gateway/src/exchange/serveExchange.ts
+++ b/packages/gateway/src/exchange/serveExchange.ts
@@ -29,6 +29,16 @@
   readonly causes: string[];
   destination: string;
   estimateMs: number | undefined;
+  uncachedTokens: number | undefined;
+  tokensAhead: number | undefined;
+  running: number | undefined;
+  /** Time from the request's arrival to its first event or answer. */
+  beganMs: number | undefined;
+}
+
+/** Servers that may run the request; a host that serves for another leaves retries to it. */
+function maxRuns(exchange: Exchange): number {
+  return exchange.relayedBy === undefined ? exchange.route.maxServers : 1;
 }
 
 /** Takes a result into account. Returns whether another server may be tried. */
@@ -45,16 +55,16 @@
       progress.causes.push(`status ${result.answer.status}`);
       progress.failure = result.answer;
       progress.runs += 1;
-      return route.idempotent && progress.runs < route.maxServers;
+      return route.idempotent && progress.runs < maxRuns(exchange);
     case 'unknown':
       progress.causes.push(result.cause);
       progress.runs += 1;
-      return route.idempotent && progress.runs < route.maxServers;
+      return route.idempotent && progress.runs < maxRuns(exchange);
     case 'interrupted':
       progress.causes.push(`interrupted: ${result.cause}`);
       progress.lastEventId = result.lastEventId ?? progress.lastEventId;
       progress.runs += 1;
-      return route.resumable && progress.runs < route.maxServers;
+      return route.resumable && progress.runs < maxRuns(exchange);
   }
 }
 
@@ -66,21 +76,24 @@
   signal: AbortSignal,
 ): Promise<TryResult> {
   const { lastEventId } = progress;
+  const onBegun = (): void => {
+    progress.beganMs ??= context.clock.monotonicMs() - exchange.arrivedAtMs;
+  };
   progress.estimateMs = destination.estimateMs;
   if (destination.kind === 'region') {
     const { host } = destination.peer.heartbeat;
     progress.triedRegions.add(host.region);
     progress.destination = host.id;
-    return tryPeer({ context, exchange, destination, lastEventId, signal });
+    return tryPeer({ context, exchange, destination, lastEventId, signal, onBegun });
   }
   const { id } = destination.server.registration;
+  progress.uncachedTokens = destination.uncachedTokens;
+  progress.tokensAhead = destination.tokensAhead;
+  progress.running = destination.running;
   progress.triedServers.add(id);
   progress.destination = id;
-  const mayMoveOn =
-    exchange.route.idempotent &&
-    exchange.relayedBy === undefined &&
-    progress.runs + 1 < exchange.route.maxServers;
-  return tryServer({ context, exchange, destination, mayMoveOn, lastEventId, signal });
+  const mayMoveOn = exchange.route.idempotent && progress.runs + 1 < maxRuns(exchange);
+  return tryServer({ context, exchange, destination, mayMoveOn, lastEventId, signal, onBegun });
 }
 
 async function runTries(
@@ -166,6 +179,10 @@
     causes: [],
     destination: '',
     estimateMs: undefined,
+    uncachedTokens: undefined,
+    tokensAhead: undefined,
+    running: undefined,
+    beganMs: undefined,
   };
   const expiry = new AbortController();
   const timer = setTimeout(
@@ -191,6 +208,10 @@
     relayedBy: exchange.relayedBy,
     destination: progress.destination,
     estimateMs: progress.estimateMs === undefined ? undefined : Math.round(progress.estimateMs),
+    uncachedTokens: progress.uncachedTokens,
+    tokensAhead: progress.tokensAhead,
+    running: progress.running,
+    beganMs: progress.beganMs === undefined ? undefined : Math.round(progress.beganMs),
     offers: progress.offers,
     runs: progress.runs,
     causes: progress.causes.join(', '),
--- a/packages/gateway/src/exchange/tryPeer.ts
+++ b/packages/gateway/src/exchange/tryPeer.ts
@@ -19,6 +19,8 @@
   readonly destination: Extract<Destination, { kind: 'region' }>;
   readonly lastEventId: string | undefined;
   readonly signal: AbortSignal;
+  /** Called when the answer has begun. */
+  readonly onBegun: () => void;
 }
 
 /** Passes the request to an entry host of another region, which serves it there or refuses it. */
@@ -27,7 +29,11 @@
   const { peer } = destination;
   const { host } = peer.heartbeat;
   const remainingMs = Math.floor(exchange.deadlineAtMs - context.clock.monotonicMs());
-  const ticket = context.loads.begin(relayLoadId(peer), exchange.facts.promptTokens);
+  const ticket = context.loads.begin(
+    relayLoadId(peer),
+    exchange.route.rank,
+    exchange.facts.promptTokens,
+  );
   const own = [
     relayHeaders.relayedBy,
     context.ownId,
@@ -38,7 +44,7 @@
   ];
   const headers = stripRelayHeaders(stripHopHeaders(exchange.rawHeaders));
   const sent = await sendUpstream({
-    agent: context.connections.agentFor(endpointName(host.peers)),
+    agent: context.peerConnections.agentFor(endpointName(host.peers)),
     endpoint: host.peers,
     method: exchange.method,
     path: exchange.target,
@@ -54,7 +60,10 @@
     answerTimeoutMs: undefined,
     signal,
   });
-  const result = await receive(options, sent, ticket.begun);
+  const result = await receive(options, sent, () => {
+    ticket.begun();
+    options.onBegun();
+  });
   ticket.ended();
   return result;
 }
--- a/packages/gateway/src/exchange/tryServer.ts
+++ b/packages/gateway/src/exchange/tryServer.ts
@@ -25,9 +25,15 @@
   readonly mayMoveOn: boolean;
   readonly lastEventId: string | undefined;
   readonly signal: AbortSignal;
+  /** Called when the answer has begun. */
+  readonly onBegun: () => void;
 }
 
-function answerTimeoutMs({ exchange, destination, mayMoveOn }: TryServerOptions): number | undefined {
+function answerTimeoutMs({
+  exchange,
+  destination,
+  mayMoveOn,
+}: TryServerOptions): number | undefined {
   const { route } = exchange;
   if (!mayMoveOn) {
     return undefined;
@@ -125,7 +131,7 @@
   const { context, exchange, destination } = options;
   const { server, uncachedTokens, tokensAhead } = destination;
   const sentAtMs = context.clock.monotonicMs();
-  const ticket = context.loads.begin(server.registration.id, uncachedTokens);
+  const ticket = context.loads.begin(server.registration.id, exchange.route.rank, uncachedTokens);
   const capacityTokens = exchange.service.kvCapacityTokens;
   context.coldPacer.note(server);
   if (capacityTokens !== undefined) {
@@ -133,6 +139,7 @@
   }
   const onBegun = (): void => {
     ticket.begun();
+    options.onBegun();
     if (capacityTokens !== undefined) {
       const elapsedMs = context.clock.monotonicMs() - sentAtMs;
       context.speeds.noteFirstEvent(server.incarnation, tokensAhead + uncachedTokens, elapsedMs);
--- a/packages/gateway/src/fleet/createServerDirectory.ts
+++ b/packages/gateway/src/fleet/createServerDirectory.ts
@@ -86,8 +86,7 @@
       }
       const nowMs = clock.monotonicMs();
       const known = servers.get(id)?.state;
-      const sameLifetime =
-        known !== undefined && isSameLifetime(known.registration, registration);
+      const sameLifetime = known !== undefined && isSameLifetime(known.registration, registration);
       const toldColdUntilMs =
         registration.coldRemainingMs > 0 ? nowMs + registration.coldRemainingMs : 0;
       const heldColdUntilMs = sameLifetime ? known.coldUntilMs : 0;
--- a/packages/gateway/src/fleet/runStoreFollower.ts
+++ b/packages/gateway/src/fleet/runStoreFollower.ts
@@ -46,9 +46,7 @@
       listed = true;
       return;
     }
-    view.applyChanges(
-      await store.waitForChanges(ALL_KEYS, view.revision(), options.watchWaitMs),
-    );
+    view.applyChanges(await store.waitForChanges(ALL_KEYS, view.revision(), options.watchWaitMs));
   }
 
   while (!signal.aborted) {
--- a/packages/gateway/src/lifecycle/createEntryHost.ts
+++ b/packages/gateway/src/lifecycle/createEntryHost.ts
@@ -32,9 +32,14 @@
 const STORE_RETRY_MS = 250;
 const HOST_LEASE_MS = 10_000;
 const HOST_RENEW_MS = 3_000;
-const HEARTBEAT_MS = 250;
-/** Heartbeats to other regions go out every second round. */
-const REMOTE_HEARTBEAT_EVERY = 2;
+/** Idle time of connections to servers that announce no time-out. */
+const SERVER_IDLE_MS = 4_000;
+/** Idle time of connections to peers; a new one costs a round trip between regions. */
+const PEER_IDLE_MS = 25_000;
+const PEER_LISTENER_IDLE_MS = 30_000;
+const HEARTBEAT_MS = 100;
+/** Heartbeats to other regions go out every third round. */
+const REMOTE_HEARTBEAT_EVERY = 3;
 /** How often state of servers that are gone is dropped. */
 const HOUSEKEEPING_MS = 1_000;
 /** Heartbeats of a server after an evacuation until its own word on being cold is trusted. */
@@ -69,7 +74,8 @@
   const speeds = createSpeedBook();
   const health = createServerHealth(clock);
   const prefixes = createPrefixBook();
-  const connections = createConnections();
+  const connections = createConnections(SERVER_IDLE_MS);
+  const peerConnections = createConnections(PEER_IDLE_MS);
   const coldPacer = createColdPacer({
     clock,
     ownId: own.id,
@@ -105,6 +111,7 @@
       hostCount: () => peers.known().length + 1,
     }),
     connections,
+    peerConnections,
   };
   let inFlight = 0;
 
@@ -133,7 +140,7 @@
     };
   };
 
-  const news = createNewsExchange(view, connections);
+  const news = createNewsExchange(view, peerConnections);
   const callerListener = await createListener({
     endpoint: own.callers,
     log,
@@ -147,6 +154,8 @@
     maxConnections: options.maxConnections,
   });
 
+  peerListener.server.keepAliveTimeout = PEER_LISTENER_IDLE_MS;
+
   const heartbeats = createHeartbeats({
     clock,
     log,
@@ -180,11 +189,9 @@
     }
     const incarnations = new Set(view.servers.all().map(({ incarnation }) => incarnation));
     [speeds, health, prefixes].forEach((book) => book.retain(incarnations));
-    connections.retain(
-      new Set([
-        ...incarnations,
-        ...peers.known().map(({ heartbeat }) => endpointName(heartbeat.host.peers)),
-      ]),
+    connections.retain(incarnations);
+    peerConnections.retain(
+      new Set(peers.known().map(({ heartbeat }) => endpointName(heartbeat.host.peers))),
     );
   }
   const housekeeping = setInterval(keepHouse, HOUSEKEEPING_MS);
@@ -247,6 +254,7 @@
       heartbeats.close();
       [callerListener, peerListener].forEach((listener) => listener.close());
       connections.close();
+      peerConnections.close();
       store.close();
     },
   };
--- a/packages/gateway/src/peers/PeerHeartbeat.ts
+++ b/packages/gateway/src/peers/PeerHeartbeat.ts
@@ -5,8 +5,11 @@
 /** Requests of one entry host at one server. */
 export interface HostLoad {
   readonly running: number;
-  /** Prompt tokens of requests that have no first event yet, without those cached. */
-  readonly pendingTokens: number;
+  /**
+   * Prompt tokens of requests that have no first event yet, without those cached, by rank. An
+   * engine reads prompts of more urgent ranks first.
+   */
+  readonly pendingTokens: ReadonlyMap<number, number>;
 }
 
 /** What one entry host expects of the servers of its own region for a service. */
--- a/packages/gateway/src/peers/createHeartbeats.ts
+++ b/packages/gateway/src/peers/createHeartbeats.ts
@@ -39,7 +39,10 @@
   function targets(): ReadonlyMap<string, { endpoint: Endpoint; host?: HostRegistration }> {
     const found = new Map<string, { endpoint: Endpoint; host?: HostRegistration }>();
     options.seeds().forEach((endpoint) => found.set(endpointKey(endpoint), { endpoint }));
-    const hosts = [...options.registered(), ...peers.known().map(({ heartbeat }) => heartbeat.host)];
+    const hosts = [
+      ...options.registered(),
+      ...peers.known().map(({ heartbeat }) => heartbeat.host),
+    ];
     hosts.forEach((host) => found.set(endpointKey(host.peers), { endpoint: host.peers, host }));
     found.delete(endpointKey(own.peers));
     return found;
--- a/packages/gateway/src/peers/createPeerBook.ts
+++ b/packages/gateway/src/peers/createPeerBook.ts
@@ -58,7 +58,8 @@
       const { id } = heartbeat.host;
       const nowMs = clock.monotonicMs();
       const known = peers.get(id);
-      const restarted = known !== undefined && known.heartbeat.incarnation !== heartbeat.incarnation;
+      const restarted =
+        known !== undefined && known.heartbeat.incarnation !== heartbeat.incarnation;
       if (known !== undefined && !restarted && heartbeat.sentAtMs < known.heartbeat.sentAtMs) {
         return;
       }
--- a/packages/gateway/src/peers/heartbeatCodec.ts
+++ b/packages/gateway/src/peers/heartbeatCodec.ts
@@ -16,7 +16,7 @@
   readonly echo?: HeartbeatEcho;
   readonly state: HostState;
   readonly rev: number;
-  readonly load: readonly (readonly [ServerId, number, number])[];
+  readonly load: readonly (readonly [ServerId, number, readonly (readonly [number, number])[]])[];
   readonly cap: readonly (readonly [ServiceName, number, number, number])[];
   readonly crash: readonly CrashReport[];
 }
@@ -52,7 +52,7 @@
     ...(heartbeat.echo === undefined ? {} : { echo: heartbeat.echo }),
     state: heartbeat.state,
     rev: heartbeat.revision,
-    load: [...heartbeat.loads].map(([id, load]) => [id, load.running, load.pendingTokens]),
+    load: [...heartbeat.loads].map(([id, load]) => [id, load.running, [...load.pendingTokens]]),
     cap: [...heartbeat.capacity].map(([service, capacity]) => [
       service,
       Math.round(capacity.queueMs),
@@ -83,7 +83,10 @@
     state: message.state,
     revision: message.rev,
     loads: new Map(
-      message.load.map(([id, running, pendingTokens]) => [id, { running, pendingTokens }]),
+      message.load.map(([id, running, pendingTokens]) => [
+        id,
+        { running, pendingTokens: new Map(pendingTokens) },
+      ]),
     ),
     capacity: new Map(
       message.cap.map(([service, queueMs, msPerToken, usableServers]) => [
--- a/packages/gateway/src/ports/WireCodec.ts
+++ b/packages/gateway/src/ports/WireCodec.ts
@@ -24,7 +24,7 @@
   /** Headers for a peer: the caller's, with the time that is left. */
   toPeer(
     rawHeaders: readonly string[],
-    instructions: Pick<ServerInstructions, "remainingMs" | "lastEventId">,
+    instructions: Pick<ServerInstructions, 'remainingMs' | 'lastEventId'>,
   ): readonly string[];
   /** Header by which a refusal says when to come back. */
   retryAfter(delayMs: number): readonly [string, string];
--- a/packages/gateway/src/routing/Destination.ts
+++ b/packages/gateway/src/routing/Destination.ts
@@ -28,6 +28,8 @@
       readonly uncachedTokens: number;
       /** Prompt tokens that it reads before this request's own. */
       readonly tokensAhead: number;
+      /** Requests that it runs. */
+      readonly running: number;
     }
   | { readonly kind: 'region'; readonly peer: Peer; readonly estimateMs: number }
   | { readonly kind: 'none'; readonly reason: 'no-server' | 'cold' };
--- a/packages/gateway/src/routing/createLoadBook.ts
+++ b/packages/gateway/src/routing/createLoadBook.ts
@@ -13,13 +13,15 @@
 }
 
 export interface LoadBook {
-  begin(server: ServerId, promptTokens: number): LoadTicket;
+  begin(server: ServerId, rank: number, promptTokens: number): LoadTicket;
   /** Load that the server told with an answer. */
   report(server: ServerId, load: ServerLoad): void;
   /** This host's own requests at the server. */
   own(server: ServerId): HostLoad;
-  /** Requests of all entry hosts, as far as they are known. */
-  total(server: ServerId): HostLoad;
+  /** Requests that all entry hosts run there, as far as they are known. */
+  running(server: ServerId): number;
+  /** Prompt tokens that the server reads before those of a new request of this rank. */
+  tokensAhead(server: ServerId, rank: number): number;
   /** Newest report of waiting requests; 0 when there is none of late. */
   reportedWaiting(server: ServerId): number;
   /** Own requests at all servers that have any, for heartbeats. */
@@ -28,10 +30,10 @@
 
 interface Counters {
   running: number;
-  pendingTokens: number;
+  readonly pendingTokens: Map<number, number>;
 }
 
-const NO_LOAD: HostLoad = { running: 0, pendingTokens: 0 };
+const NO_LOAD: HostLoad = { running: 0, pendingTokens: new Map() };
 
 /** Creates the count of requests at each server. `peerLoads` gives what other hosts told last. */
 export function createLoadBook(
@@ -49,18 +51,27 @@
   }
 
   const own = (server: ServerId): HostLoad => counters.get(server) ?? NO_LOAD;
+  const allLoads = (server: ServerId): readonly HostLoad[] => [
+    own(server),
+    ...peerLoads().map((loads) => loads.get(server) ?? NO_LOAD),
+  ];
 
   return {
-    begin(server, promptTokens) {
-      const counter = counters.get(server) ?? { running: 0, pendingTokens: 0 };
+    begin(server, rank, promptTokens) {
+      const counter = counters.get(server) ?? { running: 0, pendingTokens: new Map() };
       counters.set(server, counter);
+      const addPending = (tokens: number): void => {
+        counter.pendingTokens.set(rank, (counter.pendingTokens.get(rank) ?? 0) + tokens);
+      };
       counter.running += 1;
-      counter.pendingTokens += promptTokens;
-      let pendingTokens = promptTokens;
+      addPending(promptTokens);
+      let pending = true;
       let running = true;
       const begun = (): void => {
-        counter.pendingTokens -= pendingTokens;
-        pendingTokens = 0;
+        if (pending) {
+          pending = false;
+          addPending(-promptTokens);
+        }
       };
       return {
         begun,
@@ -80,15 +91,16 @@
       reports.set(server, { load, atMs: clock.monotonicMs() });
     },
     own,
-    total(server) {
-      const loads = [own(server), ...peerLoads().map((loads_) => loads_.get(server) ?? NO_LOAD)];
-      const running = loads.reduce((sum, load) => sum + load.running, 0);
+    running(server) {
+      const counted = allLoads(server).reduce((sum, load) => sum + load.running, 0);
       const report = freshReport(server);
-      return {
-        running: Math.max(running, report === undefined ? 0 : report.running + report.waiting),
-        pendingTokens: loads.reduce((sum, load) => sum + load.pendingTokens, 0),
-      };
+      return Math.max(counted, report === undefined ? 0 : report.running + report.waiting);
     },
+    tokensAhead: (server, rank) =>
+      allLoads(server)
+        .flatMap(({ pendingTokens }) => [...pendingTokens])
+        .filter(([pendingRank]) => pendingRank <= rank)
+        .reduce((sum, [, tokens]) => sum + tokens, 0),
     reportedWaiting: (server) => freshReport(server)?.waiting ?? 0,
     ownLoads: () => counters,
   };
--- a/packages/gateway/src/routing/createRouter.ts
+++ b/packages/gateway/src/routing/createRouter.ts
@@ -30,6 +30,9 @@
 /** Time for which a request holds a slot of a full engine, for the wait it causes. */
 const SLOT_HOLD_MS = 1_500;
 
+/** Rank for which the wait in this region is told to others; the least urgent one waits longest. */
+const CAPACITY_RANK = 9;
+
 export interface RouterOptions {
   readonly clock: Clock;
   readonly random: RandomSource;
@@ -66,17 +69,17 @@
   }
 
   /** Wait for the work that the server has already. */
-  function queueMs(server: ServerState, service: ServiceSpec): number {
+  function queueMs(server: ServerState, service: ServiceSpec, rank: number): number {
     const { id, slots } = server.registration;
-    const load = loads.total(id);
-    const excess = Math.max(0, load.running - slots + 1) / Math.max(1, slots);
+    const running = loads.running(id);
+    const excess = Math.max(0, running - slots + 1) / Math.max(1, slots);
     if (service.kvCapacityTokens === undefined) {
       const callMs = speeds.callMs(server.incarnation);
-      return callMs * (excess + load.running / Math.max(1, slots));
+      return callMs * (excess + running / Math.max(1, slots));
     }
     return (
-      load.pendingTokens * speeds.msPerToken(server.incarnation) +
-      load.running * MS_PER_RUNNING_REQUEST +
+      loads.tokensAhead(id, rank) * speeds.msPerToken(server.incarnation) +
+      running * MS_PER_RUNNING_REQUEST +
       excess * SLOT_HOLD_MS
     );
   }
@@ -100,8 +103,7 @@
 
   function chooseLocal(demand: Demand): LocalChoice | 'cold' | undefined {
     const { route, service, facts } = demand;
-    const mayServe =
-      route.homeRegions.length === 0 || route.homeRegions.includes(options.region);
+    const mayServe = route.homeRegions.length === 0 || route.homeRegions.includes(options.region);
     if (!mayServe) {
       return undefined;
     }
@@ -130,7 +132,7 @@
           ? speeds.callMs(server.incarnation)
           : speeds.firstEventBaseMs + uncachedTokens * tokenMs;
       const estimateMs =
-        queueMs(server, service) + readMs + health.penaltyMs(server.incarnation);
+        queueMs(server, service, route.rank) + readMs + health.penaltyMs(server.incarnation);
       const affinityMs =
         preferred === undefined || preferred === server.registration.id
           ? 0
@@ -141,7 +143,8 @@
           server,
           estimateMs,
           uncachedTokens,
-          tokensAhead: loads.total(server.registration.id).pendingTokens,
+          tokensAhead: loads.tokensAhead(server.registration.id, route.rank),
+          running: loads.running(server.registration.id),
         },
         scoreMs: estimateMs + affinityMs + options.random.next(),
       };
@@ -157,8 +160,8 @@
     const { facts } = demand;
     const sharedTokens = sharedParts(facts.promptParts).reduce((sum, part) => sum + part.tokens, 0);
     const tokens = facts.promptTokens - sharedTokens * REMOTE_CACHED_RATIO;
-    const relayed = loads.own(relayLoadId(peer));
-    const ownMs = (relayed.pendingTokens / capacity.usableServers) * capacity.msPerToken;
+    const relayedTokens = loads.tokensAhead(relayLoadId(peer), demand.route.rank);
+    const ownMs = (relayedTokens / capacity.usableServers) * capacity.msPerToken;
     return (
       capacity.queueMs +
       ownMs +
@@ -223,7 +226,7 @@
           );
         if (servers.length > 0) {
           const queues = servers.map((server) => ({
-            queueMs: queueMs(server, service) + health.penaltyMs(server.incarnation),
+            queueMs: queueMs(server, service, CAPACITY_RANK) + health.penaltyMs(server.incarnation),
             msPerToken:
               service.kvCapacityTokens === undefined ? 0 : speeds.msPerToken(server.incarnation),
           }));
--- a/packages/gateway/src/routing/createServerHealth.ts
+++ b/packages/gateway/src/routing/createServerHealth.ts
@@ -8,8 +8,10 @@
 const OUTCOME_WEIGHT = 0.1;
 /** Time after which the failure ratio has lost two thirds of its height without new outcomes. */
 const FORGIVE_MS = 4_000;
-/** Time that a failing server appears to take longer, at a failure ratio of one. */
-const FAILURE_PENALTY_MS = 1_500;
+/** Failures up to this ratio are usual: applications fail a part of their requests themselves. */
+const USUAL_FAILURE_RATIO = 0.3;
+/** Time that a failing server appears to take longer, for each failure ratio beyond the usual. */
+const FAILURE_PENALTY_MS = 2_000;
 
 export interface ServerHealth {
   noteSuccess(incarnation: string): void;
@@ -104,7 +106,8 @@
     },
     penaltyMs(incarnation) {
       const record = records.get(incarnation);
-      return record === undefined ? 0 : currentRatio(record) * FAILURE_PENALTY_MS;
+      const excess = record === undefined ? 0 : currentRatio(record) - USUAL_FAILURE_RATIO;
+      return Math.max(0, excess) * FAILURE_PENALTY_MS;
     },
     retain(incarnations) {
       [...records.keys()]
--- a/packages/gateway/src/routing/createSpeedBook.ts
+++ b/packages/gateway/src/routing/createSpeedBook.ts
@@ -1,15 +1,19 @@
-/** Weight of a new sample in the smoothed figures of a server. */
+/** Weight of a new sample in the smoothed duration of calls. */
 const SAMPLE_WEIGHT = 0.15;
-/** Reading speed that is assumed of an engine before any answer: 40 prompt tokens in a ms. */
-const DEFAULT_MS_PER_TOKEN = 0.025;
+/** Reading speed that is assumed of an engine before any answer: 45 prompt tokens in a ms. */
+const DEFAULT_MS_PER_TOKEN = 0.022;
 /** Duration that is assumed of a call to a plain service before any answer. */
 const DEFAULT_CALL_MS = 50;
 /** Time from an empty engine's acceptance of a request to its first event. */
 const FIRST_EVENT_BASE_MS = 25;
 /** Samples of fewer tokens say more of the network than of the engine. */
-const MIN_SAMPLE_TOKENS = 400;
-/** A sample beyond this multiple of the present figure is cut, so that one stall does not rule. */
-const MAX_SAMPLE_RATIO = 4;
+const MIN_SAMPLE_TOKENS = 1_500;
+/**
+ * Steps by which a reading speed follows its samples. The two make it rest at their lower third:
+ * longer samples are mostly waits for requests of other hosts that this one did not know of.
+ */
+const STEP_UP = 1.04;
+const STEP_DOWN = 0.93;
 
 export interface SpeedBook {
   /** A first event came after `elapsedMs`, with this many prompt tokens to read before it. */
@@ -22,10 +26,8 @@
   retain(incarnations: ReadonlySet<string>): void;
 }
 
-function blend(current: number, sample: number): number {
-  const cut = Math.min(sample, current * MAX_SAMPLE_RATIO);
-  return current + SAMPLE_WEIGHT * (cut - current);
-}
+const blend = (current: number, sample: number): number =>
+  current + SAMPLE_WEIGHT * (sample - current);
 
 /** Creates the learned speeds of servers, one figure for each lifetime of a server. */
 export function createSpeedBook(): SpeedBook {
@@ -35,9 +37,9 @@
   return {
     noteFirstEvent(incarnation, tokensAhead, elapsedMs) {
       if (tokensAhead >= MIN_SAMPLE_TOKENS) {
-        const sample = Math.max(0, elapsedMs - FIRST_EVENT_BASE_MS) / tokensAhead;
+        const sample = (elapsedMs - FIRST_EVENT_BASE_MS) / tokensAhead;
         const current = msPerToken.get(incarnation) ?? DEFAULT_MS_PER_TOKEN;
-        msPerToken.set(incarnation, Math.max(DEFAULT_MS_PER_TOKEN / 4, blend(current, sample)));
+        msPerToken.set(incarnation, current * (sample > current ? STEP_UP : STEP_DOWN));
       }
     },
     noteCall(incarnation, elapsedMs) {
--- a/packages/gateway/src/upstream/createConnections.ts
+++ b/packages/gateway/src/upstream/createConnections.ts
@@ -2,8 +2,6 @@
 import type { Socket } from 'node:net';
 import type { Endpoint } from '../model/Endpoint.js';
 
-/** Idle time after which a connection is not used again when the server names no time-out. */
-const DEFAULT_IDLE_MS = 4_000;
 /** A connection is given up this long before the server would close it. */
 const IDLE_MARGIN_MS = 1_000;
 const MIN_IDLE_MS = 300;
@@ -23,8 +21,13 @@
 
 export const endpointName = ({ host, port }: Endpoint): string => `${host}:${port}`;
 
-/** Creates the pools of kept connections. Bytes that arrive on an idle connection end it. */
-export function createConnections(): Connections {
+/**
+ * Creates the pools of kept connections. Bytes that arrive on an idle connection end it.
+ *
+ * @param defaultIdleMs idle time after which a connection is not used again when the other end
+ * announces no time-out
+ */
+export function createConnections(defaultIdleMs: number): Connections {
   const agents = new Map<string, Agent>();
   const idleLimitsMs = new WeakMap<Socket, number>();
 
@@ -40,8 +43,8 @@
     });
     agent.keepSocketAlive = (stream): boolean => {
       const socket = stream as Socket;
-      socket.setKeepAlive(true, DEFAULT_IDLE_MS);
-      socket.setTimeout(idleLimitsMs.get(socket) ?? DEFAULT_IDLE_MS);
+      socket.setKeepAlive(true, defaultIdleMs);
+      socket.setTimeout(idleLimitsMs.get(socket) ?? defaultIdleMs);
       socket.on('data', destroyOnData);
       return true;
     };
@@ -69,7 +72,7 @@
       const seconds = /timeout=(\d+)/.exec(String(keepAliveHeader ?? ''))?.[1];
       if (seconds !== undefined) {
         const limitMs = Number(seconds) * 1_000 - IDLE_MARGIN_MS;
-        idleLimitsMs.set(socket, Math.max(MIN_IDLE_MS, Math.min(DEFAULT_IDLE_MS, limitMs)));
+        idleLimitsMs.set(socket, Math.max(MIN_IDLE_MS, Math.min(defaultIdleMs, limitMs)));
       }
     },
     dropIdle,
