Refuse requests that would wait beyond their target; a reset ends an answer as broken

Change: an error after the head destroys the answer; a request that would wait for more than 0.9 of its target at servers more than half full is refused unrun with the time to come back; an engine that began an answer within a second is not silent; repeats are not refused.

--- a/packages/gateway/src/exchange/serveExchange.ts
+++ b/packages/gateway/src/exchange/serveExchange.ts
@@ -16,7 +16,9 @@
 /** Servers that may be offered a request as long as each of them refuses it unrun. */
 const MAX_OFFERS = 4;
 /** When to come back after a refusal for want of a server. */
-const RETRY_AFTER_MS = 300;
+const RETRY_AFTER_MS = 500;
+/** Longest time for which callers are asked to stay away. */
+const MAX_RETRY_AFTER_MS = 2_000;
 
 interface Progress {
   offers: number;
@@ -27,6 +29,8 @@
   readonly triedServers: Set<ServerId>;
   readonly triedRegions: Set<string>;
   readonly causes: string[];
+  /** When a refused request should come back. */
+  retryAfterMs: number;
   destination: string;
   estimateMs: number | undefined;
   uncachedTokens: number | undefined;
@@ -110,10 +114,17 @@
       facts: exchange.facts,
       triedServers: progress.triedServers,
       triedRegions: progress.triedRegions,
+      isRepeat: progress.runs > 0,
       relayed: exchange.relayedBy !== undefined,
     });
     if (destination.kind === 'none') {
       progress.causes.push(destination.reason);
+      if (destination.reason === 'overloaded') {
+        progress.retryAfterMs = Math.min(
+          MAX_RETRY_AFTER_MS,
+          Math.max(RETRY_AFTER_MS, destination.waitMs),
+        );
+      }
       return result;
     }
     if (progress.offers > 0 && !context.repeats.take(exchange.service.name)) {
@@ -137,7 +148,7 @@
     return new DeadlineExceededError('No answer in time.');
   }
   return new NoServerError(`No server took the request: ${cause}.`, {
-    props: { retryAfterMs: RETRY_AFTER_MS },
+    props: { retryAfterMs: progress.retryAfterMs },
   });
 }
 
@@ -177,6 +188,7 @@
     triedServers: new Set(),
     triedRegions: new Set(),
     causes: [],
+    retryAfterMs: RETRY_AFTER_MS,
     destination: '',
     estimateMs: undefined,
     uncachedTokens: undefined,
--- a/packages/gateway/src/exchange/tryServer.ts
+++ b/packages/gateway/src/exchange/tryServer.ts
@@ -14,6 +14,8 @@
 const MIN_SILENCE_MS = 300;
 /** A stream whose first event takes longer than this multiple of the estimate hangs. */
 const SILENCE_ESTIMATE_RATIO = 3;
+/** An engine that began another answer this lately has a queue and is not silent. */
+const ALIVE_MS = 1_000;
 /** A resumable stream moves on after a pause of this multiple of the allowed one. */
 const GAP_LIMIT_RATIO = 3;
 
@@ -100,6 +102,11 @@
     body: exchange.body,
     connectTimeoutMs: CONNECT_TIMEOUT_MS,
     answerTimeoutMs: answerTimeoutMs(options),
+    isAlive: () => {
+      const { delivery } = exchange.route;
+      const aliveAtMs = context.health.aliveAtMs(server.incarnation);
+      return delivery === 'events' && context.clock.monotonicMs() - aliveAtMs < ALIVE_MS;
+    },
     signal,
   });
   if (sent.kind === 'failed') {
@@ -139,6 +146,7 @@
   }
   const onBegun = (): void => {
     ticket.begun();
+    context.health.noteAlive(server.incarnation);
     options.onBegun();
     if (capacityTokens !== undefined) {
       const elapsedMs = context.clock.monotonicMs() - sentAtMs;
--- a/packages/gateway/src/peers/PeerHeartbeat.ts
+++ b/packages/gateway/src/peers/PeerHeartbeat.ts
@@ -18,6 +18,8 @@
   readonly queueMs: number;
   readonly msPerToken: number;
   readonly usableServers: number;
+  /** Requests that run at all usable servers, per place. */
+  readonly placesTakenRatio: number;
 }
 
 /** Answer to the newest heartbeat of the addressed host, from which it measures the round trip. */
--- a/packages/gateway/src/peers/heartbeatCodec.ts
+++ b/packages/gateway/src/peers/heartbeatCodec.ts
@@ -17,7 +17,7 @@
   readonly state: HostState;
   readonly rev: number;
   readonly load: readonly (readonly [ServerId, number, readonly (readonly [number, number])[]])[];
-  readonly cap: readonly (readonly [ServiceName, number, number, number])[];
+  readonly cap: readonly (readonly [ServiceName, number, number, number, number])[];
   readonly crash: readonly CrashReport[];
 }
 
@@ -58,6 +58,7 @@
       Math.round(capacity.queueMs),
       capacity.msPerToken,
       capacity.usableServers,
+      Number(capacity.placesTakenRatio.toFixed(2)),
     ]),
     crash: heartbeat.crashes,
   };
@@ -89,9 +90,9 @@
       ]),
     ),
     capacity: new Map(
-      message.cap.map(([service, queueMs, msPerToken, usableServers]) => [
+      message.cap.map(([service, queueMs, msPerToken, usableServers, placesTakenRatio]) => [
         service,
-        { queueMs, msPerToken, usableServers },
+        { queueMs, msPerToken, usableServers, placesTakenRatio },
       ]),
     ),
     crashes: message.crash,
--- a/packages/gateway/src/routing/Destination.ts
+++ b/packages/gateway/src/routing/Destination.ts
@@ -14,6 +14,8 @@
   readonly triedServers: ReadonlySet<ServerId>;
   /** Hosts that were asked already; one answer of a region speaks for the region. */
   readonly triedRegions: ReadonlySet<string>;
+  /** Whether the request cost a server work before; it is not refused for its wait. */
+  readonly isRepeat: boolean;
   /** Whether another entry host passed the request on; it must be served in this region. */
   readonly relayed: boolean;
 }
@@ -24,6 +26,8 @@
       readonly kind: 'server';
       readonly server: ServerState;
       readonly estimateMs: number;
+      /** Part of the estimate that the request waits for others. */
+      readonly waitMs: number;
       /** Prompt tokens that the server has to read. */
       readonly uncachedTokens: number;
       /** Prompt tokens that it reads before this request's own. */
@@ -31,5 +35,11 @@
       /** Requests that it runs. */
       readonly running: number;
     }
-  | { readonly kind: 'region'; readonly peer: Peer; readonly estimateMs: number }
-  | { readonly kind: 'none'; readonly reason: 'no-server' | 'cold' };
+  | {
+      readonly kind: 'region';
+      readonly peer: Peer;
+      readonly estimateMs: number;
+      readonly waitMs: number;
+    }
+  | { readonly kind: 'none'; readonly reason: 'no-server' | 'cold' }
+  | { readonly kind: 'none'; readonly reason: 'overloaded'; readonly waitMs: number };
--- a/packages/gateway/src/routing/createRouter.ts
+++ b/packages/gateway/src/routing/createRouter.ts
@@ -30,9 +30,16 @@
 /** Time for which a request holds a slot of a full engine, for the wait it causes. */
 const SLOT_HOLD_MS = 1_500;
 
+/** Part of a request's target for which it may wait for others. */
+const ADMITTED_WAIT_RATIO = 0.9;
+/** Servers with fewer places taken are not full, however long the estimated wait is. */
+const FREE_PLACES_RATIO = 0.5;
 /** Rank for which the wait in this region is told to others; the least urgent one waits longest. */
 const CAPACITY_RANK = 9;
 
+type LocalChoice = Extract<Destination, { kind: 'server' }>;
+type RegionChoice = Extract<Destination, { kind: 'region' }>;
+
 export interface RouterOptions {
   readonly clock: Clock;
   readonly random: RandomSource;
@@ -99,8 +106,6 @@
         )[0];
   }
 
-  type LocalChoice = Extract<Destination, { kind: 'server' }>;
-
   function chooseLocal(demand: Demand): LocalChoice | 'cold' | undefined {
     const { route, service, facts } = demand;
     const mayServe = route.homeRegions.length === 0 || route.homeRegions.includes(options.region);
@@ -131,8 +136,8 @@
         service.kvCapacityTokens === undefined
           ? speeds.callMs(server.incarnation)
           : speeds.firstEventBaseMs + uncachedTokens * tokenMs;
-      const estimateMs =
-        queueMs(server, service, route.rank) + readMs + health.penaltyMs(server.incarnation);
+      const waitMs = queueMs(server, service, route.rank);
+      const estimateMs = waitMs + readMs + health.penaltyMs(server.incarnation);
       const affinityMs =
         preferred === undefined || preferred === server.registration.id
           ? 0
@@ -142,6 +147,7 @@
           kind: 'server' as const,
           server,
           estimateMs,
+          waitMs,
           uncachedTokens,
           tokensAhead: loads.tokensAhead(server.registration.id, route.rank),
           running: loads.running(server.registration.id),
@@ -152,7 +158,10 @@
     return choices.reduce((best, next) => (next.scoreMs < best.scoreMs ? next : best)).choice;
   }
 
-  function regionEstimateMs(demand: Demand, peer: Peer): number | undefined {
+  function estimateRegion(
+    demand: Demand,
+    peer: Peer,
+  ): Pick<RegionChoice, 'estimateMs' | 'waitMs'> | undefined {
     const capacity = peer.heartbeat.capacity.get(demand.service.name);
     if (capacity === undefined || capacity.usableServers === 0) {
       return undefined;
@@ -162,16 +171,10 @@
     const tokens = facts.promptTokens - sharedTokens * REMOTE_CACHED_RATIO;
     const relayedTokens = loads.tokensAhead(relayLoadId(peer), demand.route.rank);
     const ownMs = (relayedTokens / capacity.usableServers) * capacity.msPerToken;
-    return (
-      capacity.queueMs +
-      ownMs +
-      tokens * capacity.msPerToken +
-      (peer.roundTripMs ?? DEFAULT_ROUND_TRIP_MS)
-    );
+    const waitMs = capacity.queueMs + ownMs + (peer.roundTripMs ?? DEFAULT_ROUND_TRIP_MS);
+    return { waitMs, estimateMs: waitMs + tokens * capacity.msPerToken };
   }
 
-  type RegionChoice = Extract<Destination, { kind: 'region' }>;
-
   function chooseRegion(demand: Demand): RegionChoice | undefined {
     const { homeRegions } = demand.route;
     const choices = peers
@@ -186,8 +189,8 @@
         );
       })
       .flatMap((peer) => {
-        const estimateMs = regionEstimateMs(demand, peer);
-        return estimateMs === undefined ? [] : [{ kind: 'region' as const, peer, estimateMs }];
+        const estimate = estimateRegion(demand, peer);
+        return estimate === undefined ? [] : [{ kind: 'region' as const, peer, ...estimate }];
       });
     const relayedTo = ({ peer }: RegionChoice): number => loads.own(relayLoadId(peer)).running;
     return choices.sort(
@@ -196,6 +199,28 @@
     )[0];
   }
 
+  /** Whether servers that may take the request have many places free. */
+  function hasFreePlaces(demand: Demand, choice: LocalChoice | RegionChoice): boolean {
+    const taken =
+      choice.kind === 'server'
+        ? choice.running / Math.max(1, choice.server.registration.slots)
+        : (choice.peer.heartbeat.capacity.get(demand.service.name)?.placesTakenRatio ?? 0);
+    return taken < FREE_PLACES_RATIO;
+  }
+
+  /**
+   * Refuses a request that would wait for longer than its target: the servers then serve others in
+   * time, where each of them would be late otherwise.
+   */
+  function admit(demand: Demand, choice: LocalChoice | RegionChoice): Destination {
+    const admits =
+      demand.relayed ||
+      demand.isRepeat ||
+      choice.waitMs <= demand.route.targetLatencyMs * ADMITTED_WAIT_RATIO ||
+      hasFreePlaces(demand, choice);
+    return admits ? choice : { kind: 'none', reason: 'overloaded', waitMs: choice.waitMs };
+  }
+
   return {
     choose(demand) {
       const local = chooseLocal(demand);
@@ -205,11 +230,13 @@
         usableLocal.estimateMs <= demand.route.targetLatencyMs * STAY_TARGET_RATIO;
       const region = demand.relayed || stays ? undefined : chooseRegion(demand);
       if (usableLocal === undefined) {
-        return region ?? { kind: 'none', reason: local === 'cold' ? 'cold' : 'no-server' };
+        return region === undefined
+          ? { kind: 'none', reason: local === 'cold' ? 'cold' : 'no-server' }
+          : admit(demand, region);
       }
       const spills =
         region !== undefined && region.estimateMs + MIN_SPILL_GAIN_MS < usableLocal.estimateMs;
-      return spills ? region : usableLocal;
+      return admit(demand, spills ? region : usableLocal);
     },
     capacity() {
       const table = view.table();
@@ -231,7 +258,18 @@
               service.kvCapacityTokens === undefined ? 0 : speeds.msPerToken(server.incarnation),
           }));
           const best = queues.reduce((a, b) => (b.queueMs < a.queueMs ? b : a));
-          capacities.set(service.name, { ...best, usableServers: servers.length });
+          const sum = (numberOf: (server: ServerState) => number): number =>
+            servers.reduce((total, server) => total + numberOf(server), 0);
+          capacities.set(service.name, {
+            ...best,
+            usableServers: servers.length,
+            placesTakenRatio:
+              sum(({ registration }) => loads.running(registration.id)) /
+              Math.max(
+                1,
+                sum(({ registration }) => registration.slots),
+              ),
+          });
         }
       });
       return capacities;
--- a/packages/gateway/src/routing/createServerHealth.ts
+++ b/packages/gateway/src/routing/createServerHealth.ts
@@ -15,6 +15,10 @@
 
 export interface ServerHealth {
   noteSuccess(incarnation: string): void;
+  /** An answer has begun, whatever becomes of it. */
+  noteAlive(incarnation: string): void;
+  /** Monotonic time at which an answer of the server last began; -Infinity when none did. */
+  aliveAtMs(incarnation: string): number;
   /** The server answered with a failure of its own or broke off an answer. */
   noteFailure(incarnation: string): void;
   /** No connection could be made, or the server fell silent. */
@@ -31,7 +35,7 @@
 interface Record_ {
   failureRatio: number;
   notedAtMs: number;
-  succeededAtMs: number;
+  aliveAtMs: number;
   unreachableSinceMs: number | undefined;
   nextTryAtMs: number;
   pauseMs: number;
@@ -45,7 +49,7 @@
     const record = records.get(incarnation) ?? {
       failureRatio: 0,
       notedAtMs: clock.monotonicMs(),
-      succeededAtMs: -Infinity,
+      aliveAtMs: -Infinity,
       unreachableSinceMs: undefined,
       nextTryAtMs: 0,
       pauseMs: FIRST_PAUSE_MS,
@@ -64,7 +68,6 @@
     record.failureRatio = ratio + OUTCOME_WEIGHT * ((failed ? 1 : 0) - ratio);
     record.notedAtMs = clock.monotonicMs();
     if (!failed) {
-      record.succeededAtMs = record.notedAtMs;
       record.unreachableSinceMs = undefined;
       record.pauseMs = FIRST_PAUSE_MS;
     }
@@ -84,11 +87,15 @@
 
   return {
     noteSuccess: (incarnation) => noteOutcome(incarnation, false),
+    noteAlive(incarnation) {
+      recordOf(incarnation).aliveAtMs = clock.monotonicMs();
+    },
+    aliveAtMs: (incarnation) => records.get(incarnation)?.aliveAtMs ?? -Infinity,
     noteFailure: (incarnation) => noteOutcome(incarnation, true),
     noteUnreachable,
     noteSilence(incarnation, sentAtMs) {
       // Answers to other requests meanwhile show that only one connection is silent.
-      if (recordOf(incarnation).succeededAtMs > sentAtMs) {
+      if (recordOf(incarnation).aliveAtMs > sentAtMs) {
         noteOutcome(incarnation, true);
       } else {
         noteUnreachable(incarnation);
--- a/packages/gateway/src/upstream/sendUpstream.ts
+++ b/packages/gateway/src/upstream/sendUpstream.ts
@@ -26,6 +26,8 @@
   readonly connectTimeoutMs: number;
   /** Time for the head of the answer; undefined for no limit of its own. */
   readonly answerTimeoutMs: number | undefined;
+  /** Asked when that time is over; while the other end is alive, the wait goes on. */
+  readonly isAlive?: () => boolean;
   readonly signal: AbortSignal;
 }
 
@@ -73,12 +75,27 @@
         clearTimeout(timer);
       });
     });
+    function watchSilence(timeoutMs: number): void {
+      const timer = setTimeout(() => {
+        if (options.isAlive?.() === true) {
+          watchSilence(timeoutMs);
+        } else {
+          stop('silent');
+        }
+      }, timeoutMs);
+      timers.push(timer);
+    }
     if (options.answerTimeoutMs !== undefined) {
-      timers.push(setTimeout(() => stop('silent'), options.answerTimeoutMs));
+      watchSilence(options.answerTimeoutMs);
     }
-    outgoing.on('response', (response) => settle({ kind: 'answer', response }));
-    // Errors after the answer has begun are seen by its reader.
+    let answer: IncomingMessage | undefined;
+    outgoing.on('response', (response) => {
+      answer = response;
+      settle({ kind: 'answer', response });
+    });
     outgoing.on('error', (error) => {
+      // The parser takes a reset for the end of an answer without a length; its reader must not.
+      answer?.destroy(error);
       settle({
         kind: 'failed',
         failure: connected || failure === 'cancelled' ? failure : 'unreachable',
