Place requests by the time to the end of the answer and the delay to other streams

Change: servers are compared by first event + 0.3 x time to the end + the delay that reading the prompt means to streams running there (0.06 for urgent ranks, 0.16 for others); a request that would not end in time is refused when servers have requests waiting.

--- a/packages/gateway/src/exchange/forwardEvents.ts
+++ b/packages/gateway/src/exchange/forwardEvents.ts
@@ -10,6 +10,8 @@
   readonly sink: AnswerSink;
   /** Called before the first event is forwarded. */
   readonly onFirstEvent: () => void;
+  /** Called with the number of events that arrived together. */
+  readonly onEvents: (count: number) => void;
   /** Longest pause between events; undefined for no limit. */
   readonly gapLimitMs: number | undefined;
   readonly signal: AbortSignal;
@@ -71,6 +73,7 @@
       rest = split.rest;
       if (split.whole.length > 0) {
         lastEventId = split.lastEventId ?? lastEventId;
+        options.onEvents(split.count);
         await forward(split.whole);
       }
       if (rest.length > MAX_EVENT_BYTES) {
--- a/packages/gateway/src/exchange/receiveAnswer.ts
+++ b/packages/gateway/src/exchange/receiveAnswer.ts
@@ -19,6 +19,8 @@
   readonly signal: AbortSignal;
   /** Called when the first event, or the head of another answer, has come. */
   readonly onBegun: () => void;
+  /** Called with the number of events that arrived together. */
+  readonly onEvents: (count: number) => void;
   readonly gapLimitMs: number | undefined;
 }
 
@@ -41,6 +43,7 @@
     response,
     sink,
     onFirstEvent: begin,
+    onEvents: options.onEvents,
     gapLimitMs: options.gapLimitMs,
     signal: options.signal,
   });
--- a/packages/gateway/src/exchange/serveExchange.ts
+++ b/packages/gateway/src/exchange/serveExchange.ts
@@ -36,6 +36,8 @@
   uncachedTokens: number | undefined;
   tokensAhead: number | undefined;
   running: number | undefined;
+  finishMs: number | undefined;
+  reportedWaiting: number | undefined;
   /** Time from the request's arrival to its first event or answer. */
   beganMs: number | undefined;
 }
@@ -84,6 +86,7 @@
     progress.beganMs ??= context.clock.monotonicMs() - exchange.arrivedAtMs;
   };
   progress.estimateMs = destination.estimateMs;
+  progress.finishMs = destination.finishMs;
   if (destination.kind === 'region') {
     const { host } = destination.peer.heartbeat;
     progress.triedRegions.add(host.region);
@@ -94,6 +97,7 @@
   progress.uncachedTokens = destination.uncachedTokens;
   progress.tokensAhead = destination.tokensAhead;
   progress.running = destination.running;
+  progress.reportedWaiting = context.loads.reportedWaiting(id);
   progress.triedServers.add(id);
   progress.destination = id;
   const mayMoveOn = exchange.route.idempotent && progress.runs + 1 < maxRuns(exchange);
@@ -112,6 +116,7 @@
       route: exchange.route,
       service: exchange.service,
       facts: exchange.facts,
+      remainingMs: exchange.deadlineAtMs - context.clock.monotonicMs(),
       triedServers: progress.triedServers,
       triedRegions: progress.triedRegions,
       isRepeat: progress.runs > 0,
@@ -194,6 +199,8 @@
     uncachedTokens: undefined,
     tokensAhead: undefined,
     running: undefined,
+    finishMs: undefined,
+    reportedWaiting: undefined,
     beganMs: undefined,
   };
   const expiry = new AbortController();
@@ -223,6 +230,8 @@
     uncachedTokens: progress.uncachedTokens,
     tokensAhead: progress.tokensAhead,
     running: progress.running,
+    finishMs: progress.finishMs === undefined ? undefined : Math.round(progress.finishMs),
+    reportedWaiting: progress.reportedWaiting,
     beganMs: progress.beganMs === undefined ? undefined : Math.round(progress.beganMs),
     offers: progress.offers,
     runs: progress.runs,
--- a/packages/gateway/src/exchange/splitEvents.ts
+++ b/packages/gateway/src/exchange/splitEvents.ts
@@ -8,6 +8,8 @@
   readonly rest: Buffer;
   /** Id of the last whole event; undefined when none of them has one. */
   readonly lastEventId: string | undefined;
+  /** Number of whole events that have an id. */
+  readonly count: number;
 }
 
 /** Offset behind the last empty line, or 0. */
@@ -28,5 +30,5 @@
   const end = endOfLastEvent(bytes);
   const whole = bytes.subarray(0, end);
   const ids = [...whole.toString('latin1').matchAll(/^id: ?(.*?)\r?$/gm)];
-  return { whole, rest: bytes.subarray(end), lastEventId: ids.at(-1)?.[1] };
+  return { whole, rest: bytes.subarray(end), lastEventId: ids.at(-1)?.[1], count: ids.length };
 }
--- a/packages/gateway/src/exchange/tryPeer.ts
+++ b/packages/gateway/src/exchange/tryPeer.ts
@@ -95,6 +95,8 @@
     facts: context.codec.readAnswer(response.headers),
     signal,
     onBegun,
+    // The pace is that of a server in another region, which hosts there observe.
+    onEvents: () => undefined,
     gapLimitMs: undefined,
   });
 }
--- a/packages/gateway/src/exchange/tryServer.ts
+++ b/packages/gateway/src/exchange/tryServer.ts
@@ -3,6 +3,7 @@
 import type { Exchange } from './Exchange.js';
 import type { GatewayContext } from './GatewayContext.js';
 import { receiveAnswer } from './receiveAnswer.js';
+import type { ReceiveOptions } from './receiveAnswer.js';
 import { stripRelayHeaders } from './relayHeaders.js';
 import { stripHopHeaders } from './stripHopHeaders.js';
 import type { TryResult } from './TryResult.js';
@@ -80,7 +81,7 @@
 async function exchangeWithServer(
   options: TryServerOptions,
   sentAtMs: number,
-  onBegun: () => void,
+  observer: Pick<ReceiveOptions, 'onBegun' | 'onEvents'>,
 ): Promise<TryResult> {
   const { context, exchange, destination, signal } = options;
   const { server } = destination;
@@ -128,7 +129,7 @@
     response,
     facts,
     signal,
-    onBegun,
+    ...observer,
     gapLimitMs: options.mayMoveOn ? exchange.route.targetGapMs * GAP_LIMIT_RATIO : undefined,
   });
 }
@@ -153,7 +154,15 @@
       context.speeds.noteFirstEvent(server.incarnation, tokensAhead + uncachedTokens, elapsedMs);
     }
   };
-  const result = await exchangeWithServer(options, sentAtMs, onBegun);
+  let lastEventAtMs: number | undefined;
+  const onEvents = (count: number): void => {
+    const nowMs = context.clock.monotonicMs();
+    if (lastEventAtMs !== undefined && count > 0) {
+      context.speeds.noteEventGap(server.incarnation, (nowMs - lastEventAtMs) / count);
+    }
+    lastEventAtMs = nowMs;
+  };
+  const result = await exchangeWithServer(options, sentAtMs, { onBegun, onEvents });
   ticket.ended();
   noteResult(options, result, sentAtMs);
   if (result.kind === 'delivered' && capacityTokens === undefined) {
--- a/packages/gateway/src/lifecycle/createEntryHost.ts
+++ b/packages/gateway/src/lifecycle/createEntryHost.ts
@@ -71,7 +71,7 @@
   const loads = createLoadBook(clock, () =>
     peers.aliveIn(own.region).map(({ heartbeat }) => heartbeat.loads),
   );
-  const speeds = createSpeedBook();
+  const speeds = createSpeedBook(clock);
   const health = createServerHealth(clock);
   const prefixes = createPrefixBook();
   const connections = createConnections(SERVER_IDLE_MS);
--- a/packages/gateway/src/model/RequestFacts.ts
+++ b/packages/gateway/src/model/RequestFacts.ts
@@ -15,6 +15,8 @@
   readonly model: string | undefined;
   readonly promptTokens: number;
   readonly maxOutputTokens: number;
+  /** The caller's estimate of the output; right in the median and often far off. */
+  readonly expectedOutputTokens: number | undefined;
   /** In the order of the prompt; the last part belongs to the request or its session. */
   readonly promptParts: readonly PromptPart[];
   /** Id of the last event that the caller has of an interrupted stream. */
--- a/packages/gateway/src/model/ServiceSpec.ts
+++ b/packages/gateway/src/model/ServiceSpec.ts
@@ -11,4 +11,6 @@
   readonly coldRequestsPerSecond: number;
   /** Memory for prompts and answers of one model engine; undefined for a plain service. */
   readonly kvCapacityTokens: number | undefined;
+  /** Output tokens that one event of a stream holds. */
+  readonly tokensPerEvent: number;
 }
--- a/packages/gateway/src/peers/PeerHeartbeat.ts
+++ b/packages/gateway/src/peers/PeerHeartbeat.ts
@@ -17,9 +17,12 @@
   /** Time that a new request would wait for the work before it. */
   readonly queueMs: number;
   readonly msPerToken: number;
+  readonly msPerEvent: number;
   readonly usableServers: number;
   /** Requests that run at all usable servers, per place. */
   readonly placesTakenRatio: number;
+  /** Requests that run at the best server. */
+  readonly running: number;
 }
 
 /** Answer to the newest heartbeat of the addressed host, from which it measures the round trip. */
--- a/packages/gateway/src/peers/heartbeatCodec.ts
+++ b/packages/gateway/src/peers/heartbeatCodec.ts
@@ -8,6 +8,9 @@
 /** Changes with the form of the message; hosts of another version are not understood. */
 const MESSAGE_VERSION = 1;
 
+/** Queue, ms per token, ms per event, usable servers, places taken, running. */
+type CapacityFigures = readonly [number, number, number, number, number, number];
+
 interface WireHeartbeat {
   readonly v: number;
   readonly host: HostRegistration;
@@ -17,7 +20,7 @@
   readonly state: HostState;
   readonly rev: number;
   readonly load: readonly (readonly [ServerId, number, readonly (readonly [number, number])[]])[];
-  readonly cap: readonly (readonly [ServiceName, number, number, number, number])[];
+  readonly cap: readonly (readonly [ServiceName, ...CapacityFigures])[];
   readonly crash: readonly CrashReport[];
 }
 
@@ -57,8 +60,10 @@
       service,
       Math.round(capacity.queueMs),
       capacity.msPerToken,
+      Math.round(capacity.msPerEvent),
       capacity.usableServers,
       Number(capacity.placesTakenRatio.toFixed(2)),
+      capacity.running,
     ]),
     crash: heartbeat.crashes,
   };
@@ -90,10 +95,13 @@
       ]),
     ),
     capacity: new Map(
-      message.cap.map(([service, queueMs, msPerToken, usableServers, placesTakenRatio]) => [
-        service,
-        { queueMs, msPerToken, usableServers, placesTakenRatio },
-      ]),
+      message.cap.map(([service, ...figures]) => {
+        const [queueMs, msPerToken, msPerEvent, usableServers, placesTakenRatio, running] = figures;
+        return [
+          service,
+          { queueMs, msPerToken, msPerEvent, usableServers, placesTakenRatio, running },
+        ];
+      }),
     ),
     crashes: message.crash,
   };
--- a/packages/gateway/src/routing/Destination.ts
+++ b/packages/gateway/src/routing/Destination.ts
@@ -10,6 +10,8 @@
   readonly route: Route;
   readonly service: ServiceSpec;
   readonly facts: RequestFacts;
+  /** Time after which nobody waits for the answer. */
+  readonly remainingMs: number;
   /** Servers that were tried already. */
   readonly triedServers: ReadonlySet<ServerId>;
   /** Hosts that were asked already; one answer of a region speaks for the region. */
@@ -28,6 +30,8 @@
       readonly estimateMs: number;
       /** Part of the estimate that the request waits for others. */
       readonly waitMs: number;
+      /** Time from the first event to the end of the answer. */
+      readonly finishMs: number;
       /** Prompt tokens that the server has to read. */
       readonly uncachedTokens: number;
       /** Prompt tokens that it reads before this request's own. */
@@ -40,6 +44,7 @@
       readonly peer: Peer;
       readonly estimateMs: number;
       readonly waitMs: number;
+      readonly finishMs: number;
     }
   | { readonly kind: 'none'; readonly reason: 'no-server' | 'cold' }
   | { readonly kind: 'none'; readonly reason: 'overloaded'; readonly waitMs: number };
--- a/packages/gateway/src/routing/createRouter.ts
+++ b/packages/gateway/src/routing/createRouter.ts
@@ -25,6 +25,14 @@
 const REMOTE_CACHED_RATIO = 0.5;
 /** Part of the reading time of a prompt by which its preferred server is favored. */
 const AFFINITY_RATIO = 0.5;
+/** Weight of the time to the end of an answer against the time to its first event. */
+const FINISH_RATIO = 0.3;
+/** Weight of the delay that reading an urgent prompt means for each stream of the engine. */
+const URGENT_DISTURBANCE_RATIO = 0.06;
+/** The same for prompts of other ranks, which make way for the streams. */
+const DISTURBANCE_RATIO = 0.16;
+/** Part of the largest output that is expected of a request that tells no estimate. */
+const UNTOLD_OUTPUT_RATIO = 0.5;
 /** Slowdown of an engine's first event by each request that it runs. */
 const MS_PER_RUNNING_REQUEST = 2;
 /** Time for which a request holds a slot of a full engine, for the wait it causes. */
@@ -40,6 +48,12 @@
 type LocalChoice = Extract<Destination, { kind: 'server' }>;
 type RegionChoice = Extract<Destination, { kind: 'region' }>;
 
+/** A choice with the figure by which choices are compared; the lower is the better. */
+interface Scored<Choice> {
+  readonly choice: Choice;
+  readonly scoreMs: number;
+}
+
 export interface RouterOptions {
   readonly clock: Clock;
   readonly random: RandomSource;
@@ -96,6 +110,21 @@
     return loads.own(server.registration.id).running < Math.floor(service.maxConnections / hosts);
   }
 
+  /** Time from the first event to the end of the answer at this pace. */
+  function finishTimeMs({ service, facts }: Demand, msPerEvent: number): number {
+    if (service.kvCapacityTokens === undefined) {
+      return 0;
+    }
+    const tokens = facts.expectedOutputTokens ?? facts.maxOutputTokens * UNTOLD_OUTPUT_RATIO;
+    return (Math.min(tokens, facts.maxOutputTokens) / service.tokensPerEvent) * msPerEvent;
+  }
+
+  /** How much reading the prompt delays the streams that the engine runs. */
+  function disturbanceMs({ service, route }: Demand, readMs: number, running: number): number {
+    const ratio = route.rank === 0 ? URGENT_DISTURBANCE_RATIO : DISTURBANCE_RATIO;
+    return service.kvCapacityTokens === undefined ? 0 : readMs * running * ratio;
+  }
+
   function preferredServer(demand: Demand, servers: readonly ServerState[]): string | undefined {
     const deepest = sharedParts(demand.facts.promptParts).at(-1);
     return deepest === undefined
@@ -106,7 +135,7 @@
         )[0];
   }
 
-  function chooseLocal(demand: Demand): LocalChoice | 'cold' | undefined {
+  function chooseLocal(demand: Demand): Scored<LocalChoice> | 'cold' | undefined {
     const { route, service, facts } = demand;
     const mayServe = route.homeRegions.length === 0 || route.homeRegions.includes(options.region);
     if (!mayServe) {
@@ -138,6 +167,8 @@
           : speeds.firstEventBaseMs + uncachedTokens * tokenMs;
       const waitMs = queueMs(server, service, route.rank);
       const estimateMs = waitMs + readMs + health.penaltyMs(server.incarnation);
+      const finishMs = finishTimeMs(demand, speeds.msPerEvent(server.incarnation));
+      const running = loads.running(server.registration.id);
       const affinityMs =
         preferred === undefined || preferred === server.registration.id
           ? 0
@@ -148,20 +179,26 @@
           server,
           estimateMs,
           waitMs,
+          finishMs,
           uncachedTokens,
           tokensAhead: loads.tokensAhead(server.registration.id, route.rank),
-          running: loads.running(server.registration.id),
+          running,
         },
-        scoreMs: estimateMs + affinityMs + options.random.next(),
+        scoreMs:
+          estimateMs +
+          affinityMs +
+          finishMs * FINISH_RATIO +
+          disturbanceMs(demand, uncachedTokens * tokenMs, running) +
+          options.random.next(),
       };
     });
-    return choices.reduce((best, next) => (next.scoreMs < best.scoreMs ? next : best)).choice;
+    return choices.reduce((best, next) => (next.scoreMs < best.scoreMs ? next : best));
   }
 
   function estimateRegion(
     demand: Demand,
     peer: Peer,
-  ): Pick<RegionChoice, 'estimateMs' | 'waitMs'> | undefined {
+  ): Scored<Omit<RegionChoice, 'kind' | 'peer'>> | undefined {
     const capacity = peer.heartbeat.capacity.get(demand.service.name);
     if (capacity === undefined || capacity.usableServers === 0) {
       return undefined;
@@ -172,10 +209,15 @@
     const relayedTokens = loads.tokensAhead(relayLoadId(peer), demand.route.rank);
     const ownMs = (relayedTokens / capacity.usableServers) * capacity.msPerToken;
     const waitMs = capacity.queueMs + ownMs + (peer.roundTripMs ?? DEFAULT_ROUND_TRIP_MS);
-    return { waitMs, estimateMs: waitMs + tokens * capacity.msPerToken };
+    const readMs = tokens * capacity.msPerToken;
+    const estimateMs = waitMs + readMs;
+    const finishMs = finishTimeMs(demand, capacity.msPerEvent);
+    const scoreMs =
+      estimateMs + finishMs * FINISH_RATIO + disturbanceMs(demand, readMs, capacity.running);
+    return { choice: { waitMs, estimateMs, finishMs }, scoreMs };
   }
 
-  function chooseRegion(demand: Demand): RegionChoice | undefined {
+  function chooseRegion(demand: Demand): Scored<RegionChoice> | undefined {
     const { homeRegions } = demand.route;
     const choices = peers
       .alive()
@@ -190,17 +232,26 @@
       })
       .flatMap((peer) => {
         const estimate = estimateRegion(demand, peer);
-        return estimate === undefined ? [] : [{ kind: 'region' as const, peer, ...estimate }];
+        if (estimate === undefined) {
+          return [];
+        }
+        const choice = { kind: 'region' as const, peer, ...estimate.choice };
+        return [{ choice, scoreMs: estimate.scoreMs }];
       });
-    const relayedTo = ({ peer }: RegionChoice): number => loads.own(relayLoadId(peer)).running;
+    // Hosts of one region tell nearly the same; each next request goes to another one.
+    const relayedTo = ({ choice }: Scored<RegionChoice>): number =>
+      loads.own(relayLoadId(choice.peer)).running;
     return choices.sort(
       (a, b) =>
-        a.estimateMs + relayedTo(a) - (b.estimateMs + relayedTo(b)) || options.random.next() - 0.5,
+        a.scoreMs + relayedTo(a) - (b.scoreMs + relayedTo(b)) || options.random.next() - 0.5,
     )[0];
   }
 
   /** Whether servers that may take the request have many places free. */
   function hasFreePlaces(demand: Demand, choice: LocalChoice | RegionChoice): boolean {
+    if (choice.kind === 'server' && loads.reportedWaiting(choice.server.registration.id) > 0) {
+      return false;
+    }
     const taken =
       choice.kind === 'server'
         ? choice.running / Math.max(1, choice.server.registration.slots)
@@ -216,8 +267,9 @@
     const admits =
       demand.relayed ||
       demand.isRepeat ||
-      choice.waitMs <= demand.route.targetLatencyMs * ADMITTED_WAIT_RATIO ||
-      hasFreePlaces(demand, choice);
+      hasFreePlaces(demand, choice) ||
+      (choice.waitMs <= demand.route.targetLatencyMs * ADMITTED_WAIT_RATIO &&
+        choice.estimateMs + choice.finishMs <= demand.remainingMs);
     return admits ? choice : { kind: 'none', reason: 'overloaded', waitMs: choice.waitMs };
   }
 
@@ -227,16 +279,17 @@
       const usableLocal = local === undefined || local === 'cold' ? undefined : local;
       const stays =
         usableLocal !== undefined &&
-        usableLocal.estimateMs <= demand.route.targetLatencyMs * STAY_TARGET_RATIO;
+        usableLocal.choice.estimateMs <= demand.route.targetLatencyMs * STAY_TARGET_RATIO &&
+        usableLocal.choice.finishMs <= demand.remainingMs * STAY_TARGET_RATIO;
       const region = demand.relayed || stays ? undefined : chooseRegion(demand);
       if (usableLocal === undefined) {
         return region === undefined
           ? { kind: 'none', reason: local === 'cold' ? 'cold' : 'no-server' }
-          : admit(demand, region);
+          : admit(demand, region.choice);
       }
       const spills =
-        region !== undefined && region.estimateMs + MIN_SPILL_GAIN_MS < usableLocal.estimateMs;
-      return admit(demand, spills ? region : usableLocal);
+        region !== undefined && region.scoreMs + MIN_SPILL_GAIN_MS < usableLocal.scoreMs;
+      return admit(demand, spills ? region.choice : usableLocal.choice);
     },
     capacity() {
       const table = view.table();
@@ -253,6 +306,8 @@
           );
         if (servers.length > 0) {
           const queues = servers.map((server) => ({
+            msPerEvent: speeds.msPerEvent(server.incarnation),
+            running: loads.running(server.registration.id),
             queueMs: queueMs(server, service, CAPACITY_RANK) + health.penaltyMs(server.incarnation),
             msPerToken:
               service.kvCapacityTokens === undefined ? 0 : speeds.msPerToken(server.incarnation),
