--- a/packages/gateway/src/exchange/receiveAnswer.ts
+++ b/packages/gateway/src/exchange/receiveAnswer.ts
@@ -29,6 +29,14 @@
   return facts.attemptId === exchange.facts.attemptId;
 }
 
+/**
+ * Whether another server has the address now. It names itself, and does not know the request that
+ * it did not run.
+ */
+function isMisdirected(status: number, facts: AnswerFacts): boolean {
+  return status === MISDIRECTED && facts.attemptId === undefined && facts.serverId !== undefined;
+}
+
 async function receiveEvents(options: ReceiveOptions): Promise<TryResult> {
   const { exchange, response } = options;
   const { sink } = exchange;
@@ -83,6 +91,10 @@
 export async function receiveAnswer(options: ReceiveOptions): Promise<TryResult> {
   const { exchange, response, facts } = options;
   const status = response.statusCode ?? 0;
+  if (isMisdirected(status, facts)) {
+    response.resume();
+    return { kind: 'not-run', cause: 'another server has the address', arrived: false };
+  }
   if (!belongsTo(exchange, facts)) {
     response.destroy();
     return { kind: 'unknown', cause: 'foreign answer' };
--- a/packages/gateway/src/lifecycle/createEntryHost.ts
+++ b/packages/gateway/src/lifecycle/createEntryHost.ts
@@ -37,6 +37,8 @@
 /** Idle time of connections to peers; a new one costs a round trip between regions. */
 const PEER_IDLE_MS = 25_000;
 const PEER_LISTENER_IDLE_MS = 30_000;
+/** Time to remove the registration from the store; the lease ends it otherwise. */
+const UNREGISTER_TIMEOUT_MS = 200;
 const HEARTBEAT_MS = 100;
 /** Heartbeats to other regions go out every third round. */
 const REMOTE_HEARTBEAT_EVERY = 3;
@@ -51,7 +53,7 @@
   isReady(): boolean;
   /** Hosts that a caller of the region should use now. */
   directory(region: RegionId): readonly HostRegistration[];
-  /** Drains and stops. */
+  /** Drains and stops; a second call waits for the first. */
   close(): Promise<void>;
 }
 
@@ -227,6 +229,24 @@
     }),
   ];
 
+  let closing: Promise<void> | undefined;
+
+  async function drainAndStop(): Promise<void> {
+    drain.begin();
+    heartbeats.announce();
+    log.info('drain-began', { inFlight });
+    await drain.finished(() => inFlight);
+    log.info('drain-ended', { inFlight });
+    stop.abort();
+    await Promise.race([Promise.all(tasks), clock.sleep(UNREGISTER_TIMEOUT_MS)]);
+    clearInterval(housekeeping);
+    heartbeats.close();
+    [callerListener, peerListener].forEach((listener) => listener.close());
+    connections.close();
+    peerConnections.close();
+    store.close();
+  }
+
   return {
     view,
     isReady: () => state() === 'ready',
@@ -242,20 +262,9 @@
         ownRegion: own.region,
       });
     },
-    async close() {
-      drain.begin();
-      heartbeats.announce();
-      log.info('drain-began', { inFlight });
-      await drain.finished(() => inFlight);
-      log.info('drain-ended', { inFlight });
-      stop.abort();
-      await Promise.race([Promise.all(tasks), clock.sleep(200)]);
-      clearInterval(housekeeping);
-      heartbeats.close();
-      [callerListener, peerListener].forEach((listener) => listener.close());
-      connections.close();
-      peerConnections.close();
-      store.close();
+    close() {
+      closing ??= drainAndStop();
+      return closing;
     },
   };
 }
--- a/packages/gateway/src/model/AnswerFacts.ts
+++ b/packages/gateway/src/model/AnswerFacts.ts
@@ -3,6 +3,8 @@
 /** What the headers of a backend server's answer say of it. */
 export interface AnswerFacts {
   readonly attemptId: string | undefined;
+  /** Id of the server, where it tells it. */
+  readonly serverId: string | undefined;
   /** Whether the answer bears a server's proof of origin. */
   readonly sealed: boolean;
   /** Whether the server states that it has not run the request. */
--- a/packages/gateway/src/upstream/createConnections.ts
+++ b/packages/gateway/src/upstream/createConnections.ts
@@ -48,8 +48,10 @@
       socket.on('data', destroyOnData);
       return true;
     };
-    agent.reuseSocket = (stream): void => {
+    const reuseSocket = agent.reuseSocket.bind(agent);
+    agent.reuseSocket = (stream, request): void => {
       const socket = stream as Socket;
+      reuseSocket(stream, request);
       socket.removeListener('data', destroyOnData);
       socket.setTimeout(0);
     };
--- /dev/null
+++ b/packages/gateway/tests/fleet/createReplica.test.ts
@@ -0,0 +1,41 @@
+import test from 'ava';
+import { createReplica } from '../../src/index.js';
+
+const item = (key: string, modRevision: number, value = key) => ({ key, value, modRevision });
+
+test('a listing of a peer that is behind brings nothing back', (t) => {
+  const replica = createReplica();
+  replica.applyListing({ items: [item('a', 5, 'new')], revision: 8 });
+  replica.applyChanges({
+    events: [{ kind: 'delete', key: 'b', value: '', modRevision: 9 }],
+    revision: 9,
+  });
+  const changes = replica.applyListing({ items: [item('a', 3, 'old'), item('b', 4)], revision: 4 });
+  t.deepEqual(changes, []);
+  t.deepEqual(
+    replica.exportListing().items.map(({ value }) => value),
+    ['new'],
+  );
+  t.is(replica.revision(), 9);
+});
+
+test('a listing removes keys that it does not hold, but not those written after it began', (t) => {
+  const replica = createReplica();
+  replica.applyListing({ items: [item('old', 2)], revision: 2 });
+  replica.applyChanges({
+    events: [{ kind: 'put', ...item('young', 7) }],
+    revision: 7,
+  });
+  const changes = replica.applyListing({ items: [], revision: 5 });
+  t.deepEqual(
+    changes.map(({ kind, key }) => [kind, key]),
+    [['delete', 'old']],
+  );
+});
+
+test('a change that is repeated after a cut watch is applied once', (t) => {
+  const replica = createReplica();
+  const change = { kind: 'put' as const, ...item('a', 3) };
+  t.is(replica.applyChanges({ events: [change], revision: 3 }).length, 1);
+  t.is(replica.applyChanges({ events: [change], revision: 3 }).length, 0);
+});
--- /dev/null
+++ b/packages/gateway/tests/fleet/createServerDirectory.test.ts
@@ -0,0 +1,73 @@
+import test from 'ava';
+import { asId, createManualClock } from '@camphorbarrow/core';
+import type { RegionId, ServerId } from '@camphorbarrow/core';
+import { LAPSED_ENTRY_GRACE_MS, createServerDirectory } from '../../src/index.js';
+import { buildRegistration } from '../support/builders.js';
+
+const id: ServerId = asId('server-1');
+
+function setUp(storeLastAwayAtMs = -Infinity) {
+  const clock = createManualClock();
+  const servers = createServerDirectory({
+    clock,
+    regionOfZone: () => asId<RegionId>('north'),
+    storeLastAwayAtMs: () => storeLastAwayAtMs,
+    coldAfterEvacuationMs: () => 2_400,
+  });
+  return { clock, servers };
+}
+
+test('an entry that is removed while the store is well is gone at once', (t) => {
+  const { servers } = setUp();
+  servers.update(id, buildRegistration());
+  servers.update(id, undefined);
+  t.is(servers.get(id), undefined);
+});
+
+test('an entry that lapsed with the store is kept for its grace and then gone', (t) => {
+  const { clock, servers } = setUp(0);
+  servers.update(id, buildRegistration());
+  servers.update(id, undefined);
+  clock.advance(LAPSED_ENTRY_GRACE_MS - 1);
+  t.not(servers.get(id), undefined);
+  clock.advance(1);
+  t.is(servers.get(id), undefined);
+});
+
+test('an entry that is back within the grace stays', (t) => {
+  const { clock, servers } = setUp(0);
+  servers.update(id, buildRegistration());
+  servers.update(id, undefined);
+  servers.update(id, buildRegistration({ sequence: 2 }));
+  clock.advance(LAPSED_ENTRY_GRACE_MS * 2);
+  t.not(servers.get(id), undefined);
+});
+
+test('a heartbeat keeps the incarnation, and a restart under the same id is another one', (t) => {
+  const { servers } = setUp();
+  servers.update(id, buildRegistration({ sequence: 7 }));
+  const first = servers.get(id)?.incarnation;
+  servers.update(id, buildRegistration({ sequence: 8 }));
+  t.is(servers.get(id)?.incarnation, first);
+  servers.update(id, buildRegistration({ sequence: 9, startedAtMs: 2_000 }));
+  const second = servers.get(id)?.incarnation;
+  t.not(second, first);
+  servers.update(id, buildRegistration({ sequence: 1, startedAtMs: 2_000 }));
+  t.not(servers.get(id)?.incarnation, second);
+});
+
+test('a server that told of a cold time stays cold for it although a later heartbeat says warm', (t) => {
+  const { clock, servers } = setUp();
+  servers.update(id, buildRegistration({ coldRemainingMs: 3_000 }));
+  clock.advance(1_200);
+  servers.update(id, buildRegistration({ sequence: 2 }));
+  t.is(servers.get(id)?.coldUntilMs, 3_000);
+});
+
+test('servers of a zone count as cold when its evacuation ends, before they say so', (t) => {
+  const { clock, servers } = setUp();
+  servers.update(id, buildRegistration());
+  clock.advance(5_000);
+  servers.evacuationEnded(asId('north-a'));
+  t.is(servers.get(id)?.coldUntilMs, 7_400);
+});
--- /dev/null
+++ b/packages/gateway/tests/peers/heartbeatCodec.test.ts
@@ -0,0 +1,44 @@
+import test from 'ava';
+import { asId } from '@camphorbarrow/core';
+import { InvalidMessageError, decodeHeartbeat, encodeHeartbeat } from '../../src/index.js';
+import type { PeerHeartbeat } from '../../src/index.js';
+
+const heartbeat: PeerHeartbeat = {
+  host: {
+    id: asId('host-1'),
+    region: asId('north'),
+    zone: asId('north-a'),
+    callers: { host: '10.0.0.1', port: 1 },
+    peers: { host: '10.0.0.1', port: 2 },
+  },
+  incarnation: 'x',
+  sentAtMs: 12.5,
+  echo: { sentAtMs: 3, heldMs: 4 },
+  state: 'ready',
+  revision: 17,
+  loads: new Map([[asId('s'), { running: 3, pendingTokens: new Map([[2, 900]]) }]]),
+  capacity: new Map([
+    [
+      asId('model'),
+      {
+        queueMs: 5,
+        msPerToken: 0.02,
+        msPerEvent: 40,
+        usableServers: 2,
+        placesTakenRatio: 0.25,
+        running: 7,
+      },
+    ],
+  ]),
+  crashes: [],
+};
+
+test('a heartbeat is read as it was written', (t) => {
+  t.deepEqual(decodeHeartbeat(encodeHeartbeat(heartbeat)), heartbeat);
+});
+
+test('datagrams of another form are refused with a typed error', (t) => {
+  ['', 'null', '{', '{"v":2}', '{"v":1,"host":{"id":"a"}}'].forEach((text) => {
+    t.throws(() => decodeHeartbeat(Buffer.from(text)), { instanceOf: InvalidMessageError });
+  });
+});
--- /dev/null
+++ b/packages/gateway/tests/routing/findRoute.test.ts
@@ -0,0 +1,26 @@
+import test from 'ava';
+import { findRoute } from '../../src/index.js';
+import type { RoutingTable } from '../../src/index.js';
+import { buildRoute } from '../support/builders.js';
+
+const table: RoutingTable = {
+  version: 1,
+  routes: [
+    buildRoute({ name: 'short', pathPrefix: '/a/' }),
+    buildRoute({ name: 'long', pathPrefix: '/a/b/' }),
+    buildRoute({ name: 'other', host: 'other.example', pathPrefix: '/a/b/c/' }),
+  ],
+  services: new Map(),
+  limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+};
+
+test('the longest prefix of the host that begins the path is taken', (t) => {
+  t.is(findRoute(table, 'Shop.Example:80', '/a/b/c/d?x=/a/')?.name, 'long');
+  t.is(findRoute(table, 'shop.example', '/a/x')?.name, 'short');
+});
+
+test('a prefix without its last slash, another host or a query match nothing', (t) => {
+  t.is(findRoute(table, 'shop.example', '/a'), undefined);
+  t.is(findRoute(table, 'none.example', '/a/b/'), undefined);
+  t.is(findRoute(table, 'shop.example', '/?/a/'), undefined);
+});
--- /dev/null
+++ b/packages/gateway/tests/support/builders.ts
@@ -0,0 +1,61 @@
+import { asId } from '@camphorbarrow/core';
+import type { RegionId } from '@camphorbarrow/core';
+import type { Route, ServerRegistration, ServerState, ServiceSpec } from '../../src/index.js';
+
+/** A ready server of the service `model`; tests override what they are about. */
+export function buildRegistration(overrides: Partial<ServerRegistration> = {}): ServerRegistration {
+  return {
+    id: asId('server-1'),
+    service: asId('model'),
+    endpoint: { host: '10.0.0.1', port: 8000 },
+    zone: asId('north-a'),
+    slots: 64,
+    state: 'ready',
+    coldRemainingMs: 0,
+    sequence: 1,
+    startedAtMs: 1_000,
+    ...overrides,
+  };
+}
+
+export function buildServer(overrides: Partial<ServerRegistration> = {}): ServerState {
+  const registration = buildRegistration(overrides);
+  return {
+    registration,
+    region: asId<RegionId>('north'),
+    coldUntilMs: 0,
+    heardAtMs: 0,
+    incarnation: `${registration.id}#1`,
+  };
+}
+
+export function buildService(overrides: Partial<ServiceSpec> = {}): ServiceSpec {
+  return {
+    name: asId('model'),
+    maxConnections: 360,
+    coldStartMs: 3_000,
+    coldRequestsPerSecond: 2,
+    kvCapacityTokens: 300_000,
+    tokensPerEvent: 6,
+    ...overrides,
+  };
+}
+
+export function buildRoute(overrides: Partial<Route> = {}): Route {
+  return {
+    name: 'route',
+    host: 'shop.example',
+    pathPrefix: '/draft/',
+    idempotent: false,
+    delivery: 'events',
+    resumable: false,
+    timeoutMs: 5_000,
+    targetLatencyMs: 800,
+    targetGapMs: 400,
+    rank: 0,
+    maxServers: 1,
+    targets: [{ service: asId('model'), weight: 1 }],
+    homeRegions: [],
+    ...overrides,
+  };
+}
