--- a/packages/gateway/src/exchange/tryPeer.ts
+++ b/packages/gateway/src/exchange/tryPeer.ts
@@ -23,6 +23,39 @@
   readonly onBegun: () => void;
 }
 
+async function receive(
+  { context, exchange, signal }: TryPeerOptions,
+  sent: Awaited<ReturnType<typeof sendUpstream>>,
+  onBegun: () => void,
+): Promise<TryResult> {
+  if (sent.kind === 'failed') {
+    if (sent.failure === 'cancelled') {
+      return { kind: 'cancelled' };
+    }
+    return sent.mayHaveRun
+      ? { kind: 'unknown', cause: `peer ${sent.failure}` }
+      : { kind: 'not-run', cause: `peer ${sent.cause}`, arrived: false };
+  }
+  const { response } = sent;
+  const outcome = response.headers[relayHeaders.outcome];
+  if (outcome !== undefined) {
+    response.resume();
+    return outcome === 'not-run'
+      ? { kind: 'not-run', cause: 'refused by peer', arrived: false }
+      : { kind: 'unknown', cause: 'unknown at peer' };
+  }
+  return receiveAnswer({
+    exchange,
+    response,
+    facts: context.codec.readAnswer(response.headers),
+    signal,
+    onBegun,
+    // The pace is that of a server in another region, which hosts there observe.
+    onEvents: () => undefined,
+    gapLimitMs: undefined,
+  });
+}
+
 /** Passes the request to an entry host of another region, which serves it there or refuses it. */
 export async function tryPeer(options: TryPeerOptions): Promise<TryResult> {
   const { context, exchange, destination, signal } = options;
@@ -67,36 +100,3 @@
   ticket.ended();
   return result;
 }
-
-async function receive(
-  { context, exchange, signal }: TryPeerOptions,
-  sent: Awaited<ReturnType<typeof sendUpstream>>,
-  onBegun: () => void,
-): Promise<TryResult> {
-  if (sent.kind === 'failed') {
-    if (sent.failure === 'cancelled') {
-      return { kind: 'cancelled' };
-    }
-    return sent.mayHaveRun
-      ? { kind: 'unknown', cause: `peer ${sent.failure}` }
-      : { kind: 'not-run', cause: `peer ${sent.cause}`, arrived: false };
-  }
-  const { response } = sent;
-  const outcome = response.headers[relayHeaders.outcome];
-  if (outcome !== undefined) {
-    response.resume();
-    return outcome === 'not-run'
-      ? { kind: 'not-run', cause: 'refused by peer', arrived: false }
-      : { kind: 'unknown', cause: 'unknown at peer' };
-  }
-  return receiveAnswer({
-    exchange,
-    response,
-    facts: context.codec.readAnswer(response.headers),
-    signal,
-    onBegun,
-    // The pace is that of a server in another region, which hosts there observe.
-    onEvents: () => undefined,
-    gapLimitMs: undefined,
-  });
-}
--- a/packages/gateway/src/routing/createServerHealth.ts
+++ b/packages/gateway/src/routing/createServerHealth.ts
@@ -32,7 +32,7 @@
   retain(incarnations: ReadonlySet<string>): void;
 }
 
-interface Record_ {
+interface HealthRecord {
   failureRatio: number;
   notedAtMs: number;
   aliveAtMs: number;
@@ -43,9 +43,9 @@
 
 /** Creates the record of how servers behaved towards this host. */
 export function createServerHealth(clock: Clock): ServerHealth {
-  const records = new Map<string, Record_>();
+  const records = new Map<string, HealthRecord>();
 
-  function recordOf(incarnation: string): Record_ {
+  function recordOf(incarnation: string): HealthRecord {
     const record = records.get(incarnation) ?? {
       failureRatio: 0,
       notedAtMs: clock.monotonicMs(),
@@ -58,7 +58,7 @@
     return record;
   }
 
-  function currentRatio(record: Record_): number {
+  function currentRatio(record: HealthRecord): number {
     return record.failureRatio * Math.exp((record.notedAtMs - clock.monotonicMs()) / FORGIVE_MS);
   }
 
--- a/packages/gateway/tests/limits/createRepeatAllowance.test.ts
+++ b/packages/gateway/tests/limits/createRepeatAllowance.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava';
 import { asId, createManualClock } from '@camphorbarrow/core';
 import { createRepeatAllowance } from '../../src/index.js';
-import type { ServiceName } from '../../src/index.js';
+import type { RepeatAllowance, ServiceName } from '../../src/index.js';
 
 const service = asId<ServiceName>('orders');
 
@@ -14,12 +14,13 @@
   );
   let requests = 0;
   let repeats = 0;
+  const serveOne = (allowance: RepeatAllowance): void => {
+    allowance.noteRequest(service);
+    requests += 1;
+    repeats += [1, 2, 3].filter(() => allowance.take(service)).length;
+  };
   for (let atMs = 0; atMs < 10_000; atMs += 100) {
-    allowances.forEach((allowance) => {
-      allowance.noteRequest(service);
-      requests += 1;
-      repeats += [1, 2, 3].filter(() => allowance.take(service)).length;
-    });
+    allowances.forEach(serveOne);
     clock.advance(100);
   }
   t.true(repeats <= 0.2 * requests + 52, `${repeats} repeats of ${requests}`);
