Follow what engines have cached through their cache events

Ruled out: listing caches, which delays the engines; gossip of placements, which tells nothing of evictions. Change: one task per engine of the region waits for its cache events (a call a second, four hosts per engine at the most); their word goes before guesses, and a part that was just sent counts as cached for 2.5 s.

--- a/packages/gateway/src/lifecycle/EntryHostOptions.ts
+++ b/packages/gateway/src/lifecycle/EntryHostOptions.ts
@@ -10,7 +10,9 @@
 import type { FleetChange } from '../model/FleetChange.js';
 import type { HostRegistration } from '../model/HostRegistration.js';
 import type { MetadataStore } from '../ports/MetadataStore.js';
+import type { CacheFeed } from '../ports/CacheFeed.js';
 import type { WireCodec } from '../ports/WireCodec.js';
+import type { Connections } from '../upstream/createConnections.js';
 
 /** Bounds of the deployment that the entry host keeps. */
 export interface FleetBounds {
@@ -38,6 +40,8 @@
   readonly regionOfZone: (zone: AvailabilityZoneId) => RegionId | undefined;
   readonly store: MetadataStore;
   readonly codec: WireCodec;
+  /** Creates the reader of the engines' cache events over the host's connections. */
+  readonly createCacheFeed: (connections: Connections) => CacheFeed;
   readonly decodeChange: (event: WatchEvent) => FleetChange;
   /** Key and encoded value under which this host registers in the store. */
   readonly registration: { readonly key: string; readonly value: string };
--- a/packages/gateway/src/lifecycle/createEntryHost.ts
+++ b/packages/gateway/src/lifecycle/createEntryHost.ts
@@ -1,6 +1,6 @@
 import { randomUUID } from 'node:crypto';
 import { asId } from '@camphorbarrow/core';
-import type { RegionId } from '@camphorbarrow/core';
+import type { HostId, RegionId } from '@camphorbarrow/core';
 import type { GatewayContext } from '../exchange/GatewayContext.js';
 import { createFleetView } from '../fleet/createFleetView.js';
 import type { FleetView } from '../fleet/createFleetView.js';
@@ -19,6 +19,7 @@
 import { createLoadBook } from '../routing/createLoadBook.js';
 import { createPrefixBook } from '../routing/createPrefixBook.js';
 import { createRouter } from '../routing/createRouter.js';
+import { runCacheFollower } from '../routing/runCacheFollower.js';
 import { createServerHealth } from '../routing/createServerHealth.js';
 import { createSpeedBook } from '../routing/createSpeedBook.js';
 import { createConnections, endpointName } from '../upstream/createConnections.js';
@@ -75,14 +76,14 @@
   );
   const speeds = createSpeedBook(clock);
   const health = createServerHealth(clock);
-  const prefixes = createPrefixBook();
+  const prefixes = createPrefixBook(clock);
   const connections = createConnections(SERVER_IDLE_MS);
   const peerConnections = createConnections(PEER_IDLE_MS);
-  const coldPacer = createColdPacer({
-    clock,
-    ownId: own.id,
-    regionHosts: () => [own.id, ...peers.aliveIn(own.region).map((p) => p.heartbeat.host.id)],
-  });
+  const regionHosts = (): readonly HostId[] => [
+    own.id,
+    ...peers.aliveIn(own.region).map(({ heartbeat }) => heartbeat.host.id),
+  ];
+  const coldPacer = createColdPacer({ clock, ownId: own.id, regionHosts });
   const router = createRouter({
     clock,
     random: options.random,
@@ -219,6 +220,17 @@
       isListed: () => view.hosts().some(({ id }) => id === own.id),
       signal: stop.signal,
     }),
+    runCacheFollower({
+      clock,
+      log,
+      ownId: own.id,
+      region: own.region,
+      regionHosts,
+      view,
+      feed: options.createCacheFeed(connections),
+      prefixes,
+      signal: stop.signal,
+    }),
     runNewsFollower({
       clock,
       log,
