--- a/packages/core/src/quarantine/createBlameLedger.ts
+++ b/packages/core/src/quarantine/createBlameLedger.ts
@@ -16,6 +16,8 @@
    * suspects that ran on the server, or by all its requests when none was a suspect.
    */
   blameOf(fingerprint: Fingerprint): number;
+  /** Crashes that are held; while there are none, nobody is to blame. */
+  crashCount(): number;
   /** A completed run proves that the request does not crash servers. */
   clear(fingerprint: Fingerprint): void;
 }
@@ -76,6 +78,7 @@
       forgetOld();
       return [...crashes.values()].reduce((sum, crash) => sum + shareOf(crash, fingerprint), 0);
     },
+    crashCount: () => crashes.size,
     clear(fingerprint) {
       if ([...crashes.values()].some((crash) => crash.report.running.includes(fingerprint))) {
         clearedAtMs.set(fingerprint, clock.monotonicMs());
--- a/packages/gateway/src/exchange/Exchange.ts
+++ b/packages/gateway/src/exchange/Exchange.ts
@@ -1,3 +1,4 @@
+import type { Fingerprint } from '@camphorbarrow/core';
 import type { Route } from '../model/Route.js';
 import type { RequestFacts } from '../model/RequestFacts.js';
 import type { ServiceSpec } from '../model/ServiceSpec.js';
@@ -11,6 +12,8 @@
   /** Names and values by turns, as they arrived. */
   readonly rawHeaders: readonly string[];
   readonly body: Buffer;
+  /** Hash of what makes the request the same when it comes again; computed when first asked for. */
+  readonly fingerprint: () => Fingerprint;
   readonly facts: RequestFacts;
   readonly route: Route;
   readonly service: ServiceSpec;
--- a/packages/gateway/src/exchange/GatewayContext.ts
+++ b/packages/gateway/src/exchange/GatewayContext.ts
@@ -1,6 +1,7 @@
-import type { Clock, HostId, LogSink, RandomSource } from '@camphorbarrow/core';
+import type { Clock, HostId, LogSink, MetricsSink, RandomSource } from '@camphorbarrow/core';
 import type { RepeatAllowance } from '../limits/createRepeatAllowance.js';
 import type { ColdPacer } from '../limits/createColdPacer.js';
+import type { CrashGuard } from '../limits/createCrashGuard.js';
 import type { WireCodec } from '../ports/WireCodec.js';
 import type { LoadBook } from '../routing/createLoadBook.js';
 import type { PrefixBook } from '../routing/createPrefixBook.js';
@@ -15,6 +16,7 @@
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly log: LogSink;
+  readonly metrics: MetricsSink;
   readonly codec: WireCodec;
   readonly router: Router;
   readonly loads: LoadBook;
@@ -23,6 +25,7 @@
   readonly prefixes: PrefixBook;
   readonly coldPacer: ColdPacer;
   readonly repeats: RepeatAllowance;
+  readonly crashes: CrashGuard;
   /** Connections to backend servers. */
   readonly connections: Connections;
   /** Connections to other entry hosts. */
--- a/packages/gateway/src/exchange/serveExchange.ts
+++ b/packages/gateway/src/exchange/serveExchange.ts
@@ -20,6 +20,9 @@
 /** Longest time for which callers are asked to stay away. */
 const MAX_RETRY_AFTER_MS = 2_000;
 
+/** When a request that crashed its servers may come back: after its crashes are forgotten. */
+const BLAMED_RETRY_AFTER_MS = 60_000;
+
 interface Progress {
   offers: number;
   /** Servers that may have run the request. */
@@ -111,6 +114,11 @@
   signal: AbortSignal,
 ): Promise<TryResult | undefined> {
   let result: TryResult | undefined;
+  if (context.crashes.isBlamed(exchange.fingerprint)) {
+    progress.causes.push('crashed its servers');
+    progress.retryAfterMs = BLAMED_RETRY_AFTER_MS;
+    return result;
+  }
   do {
     const destination = context.router.choose({
       route: exchange.route,
@@ -219,6 +227,12 @@
     result?.kind === 'delivered'
       ? result.status
       : finish(context, exchange, progress, expiry.signal.aborted);
+  const kind = route.delivery === 'events' ? 'stream' : 'call';
+  const labels = { service: exchange.service.name, kind };
+  context.metrics.increment('requests', { ...labels, status: String(status) });
+  if (progress.beganMs !== undefined) {
+    context.metrics.timingMs('first_event', progress.beganMs, labels);
+  }
   context.log.info('request', {
     requestId: exchange.facts.attemptId,
     route: route.name,
--- a/packages/gateway/src/exchange/tryServer.ts
+++ b/packages/gateway/src/exchange/tryServer.ts
@@ -47,7 +47,7 @@
 }
 
 function noteResult(
-  { context, destination }: TryServerOptions,
+  { context, exchange, destination }: TryServerOptions,
   result: TryResult,
   sentAtMs: number,
 ): void {
@@ -55,6 +55,7 @@
   switch (result.kind) {
     case 'delivered':
       context.health.noteSuccess(incarnation);
+      context.crashes.completed(exchange.fingerprint);
       break;
     case 'failed-run':
       context.health.noteFailure(incarnation);
@@ -66,11 +67,13 @@
         context.connections.dropIdle(incarnation);
       } else {
         context.health.noteFailure(incarnation);
+        context.crashes.broken(destination.server, exchange.fingerprint());
       }
       break;
     case 'not-run':
       if (!result.arrived) {
         context.health.noteUnreachable(incarnation);
+        context.crashes.noteGone(destination.server);
       }
       break;
     case 'cancelled':
--- a/packages/gateway/src/ingress/createRequestHandler.ts
+++ b/packages/gateway/src/ingress/createRequestHandler.ts
@@ -19,6 +19,7 @@
 import type { ServiceSpec } from '../model/ServiceSpec.js';
 import { findRoute } from '../routing/findRoute.js';
 import { pickTarget } from '../routing/pickTarget.js';
+import { createFingerprint } from './createFingerprint.js';
 import { readBody } from './readBody.js';
 
 /** When to come back to a host that has no configuration yet. */
@@ -97,13 +98,16 @@
     const route = requireRoute(table, request);
     const service = chooseService(table, route, request);
     const body = await readBody(request, table.limits);
+    const method = request.method ?? 'GET';
+    const target = request.url ?? '/';
     const facts = context.codec.readRequest(request.headers);
     const timeoutMs = Math.min(route.timeoutMs, facts.deadlineMs ?? route.timeoutMs);
     return {
-      method: request.method ?? 'GET',
-      target: request.url ?? '/',
+      method,
+      target,
       rawHeaders: request.rawHeaders,
       body,
+      fingerprint: createFingerprint(method, target, body),
       facts,
       route,
       service,
@@ -132,6 +136,7 @@
         tableVersion: view.table()?.version,
         callerLeft: sink.left.aborted,
       };
+      context.metrics.increment('refusals', { code: refusal.code });
       if (error instanceof RequestError) {
         context.log.info('request-refused', fields);
       } else {
--- a/packages/gateway/src/lifecycle/EntryHostOptions.ts
+++ b/packages/gateway/src/lifecycle/EntryHostOptions.ts
@@ -2,6 +2,7 @@
   AvailabilityZoneId,
   Clock,
   LogSink,
+  MetricsSink,
   RandomSource,
   RegionId,
   WatchEvent,
@@ -31,6 +32,7 @@
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly log: LogSink;
+  readonly metrics: MetricsSink;
   readonly own: HostRegistration;
   /** Addresses of other entry hosts that the settings name now. */
   readonly seeds: () => readonly Endpoint[];
--- a/packages/gateway/src/lifecycle/createEntryHost.ts
+++ b/packages/gateway/src/lifecycle/createEntryHost.ts
@@ -8,6 +8,7 @@
 import { runStoreFollower } from '../fleet/runStoreFollower.js';
 import { createListener } from '../ingress/createListener.js';
 import { createRequestHandler } from '../ingress/createRequestHandler.js';
+import { createCrashGuard } from '../limits/createCrashGuard.js';
 import { createColdPacer } from '../limits/createColdPacer.js';
 import { createRepeatAllowance } from '../limits/createRepeatAllowance.js';
 import type { HostRegistration } from '../model/HostRegistration.js';
@@ -84,6 +85,7 @@
     ...peers.aliveIn(own.region).map(({ heartbeat }) => heartbeat.host.id),
   ];
   const coldPacer = createColdPacer({ clock, ownId: own.id, regionHosts });
+  const crashes = createCrashGuard(clock, log);
   const router = createRouter({
     clock,
     random: options.random,
@@ -101,6 +103,7 @@
     clock,
     random: options.random,
     log,
+    metrics: options.metrics,
     codec: options.codec,
     router,
     loads,
@@ -113,6 +116,7 @@
       bounds,
       hostCount: () => peers.known().length + 1,
     }),
+    crashes,
     connections,
     peerConnections,
   };
@@ -177,10 +181,15 @@
         revision: view.revision(),
         loads: loads.ownLoads(),
         capacity: router.capacity(),
-        crashes: [],
+        crashes: crashes.reports(),
       });
     })(),
-    onHeartbeat: peers.note,
+    onHeartbeat(heartbeat) {
+      peers.note(heartbeat);
+      if (heartbeat.host.region === own.region) {
+        crashes.receive(heartbeat.crashes);
+      }
+    },
     intervalMs: HEARTBEAT_MS,
     remoteEvery: REMOTE_HEARTBEAT_EVERY,
   });
@@ -190,8 +199,12 @@
     if (table !== undefined) {
       callerListener.applyLimits(table.limits);
     }
+    options.metrics.gauge('configuration_version', table?.version ?? 0);
+    options.metrics.gauge('in_flight', inFlight);
+    options.metrics.gauge('peers_reachable', peers.alive().length);
+    options.metrics.gauge('store_age_ms', clock.monotonicMs() - view.confirmedAtMs());
     const incarnations = new Set(view.servers.all().map(({ incarnation }) => incarnation));
-    [speeds, health, prefixes].forEach((book) => book.retain(incarnations));
+    [speeds, health, prefixes, crashes].forEach((book) => book.retain(incarnations));
     connections.retain(incarnations);
     peerConnections.retain(
       new Set(peers.known().map(({ heartbeat }) => endpointName(heartbeat.host.peers))),
--- /dev/null
+++ b/packages/gateway/tests/limits/createCrashGuard.test.ts
@@ -0,0 +1,61 @@
+import test from 'ava';
+import { asId, createManualClock } from '@camphorbarrow/core';
+import type { Fingerprint, LogSink } from '@camphorbarrow/core';
+import { createCrashGuard } from '../../src/index.js';
+import { buildServer } from '../support/builders.js';
+
+const quiet: LogSink = { info() {}, warn() {}, error() {} };
+const crashing = asId<Fingerprint>('crashing');
+const innocent = asId<Fingerprint>('innocent');
+
+function serverNumber(index: number) {
+  return buildServer({ id: asId(`server-${index}`), startedAtMs: index });
+}
+
+test('a request that ran on two servers that crashed is refused, its neighbours are not', (t) => {
+  const guard = createCrashGuard(createManualClock(), quiet);
+  [1, 2, 3].forEach((index) => {
+    const server = serverNumber(index);
+    guard.broken(server, crashing);
+    if (index === 1) {
+      guard.broken(server, innocent);
+    }
+    guard.noteGone(server);
+  });
+  t.true(guard.isBlamed(() => crashing));
+  t.false(guard.isBlamed(() => innocent));
+});
+
+test('a lost answer of a server that lives on blames nobody', (t) => {
+  const clock = createManualClock();
+  const guard = createCrashGuard(clock, quiet);
+  [1, 2, 3].forEach((index) => {
+    guard.broken(serverNumber(index), crashing);
+    clock.advance(6_000);
+    guard.noteGone(serverNumber(index));
+  });
+  t.false(guard.isBlamed(() => crashing));
+});
+
+test('hosts that hear of crashes refuse the request too', (t) => {
+  const clock = createManualClock();
+  const guards = [1, 2].map(() => createCrashGuard(clock, quiet));
+  const [first, second] = guards;
+  [1, 2, 3].forEach((index) => {
+    const guard = guards[index % 2];
+    guard?.broken(serverNumber(index), crashing);
+    guard?.retain(new Set());
+  });
+  second?.receive(first?.reports() ?? []);
+  t.true(second?.isBlamed(() => crashing));
+});
+
+test('a run to the end clears a request', (t) => {
+  const guard = createCrashGuard(createManualClock(), quiet);
+  [1, 2, 3].forEach((index) => {
+    guard.broken(serverNumber(index), crashing);
+    guard.noteGone(serverNumber(index));
+  });
+  guard.completed(() => crashing);
+  t.false(guard.isBlamed(() => crashing));
+});
