--- a/packages/gateway/src/exchange/serveExchange.ts
+++ b/packages/gateway/src/exchange/serveExchange.ts
@@ -92,9 +92,20 @@
   progress.finishMs = destination.finishMs;
   if (destination.kind === 'region') {
     const { host } = destination.peer.heartbeat;
-    progress.triedRegions.add(host.region);
     progress.destination = host.id;
-    return tryPeer({ context, exchange, destination, lastEventId, signal, onBegun });
+    const result = await tryPeer({
+      context,
+      exchange,
+      destination,
+      lastEventId,
+      signal,
+      onBegun,
+    });
+    // A refusal speaks for the region; after a server of it broke, another one may do.
+    if (result.kind === 'not-run') {
+      progress.triedRegions.add(host.region);
+    }
+    return result;
   }
   const { id } = destination.server.registration;
   progress.uncachedTokens = destination.uncachedTokens;
--- a/packages/gateway/src/lifecycle/createEntryHost.ts
+++ b/packages/gateway/src/lifecycle/createEntryHost.ts
@@ -42,8 +42,6 @@
 /** Time to remove the registration from the store; the lease ends it otherwise. */
 const UNREGISTER_TIMEOUT_MS = 200;
 const HEARTBEAT_MS = 100;
-/** Heartbeats to other regions go out every third round. */
-const REMOTE_HEARTBEAT_EVERY = 3;
 /** How often state of servers that are gone is dropped. */
 const HOUSEKEEPING_MS = 1_000;
 /** Heartbeats of a server after an evacuation until its own word on being cold is trusted. */
@@ -172,16 +170,16 @@
     seeds: options.seeds,
     describe: (() => {
       const incarnation = randomUUID();
-      return (echo) => ({
+      return (echo, detailed) => ({
         host: own,
         incarnation,
         sentAtMs: clock.monotonicMs(),
         echo,
         state: state(),
         revision: view.revision(),
-        loads: loads.ownLoads(),
+        loads: detailed ? loads.ownLoads() : new Map(),
         capacity: router.capacity(),
-        crashes: crashes.reports(),
+        crashes: detailed ? crashes.reports() : [],
       });
     })(),
     onHeartbeat(heartbeat) {
@@ -191,7 +189,6 @@
       }
     },
     intervalMs: HEARTBEAT_MS,
-    remoteEvery: REMOTE_HEARTBEAT_EVERY,
   });
 
   function keepHouse(): void {
--- a/packages/gateway/src/peers/createHeartbeats.ts
+++ b/packages/gateway/src/peers/createHeartbeats.ts
@@ -1,5 +1,5 @@
 import { createSocket } from 'node:dgram';
-import type { Clock, HostId, LogSink } from '@camphorbarrow/core';
+import type { Clock, LogSink } from '@camphorbarrow/core';
 import type { Endpoint } from '../model/Endpoint.js';
 import type { HostRegistration } from '../model/HostRegistration.js';
 import type { PeerBook } from './createPeerBook.js';
@@ -15,11 +15,10 @@
   readonly registered: () => readonly HostRegistration[];
   /** Addresses of hosts from the settings, used until they are known by name. */
   readonly seeds: () => readonly Endpoint[];
-  readonly describe: (echo: HeartbeatEcho | undefined) => PeerHeartbeat;
+  /** @param detailed whether the receiver uses the same servers and needs to know their load */
+  readonly describe: (echo: HeartbeatEcho | undefined, detailed: boolean) => PeerHeartbeat;
   readonly onHeartbeat: (heartbeat: PeerHeartbeat) => void;
   readonly intervalMs: number;
-  /** Heartbeats to hosts of other regions go out with every n-th round. */
-  readonly remoteEvery: number;
 }
 
 export interface Heartbeats {
@@ -28,6 +27,16 @@
   close(): void;
 }
 
+/** Datagrams of one round to hosts of this region and to others. */
+const NEAR_PER_ROUND = 4;
+const FAR_PER_ROUND = 3;
+
+interface Target {
+  readonly endpoint: Endpoint;
+  /** Undefined for a seed whose host is not known yet. */
+  readonly host: HostRegistration | undefined;
+}
+
 const endpointKey = ({ host, port }: Endpoint): string => `${host}:${port}`;
 
 /** Sends and receives heartbeats over UDP on the peers' port of this host. */
@@ -36,34 +45,45 @@
   const socket = createSocket('udp4');
   let round = 0;
 
-  function targets(): ReadonlyMap<string, { endpoint: Endpoint; host?: HostRegistration }> {
-    const found = new Map<string, { endpoint: Endpoint; host?: HostRegistration }>();
-    options.seeds().forEach((endpoint) => found.set(endpointKey(endpoint), { endpoint }));
+  const isNear = ({ host }: Target): boolean => host === undefined || host.region === own.region;
+
+  function targets(): readonly Target[] {
+    const found = new Map<string, Target>();
+    options
+      .seeds()
+      .forEach((endpoint) => found.set(endpointKey(endpoint), { endpoint, host: undefined }));
     const hosts = [
       ...options.registered(),
       ...peers.known().map(({ heartbeat }) => heartbeat.host),
     ];
     hosts.forEach((host) => found.set(endpointKey(host.peers), { endpoint: host.peers, host }));
     found.delete(endpointKey(own.peers));
-    return found;
+    return [...found.values()];
   }
 
-  function sendTo(endpoint: Endpoint, id: HostId | undefined): void {
-    const echo = id === undefined ? undefined : peers.echoFor(id);
-    socket.send(encodeHeartbeat(options.describe(echo)), endpoint.port, endpoint.host, (error) => {
+  function sendTo({ endpoint, host }: Target): void {
+    const echo = host === undefined ? undefined : peers.echoFor(host.id);
+    const datagram = encodeHeartbeat(options.describe(echo, isNear({ endpoint, host })));
+    socket.send(datagram, endpoint.port, endpoint.host, (error) => {
       if (error !== null) {
         log.warn('heartbeat-not-sent', { peer: endpointKey(endpoint), reason: error.message });
       }
     });
   }
 
-  function send(everyone: boolean): void {
-    targets().forEach(({ endpoint, host }) => {
-      const near = host === undefined || host.region === own.region;
-      if (near || everyone) {
-        sendTo(endpoint, host?.id);
-      }
-    });
+  /** The hosts whose turn it is, so that the cost of a round does not grow with the fleet. */
+  function turnOf(hosts: readonly Target[], perRound: number): readonly Target[] {
+    const rounds = Math.max(1, Math.ceil(hosts.length / perRound));
+    return hosts.filter((_, index) => index % rounds === round % rounds);
+  }
+
+  function sendRound(): void {
+    const all = targets();
+    const near = all.filter(isNear);
+    const far = all.filter((target) => !isNear(target));
+    turnOf(near, NEAR_PER_ROUND).forEach(sendTo);
+    turnOf(far, FAR_PER_ROUND).forEach(sendTo);
+    round += 1;
   }
 
   socket.on('message', (datagram) => {
@@ -79,13 +99,10 @@
   socket.on('error', (error) => log.error('heartbeat-socket-failed', {}, error));
   socket.bind(own.peers.port, own.peers.host);
 
-  const timer = setInterval(() => {
-    send(round % options.remoteEvery === 0);
-    round += 1;
-  }, options.intervalMs);
+  const timer = setInterval(sendRound, options.intervalMs);
 
   return {
-    announce: () => send(true),
+    announce: () => targets().forEach(sendTo),
     close() {
       clearInterval(timer);
       socket.close();
--- a/packages/gateway/src/upstream/sendUpstream.ts
+++ b/packages/gateway/src/upstream/sendUpstream.ts
@@ -1,5 +1,6 @@
 import { request as httpRequest } from 'node:http';
 import type { Agent, IncomingMessage } from 'node:http';
+import { PlatformError } from '@camphorbarrow/core';
 import type { Endpoint } from '../model/Endpoint.js';
 
 /** Why an exchange with a server or a peer gave no answer. */
@@ -31,6 +32,24 @@
   readonly signal: AbortSignal;
 }
 
+/**
+ * A reset that arrives with the last bytes can be reported as an end of the stream, which would
+ * make a broken answer without a length look complete. The kernel no longer knows the peer of a
+ * connection that was reset.
+ */
+function refuseHiddenReset(response: IncomingMessage): void {
+  const { socket, headers } = response;
+  const isFramed =
+    headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
+  if (!isFramed) {
+    socket.prependOnceListener('end', () => {
+      if (socket.remoteAddress === undefined) {
+        response.destroy(new PlatformError('The connection was reset.'));
+      }
+    });
+  }
+}
+
 /**
  * Sends one request and resolves with the head of the answer. Never rejects. Once the request may
  * have left this process, every failure says so.
@@ -91,6 +110,7 @@
     let answer: IncomingMessage | undefined;
     outgoing.on('response', (response) => {
       answer = response;
+      refuseHiddenReset(response);
       settle({ kind: 'answer', response });
     });
     outgoing.on('error', (error) => {
--- a/packages/gateway/tests/upstream/sendUpstream.test.ts
+++ b/packages/gateway/tests/upstream/sendUpstream.test.ts
@@ -69,6 +69,24 @@
   t.is(await readWhole(sent.response, 1_000, new AbortController().signal), undefined);
 });
 
+test('a reset that arrives together with the last bytes is not taken for an end', async (t) => {
+  const peer = await startPeer((socket) => {
+    socket.write('HTTP/1.1 200 OK\r\n\r\nhalf');
+    setTimeout(() => {
+      // One read meets both, and reports an end of the stream after a short read.
+      socket.write(' of the');
+      socket.resetAndDestroy();
+    }, 50);
+  });
+  t.teardown(peer.close);
+  const sent = await send(peer.port);
+  if (sent.kind !== 'answer') {
+    t.fail(sent.cause);
+    return;
+  }
+  t.is(await readWhole(sent.response, 1_000, new AbortController().signal), undefined);
+});
+
 test('an answer without a length that ends with its connection is whole', async (t) => {
   const peer = await startPeer((socket) => socket.end('HTTP/1.1 200 OK\r\n\r\nall of it'));
   t.teardown(peer.close);
