--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -28,7 +28,7 @@
 };
 
 export default [
-  { ignores: ['**/node_modules/**', '**/dist/**', 'docs/**'] },
+  { ignores: ['**/node_modules/**', '**/dist/**', 'target/**', 'journal/**', 'docs/**'] },
   plugins.stylistic,
   plugins.importX,
   ...configs.base.recommended,
