Split the router into its choices, and enforce the bound on the head of a request

Change: createLocalChooser, createRegionChooser, createServerView and estimateFinish; the router compares and admits. Behavior is meant to be the same but for 431 on heads over the bound. Fields that nothing used are gone.

--- a/packages/gateway/src/exchange/tryPeer.ts
+++ b/packages/gateway/src/exchange/tryPeer.ts
@@ -1,5 +1,5 @@
-import { relayLoadId } from '../routing/createRouter.js';
 import type { Destination } from '../routing/Destination.js';
+import { relayLoadId } from '../routing/relayLoadId.js';
 import { endpointName } from '../upstream/createConnections.js';
 import { sendUpstream } from '../upstream/sendUpstream.js';
 import type { Exchange } from './Exchange.js';
--- a/packages/gateway/src/ingress/createRequestHandler.ts
+++ b/packages/gateway/src/ingress/createRequestHandler.ts
@@ -48,6 +48,16 @@
   return table;
 }
 
+function requireShortHead(table: RoutingTable, request: IncomingMessage): void {
+  const { maxHeaderBytes } = table.limits;
+  const sizeBytes = request.rawHeaders.reduce((sum, text) => sum + text.length, 0);
+  if (sizeBytes > maxHeaderBytes) {
+    throw new RequestError(`The head of the request exceeds ${maxHeaderBytes} bytes.`, {
+      props: { code: 'headers-too-large', statusCode: 431, outcome: 'not-run' },
+    });
+  }
+}
+
 function requireRoute(table: RoutingTable, request: IncomingMessage): Route {
   const route = findRoute(table, request.headers.host ?? '', request.url ?? '');
   if (route === undefined) {
@@ -95,6 +105,7 @@
       throw new DrainingError('This entry host is shutting down.', { props: { retryAfterMs: 0 } });
     }
     const table = requireTable(view);
+    requireShortHead(table, request);
     const route = requireRoute(table, request);
     const service = chooseService(table, route, request);
     const body = await readBody(request, table.limits);
--- a/packages/gateway/src/lifecycle/createEntryHost.ts
+++ b/packages/gateway/src/lifecycle/createEntryHost.ts
@@ -17,11 +17,14 @@
 import type { HostState } from '../peers/PeerHeartbeat.js';
 import { createNewsExchange } from '../peers/createNewsExchange.js';
 import { runNewsFollower } from '../peers/runNewsFollower.js';
+import { createLocalChooser } from '../routing/createLocalChooser.js';
 import { createLoadBook } from '../routing/createLoadBook.js';
 import { createPrefixBook } from '../routing/createPrefixBook.js';
+import { createRegionChooser } from '../routing/createRegionChooser.js';
 import { createRouter } from '../routing/createRouter.js';
 import { runCacheFollower } from '../routing/runCacheFollower.js';
 import { createServerHealth } from '../routing/createServerHealth.js';
+import { createServerView } from '../routing/createServerView.js';
 import { createSpeedBook } from '../routing/createSpeedBook.js';
 import { createConnections, endpointName } from '../upstream/createConnections.js';
 import { chooseDirectoryHosts } from './chooseDirectoryHosts.js';
@@ -84,22 +87,27 @@
   ];
   const coldPacer = createColdPacer({ clock, ownId: own.id, regionHosts });
   const crashes = createCrashGuard(clock, log);
+  const servers = createServerView({ clock, region: own.region, view, loads, speeds, health });
+  const { random } = options;
   const router = createRouter({
-    clock,
-    random: options.random,
-    region: own.region,
-    view,
-    peers,
+    chooseLocal: createLocalChooser({
+      random,
+      region: own.region,
+      servers,
+      peers,
+      loads,
+      speeds,
+      health,
+      prefixes,
+      coldPacer,
+    }),
+    chooseRegion: createRegionChooser({ random, region: own.region, peers, loads }),
     loads,
-    speeds,
-    health,
-    prefixes,
-    coldPacer,
   });
   const context: GatewayContext = {
     ownId: own.id,
     clock,
-    random: options.random,
+    random,
     log,
     metrics: options.metrics,
     codec: options.codec,
@@ -178,7 +186,7 @@
         state: state(),
         revision: view.revision(),
         loads: detailed ? loads.ownLoads() : new Map(),
-        capacity: router.capacity(),
+        capacity: servers.capacity(),
         crashes: detailed ? crashes.reports() : [],
       });
     })(),
--- a/packages/gateway/src/model/RequestFacts.ts
+++ b/packages/gateway/src/model/RequestFacts.ts
@@ -12,7 +12,6 @@
   readonly attemptId: AttemptId | undefined;
   /** Time for which the caller will wait; undefined when it does not say. */
   readonly deadlineMs: number | undefined;
-  readonly model: string | undefined;
   readonly promptTokens: number;
   readonly maxOutputTokens: number;
   /** The caller's estimate of the output; right in the median and often far off. */
--- a/packages/gateway/src/model/ServiceSpec.ts
+++ b/packages/gateway/src/model/ServiceSpec.ts
@@ -5,8 +5,6 @@
   readonly name: ServiceName;
   /** Connections that one server accepts from all entry hosts together. */
   readonly maxConnections: number;
-  /** Time for which a server stays cold after a start. */
-  readonly coldStartMs: number;
   /** Requests a second that a cold server bears from all entry hosts together; 0 means no limit. */
   readonly coldRequestsPerSecond: number;
   /** Memory for prompts and answers of one model engine; undefined for a plain service. */
--- a/packages/gateway/src/routing/Destination.ts
+++ b/packages/gateway/src/routing/Destination.ts
@@ -22,6 +22,9 @@
   readonly relayed: boolean;
 }
 
+export type LocalChoice = Extract<Destination, { kind: 'server' }>;
+export type RegionChoice = Extract<Destination, { kind: 'region' }>;
+
 /** Where a request goes next. Estimates are of the time to its first event or answer. */
 export type Destination =
   | {
--- /dev/null
+++ b/packages/gateway/src/routing/createLocalChooser.ts
@@ -0,0 +1,110 @@
+import type { RandomSource, RegionId } from '@camphorbarrow/core';
+import type { ColdPacer } from '../limits/createColdPacer.js';
+import type { ServerState } from '../model/ServerState.js';
+import type { ServiceSpec } from '../model/ServiceSpec.js';
+import type { PeerBook } from '../peers/createPeerBook.js';
+import type { LoadBook } from './createLoadBook.js';
+import { sharedParts } from './createPrefixBook.js';
+import type { PrefixBook } from './createPrefixBook.js';
+import type { ServerHealth } from './createServerHealth.js';
+import type { ServerView } from './createServerView.js';
+import type { SpeedBook } from './createSpeedBook.js';
+import type { Demand, LocalChoice } from './Destination.js';
+import { estimateFinish } from './estimateFinish.js';
+import { rankByRendezvous } from './rendezvous.js';
+import type { Scored } from './Scored.js';
+
+/** Part of the reading time of a prompt by which its preferred server is favored. */
+const AFFINITY_RATIO = 0.5;
+
+export interface LocalChooserOptions {
+  readonly random: RandomSource;
+  readonly region: RegionId;
+  readonly servers: ServerView;
+  readonly peers: PeerBook;
+  readonly loads: LoadBook;
+  readonly speeds: SpeedBook;
+  readonly health: ServerHealth;
+  readonly prefixes: PrefixBook;
+  readonly coldPacer: ColdPacer;
+}
+
+/** `cold`: the servers of this region are cold and may not be sent more now. */
+export type LocalChooser = (demand: Demand) => Scored<LocalChoice> | 'cold' | undefined;
+
+/** The server on which all hosts place a prompt that no server has cached. */
+function preferredServer(demand: Demand, servers: readonly ServerState[]): string | undefined {
+  const deepest = sharedParts(demand.facts.promptParts).at(-1);
+  return deepest === undefined
+    ? undefined
+    : rankByRendezvous(
+        deepest.id,
+        servers.map(({ registration }) => registration.id),
+      )[0];
+}
+
+/** Creates the choice among the servers of this region. */
+export function createLocalChooser(options: LocalChooserOptions): LocalChooser {
+  const { servers, peers, loads, speeds, health, prefixes } = options;
+
+  function connectionsLeft(server: ServerState, service: ServiceSpec): boolean {
+    const hosts = peers.aliveIn(options.region).length + 1;
+    return loads.own(server.registration.id).running < Math.floor(service.maxConnections / hosts);
+  }
+
+  return (demand) => {
+    const { route, service, facts } = demand;
+    const mayServe = route.homeRegions.length === 0 || route.homeRegions.includes(options.region);
+    if (!mayServe) {
+      return undefined;
+    }
+    const usable = servers
+      .usable(service)
+      .filter(
+        (server) =>
+          !demand.triedServers.has(server.registration.id) && connectionsLeft(server, service),
+      );
+    const permitted = usable.filter((server) =>
+      options.coldPacer.permits(server, service.coldRequestsPerSecond),
+    );
+    if (permitted.length === 0) {
+      return usable.length === 0 ? undefined : 'cold';
+    }
+    const preferred = preferredServer(demand, permitted);
+    const choices = permitted.map((server) => {
+      const cachedTokens = prefixes.cachedTokens(server.incarnation, facts.promptParts);
+      const uncachedTokens = Math.max(0, facts.promptTokens - cachedTokens);
+      const tokenMs = speeds.msPerToken(server.incarnation);
+      const readMs =
+        service.kvCapacityTokens === undefined
+          ? speeds.callMs(server.incarnation)
+          : speeds.firstEventBaseMs + uncachedTokens * tokenMs;
+      const waitMs = servers.queueMs(server, service, route.rank);
+      const estimateMs = waitMs + readMs + health.penaltyMs(server.incarnation);
+      const running = loads.running(server.registration.id);
+      const finish = estimateFinish(demand, {
+        msPerEvent: speeds.msPerEvent(server.incarnation),
+        readMs: uncachedTokens * tokenMs,
+        running,
+      });
+      const affinityMs =
+        preferred === undefined || preferred === server.registration.id
+          ? 0
+          : uncachedTokens * tokenMs * AFFINITY_RATIO;
+      return {
+        choice: {
+          kind: 'server' as const,
+          server,
+          estimateMs,
+          waitMs,
+          finishMs: finish.finishMs,
+          uncachedTokens,
+          tokensAhead: loads.tokensAhead(server.registration.id, route.rank),
+          running,
+        },
+        scoreMs: estimateMs + affinityMs + finish.scoreMs + options.random.next(),
+      };
+    });
+    return choices.reduce((best, next) => (next.scoreMs < best.scoreMs ? next : best));
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/routing/createRegionChooser.ts
@@ -0,0 +1,77 @@
+import type { RandomSource, RegionId } from '@camphorbarrow/core';
+import type { Peer, PeerBook } from '../peers/createPeerBook.js';
+import type { LoadBook } from './createLoadBook.js';
+import { sharedParts } from './createPrefixBook.js';
+import type { Demand, RegionChoice } from './Destination.js';
+import { estimateFinish } from './estimateFinish.js';
+import { relayLoadId } from './relayLoadId.js';
+import type { Scored } from './Scored.js';
+
+/** Round trip that is assumed to a peer that has not answered a heartbeat yet. */
+const DEFAULT_ROUND_TRIP_MS = 160;
+/** Part of the shared prompt that a server of another region is assumed to have cached. */
+const REMOTE_CACHED_RATIO = 0.5;
+
+export interface RegionChooserOptions {
+  readonly random: RandomSource;
+  readonly region: RegionId;
+  readonly peers: PeerBook;
+  readonly loads: LoadBook;
+}
+
+export type RegionChooser = (demand: Demand) => Scored<RegionChoice> | undefined;
+
+/** Creates the choice among the entry hosts of other regions. */
+export function createRegionChooser(options: RegionChooserOptions): RegionChooser {
+  const { peers, loads } = options;
+
+  function estimateRegion(
+    demand: Demand,
+    peer: Peer,
+  ): Scored<Omit<RegionChoice, 'kind' | 'peer'>> | undefined {
+    const capacity = peer.heartbeat.capacity.get(demand.service.name);
+    if (capacity === undefined || capacity.usableServers === 0) {
+      return undefined;
+    }
+    const { facts } = demand;
+    const sharedTokens = sharedParts(facts.promptParts).reduce((sum, part) => sum + part.tokens, 0);
+    const tokens = facts.promptTokens - sharedTokens * REMOTE_CACHED_RATIO;
+    const relayedTokens = loads.tokensAhead(relayLoadId(peer), demand.route.rank);
+    const ownMs = (relayedTokens / capacity.usableServers) * capacity.msPerToken;
+    const waitMs = capacity.queueMs + ownMs + (peer.roundTripMs ?? DEFAULT_ROUND_TRIP_MS);
+    const readMs = tokens * capacity.msPerToken;
+    const estimateMs = waitMs + readMs;
+    const { finishMs, scoreMs } = estimateFinish(demand, { ...capacity, readMs });
+    return { choice: { waitMs, estimateMs, finishMs }, scoreMs: estimateMs + scoreMs };
+  }
+
+  return (demand) => {
+    const { homeRegions } = demand.route;
+    const choices = peers
+      .alive()
+      .filter(({ heartbeat: { host, state } }) => {
+        const isHome = homeRegions.length === 0 || homeRegions.includes(host.region);
+        return (
+          state === 'ready' &&
+          host.region !== options.region &&
+          isHome &&
+          !demand.triedRegions.has(host.region)
+        );
+      })
+      .flatMap((peer) => {
+        const estimate = estimateRegion(demand, peer);
+        if (estimate === undefined) {
+          return [];
+        }
+        const choice = { kind: 'region' as const, peer, ...estimate.choice };
+        return [{ choice, scoreMs: estimate.scoreMs }];
+      });
+    // Hosts of one region tell nearly the same; each next request goes to another one.
+    const relayedTo = ({ choice }: Scored<RegionChoice>): number =>
+      loads.own(relayLoadId(choice.peer)).running;
+    return choices.sort(
+      (a, b) =>
+        a.scoreMs + relayedTo(a) - (b.scoreMs + relayedTo(b)) || options.random.next() - 0.5,
+    )[0];
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/routing/createServerView.ts
@@ -0,0 +1,108 @@
+import type { Clock, RegionId } from '@camphorbarrow/core';
+import type { FleetView } from '../fleet/createFleetView.js';
+import type { ServerState } from '../model/ServerState.js';
+import type { ServiceName } from '../model/ServiceName.js';
+import type { ServiceSpec } from '../model/ServiceSpec.js';
+import type { RegionCapacity } from '../peers/PeerHeartbeat.js';
+import type { LoadBook } from './createLoadBook.js';
+import type { ServerHealth } from './createServerHealth.js';
+import type { SpeedBook } from './createSpeedBook.js';
+
+/** Slowdown of an engine's first event by each request that it runs. */
+const MS_PER_RUNNING_REQUEST = 2;
+/** Time for which a request holds a slot of a full engine, for the wait it causes. */
+const SLOT_HOLD_MS = 1_500;
+/** Rank for which the wait in this region is told to others; the least urgent one waits longest. */
+const CAPACITY_RANK = 9;
+
+export interface ServerViewOptions {
+  readonly clock: Clock;
+  readonly region: RegionId;
+  readonly view: FleetView;
+  readonly loads: LoadBook;
+  readonly speeds: SpeedBook;
+  readonly health: ServerHealth;
+}
+
+/** The servers of this region, as routing sees them. */
+export interface ServerView {
+  /** Servers of the service that may be sent to, cold ones included. */
+  usable(service: ServiceSpec): readonly ServerState[];
+  /** Wait for the work that the server has already. */
+  queueMs(server: ServerState, service: ServiceSpec, rank: number): number;
+  /** What this host expects of its region, for heartbeats. */
+  capacity(): ReadonlyMap<ServiceName, RegionCapacity>;
+}
+
+/** Creates the view from beliefs about the fleet and own observations. */
+export function createServerView(options: ServerViewOptions): ServerView {
+  const { clock, view, loads, speeds, health } = options;
+
+  function isUsable(server: ServerState): boolean {
+    return (
+      server.region === options.region &&
+      server.registration.state === 'ready' &&
+      !view.isEvacuated(server.registration.zone) &&
+      health.isReachable(server)
+    );
+  }
+
+  function queueMs(server: ServerState, service: ServiceSpec, rank: number): number {
+    const { id, slots } = server.registration;
+    const running = loads.running(id);
+    const excess = Math.max(0, running - slots + 1) / Math.max(1, slots);
+    if (service.kvCapacityTokens === undefined) {
+      const callMs = speeds.callMs(server.incarnation);
+      return callMs * (excess + running / Math.max(1, slots));
+    }
+    return (
+      loads.tokensAhead(id, rank) * speeds.msPerToken(server.incarnation) +
+      running * MS_PER_RUNNING_REQUEST +
+      excess * SLOT_HOLD_MS
+    );
+  }
+
+  function usable(service: ServiceSpec): readonly ServerState[] {
+    return view.servers
+      .all()
+      .filter((server) => server.registration.service === service.name && isUsable(server));
+  }
+
+  function capacityOf(service: ServiceSpec): RegionCapacity | undefined {
+    const nowMs = clock.monotonicMs();
+    const servers = usable(service).filter(
+      (server) => service.coldRequestsPerSecond <= 0 || server.coldUntilMs <= nowMs,
+    );
+    const figures = servers.map((server) => ({
+      msPerEvent: speeds.msPerEvent(server.incarnation),
+      running: loads.running(server.registration.id),
+      queueMs: queueMs(server, service, CAPACITY_RANK) + health.penaltyMs(server.incarnation),
+      msPerToken:
+        service.kvCapacityTokens === undefined ? 0 : speeds.msPerToken(server.incarnation),
+    }));
+    if (figures.length === 0) {
+      return undefined;
+    }
+    const slots = servers.reduce((sum, { registration }) => sum + registration.slots, 0);
+    const running = figures.reduce((sum, figure) => sum + figure.running, 0);
+    return {
+      ...figures.reduce((a, b) => (b.queueMs < a.queueMs ? b : a)),
+      usableServers: servers.length,
+      placesTakenRatio: running / Math.max(1, slots),
+    };
+  }
+
+  return {
+    usable,
+    queueMs,
+    capacity() {
+      const services = [...(view.table()?.services.values() ?? [])];
+      return new Map(
+        services.flatMap((service) => {
+          const capacity = capacityOf(service);
+          return capacity === undefined ? [] : [[service.name, capacity] as const];
+        }),
+      );
+    },
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/routing/estimateFinish.ts
@@ -0,0 +1,37 @@
+import type { Demand } from './Destination.js';
+
+/** Weight of the time to the end of an answer against the time to its first event. */
+const FINISH_RATIO = 0.3;
+/** Weight of the delay that reading an urgent prompt means for each stream of the engine. */
+const URGENT_DISTURBANCE_RATIO = 0.06;
+/** The same for prompts of other ranks, which make way for the streams. */
+const DISTURBANCE_RATIO = 0.16;
+/** Part of the largest output that is expected of a request that tells no estimate. */
+const UNTOLD_OUTPUT_RATIO = 0.5;
+
+export interface Pace {
+  readonly msPerEvent: number;
+  /** Time in which the engine reads the prompt. */
+  readonly readMs: number;
+  /** Requests that the engine runs. */
+  readonly running: number;
+}
+
+export interface Finish {
+  /** Time from the first event to the end of the answer. */
+  readonly finishMs: number;
+  /** What the end of the answer and the delay of other streams add to a choice's score. */
+  readonly scoreMs: number;
+}
+
+/** What comes after the first event, for the request and for those that run beside it. */
+export function estimateFinish({ service, route, facts }: Demand, pace: Pace): Finish {
+  if (service.kvCapacityTokens === undefined) {
+    return { finishMs: 0, scoreMs: 0 };
+  }
+  const tokens = facts.expectedOutputTokens ?? facts.maxOutputTokens * UNTOLD_OUTPUT_RATIO;
+  const events = Math.min(tokens, facts.maxOutputTokens) / service.tokensPerEvent;
+  const finishMs = events * pace.msPerEvent;
+  const ratio = route.rank === 0 ? URGENT_DISTURBANCE_RATIO : DISTURBANCE_RATIO;
+  return { finishMs, scoreMs: finishMs * FINISH_RATIO + pace.readMs * pace.running * ratio };
+}
--- /dev/null
+++ b/packages/gateway/tests/routing/createRouter.test.ts
@@ -0,0 +1,100 @@
+import test from 'ava';
+import { asId, createManualClock } from '@camphorbarrow/core';
+import { createLoadBook, createRouter } from '../../src/index.js';
+import type { Demand, LocalChoice, Peer, RegionChoice, ServerLoad } from '../../src/index.js';
+import { buildRoute, buildServer, buildService } from '../support/builders.js';
+
+const demand: Demand = {
+  route: buildRoute({ targetLatencyMs: 800 }),
+  service: buildService(),
+  facts: {
+    attemptId: undefined,
+    deadlineMs: 5_000,
+    promptTokens: 3_000,
+    maxOutputTokens: 100,
+    expectedOutputTokens: 50,
+    promptParts: [],
+    lastEventId: undefined,
+  },
+  remainingMs: 5_000,
+  triedServers: new Set(),
+  triedRegions: new Set(),
+  isRepeat: false,
+  relayed: false,
+};
+
+function localChoice(waitMs: number, running = 10): LocalChoice {
+  return {
+    kind: 'server',
+    server: buildServer(),
+    estimateMs: waitMs + 100,
+    waitMs,
+    finishMs: 300,
+    uncachedTokens: 3_000,
+    tokensAhead: 0,
+    running,
+  };
+}
+
+const regionChoice = (estimateMs: number): RegionChoice => ({
+  kind: 'region',
+  peer: { heartbeat: { capacity: new Map() } } as unknown as Peer,
+  estimateMs,
+  waitMs: estimateMs - 100,
+  finishMs: 300,
+});
+
+function setUp(local: LocalChoice | undefined, region?: RegionChoice, load?: ServerLoad) {
+  const loads = createLoadBook(createManualClock(), () => []);
+  if (load !== undefined) {
+    loads.report(asId('server-1'), load);
+  }
+  let askedRegions = false;
+  const router = createRouter({
+    chooseLocal: () =>
+      local === undefined ? undefined : { choice: local, scoreMs: local.estimateMs },
+    chooseRegion: () => {
+      askedRegions = true;
+      return region === undefined ? undefined : { choice: region, scoreMs: region.estimateMs };
+    },
+    loads,
+  });
+  return { router, askedRegions: () => askedRegions };
+}
+
+test('a request that its region serves well in time does not travel', (t) => {
+  const { router, askedRegions } = setUp(localChoice(100), regionChoice(10));
+  t.is(router.choose(demand).kind, 'server');
+  t.false(askedRegions());
+});
+
+test('a request travels when another region is better by more than the way is worth', (t) => {
+  t.is(setUp(localChoice(600), regionChoice(400)).router.choose(demand).kind, 'region');
+  t.is(setUp(localChoice(600), regionChoice(650)).router.choose(demand).kind, 'server');
+});
+
+test('a request that another host passed on never travels again', (t) => {
+  const { router } = setUp(undefined, regionChoice(10));
+  t.like(router.choose({ ...demand, relayed: true }), { kind: 'none', reason: 'no-server' });
+});
+
+test('a request that would wait beyond its target is refused when requests wait there', (t) => {
+  const waiting = { running: 20, waiting: 3, slots: 64 };
+  const { router } = setUp(localChoice(2_000), undefined, waiting);
+  t.like(router.choose(demand), { kind: 'none', reason: 'overloaded', waitMs: 2_000 });
+});
+
+test('no request is refused while half of the places are free and none waits', (t) => {
+  t.is(setUp(localChoice(2_000, 20)).router.choose(demand).kind, 'server');
+  t.is(setUp(localChoice(2_000, 40)).router.choose(demand).kind, 'none');
+});
+
+test('a request that cost a server work already is not refused for its wait', (t) => {
+  const { router } = setUp(localChoice(2_000, 60));
+  t.is(router.choose({ ...demand, isRepeat: true }).kind, 'server');
+});
+
+test('a request that cannot end in time is refused by full servers', (t) => {
+  const choice = { ...localChoice(100, 60), finishMs: 6_000 };
+  t.is(setUp(choice).router.choose(demand).kind, 'none');
+});
--- /dev/null
+++ b/packages/gateway/tests/routing/estimateFinish.test.ts
@@ -0,0 +1,38 @@
+import test from 'ava';
+import { estimateFinish } from '../../src/index.js';
+import type { Demand } from '../../src/index.js';
+import { buildRoute, buildService } from '../support/builders.js';
+
+function demandOf(rank: number, expectedOutputTokens: number): Demand {
+  return {
+    route: buildRoute({ rank }),
+    service: buildService({ tokensPerEvent: 6 }),
+    facts: {
+      attemptId: undefined,
+      deadlineMs: undefined,
+      promptTokens: 0,
+      maxOutputTokens: 600,
+      expectedOutputTokens,
+      promptParts: [],
+      lastEventId: undefined,
+    },
+    remainingMs: 0,
+    triedServers: new Set(),
+    triedRegions: new Set(),
+    isRepeat: false,
+    relayed: false,
+  };
+}
+
+test('a long answer counts the pace of events, and never more than its largest output', (t) => {
+  const pace = { msPerEvent: 40, readMs: 0, running: 0 };
+  t.is(estimateFinish(demandOf(0, 300), pace).finishMs, 2_000);
+  t.is(estimateFinish(demandOf(0, 9_000), pace).finishMs, 4_000);
+});
+
+test('prompts of patient ranks keep further from servers with many streams', (t) => {
+  const pace = { msPerEvent: 0, readMs: 150, running: 20 };
+  const urgent = estimateFinish(demandOf(0, 300), pace).scoreMs;
+  const patient = estimateFinish(demandOf(2, 300), pace).scoreMs;
+  t.true(patient > 2 * urgent);
+});
--- a/packages/gateway/tests/support/builders.ts
+++ b/packages/gateway/tests/support/builders.ts
@@ -33,7 +33,6 @@
   return {
     name: asId('model'),
     maxConnections: 360,
-    coldStartMs: 3_000,
     coldRequestsPerSecond: 2,
     kvCapacityTokens: 300_000,
     tokensPerEvent: 6,
