Log when callers left, when attempts started and how long relays were in transit

- The request line has lastAttemptMs, callerLeftMs and, for a relayed request, excessTransitMs: its transit time beyond the fastest recent heartbeat of the relaying host, so that the hosts' clocks need not agree.

--- a/packages/gateway/src/exchange/Exchange.ts
+++ b/packages/gateway/src/exchange/Exchange.ts
@@ -28,5 +28,7 @@
   readonly deadlineAtMs: number;
   /** Entry host that relayed the request; undefined when it came from a caller. */
   readonly relayedBy: string | undefined;
+  /** Time in transit from the relaying host, in excess of a heartbeat's; undefined if unknown. */
+  readonly excessTransitMs: number | undefined;
   readonly responseWriter: ResponseWriter;
 }
--- a/packages/gateway/src/exchange/ExchangeProgress.ts
+++ b/packages/gateway/src/exchange/ExchangeProgress.ts
@@ -26,4 +26,8 @@
   reportedWaiting: number | undefined;
   /** Time from the arrival of the request to the first event or the response head. */
   firstEventMs: number | undefined;
+  /** Time from the arrival of the request to the start of its latest attempt. */
+  lastAttemptMs: number | undefined;
+  /** Time from the arrival of the request until its caller's disconnect was noticed. */
+  callerLeftMs: number | undefined;
 }
--- a/packages/gateway/src/exchange/GatewayContext.ts
+++ b/packages/gateway/src/exchange/GatewayContext.ts
@@ -3,6 +3,7 @@
 import type { ColdServerLimiter } from '../limits/createColdServerLimiter.js';
 import type { CrashGuard } from '../limits/createCrashGuard.js';
 import type { WireCodec } from '../ports/WireCodec.js';
+import type { TransitTracker } from '../peers/createTransitTracker.js';
 import type { LoadTracker } from '../routing/createLoadTracker.js';
 import type { OutputLengthEstimator } from '../routing/createOutputLengthEstimator.js';
 import type { PaceTracker } from '../routing/createPaceTracker.js';
@@ -15,6 +16,8 @@
 /** Services and state that request handling depends on. */
 export interface GatewayContext {
   readonly ownId: HostId;
+  /** Random id of this process, as in its heartbeats. */
+  readonly ownIncarnation: string;
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly log: LogSink;
@@ -35,6 +38,8 @@
   readonly coldServerLimiter: ColdServerLimiter;
   readonly retryBudget: RetryBudget;
   readonly crashGuard: CrashGuard;
+  /** Transit times of messages from peers. */
+  readonly transits: TransitTracker;
   /** Connections to backend servers. */
   readonly serverConnections: ConnectionPools;
   /** Connections to other entry hosts. */
--- a/packages/gateway/src/exchange/forwardToPeer.ts
+++ b/packages/gateway/src/exchange/forwardToPeer.ts
@@ -6,6 +6,7 @@
 import type { GatewayContext } from './GatewayContext.js';
 import { receiveResponse } from './receiveResponse.js';
 import { relayHeaders, stripRelayHeaders } from './relayHeaders.js';
+import { formatSendTime } from './sendTimeHeader.js';
 import { stripHopByHopHeaders } from './stripHopByHopHeaders.js';
 import type { AttemptResult } from './AttemptResult.js';
 
@@ -73,6 +74,11 @@
     context.ownId,
     relayHeaders.service,
     exchange.service.name,
+    relayHeaders.sentAt,
+    formatSendTime({
+      incarnation: context.ownIncarnation,
+      sentAtMs: context.clock.monotonicMs(),
+    }),
     'Content-Length',
     String(exchange.body.length),
   ];
--- a/packages/gateway/src/exchange/relayHeaders.ts
+++ b/packages/gateway/src/exchange/relayHeaders.ts
@@ -4,6 +4,8 @@
   relayedBy: 'x-entry-host-relayed-by',
   /** Service that the relaying host chose. */
   service: 'x-entry-host-service',
+  /** Incarnation of the relaying host and time of sending on its monotonic clock. */
+  sentAt: 'x-entry-host-sent-at',
   /** On an error response: `not-run` or `unknown`. */
   outcome: 'x-entry-host-outcome',
 } as const;
--- a/packages/gateway/src/exchange/serveExchange.ts
+++ b/packages/gateway/src/exchange/serveExchange.ts
@@ -75,6 +75,7 @@
     progress.eventCount += count;
   };
   progress.lastChoice = destination;
+  progress.lastAttemptMs = context.clock.monotonicMs() - exchange.arrivedAtMs;
   if (destination.kind === 'region') {
     const { host } = destination.peer.heartbeat;
     const result = await forwardToPeer({
@@ -185,6 +186,17 @@
   return error.statusCode;
 }
 
+const roundMs = (durationMs: number | undefined): number | undefined =>
+  durationMs === undefined ? undefined : Math.round(durationMs);
+
+/** How far a request had come when its caller left. */
+function describePhase(progress: ExchangeProgress, isStarted: boolean): string {
+  if (isStarted) {
+    return 'response';
+  }
+  return progress.attempts > 0 ? 'attempt' : 'before-attempt';
+}
+
 /** Serves one request: makes attempts within its deadline and limits, then ends the exchange. */
 export async function serveExchange(context: GatewayContext, exchange: Exchange): Promise<void> {
   const { clock } = context;
@@ -202,7 +214,15 @@
     eventCount: 0,
     reportedWaiting: undefined,
     firstEventMs: undefined,
+    lastAttemptMs: undefined,
+    callerLeftMs: undefined,
+  };
+  const onDisconnect = (): void => {
+    progress.callerLeftMs = clock.monotonicMs() - exchange.arrivedAtMs;
+    const phase = describePhase(progress, responseWriter.isStarted());
+    context.metrics.increment('caller_disconnects', { phase });
   };
+  responseWriter.disconnected.addEventListener('abort', onDisconnect);
   const expiry = new AbortController();
   const timer = setTimeout(
     () => expiry.abort(),
@@ -218,6 +238,7 @@
   context.retryBudget.recordRequest(exchange.service.name);
   const result = await runAttempts(context, exchange, progress, signal);
   clearTimeout(timer);
+  responseWriter.disconnected.removeEventListener('abort', onDisconnect);
   if (result?.kind === 'delivered' && progress.runs === 0) {
     context.outputLengths.recordResponse(route, progress.eventCount);
   }
@@ -243,8 +264,10 @@
     promptTokens: exchange.metadata.promptTokens,
     expectedEvents: Math.round(exchange.expectedEvents),
     reportedWaiting: progress.reportedWaiting,
-    firstEventMs:
-      progress.firstEventMs === undefined ? undefined : Math.round(progress.firstEventMs),
+    firstEventMs: roundMs(progress.firstEventMs),
+    lastAttemptMs: roundMs(progress.lastAttemptMs),
+    callerLeftMs: roundMs(progress.callerLeftMs),
+    excessTransitMs: roundMs(exchange.excessTransitMs),
     attempts: progress.attempts,
     runs: progress.runs,
     causes: progress.causes.join(', '),
--- a/packages/gateway/src/ingress/createRequestHandler.ts
+++ b/packages/gateway/src/ingress/createRequestHandler.ts
@@ -5,12 +5,14 @@
   NotFoundError,
   RequestError,
   UnknownServiceError,
+  asId,
 } from '@camphorbarrow/core';
 import { createResponseWriter } from '../exchange/createResponseWriter.js';
 import type { Exchange } from '../exchange/Exchange.js';
 import type { GatewayContext } from '../exchange/GatewayContext.js';
 import { relayHeaders } from '../exchange/relayHeaders.js';
 import { sendErrorResponse } from '../exchange/sendErrorResponse.js';
+import { parseSendTime } from '../exchange/sendTimeHeader.js';
 import { serveExchange } from '../exchange/serveExchange.js';
 import type { FleetView } from '../fleet/createFleetView.js';
 import type { Route } from '../model/Route.js';
@@ -96,6 +98,13 @@
     return requireService(table, route, routedName ?? pickTarget(route, context.random));
   }
 
+  function readExcessTransitMs(request: IncomingMessage, relayedBy: string): number | undefined {
+    const sendTime = parseSendTime(firstHeaderValue(request, relayHeaders.sentAt));
+    return sendTime === undefined
+      ? undefined
+      : context.transits.excessTransitMs(asId(relayedBy), sendTime);
+  }
+
   async function createExchange(
     request: IncomingMessage,
     responseWriter: Exchange['responseWriter'],
@@ -112,6 +121,9 @@
     const method = request.method ?? 'GET';
     const target = request.url ?? '/';
     const metadata = context.codec.readRequest(request.headers);
+    const relayedBy = isRelayed
+      ? (firstHeaderValue(request, relayHeaders.relayedBy) ?? '')
+      : undefined;
     const timeoutMs = Math.min(route.timeoutMs, metadata.deadlineMs ?? route.timeoutMs);
     return {
       method,
@@ -127,7 +139,9 @@
       tableVersion: table.version,
       arrivedAtMs,
       deadlineAtMs: arrivedAtMs + timeoutMs,
-      relayedBy: isRelayed ? (firstHeaderValue(request, relayHeaders.relayedBy) ?? '') : undefined,
+      relayedBy,
+      excessTransitMs:
+        relayedBy === undefined ? undefined : readExcessTransitMs(request, relayedBy),
       responseWriter,
     };
   }
--- a/packages/gateway/src/lifecycle/createEntryHost.ts
+++ b/packages/gateway/src/lifecycle/createEntryHost.ts
@@ -19,6 +19,7 @@
 import { formatEndpoint } from '../upstream/createConnectionPools.js';
 import { chooseDirectoryHosts } from './chooseDirectoryHosts.js';
 import { createDrainState } from './createDrainState.js';
+import { createEventLoopMonitor } from './createEventLoopMonitor.js';
 import { createGatewayContext } from './createGatewayContext.js';
 import type { EntryHostOptions } from './EntryHostOptions.js';
 
@@ -67,10 +68,12 @@
     own.id,
     ...peers.aliveIn(own.region).map(({ heartbeat }) => heartbeat.host.id),
   ];
+  const ownIncarnation = randomUUID();
   const { context, serverView } = createGatewayContext({
     ...options,
     peers,
     view,
+    ownIncarnation,
     regionHosts,
   });
   const { loads, speeds, paces, health, prefixes, crashGuard, serverConnections, peerConnections } =
@@ -127,7 +130,6 @@
 
   peerListener.server.keepAliveTimeout = PEER_LISTENER_IDLE_TIMEOUT_MS;
 
-  const ownIncarnation = randomUUID();
   const heartbeats = createHeartbeats({
     clock,
     log,
@@ -148,6 +150,7 @@
     }),
     onHeartbeat(heartbeat) {
       peers.recordHeartbeat(heartbeat);
+      context.transits.recordHeartbeat(heartbeat);
       if (heartbeat.host.region === own.region) {
         crashGuard.mergeReports(heartbeat.crashes);
       }
@@ -172,6 +175,7 @@
       new Set(peers.known().map(({ heartbeat }) => formatEndpoint(heartbeat.host.peers))),
     );
   }
+  const eventLoopMonitor = createEventLoopMonitor(clock, log, options.metrics);
   const housekeeping = setInterval(runHousekeeping, HOUSEKEEPING_INTERVAL_MS);
 
   const tasks = [
@@ -228,6 +232,7 @@
     stop.abort();
     await Promise.race([Promise.all(tasks), clock.sleep(UNREGISTER_TIMEOUT_MS)]);
     clearInterval(housekeeping);
+    eventLoopMonitor.close();
     heartbeats.close();
     [callerListener, peerListener].forEach((listener) => listener.close());
     serverConnections.close();
--- a/packages/gateway/src/lifecycle/createGatewayContext.ts
+++ b/packages/gateway/src/lifecycle/createGatewayContext.ts
@@ -5,6 +5,7 @@
 import { createCrashGuard } from '../limits/createCrashGuard.js';
 import { createRetryBudget } from '../limits/createRetryBudget.js';
 import type { PeerRegistry } from '../peers/createPeerRegistry.js';
+import { createTransitTracker } from '../peers/createTransitTracker.js';
 import { createLoadTracker } from '../routing/createLoadTracker.js';
 import { createLocalChooser } from '../routing/createLocalChooser.js';
 import { createOutputLengthEstimator } from '../routing/createOutputLengthEstimator.js';
@@ -30,6 +31,7 @@
 > {
   readonly peers: PeerRegistry;
   readonly view: FleetView;
+  readonly ownIncarnation: string;
   /** Active entry hosts of this region, including this one. */
   readonly regionHosts: () => readonly HostId[];
 }
@@ -69,6 +71,7 @@
   });
   const context: GatewayContext = {
     ownId: own.id,
+    ownIncarnation: options.ownIncarnation,
     clock,
     random,
     log,
@@ -84,6 +87,7 @@
     coldServerLimiter,
     retryBudget: createRetryBudget({ clock, bounds, hostCount: () => peers.known().length + 1 }),
     crashGuard: createCrashGuard(clock, log),
+    transits: createTransitTracker(clock),
     serverConnections: createConnectionPools(SERVER_IDLE_TIMEOUT_MS),
     peerConnections: createConnectionPools(PEER_IDLE_TIMEOUT_MS),
   };
