Stop retrying an order whose caller has left

Callers saw: an order whose caller had left ran at another server, after the first server had rejected it without running it.

Cause: a buffered request that is not idempotent follows only its deadline, so that one that runs is left to run. The loop over the attempts used the same signal, and went on to the next server as if the caller still waited.

Change: the loop has a signal of its own, which aborts when the caller leaves. An attempt that runs is cancelled as before.

Evidence: 'an order that a server rejected is not sent to another one after its caller left' failed before (rejected twice) and passes now; 'an order that runs is left to run after its caller left' passed before and now.

--- a/packages/gateway/src/exchange/serveExchange.ts
+++ b/packages/gateway/src/exchange/serveExchange.ts
@@ -110,11 +110,18 @@
   });
 }
 
+/**
+ * Makes attempts until one succeeds or no further one is allowed.
+ *
+ * @param signal cancels the attempt that runs
+ * @param startSignal once aborted, no further attempt starts
+ */
 async function runAttempts(
   context: GatewayContext,
   exchange: Exchange,
   progress: ExchangeProgress,
   signal: AbortSignal,
+  startSignal: AbortSignal,
 ): Promise<AttemptResult | undefined> {
   let result: AttemptResult | undefined;
   if (context.crashGuard.isQuarantined(exchange.fingerprint)) {
@@ -142,7 +149,7 @@
     }
     progress.attempts += 1;
     result = await attemptDestination(context, exchange, progress, destination, signal);
-  } while (recordResult(exchange, progress, result) && !signal.aborted);
+  } while (recordResult(exchange, progress, result) && !startSignal.aborted);
   return result;
 }
 
@@ -231,12 +238,11 @@
   // A buffered request that is not idempotent, such as an order, goes on when its caller
   // disconnects, because a cancelled one could be left half done.
   const cancelsOnDisconnect = route.idempotent || route.delivery === 'events';
-  const signal = cancelsOnDisconnect
-    ? AbortSignal.any([expiry.signal, responseWriter.disconnected])
-    : expiry.signal;
+  const startSignal = AbortSignal.any([expiry.signal, responseWriter.disconnected]);
+  const signal = cancelsOnDisconnect ? startSignal : expiry.signal;
 
   context.retryBudget.recordRequest(exchange.service.name);
-  const result = await runAttempts(context, exchange, progress, signal);
+  const result = await runAttempts(context, exchange, progress, signal, startSignal);
   clearTimeout(timer);
   responseWriter.disconnected.removeEventListener('abort', onDisconnect);
   if (result?.kind === 'delivered' && progress.runs === 0) {
