Send requests only after polling for callers that have left

Callers saw, on a host that is behind: requests whose callers had closed their connections reached servers all the same, over a second later.

Cause: a host reads a request and sends it in one turn of the event loop. The end of the connection, which waits behind the request in the same socket, is read a turn later. Class: work is taken from a queue (here the kernel's) without asking whether its caller is still there. The same holds for a request whose connection to a server gets established in the turn in which the caller's close is read, and for a retry.

An order has a signal that holds until it is written and is ignored from then on. The response writer notices the end of the caller's side when it is read, not when the connection is closed some turns later. mayHaveRun now means that the request was written, not that the connection was made.

Conclusion: what had left before the poll is not sent; a caller that leaves during a long turn is still noticed at its end.

--- a/packages/gateway/src/exchange/GatewayContext.ts
+++ b/packages/gateway/src/exchange/GatewayContext.ts
@@ -12,6 +12,7 @@
 import type { ServerHealth } from '../routing/createServerHealth.js';
 import type { SpeedTracker } from '../routing/createSpeedTracker.js';
 import type { ConnectionPools } from '../upstream/createConnectionPools.js';
+import type { DispatchQueue } from './createDispatchQueue.js';
 
 /** Services and state that request handling depends on. */
 export interface GatewayContext {
@@ -24,6 +25,7 @@
   readonly metrics: MetricsSink;
   readonly codec: WireCodec;
   readonly router: Router;
+  readonly dispatchQueue: DispatchQueue;
   /** Load of the servers and peers. */
   readonly loads: LoadTracker;
   /** Prefill speed and call duration of the servers. */
--- a/packages/gateway/src/exchange/createResponseWriter.ts
+++ b/packages/gateway/src/exchange/createResponseWriter.ts
@@ -11,10 +11,19 @@
   shouldCloseConnection: () => boolean,
 ): ResponseWriter {
   const disconnected = new AbortController();
-  response.on('close', () => {
+  const { socket } = response;
+  const onDisconnect = (): void => {
     if (!response.writableFinished) {
       disconnected.abort();
     }
+  };
+  // The response is closed some turns of the event loop after the client has ended its side.
+  socket?.on('end', onDisconnect);
+  socket?.on('error', onDisconnect);
+  response.on('close', () => {
+    onDisconnect();
+    socket?.off('end', onDisconnect);
+    socket?.off('error', onDisconnect);
   });
   // The close event follows and is handled above.
   response.on('error', () => undefined);
--- a/packages/gateway/src/exchange/forwardToPeer.ts
+++ b/packages/gateway/src/exchange/forwardToPeer.ts
@@ -9,17 +9,17 @@
 import { formatSendTime } from './sendTimeHeader.js';
 import { stripHopByHopHeaders } from './stripHopByHopHeaders.js';
 import type { AttemptResult } from './AttemptResult.js';
+import type { AttemptSignals } from './AttemptSignals.js';
 
 /** Added to the round-trip time to get the connect timeout for a peer in another region. */
 const CONNECT_MARGIN_MS = 500;
 const DEFAULT_ROUND_TRIP_MS = 200;
 
-export interface ForwardToPeerOptions {
+export interface ForwardToPeerOptions extends AttemptSignals {
   readonly context: GatewayContext;
   readonly exchange: Exchange;
   readonly destination: Extract<Destination, { kind: 'region' }>;
   readonly lastEventId: string | undefined;
-  readonly signal: AbortSignal;
   /** Called on the first event of a stream, or on the head of any other response. */
   readonly onResponseStart: () => void;
   /** Called for each chunk that completes events, with their number. */
@@ -99,6 +99,8 @@
     connectTimeoutMs: (peer.roundTripMs ?? DEFAULT_ROUND_TRIP_MS) + CONNECT_MARGIN_MS,
     responseTimeoutMs: undefined,
     signal,
+    startSignal: options.startSignal,
+    beforeWrite: () => context.dispatchQueue.wait(options.startSignal),
   });
   const result = await receiveFromPeer(options, sent, () => {
     trackedRequest.responseStarted();
--- a/packages/gateway/src/exchange/forwardToServer.ts
+++ b/packages/gateway/src/exchange/forwardToServer.ts
@@ -7,6 +7,7 @@
 import { stripRelayHeaders } from './relayHeaders.js';
 import { stripHopByHopHeaders } from './stripHopByHopHeaders.js';
 import type { AttemptResult } from './AttemptResult.js';
+import type { AttemptSignals } from './AttemptSignals.js';
 
 /** Servers are in the same region; a connection that takes longer goes to an unresponsive host. */
 const CONNECT_TIMEOUT_MS = 400;
@@ -20,14 +21,13 @@
 /** A resumable stream moves to another server after a pause of this multiple of the target gap. */
 const MAX_EVENT_GAP_RATIO = 3;
 
-export interface ForwardToServerOptions {
+export interface ForwardToServerOptions extends AttemptSignals {
   readonly context: GatewayContext;
   readonly exchange: Exchange;
   readonly destination: Extract<Destination, { kind: 'server' }>;
   /** Whether another server may run the request if this one fails. */
   readonly mayRetry: boolean;
   readonly lastEventId: string | undefined;
-  readonly signal: AbortSignal;
   /** Called on the first event of a stream, or on the head of any other response. */
   readonly onResponseStart: () => void;
   /** Called for each chunk that completes events, with their number. */
@@ -118,6 +118,8 @@
       return delivery === 'events' && context.clock.monotonicMs() - lastStartAtMs < ALIVE_WINDOW_MS;
     },
     signal,
+    startSignal: options.startSignal,
+    beforeWrite: () => context.dispatchQueue.wait(options.startSignal),
   });
   if (sent.kind === 'failed') {
     if (sent.failure === 'cancelled') {
--- a/packages/gateway/src/exchange/serveExchange.ts
+++ b/packages/gateway/src/exchange/serveExchange.ts
@@ -10,6 +10,7 @@
 import type { GatewayContext } from './GatewayContext.js';
 import type { ExchangeProgress } from './ExchangeProgress.js';
 import { sendErrorResponse } from './sendErrorResponse.js';
+import type { AttemptSignals } from './AttemptSignals.js';
 import { toRoutingRequest } from './toRoutingRequest.js';
 import { forwardToPeer } from './forwardToPeer.js';
 import type { AttemptResult } from './AttemptResult.js';
@@ -65,7 +66,7 @@
   exchange: Exchange,
   progress: ExchangeProgress,
   destination: Exclude<Destination, { kind: 'none' }>,
-  signal: AbortSignal,
+  signals: AttemptSignals,
 ): Promise<AttemptResult> {
   const { lastEventId } = progress;
   const onResponseStart = (): void => {
@@ -83,7 +84,7 @@
       exchange,
       destination,
       lastEventId,
-      signal,
+      ...signals,
       onResponseStart,
       onEvents,
     });
@@ -104,7 +105,7 @@
     destination,
     mayRetry,
     lastEventId,
-    signal,
+    ...signals,
     onResponseStart,
     onEvents,
   });
@@ -120,8 +121,7 @@
   context: GatewayContext,
   exchange: Exchange,
   progress: ExchangeProgress,
-  signal: AbortSignal,
-  startSignal: AbortSignal,
+  { signal, startSignal }: AttemptSignals,
 ): Promise<AttemptResult | undefined> {
   let result: AttemptResult | undefined;
   if (context.crashGuard.isQuarantined(exchange.fingerprint)) {
@@ -130,6 +130,10 @@
     return result;
   }
   do {
+    await context.dispatchQueue.wait(startSignal);
+    if (startSignal.aborted) {
+      return result;
+    }
     const remainingMs = exchange.deadlineAtMs - context.clock.monotonicMs();
     const destination = context.router.choose(toRoutingRequest(exchange, progress, remainingMs));
     if (destination.kind === 'none') {
@@ -148,8 +152,11 @@
       return result;
     }
     progress.attempts += 1;
-    result = await attemptDestination(context, exchange, progress, destination, signal);
-  } while (recordResult(exchange, progress, result) && !startSignal.aborted);
+    result = await attemptDestination(context, exchange, progress, destination, {
+      signal,
+      startSignal,
+    });
+  } while (recordResult(exchange, progress, result));
   return result;
 }
 
@@ -242,7 +249,7 @@
   const signal = cancelsOnDisconnect ? startSignal : expiry.signal;
 
   context.retryBudget.recordRequest(exchange.service.name);
-  const result = await runAttempts(context, exchange, progress, signal, startSignal);
+  const result = await runAttempts(context, exchange, progress, { signal, startSignal });
   clearTimeout(timer);
   responseWriter.disconnected.removeEventListener('abort', onDisconnect);
   if (result?.kind === 'delivered' && progress.runs === 0) {
--- a/packages/gateway/src/lifecycle/createGatewayContext.ts
+++ b/packages/gateway/src/lifecycle/createGatewayContext.ts
@@ -1,4 +1,5 @@
 import type { HostId } from '@camphorbarrow/core';
+import { createDispatchQueue } from '../exchange/createDispatchQueue.js';
 import type { GatewayContext } from '../exchange/GatewayContext.js';
 import type { FleetView } from '../fleet/createFleetView.js';
 import { createColdServerLimiter } from '../limits/createColdServerLimiter.js';
@@ -78,6 +79,7 @@
     metrics,
     codec,
     router,
+    dispatchQueue: createDispatchQueue(),
     loads,
     speeds,
     paces,
--- a/packages/gateway/src/upstream/sendUpstream.ts
+++ b/packages/gateway/src/upstream/sendUpstream.ts
@@ -30,6 +30,10 @@
   /** Checked when the response timeout elapses; while it returns true, the timeout is restarted. */
   readonly isAlive?: () => boolean;
   readonly signal: AbortSignal;
+  /** Cancels the request only until it is written to a connection. @default `signal` */
+  readonly startSignal?: AbortSignal;
+  /** Awaited between the establishment of a new connection and writing to it. */
+  readonly beforeWrite?: () => Promise<void>;
 }
 
 /**
@@ -57,7 +61,9 @@
  */
 export function sendUpstream(options: UpstreamRequest): Promise<SendResult> {
   return new Promise((resolve) => {
-    let connected = false;
+    const { startSignal = options.signal } = options;
+    /** Whether bytes of the request may have been sent. */
+    let written = false;
     let failure: SendFailure = 'broken';
     const timers: NodeJS.Timeout[] = [];
 
@@ -76,23 +82,36 @@
     }
 
     const onAbort = (): void => cancel('cancelled');
+    const onStartAbort = (): void => {
+      if (!written) {
+        cancel('cancelled');
+      }
+    };
 
     function settle(result: SendResult): void {
       timers.forEach(clearTimeout);
       options.signal.removeEventListener('abort', onAbort);
+      startSignal.removeEventListener('abort', onStartAbort);
       resolve(result);
     }
 
+    function write(): void {
+      if (!outgoing.destroyed) {
+        written = true;
+        outgoing.end(options.body);
+      }
+    }
+
     outgoing.on('socket', (socket) => {
       if (!socket.connecting) {
-        connected = true;
+        write();
         return;
       }
       const timer = setTimeout(() => cancel('unreachable'), options.connectTimeoutMs);
       timers.push(timer);
       socket.once('connect', () => {
-        connected = true;
         clearTimeout(timer);
+        void Promise.resolve(options.beforeWrite?.()).then(write);
       });
     });
     function startResponseTimer(timeoutMs: number): void {
@@ -120,20 +139,20 @@
       receivedResponse?.destroy(error);
       settle({
         kind: 'failed',
-        failure: connected || failure === 'cancelled' ? failure : 'unreachable',
-        mayHaveRun: connected,
+        failure: written || failure === 'cancelled' ? failure : 'unreachable',
+        mayHaveRun: written,
         cause: error.message,
       });
     });
     outgoing.on('close', () => {
-      settle({ kind: 'failed', failure, mayHaveRun: connected, cause: 'closed' });
+      settle({ kind: 'failed', failure, mayHaveRun: written, cause: 'closed' });
     });
 
-    if (options.signal.aborted) {
+    if (options.signal.aborted || startSignal.aborted) {
       cancel('cancelled');
       return;
     }
     options.signal.addEventListener('abort', onAbort, { once: true });
-    outgoing.end(options.body);
+    startSignal.addEventListener('abort', onStartAbort, { once: true });
   });
 }
--- a/packages/gateway/tests/upstream/sendUpstream.test.ts
+++ b/packages/gateway/tests/upstream/sendUpstream.test.ts
@@ -3,6 +3,7 @@
 import { once } from 'node:events';
 import test from 'ava';
 import { createConnectionPools, readFullBody, sendUpstream } from '../../src/index.js';
+import type { UpstreamRequest } from '../../src/index.js';
 
 interface TestServer {
   readonly port: number;
@@ -20,9 +21,9 @@
   return { port: (server.address() as AddressInfo).port, close: () => server.close() };
 }
 
-function send(port: number, responseTimeoutMs?: number) {
+function upstreamRequest(port: number): UpstreamRequest {
   const connections = createConnectionPools(1_000);
-  return sendUpstream({
+  return {
     agent: connections.agentFor('peer'),
     endpoint: { host: '127.0.0.1', port },
     method: 'GET',
@@ -30,11 +31,14 @@
     headers: ['Host', 'a.example'],
     body: Buffer.alloc(0),
     connectTimeoutMs: 500,
-    responseTimeoutMs,
+    responseTimeoutMs: undefined,
     signal: new AbortController().signal,
-  });
+  };
 }
 
+const send = (port: number, responseTimeoutMs?: number) =>
+  sendUpstream({ ...upstreamRequest(port), responseTimeoutMs });
+
 test('a refused connection means that the request has not run', async (t) => {
   const server = await startTestServer(() => undefined);
   server.close();
@@ -99,3 +103,33 @@
   const body = await readFullBody(sent.response, 1_000, new AbortController().signal);
   t.is(body?.toString(), 'all of it');
 });
+
+test('a request whose caller leaves while its connection is established is not written', async (t) => {
+  let requests = 0;
+  const server = await startTestServer(() => {
+    requests += 1;
+  });
+  t.teardown(server.close);
+  const caller = new AbortController();
+  const sent = await sendUpstream({
+    ...upstreamRequest(server.port),
+    startSignal: caller.signal,
+    beforeWrite: async () => caller.abort(),
+  });
+  t.like(sent, { kind: 'failed', failure: 'cancelled', mayHaveRun: false });
+  t.is(requests, 0);
+});
+
+test('a request that was written goes on when its caller leaves', async (t) => {
+  const caller = new AbortController();
+  const server = await startTestServer((socket) => {
+    caller.abort();
+    setTimeout(() => socket.end('HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'), 50);
+  });
+  t.teardown(server.close);
+  const sent = await sendUpstream({
+    ...upstreamRequest(server.port),
+    startSignal: caller.signal,
+  });
+  t.is(sent.kind, 'response');
+});
