Bound the bodies that are read only to be dropped

Seen: the body of a 503 that says not run, of a 421 of another server, and of a caller's request that was already rejected, was read without end when it did not end: over 200 MB in 1.5 s, with the connection still open.

Cause: resume() on a body that nobody needs, and a body reader that goes on dropping chunks after it has rejected the body. Class: reading without a bound for what is thrown away.

It is used for rejections of servers and of peers and for the rest of rejected requests.

Evidence: three tests of entryHost.endlessResponses failed before ('still connected') and pass now.

--- a/packages/gateway/src/exchange/forwardToPeer.ts
+++ b/packages/gateway/src/exchange/forwardToPeer.ts
@@ -1,6 +1,7 @@
 import type { Destination } from '../routing/Destination.js';
 import { relayLoadId } from '../routing/relayLoadId.js';
 import { formatEndpoint } from '../upstream/createConnectionPools.js';
+import { discardBody } from '../upstream/discardBody.js';
 import { sendUpstream } from '../upstream/sendUpstream.js';
 import type { Exchange } from './Exchange.js';
 import type { GatewayContext } from './GatewayContext.js';
@@ -43,7 +44,7 @@
   const { response } = sent;
   const outcome = response.headers[relayHeaders.outcome];
   if (outcome !== undefined) {
-    response.resume();
+    discardBody(response);
     return outcome === 'not-run'
       ? { kind: 'not-run', cause: 'rejected by peer', reachedServer: false }
       : { kind: 'unknown', cause: 'outcome unknown at peer' };
--- a/packages/gateway/src/exchange/receiveResponse.ts
+++ b/packages/gateway/src/exchange/receiveResponse.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage } from 'node:http';
 import type { ResponseMetadata } from '../model/ResponseMetadata.js';
+import { discardBody } from '../upstream/discardBody.js';
 import { readFullBody } from '../upstream/readFullBody.js';
 import type { Exchange } from './Exchange.js';
 import { forwardEvents } from './forwardEvents.js';
@@ -95,7 +96,7 @@
   const { exchange, response, metadata } = options;
   const status = response.statusCode ?? 0;
   if (isMisdirected(status, metadata)) {
-    response.resume();
+    discardBody(response);
     return {
       kind: 'not-run',
       cause: 'address now belongs to another server',
@@ -107,7 +108,7 @@
     return { kind: 'unknown', cause: 'response to another request' };
   }
   if (metadata.notRun || status === MISDIRECTED) {
-    response.resume();
+    discardBody(response);
     return { kind: 'not-run', cause: `rejected with ${status}`, reachedServer: true };
   }
   const isSuccess = status >= 200 && status < 300;
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -88,5 +88,6 @@
 export * from './routing/relayLoadId.js';
 export * from './routing/runCacheFollower.js';
 export * from './upstream/createConnectionPools.js';
+export * from './upstream/discardBody.js';
 export * from './upstream/readFullBody.js';
 export * from './upstream/sendUpstream.js';
--- a/packages/gateway/src/ingress/createRequestHandler.ts
+++ b/packages/gateway/src/ingress/createRequestHandler.ts
@@ -21,6 +21,7 @@
 import type { ServiceSpec } from '../model/ServiceSpec.js';
 import { findRoute } from '../routing/findRoute.js';
 import { pickTarget } from '../routing/pickTarget.js';
+import { discardBody } from '../upstream/discardBody.js';
 import { createFingerprint } from './createFingerprint.js';
 import { readBody } from './readBody.js';
 
@@ -174,6 +175,9 @@
       } else {
         sendErrorResponse(responseWriter, context.codec, requestError, isRelayed);
       }
+      if (!request.complete) {
+        discardBody(request);
+      }
     }
   };
 }
