Deliver a complete response that is followed by bytes without end

Callers saw: no answer at all to an order, far past its deadline, when its server sent more bytes right after a complete response.

Cause: the parser fails on those bytes in the same packet, before anybody reads the response; sendUpstream destroyed the response, whose last event was over when its reader came, so that the reader never settled, not even at the deadline. Class: waiting for an event that has passed.

Change: a response that is complete stays readable, since the error is about the bytes after it. Reading a body that is already destroyed, or that is aborted, ends at once in place of waiting for a further event.

Evidence: 'bytes without end after a complete response do not keep it from the caller' (late before, 200 now) and 'reading a body that was destroyed before ends' failed before. The tests of truncated, foreign and reset responses pass unchanged.

--- a/packages/gateway/src/upstream/readFullBody.ts
+++ b/packages/gateway/src/upstream/readFullBody.ts
@@ -9,16 +9,18 @@
   return new Promise((resolve) => {
     const chunks: Buffer[] = [];
     let sizeBytes = 0;
-    const onAbort = (): void => {
-      message.destroy();
-    };
     const settle = (body: Buffer | undefined): void => {
+      // eslint-disable-next-line @typescript-eslint/no-use-before-define -- mutual reference
       signal.removeEventListener('abort', onAbort);
       resolve(body);
     };
-    if (signal.aborted) {
+    const onAbort = (): void => {
+      message.destroy();
+      settle(undefined);
+    };
+    // A message that was destroyed before may have emitted its last event already.
+    if (signal.aborted || message.destroyed) {
       onAbort();
-      resolve(undefined);
       return;
     }
     signal.addEventListener('abort', onAbort, { once: true });
--- a/packages/gateway/src/upstream/sendUpstream.ts
+++ b/packages/gateway/src/upstream/sendUpstream.ts
@@ -135,8 +135,10 @@
     });
     outgoing.on('error', (error) => {
       // The parser treats a reset as the end of a response without a length; its reader must get an
-      // error.
-      receivedResponse?.destroy(error);
+      // error. A response that is complete stays readable: the error is about the bytes after it.
+      if (receivedResponse?.complete === false) {
+        receivedResponse.destroy(error);
+      }
       settle({
         kind: 'failed',
         failure: written || failure === 'cancelled' ? failure : 'unreachable',
