Close a connection after 16 interim responses to a request

Seen: interim responses (1xx) without end were read and parsed until the deadline of the request, at the cost of the host's event loop.

Cause: only the response itself was waited for; what is read and dropped before it had no bound but time.

Change: the 17th interim response ends the attempt as broken; the request may have run.

Evidence: 'interim responses without end are not read without end' failed before (504 at the deadline) and passes now (502).

--- a/packages/gateway/src/upstream/sendUpstream.ts
+++ b/packages/gateway/src/upstream/sendUpstream.ts
@@ -3,6 +3,9 @@
 import { PlatformError } from '@camphorbarrow/core';
 import type { Endpoint } from '../model/Endpoint.js';
 
+/** Interim responses (status 1xx) to one request after which its connection is closed. */
+const MAX_INTERIM_RESPONSES = 16;
+
 /** Why a server or a peer returned no response. */
 export type SendFailure = 'unreachable' | 'broken' | 'silent' | 'cancelled';
 
@@ -127,6 +130,13 @@
     if (options.responseTimeoutMs !== undefined) {
       startResponseTimer(options.responseTimeoutMs);
     }
+    let interimResponses = 0;
+    outgoing.on('information', () => {
+      interimResponses += 1;
+      if (interimResponses > MAX_INTERIM_RESPONSES) {
+        cancel('broken');
+      }
+    });
     let receivedResponse: IncomingMessage | undefined;
     outgoing.on('response', (response) => {
       receivedResponse = response;
