End a stream at its deadline when its caller does not read

Seen by reading for the same class (a wait that nothing ends): a stream whose caller has stopped reading waits for room in the caller's connection; at the deadline the server's connection was closed, but the exchange went on waiting until the caller read again or left, and kept its connection, its buffers and its place among the requests in flight.

Change: writing also ends when the request is aborted; the caller's connection is then closed as for any stream that ends early.

Evidence: 'writing to a caller that does not read ends when it is aborted' was pending before and passes now.

--- a/packages/gateway/src/exchange/ResponseWriter.ts
+++ b/packages/gateway/src/exchange/ResponseWriter.ts
@@ -11,8 +11,11 @@
    */
   send(status: number, headers: readonly string[], body: Buffer): void;
   writeHead(status: number, headers: readonly string[]): void;
-  /** Resolves when more may be written; applies the backpressure of a slow client to the server. */
-  write(chunk: Buffer): Promise<void>;
+  /**
+   * Resolves when more may be written, or when the signal aborts; applies the backpressure of a slow
+   * client to the server.
+   */
+  write(chunk: Buffer, signal: AbortSignal): Promise<void>;
   end(): void;
   /** Closes the connection, so that the client sees the response as incomplete. */
   abort(): void;
--- a/packages/gateway/src/exchange/createResponseWriter.ts
+++ b/packages/gateway/src/exchange/createResponseWriter.ts
@@ -51,18 +51,19 @@
         response.flushHeaders();
       }
     },
-    async write(chunk) {
-      if (!isOpen() || response.write(chunk)) {
+    async write(chunk, signal) {
+      if (!isOpen() || response.write(chunk) || signal.aborted) {
         return;
       }
       await new Promise<void>((resolve) => {
+        const signals = [disconnected.signal, signal];
         const finish = (): void => {
           response.removeListener('drain', finish);
-          disconnected.signal.removeEventListener('abort', finish);
+          signals.forEach((each) => each.removeEventListener('abort', finish));
           resolve();
         };
         response.on('drain', finish);
-        disconnected.signal.addEventListener('abort', finish);
+        signals.forEach((each) => each.addEventListener('abort', finish));
       });
     },
     end() {
--- a/packages/gateway/src/exchange/forwardEvents.ts
+++ b/packages/gateway/src/exchange/forwardEvents.ts
@@ -61,14 +61,14 @@
       hasForwardedEvents = true;
     }
     clearTimeout(gapTimer);
-    await responseWriter.write(Buffer.concat([...heldComments, bytes]));
+    await responseWriter.write(Buffer.concat([...heldComments, bytes]), signal);
     heldComments = [];
     restartGapTimer();
   }
 
   async function forwardComment(bytes: Buffer): Promise<void> {
     if (hasForwardedEvents) {
-      await responseWriter.write(bytes);
+      await responseWriter.write(bytes, signal);
     } else {
       heldComments.push(bytes);
     }
