--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -52,6 +52,7 @@
 export * from './config/parseStoredDocument.js';
 export * from './config/partialWithoutDefaults.js';
 export * from './dispatch/chooseServiceServer.js';
+export * from './dispatch/createDispatchQueue.js';
 export * from './dispatch/createEngineDispatcher.js';
 export * from './dispatch/createOrderDispatch.js';
 export * from './dispatch/createRepeatableDispatch.js';
--- a/packages/gateway/tests/exchange/createDispatchQueue.test.ts
+++ b/packages/core/tests/dispatch/createDispatchQueue.test.ts
@@ -1,6 +1,6 @@
 import { setImmediate as nextTurn } from 'node:timers/promises';
 import test from 'ava';
-import { createDispatchQueue } from '../../src/index.js';
+import { createDispatchQueue } from '../../src/dispatch/createDispatchQueue.js';
 
 const never = new AbortController().signal;
 
--- a/packages/gateway/src/exchange/GatewayContext.ts
+++ b/packages/gateway/src/exchange/GatewayContext.ts
@@ -1,4 +1,11 @@
-import type { Clock, HostId, LogSink, MetricsSink, RandomSource } from '@camphorbarrow/core';
+import type {
+  Clock,
+  DispatchQueue,
+  HostId,
+  LogSink,
+  MetricsSink,
+  RandomSource,
+} from '@camphorbarrow/core';
 import type { RetryBudget } from '../limits/createRetryBudget.js';
 import type { ColdServerLimiter } from '../limits/createColdServerLimiter.js';
 import type { CrashGuard } from '../limits/createCrashGuard.js';
@@ -12,7 +19,6 @@
 import type { ServerHealth } from '../routing/createServerHealth.js';
 import type { SpeedTracker } from '../routing/createSpeedTracker.js';
 import type { ConnectionPools } from '../upstream/createConnectionPools.js';
-import type { DispatchQueue } from './createDispatchQueue.js';
 
 /** Services and state that request handling depends on. */
 export interface GatewayContext {
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -7,7 +7,6 @@
 export * from './exchange/ExchangeProgress.js';
 export * from './exchange/GatewayContext.js';
 export * from './exchange/ResponseWriter.js';
-export * from './exchange/createDispatchQueue.js';
 export * from './exchange/createResponseWriter.js';
 export * from './exchange/describeChoice.js';
 export * from './exchange/forwardEvents.js';
--- a/packages/gateway/src/lifecycle/createGatewayContext.ts
+++ b/packages/gateway/src/lifecycle/createGatewayContext.ts
@@ -1,5 +1,5 @@
+import { createDispatchQueue } from '@camphorbarrow/core';
 import type { HostId } from '@camphorbarrow/core';
-import { createDispatchQueue } from '../exchange/createDispatchQueue.js';
 import type { GatewayContext } from '../exchange/GatewayContext.js';
 import type { FleetView } from '../fleet/createFleetView.js';
 import { createColdServerLimiter } from '../limits/createColdServerLimiter.js';
