Count a relayed request's deadline from when it was sent

Seen in the record: the request of the first GONE of the incident was sent to front-cuenca-a-3 at 5.631 s and reached a server by a host of another region at 11.730 s, 1.3 s after its deadline.

Cause: the time left is written into a relayed request when it is sent, and counted again from its arrival. What it waits for a connection, in links, sockets and the peer's event loop was not counted, and the close of the caller follows behind it. Class: a relative time-out that crosses a queue.

Change: the request tells when it was sent, the peer compares that with the sender's fastest recent heartbeat and counts the deadline from there. A request whose deadline passed on its way is not sent to a server, and the relaying host learns that it has not run.

Evidence: 'a relayed request whose deadline passed on its way is not sent to a server' failed before (200 in place of 504). 139 tests of the gateway and of entryHost pass.

What remains: the caller's close itself still takes its way to the other region, 80 ms and more.

--- a/packages/gateway/src/exchange/serveExchange.ts
+++ b/packages/gateway/src/exchange/serveExchange.ts
@@ -131,10 +131,10 @@
   }
   do {
     await context.dispatchQueue.wait(startSignal);
-    if (startSignal.aborted) {
+    const remainingMs = exchange.deadlineAtMs - context.clock.monotonicMs();
+    if (startSignal.aborted || remainingMs <= 0) {
       return result;
     }
-    const remainingMs = exchange.deadlineAtMs - context.clock.monotonicMs();
     const destination = context.router.choose(toRoutingRequest(exchange, progress, remainingMs));
     if (destination.kind === 'none') {
       progress.causes.push(destination.reason);
@@ -168,7 +168,9 @@
       : new BackendFailedError(`The request may have run: ${cause}.`);
   }
   if (isExpired) {
-    return new DeadlineExceededError('No response before the deadline.');
+    // A cancelled attempt may have run, although it counts as no run.
+    const outcome = progress.attempts === 0 ? 'not-run' : 'unknown';
+    return new DeadlineExceededError('No response before the deadline.', { props: { outcome } });
   }
   return new NoServerError(`No server accepted the request: ${cause}.`, {
     props: { retryAfterMs: progress.retryAfterMs },
@@ -251,6 +253,7 @@
   context.retryBudget.recordRequest(exchange.service.name);
   const result = await runAttempts(context, exchange, progress, { signal, startSignal });
   clearTimeout(timer);
+  const isExpired = expiry.signal.aborted || clock.monotonicMs() >= exchange.deadlineAtMs;
   responseWriter.disconnected.removeEventListener('abort', onDisconnect);
   if (result?.kind === 'delivered' && progress.runs === 0) {
     context.outputLengths.recordResponse(route, progress.eventCount);
@@ -258,7 +261,7 @@
   const status =
     result?.kind === 'delivered'
       ? result.status
-      : sendFinalResponse(context, exchange, progress, expiry.signal.aborted);
+      : sendFinalResponse(context, exchange, progress, isExpired);
   const kind = route.delivery === 'events' ? 'stream' : 'call';
   const labels = { service: exchange.service.name, kind };
   context.metrics.increment('requests', { ...labels, status: String(status) });
--- a/packages/gateway/src/ingress/createRequestHandler.ts
+++ b/packages/gateway/src/ingress/createRequestHandler.ts
@@ -125,6 +125,11 @@
     const relayedBy = isRelayed
       ? (firstHeaderValue(request, relayHeaders.relayedBy) ?? '')
       : undefined;
+    const excessTransitMs =
+      relayedBy === undefined ? undefined : readExcessTransitMs(request, relayedBy);
+    // The remaining time of a relayed request counts from when it was sent.
+    const timeoutStartMs =
+      excessTransitMs === undefined ? arrivedAtMs : context.clock.monotonicMs() - excessTransitMs;
     const timeoutMs = Math.min(route.timeoutMs, metadata.deadlineMs ?? route.timeoutMs);
     return {
       method,
@@ -139,10 +144,9 @@
       service,
       tableVersion: table.version,
       arrivedAtMs,
-      deadlineAtMs: arrivedAtMs + timeoutMs,
+      deadlineAtMs: timeoutStartMs + timeoutMs,
       relayedBy,
-      excessTransitMs:
-        relayedBy === undefined ? undefined : readExcessTransitMs(request, relayedBy),
+      excessTransitMs,
       responseWriter,
     };
   }
