Reject an aborted request at the baseline FIFO admission

Cause: createFifoAdmission listened for the abort of a request but did not ask whether it had aborted already, so that a request whose caller had left got a slot or waited in the queue.

Evidence: 'a request whose caller has already left gets no slot and does not wait' failed before.

--- a/packages/core/src/admission/createFifoAdmission.ts
+++ b/packages/core/src/admission/createFifoAdmission.ts
@@ -31,6 +31,10 @@
   return {
     admit({ request, reserveSlot }, signal) {
       return new Promise((resolve, reject) => {
+        if (signal.aborted) {
+          reject(signal.reason);
+          return;
+        }
         if (queue.length >= request.settings.admission.maxQueuedRequests) {
           const props = { retryAfterMs: RETRY_AFTER_MS };
           reject(new OverloadedError('The admission queue is full.', { props }));
