Ask whether the caller is still there before the own interface sends

Callers of the product's own interface saw the same as on the platform: a request whose connection had ended in the turn in which it was read was sent to an engine or a service, and an order was started.

Cause: as on the platform, packages/core sent in the turn of the event loop in which it read a request, left an admission queue or retried.

Change: the inference gateway waits in the dispatch queue after it has been admitted, repeatable calls before each attempt, orders before they start. An order that has started goes on, as documented. createDisconnectSignal, which aborts when the end of the caller's side is read, serves both interfaces; disconnectSignal of the adapters is gone. A suspect of the quarantine is checked again after the wait. Experiments in virtual time pass through.

--- a/packages/adapters/src/callers/createCallerListener.ts
+++ b/packages/adapters/src/callers/createCallerListener.ts
@@ -1,10 +1,10 @@
 import type { IncomingMessage } from 'node:http';
 import fastify from 'fastify';
 import type { FastifyInstance, FastifyRequest } from 'fastify';
-import { NotFoundError } from '@camphorbarrow/core';
+import { NotFoundError, createDisconnectSignal } from '@camphorbarrow/core';
 import type { RequestContext, InferenceRoute } from '@camphorbarrow/core';
 import type { CallerApi } from './CallerApi.js';
-import { disconnectSignal } from './disconnectSignal.js';
+
 import { rawHeaders } from './rawHeaders.js';
 import { readBody } from './readBody.js';
 import { sendError } from './sendError.js';
@@ -43,7 +43,7 @@
   const routes: InferenceRoute[] = ['chat/completions', 'completions'];
   routes.forEach((route) => {
     app.post(`/v1/${route}`, async (request, reply) => {
-      const signal = disconnectSignal(reply);
+      const signal = createDisconnectSignal(reply.raw);
       const context = contextOf.get(request) ?? api.readCallerRequest(rawHeaders(request));
       const response = await api.infer(context, route, String(request.body ?? ''), signal);
       if (response.kind === 'plain') {
@@ -62,7 +62,7 @@
   contextOf: WeakMap<FastifyRequest, RequestContext>,
 ): void {
   app.all('/v1/services/:service/*', async (request, reply) => {
-    const signal = disconnectSignal(reply);
+    const signal = createDisconnectSignal(reply.raw);
     const { service } = request.params as { service: string };
     const context = contextOf.get(request) ?? api.readCallerRequest(rawHeaders(request));
     const response = await api.callService(
--- a/packages/adapters/src/index.ts
+++ b/packages/adapters/src/index.ts
@@ -5,7 +5,6 @@
 export * from './callers/CallerApi.js';
 export * from './callers/addOrderPermitRoute.js';
 export * from './callers/createCallerListener.js';
-export * from './callers/disconnectSignal.js';
 export * from './callers/eventStreamHeaders.js';
 export * from './callers/rawHeaders.js';
 export * from './callers/readBody.js';
--- a/packages/adapters/src/peers/addForwardRoutes.ts
+++ b/packages/adapters/src/peers/addForwardRoutes.ts
@@ -1,7 +1,7 @@
 import type { FastifyInstance, FastifyReply, FastifyRequest } from 'fastify';
-import { BackendFailedError, headerNames } from '@camphorbarrow/core';
+import { BackendFailedError, createDisconnectSignal, headerNames } from '@camphorbarrow/core';
 import type { RequestContext, InferenceAnswer, InferenceRoute } from '@camphorbarrow/core';
-import { disconnectSignal } from '../callers/disconnectSignal.js';
+
 import { rawHeaders } from '../callers/rawHeaders.js';
 import { streamEvents } from '../callers/streamEvents.js';
 import type { ForwardApi } from './ForwardApi.js';
@@ -54,7 +54,7 @@
   });
   ROUTES.forEach((route) => {
     app.post(`/forward/${route}`, { bodyLimit: api.maxBodyBytes }, async (request, reply) => {
-      const signal = disconnectSignal(reply);
+      const signal = createDisconnectSignal(reply.raw);
       const context = contextOf.get(request) ?? api.readForwardedRequest(rawHeaders(request));
       const wantsStream = request.headers.accept === 'text/event-stream';
       const stopKeepAlive = wantsStream ? keepStreamAlive(reply.raw) : (): void => undefined;
--- a/packages/bench/src/experiment/createBenchHost.ts
+++ b/packages/bench/src/experiment/createBenchHost.ts
@@ -7,6 +7,7 @@
   createSeededRandom,
   createServerRegistry,
   createServiceCallLimiter,
+  createPassThroughDispatchQueue,
 } from '@camphorbarrow/core';
 import type {
   EngineClient,
@@ -96,12 +97,14 @@
   ) {
     throw new PlatformError(`Policy ${policy.name} contains an unknown choice.`);
   }
+  const dispatchQueue = createPassThroughDispatchQueue();
   const services = createBenchServices({
     clock,
     random,
     log: createNoLog(),
     registry,
     serviceClient: options.serviceClient,
+    dispatchQueue,
   });
   const quarantine = createNoQuarantine();
   const serviceCallLimiter = createServiceCallLimiter();
@@ -123,6 +126,7 @@
       entryHostCount,
       admission: createAdmission(context),
       retryBudget: createRetryBudget(context),
+      dispatchQueue,
     }),
     services: {
       handle: (request, signal) =>
--- a/packages/bench/src/experiment/createBenchServices.ts
+++ b/packages/bench/src/experiment/createBenchServices.ts
@@ -15,6 +15,7 @@
   const dispatchOrder = createOrderDispatch(options);
   return createServiceGateway({
     dispatchRepeatable: createRepeatableDispatch(options),
+    dispatchQueue: options.dispatchQueue,
     orders: {
       execute: async (request) => requireAnswer(await dispatchOrder(request, createSendGate())),
     },
--- a/packages/bench/src/routing/createRoutingHost.ts
+++ b/packages/bench/src/routing/createRoutingHost.ts
@@ -21,6 +21,7 @@
   createWaitCorrection,
   summarizeRegionLoad,
   toRegionViews,
+  createPassThroughDispatchQueue,
 } from '@camphorbarrow/core';
 import type {
   EngineClient,
@@ -164,6 +165,7 @@
     admission: observeAdmissionWait(createAdmission(policyContext), clock, admissionWaits),
     retryBudget:
       policy.admission === 'all' ? createUnlimitedRetryBudget() : createRetryBudget(clock),
+    dispatchQueue: createPassThroughDispatchQueue(),
   });
   registry.start();
   poller.start();
--- a/packages/core/src/dispatch/createRepeatableDispatch.ts
+++ b/packages/core/src/dispatch/createRepeatableDispatch.ts
@@ -7,11 +7,13 @@
 import type { ServiceAnswer } from '../ports/ServiceClient.js';
 import type { ServerView } from '../routing/ServerView.js';
 import { chooseServiceServer } from './chooseServiceServer.js';
+import type { DispatchQueue } from './createDispatchQueue.js';
 import type { OrderDispatchOptions } from './createOrderDispatch.js';
 import { toServiceCall } from './toServiceCall.js';
 
 export interface RepeatableDispatchOptions extends OrderDispatchOptions {
   readonly clock: Clock;
+  readonly dispatchQueue: DispatchQueue;
 }
 
 /** Sends a repeatable call. Rejects with a `RequestError`, or with the caller's abort reason. */
@@ -51,7 +53,11 @@
   ): Promise<ServiceAnswer | undefined> {
     const tried = new Set<string>();
     let lastResponse: ServiceAnswer | undefined;
-    while (!signal.aborted && tried.size < request.context.settings.retry.maxAttempts) {
+    while (tried.size < request.context.settings.retry.maxAttempts) {
+      await options.dispatchQueue.wait(signal);
+      if (signal.aborted) {
+        break;
+      }
       const server = chooseServiceServer(registry, request.serviceName, tried, options.random);
       if (server === undefined) {
         break;
--- a/packages/core/src/gateway/createInferenceGateway.ts
+++ b/packages/core/src/gateway/createInferenceGateway.ts
@@ -1,4 +1,5 @@
 import type { AdmissionController, HasFreeSlot } from '../admission/AdmissionController.js';
+import type { DispatchQueue } from '../dispatch/createDispatchQueue.js';
 import type { AttemptResult, EngineDispatcher } from '../dispatch/createEngineDispatcher.js';
 import { AttemptBrokenError } from '../errors/AttemptBrokenError.js';
 import { BackendFailedError } from '../errors/BackendFailedError.js';
@@ -32,6 +33,7 @@
   readonly entryHostCount: () => number;
   readonly admission: AdmissionController;
   readonly retryBudget: RetryBudget;
+  readonly dispatchQueue: DispatchQueue;
 }
 
 export interface InferenceGateway {
@@ -57,7 +59,7 @@
 /** Creates the gateway for inference requests: admission, route choice, dispatch and retries. */
 export function createInferenceGateway(options: InferenceGatewayOptions): InferenceGateway {
   const { admission, clock, dispatcher, registry, metrics, log, random, retryBudget } = options;
-  const { quarantine } = options;
+  const { quarantine, dispatchQueue } = options;
 
   function candidatesFor(request: InferenceRequest, tried: ReadonlySet<string>): ServerView[] {
     return registry
@@ -71,6 +73,16 @@
       );
   }
 
+  /**
+   * Two suspects of this entry host never run on the same server at once, so that a crash can be
+   * attributed to one of them.
+   */
+  function mayRunAt(request: InferenceRequest, { entry }: ServerView): boolean {
+    return !(
+      quarantine.isSuspect(request.fingerprint) && quarantine.hasRunningSuspect(entry.serverId)
+    );
+  }
+
   function reserveSlot(
     request: InferenceRequest,
     tried: ReadonlySet<string>,
@@ -80,12 +92,8 @@
     if (candidates.length === 0) {
       throw new NoServerError(`No live backend server serves model ${request.model}.`);
     }
-    // Two suspects of this entry host never run on the same server at once, so that a crash can be
-    // attributed to one of them.
-    const isSuspect = quarantine.isSuspect(request.fingerprint);
     const availableServers = candidates.filter(
-      (server) =>
-        hasFreeSlot(server) && !(isSuspect && quarantine.hasRunningSuspect(server.entry.serverId)),
+      (server) => hasFreeSlot(server) && mayRunAt(request, server),
     );
     const server = options.chooseRoute(request, availableServers, {
       nowMs: clock.monotonicMs(),
@@ -235,6 +243,12 @@
           await waitBeforeRetry(request, attempts, signal);
         }
         const slot = await admit(request, attempts, signal);
+        await dispatchQueue.wait(signal);
+        if (signal.aborted || !mayRunAt(request, slot.server)) {
+          slot.release();
+          signal.throwIfAborted();
+          continue;
+        }
         attempts.tried.add(slot.server.entry.serverId);
         attempts.lastPossiblyRan = false;
         const response = await tryOnce(request, slot, attempts, signal);
--- a/packages/daemon/src/entryHost/createInferencePath.ts
+++ b/packages/daemon/src/entryHost/createInferencePath.ts
@@ -1,5 +1,6 @@
 import {
   createCrashProbe,
+  createDispatchQueue,
   createEngineDispatcher,
   createInferenceGateway,
   createQuarantine,
@@ -57,6 +58,7 @@
       spill.admissionWaits,
     ),
     retryBudget: createRetryBudget(clock),
+    dispatchQueue: createDispatchQueue(),
   });
   const spillGateway = createSpillGateway({
     clock,
--- a/packages/daemon/src/entryHost/createServicePath.ts
+++ b/packages/daemon/src/entryHost/createServicePath.ts
@@ -1,4 +1,5 @@
 import {
+  createDispatchQueue,
   createOrderDispatch,
   createOrderExecutor,
   createRepeatableDispatch,
@@ -24,7 +25,8 @@
   const { settings, hostId, regionId, incarnation, clock, random, ports } = context;
   const { log, store, peerClient, serviceClient } = ports;
   const { registry, peers, ranking } = region;
-  const serviceOptions = { clock, random, log, registry, serviceClient };
+  const dispatchQueue = createDispatchQueue();
+  const serviceOptions = { clock, random, log, registry, serviceClient, dispatchQueue };
   const orders = createOrderExecutor({
     clock,
     log,
@@ -43,6 +45,7 @@
   const gateway = createServiceGateway({
     dispatchRepeatable: createRepeatableDispatch(serviceOptions),
     orders,
+    dispatchQueue,
   });
   const callLimiter = createServiceCallLimiter();
   const limitedGateway: ServiceGateway = {
--- a/packages/gateway/src/exchange/createResponseWriter.ts
+++ b/packages/gateway/src/exchange/createResponseWriter.ts
@@ -1,4 +1,5 @@
 import type { ServerResponse } from 'node:http';
+import { createDisconnectSignal } from '@camphorbarrow/core';
 import type { ResponseWriter } from './ResponseWriter.js';
 
 /**
@@ -10,30 +11,16 @@
   response: ServerResponse,
   shouldCloseConnection: () => boolean,
 ): ResponseWriter {
-  const disconnected = new AbortController();
-  const { socket } = response;
-  const onDisconnect = (): void => {
-    if (!response.writableFinished) {
-      disconnected.abort();
-    }
-  };
-  // The response is closed some turns of the event loop after the client has ended its side.
-  socket?.on('end', onDisconnect);
-  socket?.on('error', onDisconnect);
-  response.on('close', () => {
-    onDisconnect();
-    socket?.off('end', onDisconnect);
-    socket?.off('error', onDisconnect);
-  });
-  // The close event follows and is handled above.
+  const disconnected = createDisconnectSignal(response);
+  // The disconnect signal handles the close event that follows.
   response.on('error', () => undefined);
 
   const withConnectionHeader = (headers: readonly string[]): string[] =>
     shouldCloseConnection() ? [...headers, 'Connection', 'close'] : [...headers];
-  const isOpen = (): boolean => !disconnected.signal.aborted && !response.destroyed;
+  const isOpen = (): boolean => !disconnected.aborted && !response.destroyed;
 
   return {
-    disconnected: disconnected.signal,
+    disconnected,
     isStarted: () => response.headersSent,
     send(status, headers, body) {
       if (isOpen()) {
@@ -56,7 +43,7 @@
         return;
       }
       await new Promise<void>((resolve) => {
-        const signals = [disconnected.signal, signal];
+        const signals = [disconnected, signal];
         const finish = (): void => {
           response.removeListener('drain', finish);
           signals.forEach((each) => each.removeEventListener('abort', finish));
