Bound the responses that the own interface keeps or drops

Seen: an engine's or a service's response without end was kept in memory until a time-out, a load report likewise; a rejection whose body goes on a byte at a time was read for hours.

Cause: body.text() has no bound, and the time-out of the HTTP client starts anew with each chunk.

--- a/packages/adapters/src/backends/createHttpServiceClient.ts
+++ b/packages/adapters/src/backends/createHttpServiceClient.ts
@@ -4,6 +4,7 @@
 import { classifyHttpError } from '../http/classifyHttpError.js';
 import { notifyBeforeSend } from '../http/notifyBeforeSend.js';
 import { localAddressOptions } from '../http/localAddressOptions.js';
+import { readText } from '../http/readText.js';
 
 export interface HttpServiceClientOptions {
   /** Timeout for establishing a connection. */
@@ -38,7 +39,7 @@
   return {
     statusCode: response.statusCode,
     contentType: typeof contentType === 'string' ? contentType : undefined,
-    body: await response.body.text(),
+    body: await readText(response.body),
   };
 }
 
--- a/packages/adapters/src/backends/createOpenAiEngineClient.ts
+++ b/packages/adapters/src/backends/createOpenAiEngineClient.ts
@@ -8,10 +8,13 @@
 import { notifyBeforeSend } from '../http/notifyBeforeSend.js';
 import { localAddressOptions } from '../http/localAddressOptions.js';
 import { readServerSentEvents } from '../http/readServerSentEvents.js';
+import { readText } from '../http/readText.js';
 import { requestJson } from '../http/requestJson.js';
 import { loadReportSchema } from './loadReportSchema.js';
 
 const MAX_CONNECTIONS_PER_SERVER = 1024;
+const MAX_DISCARDED_BYTES = 131_072;
+const MAX_DISCARD_MS = 1_000;
 
 const cacheEventsSchema = z.object({
   events: z.array(
@@ -33,7 +36,10 @@
   const { statusCode, headers, body } = response;
   if (statusCode === 429 || statusCode === 503) {
     const seconds = Number(headers['retry-after']);
-    void body.dump().catch(() => undefined);
+    // Nobody waits for this body; a long or slow one is cut off with its connection.
+    void body
+      .dump({ limit: MAX_DISCARDED_BYTES, signal: AbortSignal.timeout(MAX_DISCARD_MS) })
+      .catch(() => undefined);
     return {
       kind: 'refused',
       statusCode,
@@ -43,7 +49,7 @@
   if (String(headers['content-type']).startsWith('text/event-stream')) {
     return { kind: 'stream', events: readData(body) };
   }
-  return body.text().then((text) => ({ kind: 'plain', statusCode, body: text }));
+  return readText(body).then((text) => ({ kind: 'plain', statusCode, body: text }));
 }
 
 export interface OpenAiEngineClientOptions {
--- a/packages/adapters/src/http/requestJson.ts
+++ b/packages/adapters/src/http/requestJson.ts
@@ -2,6 +2,7 @@
 import type { Dispatcher } from 'undici';
 import { PlatformError } from '@camphorbarrow/core';
 import { classifyHttpError } from './classifyHttpError.js';
+import { readText } from './readText.js';
 
 export interface JsonRequest {
   readonly url: string;
@@ -30,7 +31,7 @@
       },
       body: options.body === undefined ? null : JSON.stringify(options.body),
     });
-    const text = await response.body.text();
+    const text = await readText(response.body);
     if (response.statusCode < 200 || response.statusCode > 299) {
       throw new PlatformError(
         `The ${options.method} request failed with status ${response.statusCode}.`,
--- a/packages/adapters/src/index.ts
+++ b/packages/adapters/src/index.ts
@@ -18,6 +18,7 @@
 export * from './http/localAddressOptions.js';
 export * from './http/notifyBeforeSend.js';
 export * from './http/readServerSentEvents.js';
+export * from './http/readText.js';
 export * from './http/requestJson.js';
 export * from './http/trackInFlight.js';
 export * from './log/createPinoLog.js';
--- a/packages/adapters/src/peers/createHttpForwardClient.ts
+++ b/packages/adapters/src/peers/createHttpForwardClient.ts
@@ -6,6 +6,7 @@
 import { classifyHttpError } from '../http/classifyHttpError.js';
 import { localAddressOptions } from '../http/localAddressOptions.js';
 import { parseErrorResponse } from './parseErrorResponse.js';
+import { readText } from '../http/readText.js';
 import { readServerSentEvents } from '../http/readServerSentEvents.js';
 
 export interface HttpForwardClientOptions {
@@ -80,13 +81,13 @@
 ): Promise<ForwardAnswer> {
   const { statusCode, headers, body } = response;
   if (headers[headerNames.refusal] !== undefined) {
-    return parseErrorResponse(statusCode, await body.text());
+    return parseErrorResponse(statusCode, await readText(body));
   }
   if (headers[headerNames.servedBy] === undefined) {
     throw new AttemptBrokenError('The response does not come from an entry host.');
   }
   if (!String(headers['content-type']).startsWith('text/event-stream')) {
-    return { kind: 'plain', statusCode, body: await body.text() };
+    return { kind: 'plain', statusCode, body: await readText(body) };
   }
   const events = readServerSentEvents(body);
   const first = await events.next();
