End a stream on the own interface that sends no events

Seen: a stream of comments, or of one line that never ends, was read as long as its caller stayed; the line was kept in memory.

Cause: the time-out for progress starts anew with each byte, and the parser of events keeps a line until its end.

Evidence: both tests 'a stream of ... without an event ends' failed before (late).

--- a/packages/adapters/src/backends/createOpenAiEngineClient.ts
+++ b/packages/adapters/src/backends/createOpenAiEngineClient.ts
@@ -26,13 +26,30 @@
   ),
 });
 
-async function* readData(body: AsyncIterable<Buffer>): AsyncGenerator<string, void> {
-  for await (const event of readServerSentEvents(body)) {
-    yield event.data;
+/** Yields the data of the events. Comments do not end a pause between two events. */
+async function* readData(
+  body: Dispatcher.ResponseData['body'],
+  progressTimeoutMs: number,
+): AsyncGenerator<string, void> {
+  let timer: NodeJS.Timeout | undefined;
+  try {
+    for await (const event of readServerSentEvents(body)) {
+      clearTimeout(timer);
+      yield event.data;
+      timer = setTimeout(
+        () => body.destroy(new ProgressTimeoutError('No event arrived in time.')),
+        progressTimeoutMs,
+      );
+    }
+  } finally {
+    clearTimeout(timer);
   }
 }
 
-function toEngineAnswer(response: Dispatcher.ResponseData): Promise<EngineAnswer> | EngineAnswer {
+function toEngineAnswer(
+  response: Dispatcher.ResponseData,
+  progressTimeoutMs: number,
+): Promise<EngineAnswer> | EngineAnswer {
   const { statusCode, headers, body } = response;
   if (statusCode === 429 || statusCode === 503) {
     const seconds = Number(headers['retry-after']);
@@ -47,7 +64,7 @@
     };
   }
   if (String(headers['content-type']).startsWith('text/event-stream')) {
-    return { kind: 'stream', events: readData(body) };
+    return { kind: 'stream', events: readData(body, progressTimeoutMs) };
   }
   return readText(body).then((text) => ({ kind: 'plain', statusCode, body: text }));
 }
@@ -97,7 +114,7 @@
           headers: { 'content-type': 'application/json', 'x-request-id': attempt.requestId },
           body: attempt.body,
         });
-        return await toEngineAnswer(response);
+        return await toEngineAnswer(response, attempt.progressTimeoutMs);
       } catch (cause) {
         throw classifyFailure(cause, attempt.baseUrl, pool);
       }
--- a/packages/adapters/tests/backends/endlessResponses.test.ts
+++ b/packages/adapters/tests/backends/endlessResponses.test.ts
@@ -13,6 +13,7 @@
 /** Room for the buffers of the sockets beside the 8 MiB of the longest response. */
 const MAX_SENT_BYTES = 33_554_432;
 const OK = 'HTTP/1.1 200 OK\r\n';
+const EVENT_STREAM = `${OK}Content-Type: text/event-stream\r\n\r\n`;
 const never = new AbortController().signal;
 
 async function startServer(
@@ -118,6 +119,20 @@
   await assertConnectionCloses(t, server);
 });
 
+['data: without an end of line', ': comment\n\n'].forEach((repeated) => {
+  test(`a stream of "${repeated.trim()}" without an event ends`, async (t) => {
+    const server = await startServer(t, EVENT_STREAM, repeated);
+    const response = await within(callEngine(t, server));
+    if (response === 'late' || response.kind !== 'stream') {
+      t.fail('no stream');
+      return;
+    }
+    const events = response.events[Symbol.asyncIterator]();
+    t.is(await errorNameOf(events.next()), 'AttemptBrokenError');
+    await assertConnectionCloses(t, server);
+  });
+});
+
 test('bytes without end after a complete response do not keep it from the caller', async (t) => {
   const server = await startServer(t, `${OK}Content-Length: 2\r\n\r\nok`, 'x');
   t.like(await within(callService(t, server)), { statusCode: 200, body: 'ok' });
