Close a connection of the own interface after 16 interim responses

Seen: interim responses (1xx) without end were parsed until the time-out of the request, which left the connection open in the test.

Change: limitInterimResponses aborts the request at the 17th, for engines, services and JSON calls.

Evidence: 'interim responses without end are not read without end' failed before (still connected).

--- a/packages/adapters/src/backends/createHttpServiceClient.ts
+++ b/packages/adapters/src/backends/createHttpServiceClient.ts
@@ -2,6 +2,7 @@
 import type { Dispatcher } from 'undici';
 import type { ServiceAnswer, ServiceCall, ServiceClient } from '@camphorbarrow/core';
 import { classifyHttpError } from '../http/classifyHttpError.js';
+import { limitInterimResponses } from '../http/limitInterimResponses.js';
 import { notifyBeforeSend } from '../http/notifyBeforeSend.js';
 import { localAddressOptions } from '../http/localAddressOptions.js';
 import { readText } from '../http/readText.js';
@@ -20,7 +21,7 @@
 ): Promise<ServiceAnswer> {
   const response = await request(`${call.baseUrl}${call.path}`, {
     method: call.method,
-    dispatcher: notifyBeforeSend(dispatcher, call.onBeforeSend),
+    dispatcher: notifyBeforeSend(limitInterimResponses(dispatcher), call.onBeforeSend),
     // undici's body timeout restarts with every chunk, so without this one a slow response could
     // last forever.
     signal: AbortSignal.any([
--- a/packages/adapters/src/backends/createOpenAiEngineClient.ts
+++ b/packages/adapters/src/backends/createOpenAiEngineClient.ts
@@ -5,6 +5,7 @@
 import type { EngineAnswer, EngineClient } from '@camphorbarrow/core';
 import { classifyHttpError } from '../http/classifyHttpError.js';
 import { createServerPools } from '../http/createServerPools.js';
+import { limitInterimResponses } from '../http/limitInterimResponses.js';
 import { notifyBeforeSend } from '../http/notifyBeforeSend.js';
 import { localAddressOptions } from '../http/localAddressOptions.js';
 import { readServerSentEvents } from '../http/readServerSentEvents.js';
@@ -107,7 +108,7 @@
       try {
         const response = await request(`${attempt.baseUrl}/v1/${attempt.route}`, {
           method: 'POST',
-          dispatcher: notifyBeforeSend(pool, attempt.onBeforeSend),
+          dispatcher: notifyBeforeSend(limitInterimResponses(pool), attempt.onBeforeSend),
           signal,
           headersTimeout: attempt.firstByteTimeoutMs,
           bodyTimeout: attempt.progressTimeoutMs,
--- a/packages/adapters/src/http/requestJson.ts
+++ b/packages/adapters/src/http/requestJson.ts
@@ -2,6 +2,7 @@
 import type { Dispatcher } from 'undici';
 import { PlatformError } from '@camphorbarrow/core';
 import { classifyHttpError } from './classifyHttpError.js';
+import { limitInterimResponses } from './limitInterimResponses.js';
 import { readText } from './readText.js';
 
 export interface JsonRequest {
@@ -23,7 +24,7 @@
   try {
     const response = await request(options.url, {
       method: options.method,
-      dispatcher: options.dispatcher,
+      dispatcher: limitInterimResponses(options.dispatcher),
       signal: AbortSignal.timeout(options.timeoutMs),
       headers: {
         ...options.headers,
--- a/packages/adapters/tests/backends/endlessResponses.test.ts
+++ b/packages/adapters/tests/backends/endlessResponses.test.ts
@@ -133,6 +133,12 @@
   });
 });
 
+test('interim responses without end are not read without end', async (t) => {
+  const server = await startServer(t, '', 'HTTP/1.1 102 Processing\r\n\r\n');
+  t.not(await errorNameOf(callEngine(t, server)), 'none');
+  await assertConnectionCloses(t, server);
+});
+
 test('bytes without end after a complete response do not keep it from the caller', async (t) => {
   const server = await startServer(t, `${OK}Content-Length: 2\r\n\r\nok`, 'x');
   t.like(await within(callService(t, server)), { statusCode: 200, body: 'ok' });
