Explain how far a request had come when its caller left

'explain' said 'the request was at .' for a request that was never sent, and gave the end of the exchange as the time of the disconnect.

Evidence: the new test failed before with the old sentence.

--- a/packages/daemon/src/report/explainRequest.ts
+++ b/packages/daemon/src/report/explainRequest.ts
@@ -48,7 +48,12 @@
     return `${host} delivered the response of ${destination} after ${tookMs}.`;
   }
   if (fields.callerLeft === true) {
-    return `The caller disconnected from ${host} after ${tookMs}; the request was at ${destination}.`;
+    const leftMs = Number(fields.callerLeftMs ?? fields.tookMs);
+    const whereabouts =
+      fields.attempts === 0
+        ? 'before the request was sent to a server'
+        : `while the request was at ${destination}`;
+    return `The caller disconnected from ${host} after ${leftMs} ms, ${whereabouts}.`;
   }
   if (Number(fields.runs) > 0) {
     return `It may have run at ${destination}, but ${host} did not receive the complete response: ${causes}. It could not be retried.`;
--- a/packages/daemon/tests/report/explainRequest.test.ts
+++ b/packages/daemon/tests/report/explainRequest.test.ts
@@ -116,3 +116,16 @@
     conclusion: undefined,
   });
 });
+
+test('the explanation of a request whose caller left tells how far the request had come', (t) => {
+  const left = { event: 'request', requestId: 'a1', callerLeft: true, status: 0, tookMs: 332 };
+  t.is(
+    explain([line(1, 'host-1', { ...left, attempts: 1, callerLeftMs: 290, destination: 'i-1' })])
+      .conclusion,
+    'The caller disconnected from host-1 after 290 ms, while the request was at i-1.',
+  );
+  t.is(
+    explain([line(1, 'host-1', { ...left, attempts: 0, callerLeftMs: 0 })]).conclusion,
+    'The caller disconnected from host-1 after 0 ms, before the request was sent to a server.',
+  );
+});
