--- a/packages/soak/src/runCaller.ts
+++ b/packages/soak/src/runCaller.ts
@@ -16,7 +16,7 @@
 /** Time after which a caller disconnects. Longer than any response may take. */
 const CALLER_TIMEOUT_MS = 6_000;
 /** Share of requests whose caller disconnects early, and the time until then. */
-const LEAVE_RATIO = 0.25;
+const LEAVE_RATIO = 0.5;
 const MAX_LEAVE_MS = 300;
 
 export interface CallerOptions {
--- a/packages/soak/src/runSoak.ts
+++ b/packages/soak/src/runSoak.ts
@@ -14,7 +14,7 @@
 
 /** Number of hosts, and of servers, in the system under test. */
 const HOSTS = 3;
-const CALLERS = 6;
+const CALLERS = 18;
 const START_TIMEOUT_MS = 15_000;
 /** Time after the last fault until the system must serve again: the platform's `recovery_s`. */
 const RECOVERY_MS = 12_000;
