Forget the fastest heartbeat of a host whose clock stood still

Seen by reading the change: the monotonic clock of a suspended machine does not run. After a pause of the sender, each of its relayed requests seemed late by the pause for up to 10 s, so that peers counted deadlines as passed too early and rejected what they could have served.

Change: a heartbeat carries an echo, from which the round trip follows; a message takes no longer than that. A reference outside this range is dropped. A heartbeat held up by a congested link has a long round trip and changes nothing.

Evidence: 'a pause of the sender does not make its later requests seem late' failed before (3,200 ms in place of 200); 'a heartbeat that was held up by a congested link is no new reference' passes before and now.

--- a/packages/gateway/src/peers/createTransitTracker.ts
+++ b/packages/gateway/src/peers/createTransitTracker.ts
@@ -13,7 +13,9 @@
 
 /** Tracks how long messages of peers are in transit. */
 export interface TransitTracker {
-  recordHeartbeat(heartbeat: Pick<PeerHeartbeat, 'host' | 'incarnation' | 'sentAtMs'>): void;
+  recordHeartbeat(
+    heartbeat: Pick<PeerHeartbeat, 'host' | 'incarnation' | 'sentAtMs' | 'echo'>,
+  ): void;
   /**
    * Time that a message that arrives now was in transit, in excess of the fastest recent heartbeat
    * of its sender; undefined without one.
@@ -29,6 +31,8 @@
   readonly windowStartMs: number;
 }
 
+const fastestOf = ({ current, previous }: Reference): number => Math.min(current, previous);
+
 /**
  * Creates a tracker that compares a message with the heartbeats of its sender, so that the hosts'
  * clocks need not agree.
@@ -37,11 +41,17 @@
   const references = new Map<HostId, Reference>();
 
   return {
-    recordHeartbeat({ host, incarnation, sentAtMs }) {
+    recordHeartbeat({ host, incarnation, sentAtMs, echo }) {
       const nowMs = clock.monotonicMs();
       const differenceMs = nowMs - sentAtMs;
+      const roundTripMs =
+        echo === undefined ? Infinity : Math.max(0, nowMs - echo.sentAtMs - echo.heldMs);
       const known = references.get(host.id);
-      if (known?.incarnation !== incarnation) {
+      // A message takes no longer than a round trip. A smaller difference is from before a pause of
+      // the sender, during which its clock did not run.
+      const isOutdated =
+        known?.incarnation !== incarnation || fastestOf(known) < differenceMs - roundTripMs;
+      if (isOutdated) {
         references.set(host.id, {
           incarnation,
           current: differenceMs,
@@ -64,8 +74,7 @@
       if (reference?.incarnation !== incarnation) {
         return undefined;
       }
-      const fastestMs = Math.min(reference.current, reference.previous);
-      return Math.max(0, clock.monotonicMs() - sentAtMs - fastestMs);
+      return Math.max(0, clock.monotonicMs() - sentAtMs - fastestOf(reference));
     },
   };
 }
--- a/packages/gateway/tests/peers/createTransitTracker.test.ts
+++ b/packages/gateway/tests/peers/createTransitTracker.test.ts
@@ -2,7 +2,7 @@
 import { asId, createManualClock } from '@camphorbarrow/core';
 import type { HostId } from '@camphorbarrow/core';
 import { createTransitTracker } from '../../src/index.js';
-import type { HostRegistration, TransitTracker } from '../../src/index.js';
+import type { HeartbeatEcho, HostRegistration, TransitTracker } from '../../src/index.js';
 
 const sender = asId<HostId>('host-2');
 const incarnation = 'process-1';
@@ -18,11 +18,17 @@
   return { clock, tracker, senderNowMs };
 }
 
-function deliverHeartbeat(tracker: TransitTracker, sentAtMs: number, process = incarnation): void {
+function deliverHeartbeat(
+  tracker: TransitTracker,
+  sentAtMs: number,
+  process = incarnation,
+  echo?: HeartbeatEcho,
+): void {
   tracker.recordHeartbeat({
     host: { id: sender } as HostRegistration,
     incarnation: process,
     sentAtMs,
+    echo,
   });
 }
 
@@ -56,3 +62,30 @@
   const sendTime = { incarnation, sentAtMs: senderNowMs() - pausedMs };
   t.is(tracker.excessTransitMs(sender, sendTime), 0);
 });
+
+test('a pause of the sender does not make its later requests seem late', (t) => {
+  const { clock, tracker, senderNowMs } = setUp();
+  const pausedMs = 3_000;
+  deliverHeartbeat(tracker, senderNowMs() - PATH_MS);
+  clock.advance(pausedMs + 500);
+  const heldMs = 40;
+  deliverHeartbeat(tracker, senderNowMs() - pausedMs - PATH_MS, incarnation, {
+    sentAtMs: clock.monotonicMs() - 2 * PATH_MS - heldMs,
+    heldMs,
+  });
+  const sentAtMs = senderNowMs() - pausedMs;
+  clock.advance(PATH_MS + 200);
+  t.is(tracker.excessTransitMs(sender, { incarnation, sentAtMs }), 200);
+});
+
+test('a heartbeat that was held up by a congested link is no new reference', (t) => {
+  const { clock, tracker, senderNowMs } = setUp();
+  const heldUpMs = 2_000;
+  deliverHeartbeat(tracker, senderNowMs() - PATH_MS);
+  deliverHeartbeat(tracker, senderNowMs() - PATH_MS - heldUpMs, incarnation, {
+    sentAtMs: clock.monotonicMs() - 2 * PATH_MS - heldUpMs,
+    heldMs: 0,
+  });
+  const sentAtMs = senderNowMs() - PATH_MS - heldUpMs;
+  t.is(tracker.excessTransitMs(sender, { incarnation, sentAtMs }), heldUpMs);
+});
