--- a/packages/adapters/src/callers/createCallerListener.ts
+++ b/packages/adapters/src/callers/createCallerListener.ts
@@ -4,7 +4,6 @@
 import { NotFoundError, createDisconnectSignal } from '@camphorbarrow/core';
 import type { RequestContext, InferenceRoute } from '@camphorbarrow/core';
 import type { CallerApi } from './CallerApi.js';
-
 import { rawHeaders } from './rawHeaders.js';
 import { readBody } from './readBody.js';
 import { sendError } from './sendError.js';
--- a/packages/adapters/src/peers/addForwardRoutes.ts
+++ b/packages/adapters/src/peers/addForwardRoutes.ts
@@ -1,7 +1,6 @@
 import type { FastifyInstance, FastifyReply, FastifyRequest } from 'fastify';
 import { BackendFailedError, createDisconnectSignal, headerNames } from '@camphorbarrow/core';
 import type { RequestContext, InferenceAnswer, InferenceRoute } from '@camphorbarrow/core';
-
 import { rawHeaders } from '../callers/rawHeaders.js';
 import { streamEvents } from '../callers/streamEvents.js';
 import type { ForwardApi } from './ForwardApi.js';
