Report a host as ready only after it has read the host list once

Cause: GET /healthz answered 200 as soon as the host had a configuration. The first read of the host list starts after the listener; until it ends, no server is known and every request is rejected.

Change: readiness waits for the end of the first read of the host list, also when it fails; the reason is no-host-list until then. The platform's hosts read configuration and servers in one listing and are not affected.

--- a/packages/core/src/membership/createServerRegistry.ts
+++ b/packages/core/src/membership/createServerRegistry.ts
@@ -26,6 +26,8 @@
 }
 
 export interface ServerRegistry {
+  /** Whether the first read of the host list has ended; before that, no server is known. */
+  hasReadList(): boolean;
   servers(): readonly ServerView[];
   get(serverId: ServerId): ServerView | undefined;
   /** Counts a request with its tokens as in flight on a server until it is released. */
@@ -69,6 +71,7 @@
   const stopping = new AbortController();
   const tasks = new Set<Promise<void>>();
   let polling = false;
+  let hasReadList = false;
 
   function toView(state: ServerState): ServerView {
     return { ...state, accepting: isAccepting(state) };
@@ -147,6 +150,7 @@
     } catch (cause) {
       log.warn('host-list-unavailable', { error: String(cause) });
     }
+    hasReadList = true;
   }
 
   async function refresh(): Promise<void> {
@@ -162,6 +166,7 @@
   }
 
   return {
+    hasReadList: () => hasReadList,
     servers: () => [...states.values()].map(toView),
     get(serverId) {
       const state = states.get(serverId);
--- a/packages/core/tests/gateway/createInferenceGateway.test.ts
+++ b/packages/core/tests/gateway/createInferenceGateway.test.ts
@@ -78,6 +78,7 @@
   let reserved = 0;
   const template = createFakeServer();
   const registry: ServerRegistry = {
+    hasReadList: () => true,
     servers: () =>
       behaviours.map((_, index) => ({
         ...template,
--- a/packages/core/tests/membership/createServerRegistry.test.ts
+++ b/packages/core/tests/membership/createServerRegistry.test.ts
@@ -57,3 +57,30 @@
   await delay(200);
   t.false(registry.get(entry.serverId)?.accepting);
 });
+
+test('servers count as known only after the first read of the host list, even if it fails', async (t) => {
+  let answerRead: (error?: Error) => void = () => undefined;
+  const registry = createServerRegistry({
+    clock: createSystemClock(),
+    log: { info: () => undefined, warn: () => undefined, error: () => undefined },
+    hostList: {
+      read: () =>
+        new Promise((resolve, reject) => {
+          answerRead = (error) => (error === undefined ? resolve([entry]) : reject(error));
+        }),
+      close: async () => undefined,
+    },
+    isUsed: () => true,
+    readLoad: async () => load,
+    pollIntervalMs: 20,
+  });
+  registry.start();
+  await delay(50);
+  t.false(registry.hasReadList());
+  answerRead(new TypeError('The host list does not respond.'));
+  await delay(10);
+  t.true(registry.hasReadList());
+  const closed = registry.close();
+  answerRead();
+  await closed;
+});
--- a/packages/core/tests/support/createFakeRegistry.ts
+++ b/packages/core/tests/support/createFakeRegistry.ts
@@ -7,6 +7,7 @@
  */
 export function createFakeRegistry(count: number): ServerRegistry {
   return {
+    hasReadList: () => true,
     servers: () =>
       Array.from({ length: count }, (_, index) => {
         const serverId = `s${index + 1}`;
--- a/packages/daemon/src/entryHost/createEntryHost.ts
+++ b/packages/daemon/src/entryHost/createEntryHost.ts
@@ -35,6 +35,7 @@
 import { createRegionComponents } from './createRegionComponents.js';
 import { createServicePath } from './createServicePath.js';
 import { describeFleet } from './describeFleet.js';
+import { describeReadiness } from './describeReadiness.js';
 import { publishDirectory } from './publishDirectory.js';
 import { reportGauges } from './reportGauges.js';
 
@@ -160,10 +161,12 @@
       models: () => Object.keys(config.current().defaults.models),
       entryHosts: ranking.list,
       requireAccepting: drain.requireAccepting,
-      readiness: () => ({
-        ready: drain.state() === 'live' && config.version() > 0,
-        reason: config.version() > 0 ? drain.state() : 'no-configuration',
-      }),
+      readiness: () =>
+        describeReadiness({
+          drainState: drain.state(),
+          hasConfiguration: config.version() > 0,
+          hasReadHostList: registry.hasReadList(),
+        }),
     },
   });
   const engineOrders = createEngineOrders(context, region);
