--- a/packages/gateway/src/exchange/forwardToServer.ts
+++ b/packages/gateway/src/exchange/forwardToServer.ts
@@ -1,3 +1,4 @@
+import { sharedParts } from '../routing/createPrefixCacheTracker.js';
 import type { Destination } from '../routing/Destination.js';
 import { sendUpstream } from '../upstream/sendUpstream.js';
 import type { Exchange } from './Exchange.js';
@@ -69,7 +70,11 @@
         context.serverConnections.closeIdle(incarnation);
       } else {
         context.health.recordFailure(incarnation);
-        context.crashGuard.recordBrokenConnection(destination.server, exchange.fingerprint());
+        context.crashGuard.recordBrokenConnection(destination.server, {
+          fingerprint: exchange.fingerprint(),
+          hasStarted: result.kind === 'interrupted',
+          sharedPartIds: sharedParts(exchange.metadata.promptParts).map(({ id }) => id),
+        });
       }
       break;
     case 'not-run':
--- a/packages/gateway/src/limits/createCrashGuard.ts
+++ b/packages/gateway/src/limits/createCrashGuard.ts
@@ -13,6 +13,16 @@
 /** Time for which a crash report is sent to peers, and the maximum number of reports sent. */
 const REPORT_MAX_AGE_MS = 3_000;
 const MAX_REPORTS = 8;
+const MAX_LOGGED_PARTS = 16;
+
+/** Request whose connection broke. */
+export interface BrokenRequest {
+  readonly fingerprint: Fingerprint;
+  /** Whether its response had started. */
+  readonly hasStarted: boolean;
+  /** Ids of the prompt parts that it shares with other requests. */
+  readonly sharedPartIds: readonly string[];
+}
 
 /** Quarantines requests that crash the servers that run them. */
 export interface CrashGuard {
@@ -21,7 +31,7 @@
   /** Records that a server completed the request. */
   recordCompletion(fingerprint: () => Fingerprint): void;
   /** Records that the connection broke while the server ran the request. */
-  recordBrokenConnection(server: ServerState, fingerprint: Fingerprint): void;
+  recordBrokenConnection(server: ServerState, request: BrokenRequest): void;
   /** Records that the process refuses connections or was replaced. */
   recordServerGone(server: ServerState): void;
   /** Treats the servers with all other incarnations as gone. */
@@ -34,7 +44,7 @@
 
 interface PendingCrash {
   readonly server: ServerState;
-  readonly running: Set<Fingerprint>;
+  readonly requests: BrokenRequest[];
   readonly atMs: number;
 }
 
@@ -48,9 +58,11 @@
   const lifetimeOf = ({ registration }: ServerState): string =>
     `${registration.startedAtMs ?? registration.endpoint.host}`;
 
-  function report({ server, running }: PendingCrash): void {
+  function report({ server, requests }: PendingCrash): void {
     const { id } = server.registration;
-    const fingerprints = [...running];
+    const fingerprints = [...new Set(requests.map(({ fingerprint }) => fingerprint))];
+    const unstarted = requests.filter(({ hasStarted }) => !hasStarted);
+    const partIds = new Set(unstarted.flatMap(({ sharedPartIds }) => sharedPartIds));
     const crash = tracker.merge({
       serverId: id,
       incarnation: asId(lifetimeOf(server)),
@@ -58,7 +70,13 @@
       suspects: fingerprints.filter((fingerprint) => tracker.crashScore(fingerprint) > 0),
     });
     recent.set(server.incarnation, { report: crash, atMs: clock.monotonicMs() });
-    log.warn('server-crashed', { serverId: id, running: fingerprints.length });
+    log.warn('server-crashed', {
+      serverId: id,
+      running: fingerprints.length,
+      unstarted: unstarted.length,
+      maxCrashScore: Math.max(0, ...fingerprints.map(tracker.crashScore)),
+      unstartedParts: [...partIds].slice(0, MAX_LOGGED_PARTS).join(' '),
+    });
   }
 
   function confirmCrash(incarnation: string): void {
@@ -78,13 +96,13 @@
         tracker.clear(fingerprint());
       }
     },
-    recordBrokenConnection(server, fingerprint) {
+    recordBrokenConnection(server, request) {
       const crash = pending.get(server.incarnation) ?? {
         server,
-        running: new Set<Fingerprint>(),
+        requests: [],
         atMs: clock.monotonicMs(),
       };
-      crash.running.add(fingerprint);
+      crash.requests.push(request);
       pending.set(server.incarnation, crash);
     },
     recordServerGone: ({ incarnation }) => confirmCrash(incarnation),
--- a/packages/gateway/tests/limits/createCrashGuard.test.ts
+++ b/packages/gateway/tests/limits/createCrashGuard.test.ts
@@ -2,12 +2,19 @@
 import { asId, createManualClock } from '@camphorbarrow/core';
 import type { Fingerprint, LogSink } from '@camphorbarrow/core';
 import { createCrashGuard } from '../../src/index.js';
+import type { BrokenRequest } from '../../src/index.js';
 import { buildServer } from '../support/builders.js';
 
 const silentLog: LogSink = { info() {}, warn() {}, error() {} };
 const crashing = asId<Fingerprint>('crashing');
 const innocent = asId<Fingerprint>('innocent');
 
+const broken = (fingerprint: Fingerprint): BrokenRequest => ({
+  fingerprint,
+  hasStarted: false,
+  sharedPartIds: [],
+});
+
 function serverNumber(index: number) {
   return buildServer({ id: asId(`server-${index}`), startedAtMs: index });
 }
@@ -16,9 +23,9 @@
   const guard = createCrashGuard(createManualClock(), silentLog);
   [1, 2, 3].forEach((index) => {
     const server = serverNumber(index);
-    guard.recordBrokenConnection(server, crashing);
+    guard.recordBrokenConnection(server, broken(crashing));
     if (index === 1) {
-      guard.recordBrokenConnection(server, innocent);
+      guard.recordBrokenConnection(server, broken(innocent));
     }
     guard.recordServerGone(server);
   });
@@ -30,7 +37,7 @@
   const clock = createManualClock();
   const guard = createCrashGuard(clock, silentLog);
   [1, 2, 3].forEach((index) => {
-    guard.recordBrokenConnection(serverNumber(index), crashing);
+    guard.recordBrokenConnection(serverNumber(index), broken(crashing));
     clock.advance(6_000);
     guard.recordServerGone(serverNumber(index));
   });
@@ -43,7 +50,7 @@
   const [first, second] = guards;
   [1, 2, 3].forEach((index) => {
     const guard = guards[index % 2];
-    guard?.recordBrokenConnection(serverNumber(index), crashing);
+    guard?.recordBrokenConnection(serverNumber(index), broken(crashing));
     guard?.retain(new Set());
   });
   second?.mergeReports(first?.recentReports() ?? []);
@@ -53,7 +60,7 @@
 test('a completed run clears a request', (t) => {
   const guard = createCrashGuard(createManualClock(), silentLog);
   [1, 2, 3].forEach((index) => {
-    guard.recordBrokenConnection(serverNumber(index), crashing);
+    guard.recordBrokenConnection(serverNumber(index), broken(crashing));
     guard.recordServerGone(serverNumber(index));
   });
   guard.recordCompletion(() => crashing);
