Blame shared prompt parts for the crashes of servers

Cause: the crash guard accused the hash of method, target and body.

Change: evidence is kept per shared prompt part and exchanged between the hosts of all regions. A crash counts against the parts of the requests whose responses had not started, until a response on the part starts anywhere. A refused connection after a broken one confirms a crash at once, so that retries do not take the part on. Hosts that restart learn of blocked parts from any peer.

What is left is the first crash of each part, one or two requests in flight at that moment, and the trials.

--- a/packages/gateway/src/exchange/Exchange.ts
+++ b/packages/gateway/src/exchange/Exchange.ts
@@ -1,4 +1,4 @@
-import type { Fingerprint } from '@camphorbarrow/core';
+import type { Fingerprint, PromptPartKey } from '@camphorbarrow/core';
 import type { Route } from '../model/Route.js';
 import type { RequestMetadata } from '../model/RequestMetadata.js';
 import type { ServiceSpec } from '../model/ServiceSpec.js';
@@ -14,6 +14,8 @@
   readonly body: Buffer;
   /** Hash that identifies the request when it is sent again; computed on first use. */
   readonly fingerprint: () => Fingerprint;
+  /** Keys of the prompt parts that other requests can share; computed on first use. */
+  readonly sharedPartKeys: () => readonly PromptPartKey[];
   readonly metadata: RequestMetadata;
   /** Expected number of events in the response. */
   readonly expectedEvents: number;
--- a/packages/gateway/src/exchange/GatewayContext.ts
+++ b/packages/gateway/src/exchange/GatewayContext.ts
@@ -4,11 +4,13 @@
   HostId,
   LogSink,
   MetricsSink,
+  PartSuspicion,
   RandomSource,
 } from '@camphorbarrow/core';
 import type { RetryBudget } from '../limits/createRetryBudget.js';
 import type { ColdServerLimiter } from '../limits/createColdServerLimiter.js';
 import type { CrashGuard } from '../limits/createCrashGuard.js';
+import type { PartTrials } from '../limits/createPartTrials.js';
 import type { WireCodec } from '../ports/WireCodec.js';
 import type { TransitTracker } from '../peers/createTransitTracker.js';
 import type { LoadTracker } from '../routing/createLoadTracker.js';
@@ -46,6 +48,9 @@
   readonly coldServerLimiter: ColdServerLimiter;
   readonly retryBudget: RetryBudget;
   readonly crashGuard: CrashGuard;
+  /** Prompt parts that are suspected of crashing servers. */
+  readonly partSuspicion: PartSuspicion;
+  readonly partTrials: PartTrials;
   /** Transit times of messages from peers. */
   readonly transits: TransitTracker;
   /** Connections to backend servers. */
--- a/packages/gateway/src/exchange/forwardToServer.ts
+++ b/packages/gateway/src/exchange/forwardToServer.ts
@@ -1,4 +1,4 @@
-import { sharedParts } from '../routing/createPrefixCacheTracker.js';
+import type { PromptPartKey } from '@camphorbarrow/core';
 import type { Destination } from '../routing/Destination.js';
 import { sendUpstream } from '../upstream/sendUpstream.js';
 import type { Exchange } from './Exchange.js';
@@ -49,11 +49,17 @@
     : Math.max(route.targetLatencyMs, destination.estimateMs * RESPONSE_TIMEOUT_ESTIMATE_RATIO);
 }
 
-function recordResult(
+interface SentAttempt {
+  readonly sentAtMs: number;
+  /** Prompt parts that were suspected when the request was sent. */
+  readonly trialParts: readonly PromptPartKey[];
+}
+
+async function recordResult(
   { context, exchange, destination }: ForwardToServerOptions,
   result: AttemptResult,
-  sentAtMs: number,
-): void {
+  { sentAtMs, trialParts }: SentAttempt,
+): Promise<void> {
   const { incarnation } = destination.server;
   switch (result.kind) {
     case 'delivered':
@@ -73,8 +79,13 @@
         context.crashGuard.recordBrokenConnection(destination.server, {
           fingerprint: exchange.fingerprint(),
           hasStarted: result.kind === 'interrupted',
-          sharedPartIds: sharedParts(exchange.metadata.promptParts).map(({ id }) => id),
+          sharedParts: exchange.sharedPartKeys(),
+          trialParts,
         });
+        // A retry must not take a prompt part that crashes servers to the next one.
+        if (result.cause === 'broken' && exchange.sharedPartKeys().length > 0) {
+          await context.crashGuard.investigate(destination.server);
+        }
       }
       break;
     case 'not-run':
@@ -155,6 +166,9 @@
   const { context, exchange, destination } = options;
   const { server, rank, uncachedTokens, tokensAhead } = destination;
   const sentAtMs = context.clock.monotonicMs();
+  const trialParts = context.partSuspicion.hasSuspects()
+    ? context.partSuspicion.suspectsAmong(exchange.sharedPartKeys())
+    : [];
   const trackedRequest = context.loads.trackRequest(server.registration.id, {
     rank,
     promptTokens: uncachedTokens,
@@ -191,7 +205,7 @@
     onEvents,
   });
   trackedRequest.ended();
-  recordResult(options, result, sentAtMs);
+  await recordResult(options, result, { sentAtMs, trialParts });
   if (result.kind === 'delivered' && capacityTokens === undefined) {
     context.speeds.recordCall(server.incarnation, context.clock.monotonicMs() - sentAtMs);
   }
--- a/packages/gateway/src/exchange/serveExchange.ts
+++ b/packages/gateway/src/exchange/serveExchange.ts
@@ -5,6 +5,7 @@
   type RequestError,
 } from '@camphorbarrow/core';
 import type { Destination } from '../routing/Destination.js';
+import { admitPromptParts } from './admitPromptParts.js';
 import { describeChoice } from './describeChoice.js';
 import type { Exchange } from './Exchange.js';
 import type { GatewayContext } from './GatewayContext.js';
@@ -73,6 +74,9 @@
     progress.firstEventMs ??= context.clock.monotonicMs() - exchange.arrivedAtMs;
   };
   const onEvents = (count: number): void => {
+    if (progress.eventCount === 0 && count > 0) {
+      context.partSuspicion.recordServed(exchange.sharedPartKeys());
+    }
     progress.eventCount += count;
   };
   progress.lastChoice = destination;
@@ -111,6 +115,38 @@
   });
 }
 
+/** Chooses a destination and makes one attempt there; undefined if none is possible. */
+async function attemptOnce(
+  context: GatewayContext,
+  exchange: Exchange,
+  progress: ExchangeProgress,
+  signals: AttemptSignals,
+): Promise<AttemptResult | undefined> {
+  await context.dispatchQueue.wait(signals.startSignal);
+  const remainingMs = exchange.deadlineAtMs - context.clock.monotonicMs();
+  if (signals.startSignal.aborted || remainingMs <= 0) {
+    return undefined;
+  }
+  const destination = context.router.choose(toRoutingRequest(exchange, progress, remainingMs));
+  if (destination.kind === 'none') {
+    progress.causes.push(destination.reason);
+    if (destination.reason === 'overloaded') {
+      progress.lastChoice = destination.rejected;
+      progress.retryAfterMs = Math.min(
+        MAX_RETRY_AFTER_MS,
+        Math.max(RETRY_AFTER_MS, destination.rejected.waitMs),
+      );
+    }
+    return undefined;
+  }
+  if (progress.attempts > 0 && !context.retryBudget.tryWithdraw(exchange.service.name)) {
+    progress.causes.push('retry budget exhausted');
+    return undefined;
+  }
+  progress.attempts += 1;
+  return attemptDestination(context, exchange, progress, destination, signals);
+}
+
 /**
  * Makes attempts until one succeeds or no further one is allowed.
  *
@@ -130,32 +166,18 @@
     return result;
   }
   do {
-    await context.dispatchQueue.wait(startSignal);
-    const remainingMs = exchange.deadlineAtMs - context.clock.monotonicMs();
-    if (startSignal.aborted || remainingMs <= 0) {
+    const admission = await admitPromptParts(context, exchange, progress.runs > 0, startSignal);
+    if (admission.kind === 'rejected') {
+      progress.causes.push(admission.cause);
+      progress.retryAfterMs = admission.retryAfterMs;
       return result;
     }
-    const destination = context.router.choose(toRoutingRequest(exchange, progress, remainingMs));
-    if (destination.kind === 'none') {
-      progress.causes.push(destination.reason);
-      if (destination.reason === 'overloaded') {
-        progress.lastChoice = destination.rejected;
-        progress.retryAfterMs = Math.min(
-          MAX_RETRY_AFTER_MS,
-          Math.max(RETRY_AFTER_MS, destination.rejected.waitMs),
-        );
-      }
+    const next = await attemptOnce(context, exchange, progress, { signal, startSignal });
+    admission.trial.end();
+    if (next === undefined) {
       return result;
     }
-    if (progress.attempts > 0 && !context.retryBudget.tryWithdraw(exchange.service.name)) {
-      progress.causes.push('retry budget exhausted');
-      return result;
-    }
-    progress.attempts += 1;
-    result = await attemptDestination(context, exchange, progress, destination, {
-      signal,
-      startSignal,
-    });
+    result = next;
   } while (recordResult(exchange, progress, result));
   return result;
 }
--- a/packages/gateway/src/ingress/createRequestHandler.ts
+++ b/packages/gateway/src/ingress/createRequestHandler.ts
@@ -23,6 +23,7 @@
 import { pickTarget } from '../routing/pickTarget.js';
 import { discardBody } from '../upstream/discardBody.js';
 import { createFingerprint } from './createFingerprint.js';
+import { createSharedPartKeys } from './createSharedPartKeys.js';
 import { readBody } from './readBody.js';
 
 /** Retry delay sent to callers while the host has no configuration or the service is unknown. */
@@ -137,6 +138,7 @@
       rawHeaders: request.rawHeaders,
       body,
       fingerprint: createFingerprint(method, target, body),
+      sharedPartKeys: createSharedPartKeys(metadata.promptParts),
       metadata,
       expectedEvents: context.outputLengths.expectedEvents({ route, service, metadata }),
       typicalEvents: context.outputLengths.typicalEvents({ route, service, metadata }),
--- a/packages/gateway/src/lifecycle/createEntryHost.ts
+++ b/packages/gateway/src/lifecycle/createEntryHost.ts
@@ -147,16 +147,22 @@
       paces: paces.ownPaces(),
       capacity: serverView.capacity(),
       crashes: crashGuard.recentReports(),
+      partEvidence: context.partSuspicion.evidence(),
+      partTrials: context.partTrials.running(),
     }),
     onHeartbeat(heartbeat) {
       peers.recordHeartbeat(heartbeat);
       context.transits.recordHeartbeat(heartbeat);
+      context.partSuspicion.merge(heartbeat.partEvidence);
+      context.partTrials.recordPeer(heartbeat.host.id, heartbeat.partTrials);
       if (heartbeat.host.region === own.region) {
         crashGuard.mergeReports(heartbeat.crashes);
       }
     },
     intervalMs: HEARTBEAT_INTERVAL_MS,
   });
+  crashGuard.onCrash(heartbeats.sendToAll);
+  context.partTrials.onStart(heartbeats.sendToAll);
 
   function runHousekeeping(): void {
     const table = view.table();
--- a/packages/gateway/src/lifecycle/createGatewayContext.ts
+++ b/packages/gateway/src/lifecycle/createGatewayContext.ts
@@ -1,9 +1,10 @@
-import { createDispatchQueue } from '@camphorbarrow/core';
+import { createDispatchQueue, createPartSuspicion } from '@camphorbarrow/core';
 import type { HostId } from '@camphorbarrow/core';
 import type { GatewayContext } from '../exchange/GatewayContext.js';
 import type { FleetView } from '../fleet/createFleetView.js';
 import { createColdServerLimiter } from '../limits/createColdServerLimiter.js';
 import { createCrashGuard } from '../limits/createCrashGuard.js';
+import { createPartTrials } from '../limits/createPartTrials.js';
 import { createRetryBudget } from '../limits/createRetryBudget.js';
 import type { PeerRegistry } from '../peers/createPeerRegistry.js';
 import { createTransitTracker } from '../peers/createTransitTracker.js';
@@ -19,6 +20,7 @@
 import type { ServerView } from '../routing/createServerView.js';
 import { createSpeedTracker } from '../routing/createSpeedTracker.js';
 import { createConnectionPools } from '../upstream/createConnectionPools.js';
+import { refusesConnections } from '../upstream/refusesConnections.js';
 import type { EntryHostOptions } from './EntryHostOptions.js';
 
 /** Idle timeout of connections to servers that announce none. */
@@ -70,6 +72,11 @@
     chooseRegion: createRegionChooser({ random, region, peers, loads }),
     loads,
   });
+  const partSuspicion = createPartSuspicion(clock);
+  const hosts = (): readonly HostId[] => [
+    own.id,
+    ...peers.alive().map(({ heartbeat }) => heartbeat.host.id),
+  ];
   const context: GatewayContext = {
     ownId: own.id,
     ownIncarnation: options.ownIncarnation,
@@ -88,7 +95,9 @@
     prefixes,
     coldServerLimiter,
     retryBudget: createRetryBudget({ clock, bounds, hostCount: () => peers.known().length + 1 }),
-    crashGuard: createCrashGuard(clock, log),
+    crashGuard: createCrashGuard({ clock, log, suspicion: partSuspicion, refusesConnections }),
+    partSuspicion,
+    partTrials: createPartTrials({ clock, suspicion: partSuspicion, ownId: own.id, hosts }),
     transits: createTransitTracker(clock),
     serverConnections: createConnectionPools(SERVER_IDLE_TIMEOUT_MS),
     peerConnections: createConnectionPools(PEER_IDLE_TIMEOUT_MS),
--- a/packages/gateway/src/limits/createCrashGuard.ts
+++ b/packages/gateway/src/limits/createCrashGuard.ts
@@ -1,5 +1,13 @@
 import { asId, createCrashTracker } from '@camphorbarrow/core';
-import type { Clock, CrashReport, Fingerprint, LogSink } from '@camphorbarrow/core';
+import type {
+  Clock,
+  CrashReport,
+  Fingerprint,
+  LogSink,
+  PartSuspicion,
+  PromptPartKey,
+} from '@camphorbarrow/core';
+import type { Endpoint } from '../model/Endpoint.js';
 import type { ServerState } from '../model/ServerState.js';
 
 /** Time for which a crash counts against the requests that were running on the server. */
@@ -20,8 +28,19 @@
   readonly fingerprint: Fingerprint;
   /** Whether its response had started. */
   readonly hasStarted: boolean;
-  /** Ids of the prompt parts that it shares with other requests. */
-  readonly sharedPartIds: readonly string[];
+  /** Prompt parts that it shares with other requests. */
+  readonly sharedParts: readonly PromptPartKey[];
+  /** Those of them that were suspected when it was sent. */
+  readonly trialParts: readonly PromptPartKey[];
+}
+
+export interface CrashGuardOptions {
+  readonly clock: Clock;
+  readonly log: LogSink;
+  /** Attributes crashes to the prompt parts of requests without a response. */
+  readonly suspicion: PartSuspicion;
+  /** Whether no process listens at the endpoint. */
+  readonly refusesConnections: (endpoint: Endpoint) => Promise<boolean>;
 }
 
 /** Quarantines requests that crash the servers that run them. */
@@ -32,6 +51,8 @@
   recordCompletion(fingerprint: () => Fingerprint): void;
   /** Records that the connection broke while the server ran the request. */
   recordBrokenConnection(server: ServerState, request: BrokenRequest): void;
+  /** Checks whether the process of a server with a broken connection still listens. */
+  investigate(server: ServerState): Promise<void>;
   /** Records that the process refuses connections or was replaced. */
   recordServerGone(server: ServerState): void;
   /** Treats the servers with all other incarnations as gone. */
@@ -40,29 +61,38 @@
   recentReports(): readonly CrashReport[];
   /** Adds the crash reports of a peer. */
   mergeReports(reports: readonly CrashReport[]): void;
+  /** Sets the function that is called after a crash, to send the evidence to peers at once. */
+  onCrash(listener: () => void): void;
 }
 
 interface PendingCrash {
   readonly server: ServerState;
   readonly requests: BrokenRequest[];
+  isRefused: Promise<boolean> | undefined;
   readonly atMs: number;
 }
 
 /** Creates a guard without any recorded crashes. */
-export function createCrashGuard(clock: Clock, log: LogSink): CrashGuard {
+export function createCrashGuard(options: CrashGuardOptions): CrashGuard {
+  const { clock, log, suspicion } = options;
   const tracker = createCrashTracker({ clock, holdMs: () => CRASH_RETENTION_MS });
   const pending = new Map<string, PendingCrash>();
   const recent = new Map<string, { report: CrashReport; atMs: number }>();
+  let notify = (): void => undefined;
 
   /** Id of one lifetime of a server that is the same on all hosts. */
   const lifetimeOf = ({ registration }: ServerState): string =>
     `${registration.startedAtMs ?? registration.endpoint.host}`;
 
-  function report({ server, requests }: PendingCrash): void {
+  function report({ server, requests, atMs }: PendingCrash): void {
     const { id } = server.registration;
     const fingerprints = [...new Set(requests.map(({ fingerprint }) => fingerprint))];
     const unstarted = requests.filter(({ hasStarted }) => !hasStarted);
-    const partIds = new Set(unstarted.flatMap(({ sharedPartIds }) => sharedPartIds));
+    const parts = [...new Set(unstarted.flatMap(({ sharedParts }) => sharedParts))];
+    const trialParts = [...new Set(unstarted.flatMap((request) => request.trialParts))];
+    const crashId = `${id} ${lifetimeOf(server)}`;
+    const ageMs = clock.monotonicMs() - atMs;
+    suspicion.merge({ crashes: [{ crashId, ageMs, parts, trialParts }], served: [] });
     const crash = tracker.merge({
       serverId: id,
       incarnation: asId(lifetimeOf(server)),
@@ -75,8 +105,10 @@
       running: fingerprints.length,
       unstarted: unstarted.length,
       maxCrashScore: Math.max(0, ...fingerprints.map(tracker.crashScore)),
-      unstartedParts: [...partIds].slice(0, MAX_LOGGED_PARTS).join(' '),
+      unstartedParts: parts.slice(0, MAX_LOGGED_PARTS).join(' '),
+      trialParts: trialParts.slice(0, MAX_LOGGED_PARTS).join(' '),
     });
+    notify();
   }
 
   function confirmCrash(incarnation: string): void {
@@ -100,11 +132,21 @@
       const crash = pending.get(server.incarnation) ?? {
         server,
         requests: [],
+        isRefused: undefined,
         atMs: clock.monotonicMs(),
       };
       crash.requests.push(request);
       pending.set(server.incarnation, crash);
     },
+    async investigate({ incarnation, registration }) {
+      const crash = pending.get(incarnation);
+      if (crash !== undefined) {
+        crash.isRefused ??= options.refusesConnections(registration.endpoint);
+        if (await crash.isRefused) {
+          confirmCrash(incarnation);
+        }
+      }
+    },
     recordServerGone: ({ incarnation }) => confirmCrash(incarnation),
     retain(incarnations) {
       [...pending.keys()]
@@ -121,5 +163,8 @@
     mergeReports(reports) {
       reports.forEach((crash) => tracker.merge(crash));
     },
+    onCrash(listener) {
+      notify = listener;
+    },
   };
 }
--- a/packages/gateway/src/peers/PeerHeartbeat.ts
+++ b/packages/gateway/src/peers/PeerHeartbeat.ts
@@ -1,4 +1,4 @@
-import type { CrashReport, ServerId } from '@camphorbarrow/core';
+import type { CrashReport, PartEvidence, PromptPartKey, ServerId } from '@camphorbarrow/core';
 import type { HostRegistration } from '../model/HostRegistration.js';
 import type { ServiceName } from '../model/ServiceName.js';
 
@@ -50,6 +50,9 @@
   readonly paces: ReadonlyMap<ServerId, number>;
   readonly capacity: ReadonlyMap<ServiceName, RegionCapacity>;
   readonly crashes: readonly CrashReport[];
+  readonly partEvidence: PartEvidence;
+  /** Suspected prompt parts of requests that the sender has at servers. */
+  readonly partTrials: readonly PromptPartKey[];
 }
 
 /**
--- a/packages/gateway/src/peers/heartbeatCodec.ts
+++ b/packages/gateway/src/peers/heartbeatCodec.ts
@@ -1,5 +1,12 @@
 import { asId } from '@camphorbarrow/core';
-import type { CrashReport, ServerId } from '@camphorbarrow/core';
+import type {
+  CrashReport,
+  PartCrashReport,
+  PartEvidence,
+  PartServedReport,
+  PromptPartKey,
+  ServerId,
+} from '@camphorbarrow/core';
 import { InvalidMessageError } from '../errors/InvalidMessageError.js';
 import type { HostRegistration } from '../model/HostRegistration.js';
 import type { ServiceName } from '../model/ServiceName.js';
@@ -28,10 +35,42 @@
   ])[];
   readonly cap: readonly (readonly [ServiceName, ...CapacityFigures])[];
   readonly crash: readonly CrashReport[];
+  /** Crashes and responses by prompt part; omitted if there are none. */
+  readonly parts?: WirePartEvidence;
+  /** Suspected prompt parts on trial; omitted if there are none. */
+  readonly trials?: readonly PromptPartKey[];
+}
+
+interface WirePartEvidence {
+  /** Crash id, age in ms, parts, and those of them that were on trial. */
+  readonly crashes: readonly (readonly [
+    string,
+    number,
+    readonly PromptPartKey[],
+    readonly PromptPartKey[],
+  ])[];
+  /** Part and age of its latest response in ms. */
+  readonly served: readonly (readonly [PromptPartKey, number])[];
 }
 
 const HOST_STATES: readonly string[] = ['starting', 'ready', 'draining', 'closing'];
 
+function isWirePartEvidence(value: unknown): value is WirePartEvidence {
+  const evidence = value as Partial<WirePartEvidence> | null;
+  return (
+    Array.isArray(evidence?.crashes) &&
+    Array.isArray(evidence.served) &&
+    evidence.crashes.every(
+      ([crashId, ageMs, parts, trialParts]) =>
+        typeof crashId === 'string' &&
+        Number.isFinite(ageMs) &&
+        Array.isArray(parts) &&
+        Array.isArray(trialParts),
+    ) &&
+    evidence.served.every(([part, ageMs]) => typeof part === 'string' && Number.isFinite(ageMs))
+  );
+}
+
 function isWireHeartbeat(value: unknown): value is WireHeartbeat {
   const message = value as Partial<WireHeartbeat> | null;
   return (
@@ -48,14 +87,45 @@
     HOST_STATES.includes(message.state ?? '') &&
     Array.isArray(message.load) &&
     Array.isArray(message.cap) &&
-    Array.isArray(message.crash)
+    Array.isArray(message.crash) &&
+    (message.parts === undefined || isWirePartEvidence(message.parts)) &&
+    (message.trials === undefined || Array.isArray(message.trials))
   );
 }
 
+function encodePartEvidence({ crashes, served }: PartEvidence): WirePartEvidence | undefined {
+  return crashes.length === 0 && served.length === 0
+    ? undefined
+    : {
+        crashes: crashes.map(({ crashId, ageMs, parts, trialParts }) => [
+          crashId,
+          ageMs,
+          parts,
+          trialParts,
+        ]),
+        served: served.map(({ part, ageMs }) => [part, ageMs]),
+      };
+}
+
+function decodePartEvidence(evidence: WirePartEvidence | undefined): PartEvidence {
+  return {
+    crashes: (evidence?.crashes ?? []).map(
+      ([crashId, ageMs, parts, trialParts]): PartCrashReport => ({
+        crashId,
+        ageMs,
+        parts,
+        trialParts,
+      }),
+    ),
+    served: (evidence?.served ?? []).map(([part, ageMs]): PartServedReport => ({ part, ageMs })),
+  };
+}
+
 /** Creates an encoder for sending a heartbeat to several hosts, which differ only in the echo. */
 export function createHeartbeatEncoder(
   heartbeat: Omit<PeerHeartbeat, 'echo'>,
 ): (echo: HeartbeatEcho | undefined) => Buffer {
+  const parts = encodePartEvidence(heartbeat.partEvidence);
   const message: WireHeartbeat = {
     v: MESSAGE_VERSION,
     host: heartbeat.host,
@@ -79,6 +149,8 @@
       capacity.running,
     ]),
     crash: heartbeat.crashes,
+    ...(parts === undefined ? {} : { parts }),
+    ...(heartbeat.partTrials.length === 0 ? {} : { trials: heartbeat.partTrials }),
   };
   const common = JSON.stringify(message);
   return (echo) =>
@@ -124,5 +196,7 @@
       }),
     ),
     crashes: message.crash,
+    partEvidence: decodePartEvidence(message.parts),
+    partTrials: message.trials ?? [],
   };
 }
--- a/packages/gateway/tests/limits/createCrashGuard.test.ts
+++ b/packages/gateway/tests/limits/createCrashGuard.test.ts
@@ -1,8 +1,8 @@
 import test from 'ava';
-import { asId, createManualClock } from '@camphorbarrow/core';
+import { asId, createManualClock, createPartSuspicion } from '@camphorbarrow/core';
 import type { Fingerprint, LogSink } from '@camphorbarrow/core';
 import { createCrashGuard } from '../../src/index.js';
-import type { BrokenRequest } from '../../src/index.js';
+import type { BrokenRequest, CrashGuard } from '../../src/index.js';
 import { buildServer } from '../support/builders.js';
 
 const silentLog: LogSink = { info() {}, warn() {}, error() {} };
@@ -12,15 +12,25 @@
 const broken = (fingerprint: Fingerprint): BrokenRequest => ({
   fingerprint,
   hasStarted: false,
-  sharedPartIds: [],
+  sharedParts: [],
+  trialParts: [],
 });
 
+function createGuard(clock = createManualClock()): CrashGuard {
+  return createCrashGuard({
+    clock,
+    log: silentLog,
+    suspicion: createPartSuspicion(clock),
+    refusesConnections: async () => false,
+  });
+}
+
 function serverNumber(index: number) {
   return buildServer({ id: asId(`server-${index}`), startedAtMs: index });
 }
 
 test('a request that ran on several crashed servers is quarantined, but not one that ran beside it once', (t) => {
-  const guard = createCrashGuard(createManualClock(), silentLog);
+  const guard = createGuard();
   [1, 2, 3].forEach((index) => {
     const server = serverNumber(index);
     guard.recordBrokenConnection(server, broken(crashing));
@@ -35,7 +45,7 @@
 
 test('a lost response of a server that keeps running quarantines no request', (t) => {
   const clock = createManualClock();
-  const guard = createCrashGuard(clock, silentLog);
+  const guard = createGuard(clock);
   [1, 2, 3].forEach((index) => {
     guard.recordBrokenConnection(serverNumber(index), broken(crashing));
     clock.advance(6_000);
@@ -46,7 +56,7 @@
 
 test('hosts that receive the crash reports quarantine the request too', (t) => {
   const clock = createManualClock();
-  const guards = [1, 2].map(() => createCrashGuard(clock, silentLog));
+  const guards = [1, 2].map(() => createGuard(clock));
   const [first, second] = guards;
   [1, 2, 3].forEach((index) => {
     const guard = guards[index % 2];
@@ -58,7 +68,7 @@
 });
 
 test('a completed run clears a request', (t) => {
-  const guard = createCrashGuard(createManualClock(), silentLog);
+  const guard = createGuard();
   [1, 2, 3].forEach((index) => {
     guard.recordBrokenConnection(serverNumber(index), broken(crashing));
     guard.recordServerGone(serverNumber(index));
--- a/packages/gateway/tests/peers/heartbeatCodec.test.ts
+++ b/packages/gateway/tests/peers/heartbeatCodec.test.ts
@@ -1,5 +1,6 @@
 import test from 'ava';
 import { asId } from '@camphorbarrow/core';
+import type { PromptPartKey } from '@camphorbarrow/core';
 import { InvalidMessageError, createHeartbeatEncoder, decodeHeartbeat } from '../../src/index.js';
 import type { PeerHeartbeat } from '../../src/index.js';
 
@@ -35,6 +36,8 @@
     ],
   ]),
   crashes: [],
+  partEvidence: { crashes: [], served: [] },
+  partTrials: [],
 };
 
 test('a decoded heartbeat equals the encoded one', (t) => {
@@ -43,6 +46,22 @@
   t.deepEqual(decodeHeartbeat(encode(undefined)), { ...heartbeat, echo: undefined });
 });
 
+test('evidence on prompt parts survives encoding, and a heartbeat without any is accepted', (t) => {
+  const part = asId<PromptPartKey>('0123456789abcdef');
+  const withEvidence: PeerHeartbeat = {
+    ...heartbeat,
+    partEvidence: {
+      crashes: [{ crashId: 'i-1 17', ageMs: 12, parts: [part], trialParts: [part] }],
+      served: [{ part, ageMs: 5 }],
+    },
+    partTrials: [part],
+  };
+  const datagram = createHeartbeatEncoder(withEvidence)(heartbeat.echo);
+  t.deepEqual(decodeHeartbeat(datagram), withEvidence);
+  const malformed = datagram.toString().replace('"crashes":[[', '"crashes":[[null,');
+  t.throws(() => decodeHeartbeat(Buffer.from(malformed)), { instanceOf: InvalidMessageError });
+});
+
 test('malformed datagrams are rejected with a typed error', (t) => {
   ['', 'null', '{', '{"v":2}', '{"v":1,"host":{"id":"a"}}'].forEach((text) => {
     t.throws(() => decodeHeartbeat(Buffer.from(text)), { instanceOf: InvalidMessageError });
--- a/packages/gateway/tests/routing/createRegionChooser.test.ts
+++ b/packages/gateway/tests/routing/createRegionChooser.test.ts
@@ -38,6 +38,8 @@
         ],
       ]),
       crashes: [],
+      partEvidence: { crashes: [], served: [] },
+      partTrials: [],
     },
     lastHeartbeatAtMs: 0,
     roundTripMs: 100,
