Blame shared prompt parts for crashes on the own interface too

A request with a suspected part is not sent while another one of the same host is on trial.

Not covered: crash reports of the own interface stay in their region, and a prompt of a single text has no parts.

--- a/packages/bench/src/experiment/createBenchRequest.ts
+++ b/packages/bench/src/experiment/createBenchRequest.ts
@@ -52,6 +52,7 @@
     deadlineAtMs: arrivedAtMs + targets.deadlineMs,
     fingerprint: asId<Fingerprint>(String(arrival.index)),
     blockHashes,
+    sharedParts: [],
     path,
     settings: workload.fleetDefaults,
   };
--- a/packages/core/src/dispatch/createEngineDispatcher.ts
+++ b/packages/core/src/dispatch/createEngineDispatcher.ts
@@ -41,8 +41,9 @@
   attempt(attempt: DispatchedAttempt): Promise<AttemptResult>;
 }
 
-/** Releases the slot of an attempt and reports how the attempt ended. */
+/** Reports how far an attempt came, and releases its slot when it ends. */
 interface AttemptFinalizer {
+  started(): void;
   completed(events: number): void;
   cancelled(): void;
   failed(cause: unknown): Promise<void>;
@@ -86,6 +87,7 @@
 
 function createFinalizer({ onEnd }: DispatchedAttempt, running: RunningRequest): AttemptFinalizer {
   return {
+    started: running.markStarted,
     completed(events) {
       onEnd(events);
       running.markCompleted();
@@ -122,6 +124,7 @@
   if (first.done === true) {
     throw new TruncatedStreamError('The stream ended before its first event.');
   }
+  finalizer.started();
   return { kind: 'stream', events: superviseStream(first.value, events, finalizer) };
 }
 
@@ -169,7 +172,7 @@
 
   return {
     async attempt(attempt) {
-      const running = quarantine.trackRequest(attempt.server, attempt.request.fingerprint);
+      const running = quarantine.trackRequest(attempt.server, attempt.request);
       const finalizer = createFinalizer(attempt, running);
       try {
         return await toResult(await start(attempt), finalizer);
--- a/packages/core/src/gateway/createInferenceGateway.ts
+++ b/packages/core/src/gateway/createInferenceGateway.ts
@@ -75,12 +75,12 @@
 
   /**
    * Two suspects of this entry host never run on the same server at once, so that a crash can be
-   * attributed to one of them.
+   * attributed to one of them. Requests with the same suspected prompt part run one at a time.
    */
   function mayRunAt(request: InferenceRequest, { entry }: ServerView): boolean {
-    return !(
-      quarantine.isSuspect(request.fingerprint) && quarantine.hasRunningSuspect(entry.serverId)
-    );
+    const sharesServerWithSuspect =
+      quarantine.isSuspect(request.fingerprint) && quarantine.hasRunningSuspect(entry.serverId);
+    return !sharesServerWithSuspect && !quarantine.isOnTrial(request);
   }
 
   function reserveSlot(
@@ -143,6 +143,10 @@
     });
     if (result.kind === 'stream') {
       firstEventAtMs = clock.monotonicMs();
+      if (request.sharedParts.length > 0) {
+        // Requests that wait because they share a suspected prompt part may start now.
+        admission.onSlotReleased();
+      }
       metrics.timingMs('first_token', firstEventAtMs - request.receivedAtMs, {
         rank: request.rank,
       });
@@ -184,7 +188,7 @@
     signal: AbortSignal,
   ): Promise<ServerSlot> {
     try {
-      quarantine.check(request.fingerprint, request.settings.quarantine.crashLimit);
+      quarantine.check(request, request.settings.quarantine.crashLimit);
       return await admission.admit(
         {
           request,
--- a/packages/core/src/quarantine/CrashReport.ts
+++ b/packages/core/src/quarantine/CrashReport.ts
@@ -1,5 +1,6 @@
 import type { Fingerprint } from '../ids/Fingerprint.js';
 import type { Incarnation } from '../ids/Incarnation.js';
+import type { PromptPartKey } from '../ids/PromptPartKey.js';
 import type { ServerId } from '../ids/ServerId.js';
 
 /**
@@ -13,4 +14,8 @@
   readonly running: readonly Fingerprint[];
   /** Requests of `running` that were already suspects because of an earlier crash. */
   readonly suspects: readonly Fingerprint[];
+  /** Shared prompt parts of running requests without a response. @default none */
+  readonly parts?: readonly PromptPartKey[] | undefined;
+  /** Parts of `parts` that were already suspects when their request was sent. @default none */
+  readonly trialParts?: readonly PromptPartKey[] | undefined;
 }
--- a/packages/core/src/quarantine/createNoQuarantine.ts
+++ b/packages/core/src/quarantine/createNoQuarantine.ts
@@ -7,7 +7,9 @@
     check: noop,
     isSuspect: () => false,
     hasRunningSuspect: () => false,
+    isOnTrial: () => false,
     trackRequest: () => ({
+      markStarted: noop,
       markCompleted: noop,
       markEnded: noop,
       reportBroken: () => Promise.resolve(),
--- a/packages/core/src/requests/InferenceRequest.ts
+++ b/packages/core/src/requests/InferenceRequest.ts
@@ -1,6 +1,7 @@
 import type { FleetDefaults } from '../config/FleetDefaults.js';
 import type { CustomerId } from '../ids/CustomerId.js';
 import type { Fingerprint } from '../ids/Fingerprint.js';
+import type { PromptPartKey } from '../ids/PromptPartKey.js';
 import type { HostId } from '../ids/HostId.js';
 import type { RegionId } from '../ids/RegionId.js';
 import type { RequestId } from '../ids/RequestId.js';
@@ -28,6 +29,8 @@
   readonly fingerprint: Fingerprint;
   /** Hashes of the prompt's prefix blocks, shortest prefix first. */
   readonly blockHashes: readonly string[];
+  /** Keys of the parts of the prompt that other requests can share: all but the last one. */
+  readonly sharedParts: readonly PromptPartKey[];
   /** Entry hosts the request has visited, in order; empty when it comes from a caller. */
   readonly path: readonly HostId[];
   /** Fleet defaults with the exceptions that match this request applied. */
--- a/packages/core/src/requests/createInferenceRequest.ts
+++ b/packages/core/src/requests/createInferenceRequest.ts
@@ -5,6 +5,7 @@
 import type { InferenceRequest } from './InferenceRequest.js';
 import { fingerprintOf } from './fingerprintOf.js';
 import { parseInferenceBody } from './parseInferenceBody.js';
+import { promptPartKey } from './promptPartKey.js';
 import { prefixBlockHashes } from './prefixBlockHashes.js';
 
 const CHARACTERS_PER_TOKEN = 4;
@@ -55,6 +56,7 @@
     deadlineAtMs: context.receivedAtMs + deadlineMs,
     fingerprint: fingerprintOf(recordKey, route, body),
     blockHashes: prefixBlockHashes(parsed.model, parsed.prompt),
+    sharedParts: parsed.promptParts.slice(0, -1).map(promptPartKey),
     path: context.path,
     settings,
   };
--- a/packages/core/src/requests/parseInferenceBody.ts
+++ b/packages/core/src/requests/parseInferenceBody.ts
@@ -33,6 +33,8 @@
   readonly maxOutputTokens: number | undefined;
   /** The prompt as one string, in the order the engine reads it. */
   readonly prompt: string;
+  /** The messages of a chat, or the texts of a completion. */
+  readonly promptParts: readonly string[];
   /** All fields of the body, to be passed to the engine. */
   readonly fields: Readonly<Record<string, unknown>>;
 }
@@ -71,22 +73,26 @@
   const value = parseJson(body);
   if (route === 'chat/completions') {
     const fields = validate(chatSchema, value);
+    const promptParts = fields.messages.map(
+      (message) => `${message.role}\n${JSON.stringify(message.content ?? '')}`,
+    );
     return {
       model: fields.model,
       streamed: fields.stream ?? false,
       maxOutputTokens: fields.max_completion_tokens ?? fields.max_tokens ?? undefined,
-      prompt: fields.messages
-        .map((message) => `${message.role}\n${JSON.stringify(message.content ?? '')}`)
-        .join('\n'),
+      prompt: promptParts.join('\n'),
+      promptParts,
       fields,
     };
   }
   const fields = validate(completionSchema, value);
+  const promptParts = typeof fields.prompt === 'string' ? [fields.prompt] : fields.prompt;
   return {
     model: fields.model,
     streamed: fields.stream ?? false,
     maxOutputTokens: fields.max_tokens ?? undefined,
-    prompt: typeof fields.prompt === 'string' ? fields.prompt : fields.prompt.join('\n'),
+    prompt: promptParts.join('\n'),
+    promptParts,
     fields,
   };
 }
--- a/packages/core/tests/dispatch/createEngineDispatcher.test.ts
+++ b/packages/core/tests/dispatch/createEngineDispatcher.test.ts
@@ -5,6 +5,8 @@
 import { createEngineDispatcher } from '../../src/dispatch/createEngineDispatcher.js';
 import type { AttemptResult } from '../../src/dispatch/createEngineDispatcher.js';
 import type { EngineAnswer, EngineClient } from '../../src/ports/EngineClient.js';
+import { asId } from '../../src/ids/asId.js';
+import type { PromptPartKey } from '../../src/ids/PromptPartKey.js';
 import type { CrashReport } from '../../src/quarantine/CrashReport.js';
 import { createQuarantine } from '../../src/quarantine/createQuarantine.js';
 import type { InferenceRequest } from '../../src/requests/InferenceRequest.js';
@@ -98,17 +100,62 @@
   );
   const request = createFakeRequest();
   for (const server of ['s1', 's2']) {
-    t.notThrows(() => quarantine.check(request.fingerprint, CRASH_LIMIT));
+    t.notThrows(() => quarantine.check(request, CRASH_LIMIT));
     await t.throwsAsync(attempt(request, createNamedServer(server)), {
       instanceOf: AttemptBrokenError,
     });
   }
-  t.throws(() => quarantine.check(request.fingerprint, CRASH_LIMIT), {
+  t.throws(() => quarantine.check(request, CRASH_LIMIT), {
     instanceOf: RequestQuarantinedError,
   });
   t.is(broadcastReports.length, 2);
 });
 
+test('requests that share only a prompt part which crashes servers are rejected after two crashes', async (t) => {
+  const { attempt, quarantine, broadcastReports } = createTestDispatcher(() =>
+    Promise.reject(createBrokenError()),
+  );
+  const sharedParts = [asId<PromptPartKey>('part')];
+  for (const server of ['s1', 's2']) {
+    const request = createFakeRequest({ sharedParts });
+    t.notThrows(() => quarantine.check(request, CRASH_LIMIT));
+    await t.throwsAsync(attempt(request, createNamedServer(server)), {
+      instanceOf: AttemptBrokenError,
+    });
+  }
+  t.throws(() => quarantine.check(createFakeRequest({ sharedParts }), CRASH_LIMIT), {
+    instanceOf: RequestQuarantinedError,
+  });
+  t.notThrows(() => quarantine.check(createFakeRequest(), CRASH_LIMIT));
+  t.deepEqual(broadcastReports[1]?.trialParts, sharedParts);
+});
+
+test('prompt parts of a stream that had started are not suspected when its server crashes', async (t) => {
+  const { attempt, quarantine } = createTestDispatcher(() =>
+    Promise.resolve<EngineAnswer>({ kind: 'stream', events: stream(['{}'], createBrokenError()) }),
+  );
+  const sharedParts = [asId<PromptPartKey>('part')];
+  for (const server of ['s1', 's2', 's3']) {
+    const response = await attempt(createFakeRequest({ sharedParts }), createNamedServer(server));
+    await t.throwsAsync(readAll(response), { instanceOf: AttemptBrokenError });
+  }
+  t.notThrows(() => quarantine.check(createFakeRequest({ sharedParts }), CRASH_LIMIT));
+});
+
+test('a second request with a suspected prompt part waits until the first one has a response', async (t) => {
+  let hangs = false;
+  const { attempt, quarantine } = createTestDispatcher(() =>
+    hangs ? new Promise<never>(() => {}) : Promise.reject(createBrokenError()),
+  );
+  const sharedParts = [asId<PromptPartKey>('part')];
+  await t.throwsAsync(attempt(createFakeRequest({ sharedParts }), createNamedServer('s1')));
+  t.false(quarantine.isOnTrial(createFakeRequest({ sharedParts })));
+  hangs = true;
+  void attempt(createFakeRequest({ sharedParts }), createNamedServer('s2'));
+  t.true(quarantine.isOnTrial(createFakeRequest({ sharedParts })));
+  t.false(quarantine.isOnTrial(createFakeRequest()));
+});
+
 test('a request is a suspect when its stream breaks and the server has crashed', async (t) => {
   const { attempt, quarantine } = createTestDispatcher(() =>
     Promise.resolve<EngineAnswer>({ kind: 'stream', events: stream(['{}'], createBrokenError()) }),
--- a/packages/core/tests/routing/fixtures.ts
+++ b/packages/core/tests/routing/fixtures.ts
@@ -25,6 +25,7 @@
     deadlineAtMs: 60_000,
     fingerprint: asId('fingerprint'),
     blockHashes: [],
+    sharedParts: [],
     path: [],
     settings: fleetDefaultsSchema.parse({}),
     ...changes,
--- a/packages/core/tests/support/createFakeRequest.ts
+++ b/packages/core/tests/support/createFakeRequest.ts
@@ -24,6 +24,7 @@
     deadlineAtMs: 10_000,
     fingerprint: asId(`fingerprint-${createdCount}`),
     blockHashes: [],
+    sharedParts: [],
     path: [],
     settings,
     ...overrides,
