Name the lifetime of a server in one place

The crash guard built its own id of a server's lifetime that is the same on all hosts. Moved to model/lifetimeId, where other trackers can use it. Crash ids on the wire change their form, not their meaning: both hosts of a mixed pair keep each other's reports, a crash seen by both counts twice between them until both are updated.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -57,6 +57,7 @@
 export * from './model/ServiceName.js';
 export * from './model/ServiceSpec.js';
 export * from './model/StoreUpdate.js';
+export * from './model/lifetimeId.js';
 export * from './model/mostUrgentRank.js';
 export * from './peers/PeerHeartbeat.js';
 export * from './peers/createHeartbeats.js';
--- a/packages/gateway/src/limits/createCrashGuard.ts
+++ b/packages/gateway/src/limits/createCrashGuard.ts
@@ -8,6 +8,7 @@
   PromptPartKey,
 } from '@camphorbarrow/core';
 import type { Endpoint } from '../model/Endpoint.js';
+import { lifetimeId } from '../model/lifetimeId.js';
 import type { ServerState } from '../model/ServerState.js';
 
 /** Time for which a crash counts against the requests that were running on the server. */
@@ -80,22 +81,18 @@
   const recent = new Map<string, { report: CrashReport; atMs: number }>();
   let notify = (): void => undefined;
 
-  /** Id of one lifetime of a server that is the same on all hosts. */
-  const lifetimeOf = ({ registration }: ServerState): string =>
-    `${registration.startedAtMs ?? registration.endpoint.host}`;
-
   function report({ server, requests, atMs }: PendingCrash): void {
     const { id } = server.registration;
     const fingerprints = [...new Set(requests.map(({ fingerprint }) => fingerprint))];
     const unstarted = requests.filter(({ hasStarted }) => !hasStarted);
     const parts = [...new Set(unstarted.flatMap(({ sharedParts }) => sharedParts))];
     const trialParts = [...new Set(unstarted.flatMap((request) => request.trialParts))];
-    const crashId = `${id} ${lifetimeOf(server)}`;
+    const crashId = lifetimeId(server.registration);
     const ageMs = clock.monotonicMs() - atMs;
     suspicion.merge({ crashes: [{ crashId, ageMs, parts, trialParts }], served: [] });
     const crash = tracker.merge({
       serverId: id,
-      incarnation: asId(lifetimeOf(server)),
+      incarnation: asId(crashId),
       running: fingerprints,
       suspects: fingerprints.filter((fingerprint) => tracker.crashScore(fingerprint) > 0),
     });
