--- a/packages/gateway/src/exchange/GatewayContext.ts
+++ b/packages/gateway/src/exchange/GatewayContext.ts
@@ -11,6 +11,7 @@
 import type { ColdServerLimiter } from '../limits/createColdServerLimiter.js';
 import type { CrashGuard } from '../limits/createCrashGuard.js';
 import type { PartTrials } from '../limits/createPartTrials.js';
+import type { ServerLimits } from '../limits/createServerLimits.js';
 import type { WireCodec } from '../ports/WireCodec.js';
 import type { TransitTracker } from '../peers/createTransitTracker.js';
 import type { LoadTracker } from '../routing/createLoadTracker.js';
@@ -46,6 +47,7 @@
   /** Prompt prefixes in the caches of the servers. */
   readonly prefixes: PrefixCacheTracker;
   readonly coldServerLimiter: ColdServerLimiter;
+  readonly serverLimits: ServerLimits;
   readonly retryBudget: RetryBudget;
   readonly crashGuard: CrashGuard;
   /** Prompt parts that are suspected of crashing servers. */
--- a/packages/gateway/src/exchange/forwardToServer.ts
+++ b/packages/gateway/src/exchange/forwardToServer.ts
@@ -3,7 +3,7 @@
 import { sendUpstream } from '../upstream/sendUpstream.js';
 import type { Exchange } from './Exchange.js';
 import type { GatewayContext } from './GatewayContext.js';
-import { receiveResponse } from './receiveResponse.js';
+import { belongsTo, receiveResponse } from './receiveResponse.js';
 import type { ReceiveResponseOptions } from './receiveResponse.js';
 import { stripRelayHeaders } from './relayHeaders.js';
 import { stripHopByHopHeaders } from './stripHopByHopHeaders.js';
@@ -151,6 +151,9 @@
   if (metadata.load !== undefined) {
     context.loads.recordReport(server.registration.id, metadata.load);
   }
+  if (belongsTo(exchange, metadata)) {
+    context.serverLimits.recordResponse(server, metadata.requestsPerSecond);
+  }
   return receiveResponse({
     exchange,
     response,
--- a/packages/gateway/src/exchange/receiveResponse.ts
+++ b/packages/gateway/src/exchange/receiveResponse.ts
@@ -27,7 +27,7 @@
 }
 
 /** Whether the response carries the attempt id of this request and not of another one. */
-function belongsTo(exchange: Exchange, metadata: ResponseMetadata): boolean {
+export function belongsTo(exchange: Exchange, metadata: ResponseMetadata): boolean {
   return metadata.attemptId === exchange.metadata.attemptId;
 }
 
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -42,6 +42,7 @@
 export * from './limits/createCrashGuard.js';
 export * from './limits/createPartTrials.js';
 export * from './limits/createRetryBudget.js';
+export * from './limits/createServerLimits.js';
 export * from './model/AttemptId.js';
 export * from './model/CallerLimits.js';
 export * from './model/Endpoint.js';
--- a/packages/gateway/src/lifecycle/createEntryHost.ts
+++ b/packages/gateway/src/lifecycle/createEntryHost.ts
@@ -175,6 +175,7 @@
     options.metrics.gauge('store_age_ms', clock.monotonicMs() - view.confirmedAtMs());
     const incarnations = new Set(view.servers.all().map(({ incarnation }) => incarnation));
     [speeds, health, prefixes, crashGuard].forEach((tracker) => tracker.retain(incarnations));
+    context.serverLimits.retain(view.servers.all());
     paces.retain(new Set(view.servers.all().map(({ registration }) => registration.id)));
     serverConnections.retain(incarnations);
     peerConnections.retain(
--- a/packages/gateway/src/lifecycle/createGatewayContext.ts
+++ b/packages/gateway/src/lifecycle/createGatewayContext.ts
@@ -5,6 +5,7 @@
 import { createColdServerLimiter } from '../limits/createColdServerLimiter.js';
 import { createCrashGuard } from '../limits/createCrashGuard.js';
 import { createPartTrials } from '../limits/createPartTrials.js';
+import { createServerLimits } from '../limits/createServerLimits.js';
 import { createRetryBudget } from '../limits/createRetryBudget.js';
 import type { PeerRegistry } from '../peers/createPeerRegistry.js';
 import { createTransitTracker } from '../peers/createTransitTracker.js';
@@ -94,6 +95,7 @@
     health,
     prefixes,
     coldServerLimiter,
+    serverLimits: createServerLimits({ clock, log, metrics }),
     retryBudget: createRetryBudget({ clock, bounds, hostCount: () => peers.known().length + 1 }),
     crashGuard: createCrashGuard({ clock, log, suspicion: partSuspicion, refusesConnections }),
     partSuspicion,
--- a/packages/gateway/src/model/ResponseMetadata.ts
+++ b/packages/gateway/src/model/ResponseMetadata.ts
@@ -12,4 +12,6 @@
   /** Whether the body has a content encoding, which is not expected of a backend server. */
   readonly encoded: boolean;
   readonly load: ServerLoad | undefined;
+  /** Rate that the server accepts from all entry hosts together; undefined if it names none. */
+  readonly requestsPerSecond: number | undefined;
 }
