Keep to the request rates that servers name, all hosts together

Cause: nobody reads the limit (hypothesis 1). Class: a rate that all hosts share, without a coordinator, the same as that of cold servers, which had a limiter of its own.

Change: createColdServerLimiter becomes createServerRateLimiter and carries both. The senders are found by rendezvous, at least two and about one per request a second; each uses an equal share with bursts of two. Limits and their ends are exchanged in heartbeats of the region, newest response first, so that hosts that restart or never ask keep to them. Routing leaves the rate of a limited engine to long prompts, does not offer limited servers to other regions, rejects at once what no server may take, and asks a limited server again after 3 s without a response, so that the end of a limit is seen. Cache calls to limited engines pause.

--- a/packages/gateway/src/exchange/GatewayContext.ts
+++ b/packages/gateway/src/exchange/GatewayContext.ts
@@ -8,10 +8,10 @@
   RandomSource,
 } from '@camphorbarrow/core';
 import type { RetryBudget } from '../limits/createRetryBudget.js';
-import type { ColdServerLimiter } from '../limits/createColdServerLimiter.js';
 import type { CrashGuard } from '../limits/createCrashGuard.js';
 import type { PartTrials } from '../limits/createPartTrials.js';
 import type { ServerLimits } from '../limits/createServerLimits.js';
+import type { ServerRateLimiter } from '../limits/createServerRateLimiter.js';
 import type { WireCodec } from '../ports/WireCodec.js';
 import type { TransitTracker } from '../peers/createTransitTracker.js';
 import type { LoadTracker } from '../routing/createLoadTracker.js';
@@ -46,7 +46,8 @@
   readonly health: ServerHealth;
   /** Prompt prefixes in the caches of the servers. */
   readonly prefixes: PrefixCacheTracker;
-  readonly coldServerLimiter: ColdServerLimiter;
+  readonly serverRateLimiter: ServerRateLimiter;
+  /** Request rates that servers named. */
   readonly serverLimits: ServerLimits;
   readonly retryBudget: RetryBudget;
   readonly crashGuard: CrashGuard;
--- a/packages/gateway/src/exchange/forwardToServer.ts
+++ b/packages/gateway/src/exchange/forwardToServer.ts
@@ -177,7 +177,7 @@
     promptTokens: uncachedTokens,
   });
   const capacityTokens = exchange.service.kvCapacityTokens;
-  context.coldServerLimiter.recordSend(server);
+  context.serverRateLimiter.recordSend(server);
   if (capacityTokens !== undefined) {
     context.prefixes.recordPrompt(
       server.incarnation,
--- a/packages/gateway/src/lifecycle/createEntryHost.ts
+++ b/packages/gateway/src/lifecycle/createEntryHost.ts
@@ -149,6 +149,7 @@
       crashes: crashGuard.recentReports(),
       partEvidence: context.partSuspicion.evidence(),
       partTrials: context.partTrials.running(),
+      serverLimits: context.serverLimits.reports(),
     }),
     onHeartbeat(heartbeat) {
       peers.recordHeartbeat(heartbeat);
@@ -157,6 +158,7 @@
       context.partTrials.recordPeer(heartbeat.host.id, heartbeat.partTrials);
       if (heartbeat.host.region === own.region) {
         crashGuard.mergeReports(heartbeat.crashes);
+        context.serverLimits.mergeReports(heartbeat.serverLimits);
       }
     },
     intervalMs: HEARTBEAT_INTERVAL_MS,
@@ -174,7 +176,10 @@
     options.metrics.gauge('peers_reachable', peers.alive().length);
     options.metrics.gauge('store_age_ms', clock.monotonicMs() - view.confirmedAtMs());
     const incarnations = new Set(view.servers.all().map(({ incarnation }) => incarnation));
-    [speeds, health, prefixes, crashGuard].forEach((tracker) => tracker.retain(incarnations));
+    const { serverRateLimiter } = context;
+    [speeds, health, prefixes, crashGuard, serverRateLimiter].forEach((tracker) =>
+      tracker.retain(incarnations),
+    );
     context.serverLimits.retain(view.servers.all());
     paces.retain(new Set(view.servers.all().map(({ registration }) => registration.id)));
     serverConnections.retain(incarnations);
@@ -216,6 +221,7 @@
       view,
       feed: options.createCacheFeed(serverConnections),
       prefixes,
+      isLimited: (server) => context.serverLimits.limitOf(server) !== undefined,
       signal: stop.signal,
     }),
     runPeerStoreFollower({
--- a/packages/gateway/src/lifecycle/createGatewayContext.ts
+++ b/packages/gateway/src/lifecycle/createGatewayContext.ts
@@ -2,10 +2,10 @@
 import type { HostId } from '@camphorbarrow/core';
 import type { GatewayContext } from '../exchange/GatewayContext.js';
 import type { FleetView } from '../fleet/createFleetView.js';
-import { createColdServerLimiter } from '../limits/createColdServerLimiter.js';
 import { createCrashGuard } from '../limits/createCrashGuard.js';
 import { createPartTrials } from '../limits/createPartTrials.js';
 import { createServerLimits } from '../limits/createServerLimits.js';
+import { createServerRateLimiter } from '../limits/createServerRateLimiter.js';
 import { createRetryBudget } from '../limits/createRetryBudget.js';
 import type { PeerRegistry } from '../peers/createPeerRegistry.js';
 import { createTransitTracker } from '../peers/createTransitTracker.js';
@@ -55,8 +55,23 @@
   const paces = createPaceTracker(clock, () => peers.aliveIn(region));
   const health = createServerHealth(clock);
   const prefixes = createPrefixCacheTracker(clock);
-  const coldServerLimiter = createColdServerLimiter({ clock, ownId: own.id, regionHosts });
-  const serverView = createServerView({ clock, region, view, loads, speeds, paces, health });
+  const serverLimits = createServerLimits({ clock, log, metrics });
+  const serverRateLimiter = createServerRateLimiter({
+    clock,
+    ownId: own.id,
+    regionHosts,
+    limitOf: serverLimits.limitOf,
+  });
+  const serverView = createServerView({
+    clock,
+    region,
+    view,
+    loads,
+    speeds,
+    paces,
+    health,
+    serverLimits,
+  });
   const router = createRouter({
     chooseLocal: createLocalChooser({
       random,
@@ -68,7 +83,8 @@
       paces,
       health,
       prefixes,
-      coldServerLimiter,
+      serverRateLimiter,
+      serverLimits,
     }),
     chooseRegion: createRegionChooser({ random, region, peers, loads }),
     loads,
@@ -94,8 +110,8 @@
     outputLengths: createOutputLengthEstimator(),
     health,
     prefixes,
-    coldServerLimiter,
-    serverLimits: createServerLimits({ clock, log, metrics }),
+    serverRateLimiter,
+    serverLimits,
     retryBudget: createRetryBudget({ clock, bounds, hostCount: () => peers.known().length + 1 }),
     crashGuard: createCrashGuard({ clock, log, suspicion: partSuspicion, refusesConnections }),
     partSuspicion,
--- a/packages/gateway/src/limits/createServerLimits.ts
+++ b/packages/gateway/src/limits/createServerLimits.ts
@@ -12,12 +12,36 @@
 export interface ServerLimits {
   /** Records the limit in a response of the server; undefined if the response names none. */
   recordResponse(server: ServerState, requestsPerSecond: number | undefined): void;
+  /** Latest limits and ends of limits, to send to the other hosts of the region. */
+  reports(): readonly ServerLimitReport[];
+  /** Adds the reports of a peer that are newer than what is known. */
+  mergeReports(reports: readonly ServerLimitReport[]): void;
   /** Limit that the server named last; undefined if there is none. */
   limitOf(server: ServerState): number | undefined;
+  /** Whether no host has heard from a limited server for a while, so that its limit may have ended. */
+  isOutdated(server: ServerState): boolean;
   /** Drops the limits of all other servers. */
   retain(servers: readonly ServerState[]): void;
 }
 
+/** What a server said about its limit, as one entry host tells the others. */
+export interface ServerLimitReport {
+  /** Id of the lifetime of the server's process. */
+  readonly server: string;
+  /** Undefined if the server no longer names a limit. */
+  readonly requestsPerSecond: number | undefined;
+  /** Time since the server's response. */
+  readonly ageMs: number;
+}
+
+/** Time after a limited server's latest response from which its limit is checked again. */
+const RECHECK_AFTER_MS = 3_000;
+/** Time for which the end of a limit is reported, and the maximum number of reports. */
+const END_REPORT_MAX_AGE_MS = 3_000;
+const MAX_REPORTS = 64;
+/** Ages of reports do not include their transit, so a slightly newer report may be the older one. */
+const TRANSIT_TOLERANCE_MS = 100;
+
 interface NamedLimit {
   readonly requestsPerSecond: number | undefined;
   readonly atMs: number;
@@ -46,7 +70,37 @@
         set(lifetime, { requestsPerSecond, atMs: clock.monotonicMs() });
       }
     },
+    reports() {
+      const nowMs = clock.monotonicMs();
+      return [...limits]
+        .map(([server, { requestsPerSecond, atMs }]) => ({
+          server,
+          requestsPerSecond,
+          ageMs: Math.round(nowMs - atMs),
+        }))
+        .filter(
+          ({ requestsPerSecond, ageMs }) =>
+            requestsPerSecond !== undefined || ageMs <= END_REPORT_MAX_AGE_MS,
+        )
+        .sort((a, b) => a.ageMs - b.ageMs)
+        .slice(0, MAX_REPORTS);
+    },
+    mergeReports(reports) {
+      reports.forEach(({ server, requestsPerSecond, ageMs }) => {
+        const atMs = clock.monotonicMs() - ageMs;
+        if (atMs > (limits.get(server)?.atMs ?? -Infinity) + TRANSIT_TOLERANCE_MS) {
+          set(server, { requestsPerSecond, atMs });
+        }
+      });
+    },
     limitOf: ({ registration }) => limits.get(lifetimeId(registration))?.requestsPerSecond,
+    isOutdated({ registration }) {
+      const limit = limits.get(lifetimeId(registration));
+      return (
+        limit?.requestsPerSecond !== undefined &&
+        clock.monotonicMs() - limit.atMs > RECHECK_AFTER_MS
+      );
+    },
     retain(servers) {
       const lifetimes = new Set(servers.map(({ registration }) => lifetimeId(registration)));
       [...limits.keys()]
--- a/packages/gateway/src/peers/PeerHeartbeat.ts
+++ b/packages/gateway/src/peers/PeerHeartbeat.ts
@@ -1,4 +1,5 @@
 import type { CrashReport, PartEvidence, PromptPartKey, ServerId } from '@camphorbarrow/core';
+import type { ServerLimitReport } from '../limits/createServerLimits.js';
 import type { HostRegistration } from '../model/HostRegistration.js';
 import type { ServiceName } from '../model/ServiceName.js';
 
@@ -53,6 +54,8 @@
   readonly partEvidence: PartEvidence;
   /** Suspected prompt parts of requests that the sender has at servers. */
   readonly partTrials: readonly PromptPartKey[];
+  /** Request rates that servers of the sender's region named. */
+  readonly serverLimits: readonly ServerLimitReport[];
 }
 
 /**
--- a/packages/gateway/src/peers/createHeartbeats.ts
+++ b/packages/gateway/src/peers/createHeartbeats.ts
@@ -15,7 +15,7 @@
   readonly registeredHosts: () => readonly HostRegistration[];
   /** Addresses of hosts from the settings, used while the hosts are not known. */
   readonly seeds: () => readonly Endpoint[];
-  /** Builds the current heartbeat; hosts of other regions get it without loads and crashes. */
+  /** Builds the current heartbeat; hosts of other regions get it without loads, crashes and limits. */
   readonly buildHeartbeat: () => Omit<PeerHeartbeat, 'echo'>;
   readonly onHeartbeat: (heartbeat: PeerHeartbeat) => void;
   readonly intervalMs: number;
@@ -69,7 +69,12 @@
   function sendTo(receivers: readonly Target[]): void {
     const heartbeat = options.buildHeartbeat();
     const encodeLocal = createHeartbeatEncoder(heartbeat);
-    const encodeRemote = createHeartbeatEncoder({ ...heartbeat, loads: new Map(), crashes: [] });
+    const encodeRemote = createHeartbeatEncoder({
+      ...heartbeat,
+      loads: new Map(),
+      crashes: [],
+      serverLimits: [],
+    });
     receivers.forEach((target) => {
       const { endpoint, host } = target;
       const echo = host === undefined ? undefined : peers.echoFor(host.id);
--- a/packages/gateway/src/peers/heartbeatCodec.ts
+++ b/packages/gateway/src/peers/heartbeatCodec.ts
@@ -39,6 +39,8 @@
   readonly parts?: WirePartEvidence;
   /** Suspected prompt parts on trial; omitted if there are none. */
   readonly trials?: readonly PromptPartKey[];
+  /** Server, its limit in requests per second or null, and age in ms; omitted if there are none. */
+  readonly limits?: readonly (readonly [string, number | null, number])[];
 }
 
 interface WirePartEvidence {
@@ -71,6 +73,18 @@
   );
 }
 
+function isWireLimits(value: unknown): value is NonNullable<WireHeartbeat['limits']> {
+  return (
+    Array.isArray(value) &&
+    value.every(
+      ([server, requestsPerSecond, ageMs]) =>
+        typeof server === 'string' &&
+        (requestsPerSecond === null || Number.isFinite(requestsPerSecond)) &&
+        Number.isFinite(ageMs),
+    )
+  );
+}
+
 function isWireHeartbeat(value: unknown): value is WireHeartbeat {
   const message = value as Partial<WireHeartbeat> | null;
   return (
@@ -89,7 +103,8 @@
     Array.isArray(message.cap) &&
     Array.isArray(message.crash) &&
     (message.parts === undefined || isWirePartEvidence(message.parts)) &&
-    (message.trials === undefined || Array.isArray(message.trials))
+    (message.trials === undefined || Array.isArray(message.trials)) &&
+    (message.limits === undefined || isWireLimits(message.limits))
   );
 }
 
@@ -151,6 +166,15 @@
     crash: heartbeat.crashes,
     ...(parts === undefined ? {} : { parts }),
     ...(heartbeat.partTrials.length === 0 ? {} : { trials: heartbeat.partTrials }),
+    ...(heartbeat.serverLimits.length === 0
+      ? {}
+      : {
+          limits: heartbeat.serverLimits.map(({ server, requestsPerSecond, ageMs }) => [
+            server,
+            requestsPerSecond ?? null,
+            ageMs,
+          ]),
+        }),
   };
   const common = JSON.stringify(message);
   return (echo) =>
@@ -198,5 +222,10 @@
     crashes: message.crash,
     partEvidence: decodePartEvidence(message.parts),
     partTrials: message.trials ?? [],
+    serverLimits: (message.limits ?? []).map(([server, requestsPerSecond, ageMs]) => ({
+      server,
+      requestsPerSecond: requestsPerSecond ?? undefined,
+      ageMs,
+    })),
   };
 }
--- a/packages/gateway/src/routing/Destination.ts
+++ b/packages/gateway/src/routing/Destination.ts
@@ -62,7 +62,7 @@
       /** Like `finishMs`, for a response of typical length. */
       readonly typicalFinishMs: number;
     }
-  | { readonly kind: 'none'; readonly reason: 'no-server' | 'cold' }
+  | { readonly kind: 'none'; readonly reason: 'no-server' | 'rate-limited' }
   | {
       readonly kind: 'none';
       readonly reason: 'overloaded';
--- a/packages/gateway/src/routing/createLocalChooser.ts
+++ b/packages/gateway/src/routing/createLocalChooser.ts
@@ -1,5 +1,6 @@
 import type { RandomSource, RegionId } from '@camphorbarrow/core';
-import type { ColdServerLimiter } from '../limits/createColdServerLimiter.js';
+import type { ServerLimits } from '../limits/createServerLimits.js';
+import type { ServerRateLimiter } from '../limits/createServerRateLimiter.js';
 import type { ServerState } from '../model/ServerState.js';
 import type { ServiceSpec } from '../model/ServiceSpec.js';
 import type { PeerRegistry } from '../peers/createPeerRegistry.js';
@@ -30,9 +31,18 @@
   readonly paces: PaceTracker;
   readonly health: ServerHealth;
   readonly prefixes: PrefixCacheTracker;
-  readonly coldServerLimiter: ColdServerLimiter;
+  readonly serverRateLimiter: ServerRateLimiter;
+  readonly serverLimits: Pick<ServerLimits, 'limitOf' | 'isOutdated'>;
 }
 
+/**
+ * Prefill time from which a request is preferred for an engine that accepts a limited rate of
+ * requests. Short prompts would use up the rate and leave the long ones to the other engines.
+ */
+const LIMITED_RATE_PREFILL_MS = 300;
+/** Advantage of a server whose limit may have ended: only a response shows that it has. */
+const LIMIT_RECHECK_MS = 200;
+
 /**
  * Part of a shared prefix that the preferred server is assumed to have cached if it does not report
  * its cache to this host. In a large region each host sees few of the prompts and reads the reports
@@ -41,10 +51,12 @@
 const ASSUMED_CACHED_RATIO = 0.7;
 
 /**
- * Selects a local server. `cold`: all usable servers are cold and may not receive more requests
- * now; undefined: no server is usable.
+ * Selects a local server. `rate-limited`: all usable servers are cold or have named a limit, and
+ * may not receive more requests of this host now; undefined: no server is usable.
  */
-export type LocalChooser = (request: RoutingRequest) => Scored<LocalChoice> | 'cold' | undefined;
+export type LocalChooser = (
+  request: RoutingRequest,
+) => Scored<LocalChoice> | 'rate-limited' | undefined;
 
 /** Server that all hosts with the same candidates prefer for a shared prefix. */
 function preferredServer(
@@ -71,6 +83,21 @@
     );
   }
 
+  /** Added to the score of a server that accepts only a limited rate of requests. */
+  function limitedRateScoreMs(
+    server: ServerState,
+    service: ServiceSpec,
+    prefillMs: number,
+  ): number {
+    if (options.serverLimits.isOutdated(server)) {
+      return -LIMIT_RECHECK_MS;
+    }
+    return service.kvCapacityTokens === undefined ||
+      options.serverLimits.limitOf(server) === undefined
+      ? 0
+      : Math.max(0, LIMITED_RATE_PREFILL_MS - prefillMs);
+  }
+
   return (request) => {
     const { route, service, metadata } = request;
     const mayServe = route.homeRegions.length === 0 || route.homeRegions.includes(options.region);
@@ -84,10 +111,10 @@
           !request.triedServers.has(server.registration.id) && hasFreeConnection(server, service),
       );
     const permitted = usable.filter((server) =>
-      options.coldServerLimiter.permits(server, service.coldRequestsPerSecond),
+      options.serverRateLimiter.permits(server, service.coldRequestsPerSecond),
     );
     if (permitted.length === 0) {
-      return usable.length === 0 ? undefined : 'cold';
+      return usable.length === 0 ? undefined : 'rate-limited';
     }
     const preferred = preferredServer(request, permitted);
     const assumedTokens =
@@ -113,6 +140,7 @@
         });
         const cachedTokens = fetch?.cachedTokens ?? target.cachedTokens;
         const uncachedTokens = Math.max(0, metadata.promptTokens - cachedTokens);
+        const prefillMs = uncachedTokens * prefillMsPerToken;
         const rank =
           service.kvCapacityTokens === undefined
             ? route.rank
@@ -120,21 +148,20 @@
         const serviceMs =
           service.kvCapacityTokens === undefined
             ? speeds.callMs(server.incarnation)
-            : speeds.firstEventBaseMs +
-              uncachedTokens * prefillMsPerToken +
-              (fetch?.transferMs ?? 0);
+            : speeds.firstEventBaseMs + prefillMs + (fetch?.transferMs ?? 0);
         const waitMs = servers.queueMs(server, service, rank);
         const estimateMs = waitMs + serviceMs + health.penaltyMs(server.incarnation);
         const running = loads.running(server.registration.id);
         const finish = estimateFinish(request, {
           msPerEvent: paces.msPerEvent(server.registration.id),
-          prefillMs: uncachedTokens * prefillMsPerToken,
+          prefillMs,
           running,
         });
+        const limitedRateMs = limitedRateScoreMs(server, service, prefillMs);
         const affinityMs =
           preferred === undefined || preferred === server.registration.id
             ? 0
-            : uncachedTokens * prefillMsPerToken * AFFINITY_RATIO;
+            : prefillMs * AFFINITY_RATIO;
         return {
           choice: {
             kind: 'server' as const,
@@ -149,7 +176,7 @@
             tokensAhead: loads.tokensAhead(server.registration.id, rank),
             running,
           },
-          scoreMs: estimateMs + affinityMs + finish.scoreMs + options.random.next(),
+          scoreMs: estimateMs + affinityMs + limitedRateMs + finish.scoreMs + options.random.next(),
         };
       });
     return choices.reduce((best, next) => (next.scoreMs < best.scoreMs ? next : best));
--- a/packages/gateway/src/routing/createRouter.ts
+++ b/packages/gateway/src/routing/createRouter.ts
@@ -73,7 +73,7 @@
   return {
     choose(request) {
       const local = chooseLocal(request);
-      const usableLocal = local === undefined || local === 'cold' ? undefined : local;
+      const usableLocal = local === undefined || local === 'rate-limited' ? undefined : local;
       const staysLocal =
         usableLocal !== undefined &&
         usableLocal.choice.estimateMs <= request.route.targetLatencyMs * STAY_LOCAL_RATIO &&
@@ -81,7 +81,7 @@
       const region = request.isRelayed || staysLocal ? undefined : chooseRegion(request);
       if (usableLocal === undefined) {
         return region === undefined
-          ? { kind: 'none', reason: local === 'cold' ? 'cold' : 'no-server' }
+          ? { kind: 'none', reason: local === 'rate-limited' ? 'rate-limited' : 'no-server' }
           : admit(request, region.choice);
       }
       const spills =
--- a/packages/gateway/src/routing/createServerView.ts
+++ b/packages/gateway/src/routing/createServerView.ts
@@ -3,6 +3,7 @@
 import type { ServerState } from '../model/ServerState.js';
 import type { ServiceName } from '../model/ServiceName.js';
 import type { ServiceSpec } from '../model/ServiceSpec.js';
+import type { ServerLimits } from '../limits/createServerLimits.js';
 import type { RegionCapacity } from '../peers/PeerHeartbeat.js';
 import type { LoadTracker } from './createLoadTracker.js';
 import type { PaceTracker } from './createPaceTracker.js';
@@ -24,6 +25,7 @@
   readonly speeds: SpeedTracker;
   readonly paces: PaceTracker;
   readonly health: ServerHealth;
+  readonly serverLimits: Pick<ServerLimits, 'limitOf'>;
 }
 
 /** Servers of this region, as the router sees them. */
@@ -72,8 +74,11 @@
 
   function capacityOf(service: ServiceSpec): RegionCapacity | undefined {
     const nowMs = clock.monotonicMs();
+    // Servers that accept only a limited rate are left to the callers of this region.
     const servers = usable(service).filter(
-      (server) => service.coldRequestsPerSecond <= 0 || server.coldUntilMs <= nowMs,
+      (server) =>
+        (service.coldRequestsPerSecond <= 0 || server.coldUntilMs <= nowMs) &&
+        options.serverLimits.limitOf(server) === undefined,
     );
     const estimates = servers.map((server) => ({
       msPerEvent: paces.msPerEvent(server.registration.id),
--- a/packages/gateway/src/routing/runCacheFollower.ts
+++ b/packages/gateway/src/routing/runCacheFollower.ts
@@ -25,6 +25,8 @@
   readonly view: FleetView;
   readonly feed: CacheFeed;
   readonly prefixes: PrefixCacheTracker;
+  /** Whether the engine accepts only a limited rate of requests, which is left to callers. */
+  readonly isLimited: (server: ServerState) => boolean;
   readonly signal: AbortSignal;
 }
 
@@ -52,6 +54,10 @@
     let since = 0;
     let epoch: string | undefined;
     while (!signal.aborted && isCurrent(server)) {
+      if (options.isLimited(server)) {
+        await clock.sleep(RETRY_DELAY_MS, signal).catch(() => undefined);
+        continue;
+      }
       try {
         const update = await options.feed.waitForUpdate(server, since, MAX_WAIT_MS);
         if (update.lost || (epoch !== undefined && update.epoch !== epoch)) {
--- a/packages/gateway/tests/peers/heartbeatCodec.test.ts
+++ b/packages/gateway/tests/peers/heartbeatCodec.test.ts
@@ -38,6 +38,7 @@
   crashes: [],
   partEvidence: { crashes: [], served: [] },
   partTrials: [],
+  serverLimits: [],
 };
 
 test('a decoded heartbeat equals the encoded one', (t) => {
@@ -62,6 +63,20 @@
   t.throws(() => decodeHeartbeat(Buffer.from(malformed)), { instanceOf: InvalidMessageError });
 });
 
+test('limits of servers survive encoding', (t) => {
+  const withLimits: PeerHeartbeat = {
+    ...heartbeat,
+    serverLimits: [
+      { server: 'i-1#17', requestsPerSecond: 1.2, ageMs: 30 },
+      { server: 'i-2#18', requestsPerSecond: undefined, ageMs: 40 },
+    ],
+  };
+  const datagram = createHeartbeatEncoder(withLimits)(heartbeat.echo);
+  t.deepEqual(decodeHeartbeat(datagram), withLimits);
+  const malformed = datagram.toString().replace('"limits":[[', '"limits":[[1,');
+  t.throws(() => decodeHeartbeat(Buffer.from(malformed)), { instanceOf: InvalidMessageError });
+});
+
 test('malformed datagrams are rejected with a typed error', (t) => {
   ['', 'null', '{', '{"v":2}', '{"v":1,"host":{"id":"a"}}'].forEach((text) => {
     t.throws(() => decodeHeartbeat(Buffer.from(text)), { instanceOf: InvalidMessageError });
--- a/packages/gateway/tests/routing/createLocalChooser.test.ts
+++ b/packages/gateway/tests/routing/createLocalChooser.test.ts
@@ -10,8 +10,10 @@
   rankByRendezvous,
 } from '../../src/index.js';
 import type {
-  ColdServerLimiter,
+  ServerRateLimiter,
   LocalChoice,
+  RoutingRequest,
+  ServerState,
   PeerRegistry,
   PrefixCacheTracker,
   ServerView,
@@ -30,8 +32,22 @@
   buildServer({ id: asId(id), endpoint: { host: `10.0.0.${index + 1}`, port: 8_000 } }),
 );
 
+interface ChooseOptions {
+  readonly isLimited?: (server: ServerState) => boolean;
+  readonly isOutdated?: (server: ServerState) => boolean;
+  readonly routingRequest?: RoutingRequest;
+}
+
 /** Chooses a server while the preferred one has a queue of this length. */
-function choose(prefixes: PrefixCacheTracker, queueMs: number): LocalChoice | undefined {
+function choose(
+  prefixes: PrefixCacheTracker,
+  queueMs: number,
+  {
+    isLimited = () => false,
+    isOutdated = () => false,
+    routingRequest = request,
+  }: ChooseOptions = {},
+): LocalChoice | undefined {
   const clock = createManualClock();
   const scored = createLocalChooser({
     random: { next: () => 0 },
@@ -46,9 +62,10 @@
     paces: createPaceTracker(clock, () => []),
     health: createServerHealth(clock),
     prefixes,
-    coldServerLimiter: { permits: () => true } as unknown as ColdServerLimiter,
-  })(request);
-  return scored === undefined || scored === 'cold' ? undefined : scored.choice;
+    serverLimits: { limitOf: (server) => (isLimited(server) ? 1 : undefined), isOutdated },
+    serverRateLimiter: { permits: () => true } as unknown as ServerRateLimiter,
+  })(routingRequest);
+  return scored === undefined || scored === 'rate-limited' ? undefined : scored.choice;
 }
 
 // In regions of twenty hosts, a host reads the cache reports of a fifth of the engines. Without an
@@ -72,3 +89,26 @@
   t.is(choice?.server, preferred);
   t.is(choice?.fetch, undefined);
 });
+
+test('the limited rate of an engine is left to long prompts, until its limit may have ended', (t) => {
+  const shortPrompt = buildRoutingRequest({
+    metadata: buildRequestMetadata({
+      promptTokens: 100,
+      promptParts: [{ id: 'own', tokens: 100 }],
+    }),
+  });
+  const longPrompt = buildRoutingRequest({
+    metadata: buildRequestMetadata({
+      promptTokens: 14_000,
+      promptParts: [{ id: 'own', tokens: 14_000 }],
+    }),
+  });
+  const prefixes = createPrefixCacheTracker(createManualClock());
+  const isLimited = (server: ServerState): boolean => server === other;
+  const queueMs = 100;
+  t.is(choose(prefixes, queueMs, { routingRequest: shortPrompt })?.server, other);
+  t.is(choose(prefixes, queueMs, { routingRequest: shortPrompt, isLimited })?.server, preferred);
+  t.is(choose(prefixes, queueMs, { routingRequest: longPrompt, isLimited })?.server, other);
+  const outdated = { routingRequest: shortPrompt, isLimited, isOutdated: isLimited };
+  t.is(choose(prefixes, queueMs, outdated)?.server, other);
+});
--- a/packages/gateway/tests/routing/createRegionChooser.test.ts
+++ b/packages/gateway/tests/routing/createRegionChooser.test.ts
@@ -40,6 +40,7 @@
       crashes: [],
       partEvidence: { crashes: [], served: [] },
       partTrials: [],
+      serverLimits: [],
     },
     lastHeartbeatAtMs: 0,
     roundTripMs: 100,
