Treat a stream that ends inside an event as broken

Cause: forwardEvents took the end of the body for the end of the stream and sent the rest as a last event.

Change: if the rest has fields, the stream is broken: the rest is not forwarded, a resumable stream goes on at another server after its last complete event, any other ends without looking complete. A trailing comment is still complete.

--- a/packages/gateway/src/exchange/forwardEvents.ts
+++ b/packages/gateway/src/exchange/forwardEvents.ts
@@ -1,6 +1,6 @@
 import type { IncomingMessage } from 'node:http';
 import type { ResponseWriter } from './ResponseWriter.js';
-import { splitEvents } from './splitEvents.js';
+import { hasFields, splitEvents } from './splitEvents.js';
 
 /** Maximum number of bytes since the last complete event: a long event, or comments. */
 const MAX_BYTES_BETWEEN_EVENTS = 1_048_576;
@@ -18,7 +18,7 @@
 }
 
 export interface ForwardEventsResult {
-  /** Whether the stream ended normally. */
+  /** Whether the stream ended normally, and not inside an event. */
   readonly complete: boolean;
   readonly cause: 'end' | 'broken' | 'silent' | 'cancelled';
   readonly hasForwardedEvents: boolean;
@@ -27,8 +27,8 @@
 }
 
 /**
- * Forwards the events of a stream as they arrive. An incomplete event at the end of a broken stream
- * is not forwarded, so that another server can resume right after the last complete event. Comments
+ * Forwards the events of a stream as they arrive. A stream that ends inside an event is broken, even
+ * if its framing is complete; the incomplete event is not forwarded, so that another server can resume right after the last complete event. Comments
  * are forwarded, but do not count as events: they neither start the response nor end a pause.
  */
 export async function forwardEvents(options: ForwardEventsOptions): Promise<ForwardEventsResult> {
@@ -102,7 +102,7 @@
         stop('broken');
       }
     }
-    if (response.complete) {
+    if (response.complete && !hasFields(remainder)) {
       cause = 'end';
       if (remainder.length > 0 || heldComments.length > 0) {
         await forwardEvent(remainder);
--- a/packages/gateway/src/exchange/splitEvents.ts
+++ b/packages/gateway/src/exchange/splitEvents.ts
@@ -27,6 +27,11 @@
   return 0;
 }
 
+/** Whether the bytes hold more than comments and blank lines. */
+export function hasFields(bytes: Buffer): boolean {
+  return /^[^:\r\n]/m.test(bytes.toString('latin1'));
+}
+
 /** Splits bytes of an event stream into complete events and the start of the next one. */
 export function splitEvents(bytes: Buffer): SplitEvents {
   const end = endOfLastEvent(bytes);
@@ -38,6 +43,6 @@
     remainder: bytes.subarray(end),
     lastEventId: ids.at(-1)?.[1],
     eventCount: ids.length,
-    hasFields: /^[^:\r\n]/m.test(text),
+    hasFields: hasFields(completeEvents),
   };
 }
