Continue a broken stream only with events

What callers saw: after a stream had broken off, a next server that answered 200 with text had its text put into the middle of the stream, which then ended as complete; one that answered 200 with an empty body ended the stream as complete after two events, with pieces missing. A redirect led to an exception when a second head was written (by reading; the caller saw a broken stream).

Cause: receiveResponse looked only at status, attempt id and seal, also when the head had already been sent, and forwardEvents took any body for events.

Change: once a response has started, only 2xx with the content type of an event stream (or none) may continue it, and its first event must have an id; anything else counts as an attempt that failed in the middle of the stream. An empty continuation is not taken for the end: nothing shows that no piece is missing, and the caller can resume by itself. A 2xx with another content type as a first response is passed on whole, as the server sent it.

--- a/packages/gateway/src/exchange/forwardEvents.ts
+++ b/packages/gateway/src/exchange/forwardEvents.ts
@@ -8,6 +8,8 @@
 export interface ForwardEventsOptions {
   readonly response: IncomingMessage;
   readonly responseWriter: ResponseWriter;
+  /** Whether the response continues a stream, so that it must have at least one event with an id. */
+  readonly isContinuation: boolean;
   /** Called before the first event is forwarded. */
   readonly onFirstEvent: () => void;
   /** Called for each chunk that completes events, with their number. */
@@ -90,7 +92,11 @@
       bytesSinceEvent += chunk.length;
       const split = splitEvents(remainder.length === 0 ? chunk : Buffer.concat([remainder, chunk]));
       remainder = split.remainder;
-      if (split.hasFields) {
+      const isForeign =
+        options.isContinuation && !hasForwardedEvents && split.hasFields && split.eventCount === 0;
+      if (isForeign) {
+        stop('broken');
+      } else if (split.hasFields) {
         bytesSinceEvent = remainder.length;
         lastEventId = split.lastEventId ?? lastEventId;
         options.onEvents(split.eventCount);
@@ -102,7 +108,8 @@
         stop('broken');
       }
     }
-    if (response.complete && !hasFields(remainder)) {
+    const isEmptyContinuation = options.isContinuation && !hasForwardedEvents;
+    if (response.complete && !hasFields(remainder) && !isEmptyContinuation) {
       cause = 'end';
       if (remainder.length > 0 || heldComments.length > 0) {
         await forwardEvent(remainder);
--- a/packages/gateway/src/exchange/receiveResponse.ts
+++ b/packages/gateway/src/exchange/receiveResponse.ts
@@ -12,6 +12,7 @@
 /** Status codes from which callers conclude that the request has not run. */
 const NOT_RUN_STATUS_CODES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 const MISDIRECTED = 421;
+const EVENT_STREAM_TYPE = 'text/event-stream';
 
 export interface ReceiveResponseOptions {
   readonly exchange: Exchange;
@@ -41,6 +42,12 @@
   );
 }
 
+/** Whether the content type, if there is one, is that of server-sent events. */
+function mayBeEventStream({ headers }: IncomingMessage): boolean {
+  const contentType = headers['content-type']?.toLowerCase();
+  return contentType === undefined || contentType.startsWith(EVENT_STREAM_TYPE);
+}
+
 async function receiveEvents(options: ReceiveResponseOptions): Promise<AttemptResult> {
   const { exchange, response } = options;
   const { responseWriter } = exchange;
@@ -54,6 +61,7 @@
   const result = await forwardEvents({
     response,
     responseWriter,
+    isContinuation: responseWriter.isStarted(),
     onFirstEvent: startResponse,
     onEvents: options.onEvents,
     maxEventGapMs: options.maxEventGapMs,
@@ -112,11 +120,17 @@
     return { kind: 'not-run', cause: `rejected with ${status}`, reachedServer: true };
   }
   const isSuccess = status >= 200 && status < 300;
+  const isEventStream = isSuccess && mayBeEventStream(response);
+  if (exchange.responseWriter.isStarted() && !isEventStream) {
+    discardBody(response);
+    const cause = `status ${status} in place of the rest of the stream`;
+    return { kind: 'interrupted', lastEventId: undefined, cause };
+  }
   if (metadata.encoded || (isSuccess && !metadata.sealed)) {
     response.destroy();
     return { kind: 'unknown', cause: 'response without proof of origin' };
   }
-  return isSuccess && exchange.route.delivery === 'events'
+  return isEventStream && exchange.route.delivery === 'events'
     ? receiveEvents(options)
     : receiveBuffered(options);
 }
--- a/packages/gateway/tests/exchange/forwardEvents.test.ts
+++ b/packages/gateway/tests/exchange/forwardEvents.test.ts
@@ -11,6 +11,7 @@
   const result = forwardEvents({
     response,
     responseWriter: { write } as ResponseWriter,
+    isContinuation: false,
     onFirstEvent() {},
     onEvents() {},
     maxEventGapMs: undefined,
