Do not take a 421 of the intended server for a request that has not run

What callers saw: a faulty server answered 421 without an attempt id and with its own id, the one that was expected, while it ran the order.

Cause: isMisdirected took any 421 with a server id and without an attempt id for the answer of another server at the address, without comparing the ids.

Change: only another id shows that the address has a new owner. A 421 of the intended server belongs to no request of ours; the outcome is unknown and the connection is closed.

--- a/packages/gateway/src/exchange/forwardToPeer.ts
+++ b/packages/gateway/src/exchange/forwardToPeer.ts
@@ -53,6 +53,7 @@
     exchange,
     response,
     metadata: context.codec.readResponse(response.headers),
+    expectedServer: undefined,
     signal,
     onResponseStart,
     onEvents: options.onEvents,
--- a/packages/gateway/src/exchange/forwardToServer.ts
+++ b/packages/gateway/src/exchange/forwardToServer.ts
@@ -158,6 +158,7 @@
     exchange,
     response,
     metadata,
+    expectedServer: server.registration.id,
     signal,
     ...callbacks,
     maxEventGapMs: options.mayRetry ? exchange.route.targetGapMs * MAX_EVENT_GAP_RATIO : undefined,
--- a/packages/gateway/src/exchange/receiveResponse.ts
+++ b/packages/gateway/src/exchange/receiveResponse.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage } from 'node:http';
+import type { ServerId } from '@camphorbarrow/core';
 import type { ResponseMetadata } from '../model/ResponseMetadata.js';
 import { discardBody } from '../upstream/discardBody.js';
 import { readFullBody } from '../upstream/readFullBody.js';
@@ -18,6 +19,8 @@
   readonly exchange: Exchange;
   readonly response: IncomingMessage;
   readonly metadata: ResponseMetadata;
+  /** Server that the request was sent to; undefined for a peer. */
+  readonly expectedServer: ServerId | undefined;
   readonly signal: AbortSignal;
   /** Called on the first event of a stream, or on the head of any other response. */
   readonly onResponseStart: () => void;
@@ -34,11 +37,15 @@
 
 /**
  * Whether the address now belongs to another server. Such a server sends its own id without the
- * attempt id, and has not run the request.
+ * attempt id, and has not run the request. The intended server itself may be running it.
  */
-function isMisdirected(status: number, metadata: ResponseMetadata): boolean {
+function isMisdirected({ response, metadata, expectedServer }: ReceiveResponseOptions): boolean {
   return (
-    status === MISDIRECTED && metadata.attemptId === undefined && metadata.serverId !== undefined
+    response.statusCode === MISDIRECTED &&
+    metadata.attemptId === undefined &&
+    metadata.serverId !== undefined &&
+    expectedServer !== undefined &&
+    metadata.serverId !== expectedServer
   );
 }
 
@@ -103,7 +110,7 @@
 export async function receiveResponse(options: ReceiveResponseOptions): Promise<AttemptResult> {
   const { exchange, response, metadata } = options;
   const status = response.statusCode ?? 0;
-  if (isMisdirected(status, metadata)) {
+  if (isMisdirected(options)) {
     discardBody(response);
     return {
       kind: 'not-run',
