--- a/packages/daemon/src/report/explainRequest.ts
+++ b/packages/daemon/src/report/explainRequest.ts
@@ -65,9 +65,13 @@
       `(first event expected after ${estimateMs} ms, end ${finishMs} ms later, deadline after ${remainingMs} ms).`
     );
   }
-  if (/no-server$|cold$/.test(causes)) {
+  // `cold` is in the logs of earlier versions.
+  if (/(no-server|rate-limited|cold)$/.test(causes)) {
     return `${host} rejected it before it ran: it knew no server that could accept it (${causes}).`;
   }
+  if (/prompt part (crashed servers|suspected after server crashes)$/.test(causes)) {
+    return `${host} rejected it before it ran: ${causes}; see server-crashed in the logs of all hosts.`;
+  }
   return status === 0 || status === 504
     ? `It timed out after ${tookMs} at ${destination}; ${Number(fields.events)} events were forwarded.`
     : `${host} ended it with ${status} after ${tookMs}: ${causes}.`;
--- a/packages/daemon/tests/report/explainRequest.test.ts
+++ b/packages/daemon/tests/report/explainRequest.test.ts
@@ -129,3 +129,28 @@
     'The caller disconnected from host-1 after 0 ms, before the request was sent to a server.',
   );
 });
+
+test('rejections for a limited rate and for a suspected prompt part are explained', (t) => {
+  const rejected = {
+    event: 'request',
+    requestId: 'a1',
+    attempts: 0,
+    runs: 0,
+    status: 503,
+    tookMs: 3,
+  };
+  const conclusionFor = (causes: string) =>
+    explain([line(1, 'host-1', { ...rejected, causes })]).conclusion;
+  t.is(
+    conclusionFor('rate-limited'),
+    'host-1 rejected it before it ran: it knew no server that could accept it (rate-limited).',
+  );
+  t.is(
+    conclusionFor('prompt part crashed servers'),
+    'host-1 rejected it before it ran: prompt part crashed servers; see server-crashed in the logs of all hosts.',
+  );
+  t.regex(
+    conclusionFor('prompt part suspected after server crashes') ?? '',
+    /^host-1 rejected it before it ran: prompt part suspected/,
+  );
+});
