End the trial of a prompt part when its attempt fails with an exception

Found by reading the change again: a trial ended only when its attempt returned. An exception in between would have left it announced in every heartbeat of the host, and no host would have tried the part again until that host's restart.

--- a/packages/gateway/src/exchange/serveExchange.ts
+++ b/packages/gateway/src/exchange/serveExchange.ts
@@ -172,8 +172,9 @@
       progress.retryAfterMs = admission.retryAfterMs;
       return result;
     }
-    const next = await attemptOnce(context, exchange, progress, { signal, startSignal });
-    admission.trial.end();
+    const next = await attemptOnce(context, exchange, progress, { signal, startSignal }).finally(
+      admission.trial.end,
+    );
     if (next === undefined) {
       return result;
     }
