--- a/packages/gateway/src/exchange/forwardEvents.ts
+++ b/packages/gateway/src/exchange/forwardEvents.ts
@@ -30,8 +30,9 @@
 
 /**
  * Forwards the events of a stream as they arrive. A stream that ends inside an event is broken, even
- * if its framing is complete; the incomplete event is not forwarded, so that another server can resume right after the last complete event. Comments
- * are forwarded, but do not count as events: they neither start the response nor end a pause.
+ * if its framing is complete. The incomplete event is not forwarded, so that another server can
+ * resume right after the last complete event. Comments are forwarded, but do not count as events:
+ * they neither start the response nor end a pause.
  */
 export async function forwardEvents(options: ForwardEventsOptions): Promise<ForwardEventsResult> {
   const { response, responseWriter, signal } = options;
