--- /dev/null
+++ b/packages/gateway/src/exchange/sendFinalResponse.ts
@@ -0,0 +1,52 @@
+import {
+  BackendFailedError,
+  DeadlineExceededError,
+  NoServerError,
+  type RequestError,
+} from '@camphorbarrow/core';
+import type { Exchange } from './Exchange.js';
+import type { ExchangeProgress } from './ExchangeProgress.js';
+import type { GatewayContext } from './GatewayContext.js';
+import { sendErrorResponse } from './sendErrorResponse.js';
+
+function createFinalError(progress: ExchangeProgress, isExpired: boolean): RequestError {
+  const cause = progress.causes.join(', ');
+  if (progress.runs > 0) {
+    return isExpired
+      ? new DeadlineExceededError(`No response before the deadline: ${cause}.`)
+      : new BackendFailedError(`The request may have run: ${cause}.`);
+  }
+  if (isExpired) {
+    // A cancelled attempt may have run, although it counts as no run.
+    const outcome = progress.attempts === 0 ? 'not-run' : 'unknown';
+    return new DeadlineExceededError('No response before the deadline.', { props: { outcome } });
+  }
+  return new NoServerError(`No server accepted the request: ${cause}.`, {
+    props: { retryAfterMs: progress.retryAfterMs },
+  });
+}
+
+/** Ends an exchange that no attempt delivered. Returns the status sent, or 0 when none could be. */
+export function sendFinalResponse(
+  context: GatewayContext,
+  exchange: Exchange,
+  progress: ExchangeProgress,
+  isExpired: boolean,
+): number {
+  const { responseWriter } = exchange;
+  if (responseWriter.disconnected.aborted) {
+    return 0;
+  }
+  if (responseWriter.isStarted()) {
+    responseWriter.abort();
+    return 0;
+  }
+  if (progress.errorResponse !== undefined) {
+    const { status, headers, body } = progress.errorResponse;
+    responseWriter.send(status, headers, body);
+    return status;
+  }
+  const error = createFinalError(progress, isExpired);
+  sendErrorResponse(responseWriter, context.codec, error, exchange.relayedBy !== undefined);
+  return error.statusCode;
+}
--- a/packages/gateway/src/exchange/serveExchange.ts
+++ b/packages/gateway/src/exchange/serveExchange.ts
@@ -1,16 +1,10 @@
-import {
-  BackendFailedError,
-  DeadlineExceededError,
-  NoServerError,
-  type RequestError,
-} from '@camphorbarrow/core';
 import type { Destination } from '../routing/Destination.js';
 import { admitPromptParts } from './admitPromptParts.js';
 import { describeChoice } from './describeChoice.js';
 import type { Exchange } from './Exchange.js';
 import type { GatewayContext } from './GatewayContext.js';
 import type { ExchangeProgress } from './ExchangeProgress.js';
-import { sendErrorResponse } from './sendErrorResponse.js';
+import { sendFinalResponse } from './sendFinalResponse.js';
 import type { AttemptSignals } from './AttemptSignals.js';
 import { toRoutingRequest } from './toRoutingRequest.js';
 import { forwardToPeer } from './forwardToPeer.js';
@@ -183,48 +177,6 @@
   return result;
 }
 
-function createFinalError(progress: ExchangeProgress, isExpired: boolean): RequestError {
-  const cause = progress.causes.join(', ');
-  if (progress.runs > 0) {
-    return isExpired
-      ? new DeadlineExceededError(`No response before the deadline: ${cause}.`)
-      : new BackendFailedError(`The request may have run: ${cause}.`);
-  }
-  if (isExpired) {
-    // A cancelled attempt may have run, although it counts as no run.
-    const outcome = progress.attempts === 0 ? 'not-run' : 'unknown';
-    return new DeadlineExceededError('No response before the deadline.', { props: { outcome } });
-  }
-  return new NoServerError(`No server accepted the request: ${cause}.`, {
-    props: { retryAfterMs: progress.retryAfterMs },
-  });
-}
-
-/** Ends an exchange that no attempt delivered. Returns the status sent, or 0 when none could be. */
-function sendFinalResponse(
-  context: GatewayContext,
-  exchange: Exchange,
-  progress: ExchangeProgress,
-  isExpired: boolean,
-): number {
-  const { responseWriter } = exchange;
-  if (responseWriter.disconnected.aborted) {
-    return 0;
-  }
-  if (responseWriter.isStarted()) {
-    responseWriter.abort();
-    return 0;
-  }
-  if (progress.errorResponse !== undefined) {
-    const { status, headers, body } = progress.errorResponse;
-    responseWriter.send(status, headers, body);
-    return status;
-  }
-  const error = createFinalError(progress, isExpired);
-  sendErrorResponse(responseWriter, context.codec, error, exchange.relayedBy !== undefined);
-  return error.statusCode;
-}
-
 const roundMs = (durationMs: number | undefined): number | undefined =>
   durationMs === undefined ? undefined : Math.round(durationMs);
 
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -16,6 +16,7 @@
 export * from './exchange/receiveResponse.js';
 export * from './exchange/relayHeaders.js';
 export * from './exchange/sendErrorResponse.js';
+export * from './exchange/sendFinalResponse.js';
 export * from './exchange/sendTimeHeader.js';
 export * from './exchange/serveExchange.js';
 export * from './exchange/splitEvents.js';
