--- a/packages/gateway/src/fleet/createFleetView.ts
+++ b/packages/gateway/src/fleet/createFleetView.ts
@@ -137,10 +137,15 @@
   }
 
   function applyListing(listing: StoreListing): void {
-    if (listing.revision >= replica.revision()) {
-      applyEvents(replica.applyListing(listing));
-      changes.reset(replica.revision());
+    if (listing.revision < replica.revision()) {
+      log.warn('store-listing-ignored', {
+        revision: listing.revision,
+        knownRevision: replica.revision(),
+      });
+      return;
     }
+    applyEvents(replica.applyListing(listing));
+    changes.reset(replica.revision());
   }
 
   function recentHeartbeats(): StoreUpdate['heard'] {
--- a/packages/gateway/src/lifecycle/createEntryHost.ts
+++ b/packages/gateway/src/lifecycle/createEntryHost.ts
@@ -172,6 +172,7 @@
       callerListener.applyLimits(table.limits);
     }
     options.metrics.gauge('configuration_version', table?.version ?? 0);
+    options.metrics.gauge('store_revision', view.revision());
     options.metrics.gauge('in_flight', inFlight);
     options.metrics.gauge('peers_reachable', peers.alive().length);
     options.metrics.gauge('store_age_ms', clock.monotonicMs() - view.confirmedAtMs());
