Order what hosts learn from the store by era before revision

After the store is restored from an older copy, revisions go back and are given out again. The fleet view compared revisions alone.

Cause: listings whose revision is lower than the known one were dropped, while `confirmedAtMs` said that the view was fresh; the next watch asked from the old revision again (410), without end. A key written at a lower revision than the known one, and a watch that succeeds from a revision that now stands for another change, lose changes too.

Change: the store client reads the era of each response. Positions are pairs of era and revision, in the replica, in heartbeats and in updates between hosts. The first listing of a later era replaces the replica; a watch that is answered in another era ends as lost history. Configurations stay ordered by version alone. Hosts of earlier builds are taken to be of era 0.

The tests' calls name an era now; what they check is unchanged.

--- a/packages/gateway/src/fleet/createChangeLog.ts
+++ b/packages/gateway/src/fleet/createChangeLog.ts
@@ -3,7 +3,10 @@
 /** Maximum length of the log. A host that lags further behind gets a full snapshot. */
 const MAX_CHANGES = 4_096;
 
-/** Log of recently changed keys, with the revision at which this host learned of the change. */
+/**
+ * Log of recently changed keys of one era, with the revision at which this host learned of the
+ * change.
+ */
 export interface ChangeLog {
   append(key: string, revision: StoreRevision): void;
   /** Keys that changed after the revision; undefined if the log does not go back that far. */
--- a/packages/gateway/src/fleet/createFleetView.ts
+++ b/packages/gateway/src/fleet/createFleetView.ts
@@ -2,17 +2,20 @@
   AvailabilityZoneId,
   Clock,
   HostId,
+  KeyValue,
   LogSink,
   RegionId,
-  StoreRevision,
   WatchEvent,
 } from '@camphorbarrow/core';
 import type { FleetChange } from '../model/FleetChange.js';
 import type { HostRegistration } from '../model/HostRegistration.js';
 import type { RoutingTable } from '../model/RoutingTable.js';
 import type { StoreChanges, StoreListing } from '../ports/MetadataStore.js';
+import type { StorePosition } from '../model/StorePosition.js';
 import type { StoreUpdate } from '../model/StoreUpdate.js';
+import { compareStorePositions } from './compareStorePositions.js';
 import { createChangeLog } from './createChangeLog.js';
+import { createDeferredChanges } from './createDeferredChanges.js';
 import { createReplica } from './createReplica.js';
 import { createServerDirectory } from './createServerDirectory.js';
 import type { ServerDirectory } from './createServerDirectory.js';
@@ -37,15 +40,17 @@
   readonly servers: Pick<ServerDirectory, 'get' | 'all'>;
   /** Entry hosts registered in the store. */
   hosts(): readonly HostRegistration[];
-  revision(): StoreRevision;
+  position(): StorePosition;
   /** Monotonic time at which the store last responded to this host or to a peer that updated it. */
   confirmedAtMs(): number;
   applyListing(listing: StoreListing): void;
   applyChanges(changes: StoreChanges): void;
-  /** Applies a store update from a peer. */
+  /** Applies a store update from a peer; items of an earlier era are ignored. */
   applyPeerUpdate(update: StoreUpdate): void;
-  /** Returns the changes after a revision, for a peer that is at this revision. */
-  updateSince(revision: StoreRevision): StoreUpdate;
+  /** Returns the changes after a position, for a peer that is at this position. */
+  updateSince(position: StorePosition): StoreUpdate;
+  /** Calls the listener whenever this host learns that the store was restored from an older copy. */
+  onRestored(listener: () => void): void;
   /** Records that the store did not respond; removals may then be expired leases. */
   recordStoreUnavailable(): void;
 }
@@ -55,9 +60,13 @@
   const { clock, log } = options;
   const replica = createReplica();
   const changes = createChangeLog();
+  const deferred = createDeferredChanges(clock);
+  const restoreListeners: (() => void)[] = [];
   const hosts = new Map<HostId, HostRegistration>();
   const evacuated = new Set<AvailabilityZoneId>();
   let table: RoutingTable | undefined;
+  /** Item that `table` was decoded from. */
+  let tableItem: KeyValue | undefined;
   let storeLastUnavailableAtMs = -Infinity;
   let confirmedAtMs = -Infinity;
   const servers = createServerDirectory({
@@ -67,8 +76,11 @@
     coldAfterEvacuationMs: options.coldAfterEvacuationMs,
   });
 
-  function applyTable(next: RoutingTable): void {
+  function applyTable(next: RoutingTable, item: KeyValue): void {
     if (table !== undefined && next.version <= table.version) {
+      if (next.version < table.version) {
+        log.info('configuration-ignored', { version: next.version, knownVersion: table.version });
+      }
       return;
     }
     log.info('configuration-applied', {
@@ -77,6 +89,7 @@
       routes: next.routes.length,
     });
     table = next;
+    tableItem = item;
   }
 
   function applyEvacuation(zone: AvailabilityZoneId, active: boolean): void {
@@ -97,7 +110,7 @@
     const change = options.decode(event);
     switch (change.kind) {
       case 'configuration':
-        applyTable(change.table);
+        applyTable(change.table, event);
         break;
       case 'evacuation':
         applyEvacuation(change.zone, change.active);
@@ -131,21 +144,106 @@
     return true;
   }
 
+  /** Whether the item of a restored copy contradicts what this host learned after the copy. */
+  function isOutdated(event: WatchEvent): boolean {
+    const change = options.decode(event);
+    switch (change.kind) {
+      case 'evacuation':
+        return evacuated.has(change.zone) !== change.active;
+      case 'server':
+        return (
+          change.registration !== undefined && servers.isOutdated(change.id, change.registration)
+        );
+      default:
+        return false;
+    }
+  }
+
+  function isServerListed(event: WatchEvent): boolean {
+    const change = options.decode(event);
+    return change.kind === 'server' && servers.get(change.id) !== undefined;
+  }
+
   function applyEvents(events: readonly WatchEvent[]): void {
-    const revision = replica.revision();
+    const { revision } = replica.position();
+    events.forEach(({ key }) => deferred.drop(key));
     events.filter(apply).forEach(({ key }) => changes.append(key, revision));
+    deferred
+      .takeDue()
+      .filter((event) => !isOutdated(event) || !isServerListed(event))
+      .forEach(apply);
+  }
+
+  /**
+   * Replaces the replica after the store was restored from an older copy. The copy lacks what was
+   * written after it, so what this host knows goes first until it is written again. Configurations
+   * are ordered by their version alone.
+   */
+  function applyRestoredListing(listing: StoreListing): void {
+    const previous = replica.position();
+    // Entries that the copy lacks are kept for as long as those that expired during an outage.
+    storeLastUnavailableAtMs = clock.monotonicMs();
+    deferred.clear();
+    const events = replica.applyListing(listing);
+    const outdated = events.filter(isOutdated);
+    outdated.forEach(deferred.defer);
+    events.filter((event) => !outdated.includes(event)).forEach(apply);
+    changes.reset(listing.revision);
+    log.warn('store-restored', {
+      era: listing.era,
+      revision: listing.revision,
+      previousEra: previous.era,
+      previousRevision: previous.revision,
+      changes: events.length,
+      deferred: outdated.length,
+      version: table?.version,
+    });
+    restoreListeners.forEach((listener) => listener());
   }
 
-  function applyListing(listing: StoreListing): void {
-    if (listing.revision < replica.revision()) {
+  /** Applies a listing. Returns false if it is older than what is known. */
+  function applyListing(listing: StoreListing): boolean {
+    const known = replica.position();
+    if (compareStorePositions(listing, known) < 0) {
       log.warn('store-listing-ignored', {
+        era: listing.era,
         revision: listing.revision,
-        knownRevision: replica.revision(),
+        knownEra: known.era,
+        knownRevision: known.revision,
       });
-      return;
+      return false;
+    }
+    if (listing.era > known.era && known.revision > 0) {
+      applyRestoredListing(listing);
+    } else {
+      applyEvents(replica.applyListing(listing));
+      changes.reset(listing.revision);
+    }
+    return true;
+  }
+
+  /** Applies the changes of a peer's update. Returns false if they are of an earlier era. */
+  function applyPeerChanges({ complete, items, removals, era, revision }: StoreUpdate): boolean {
+    if (complete) {
+      return applyListing({ items, era, revision }) || era === replica.position().era;
+    }
+    const events: readonly WatchEvent[] = [
+      ...items.map((item) => ({ kind: 'put' as const, ...item })),
+      ...removals.map((removal) => ({ kind: 'delete' as const, value: '', ...removal })),
+    ];
+    applyEvents(replica.applyChanges({ events, era, revision }));
+    return era === replica.position().era;
+  }
+
+  /** Adopts a newer configuration that a peer keeps in force although the store lost it. */
+  function applyPeerConfiguration(item: KeyValue | null): void {
+    if (item !== null) {
+      const event = { kind: 'put' as const, ...item };
+      const change = options.decode(event);
+      if (change.kind === 'configuration') {
+        applyTable(change.table, item);
+      }
     }
-    applyEvents(replica.applyListing(listing));
-    changes.reset(replica.revision());
   }
 
   function recentHeartbeats(): StoreUpdate['heard'] {
@@ -167,37 +265,36 @@
     isEvacuated: (zone) => evacuated.has(zone),
     servers,
     hosts: () => [...hosts.values()],
-    revision: replica.revision,
+    position: replica.position,
     confirmedAtMs: () => confirmedAtMs,
     applyListing(listing) {
-      applyListing(listing);
-      confirmedAtMs = clock.monotonicMs();
+      if (applyListing(listing)) {
+        confirmedAtMs = clock.monotonicMs();
+      }
     },
     applyChanges(storeChanges) {
       applyEvents(replica.applyChanges(storeChanges));
-      confirmedAtMs = clock.monotonicMs();
+      if (storeChanges.era === replica.position().era) {
+        confirmedAtMs = clock.monotonicMs();
+      }
     },
-    applyPeerUpdate({ complete, items, removals, revision, ...update }) {
+    applyPeerUpdate(update) {
       const nowMs = clock.monotonicMs();
+      applyPeerConfiguration(update.configuration);
       if (update.storeAwayMs !== null) {
         storeLastUnavailableAtMs = Math.max(storeLastUnavailableAtMs, nowMs - update.storeAwayMs);
       }
-      if (complete) {
-        applyListing({ items, revision });
-      } else {
-        const events: readonly WatchEvent[] = [
-          ...items.map((item) => ({ kind: 'put' as const, ...item })),
-          ...removals.map((removal) => ({ kind: 'delete' as const, value: '', ...removal })),
-        ];
-        applyEvents(replica.applyChanges({ events, revision }));
+      if (!applyPeerChanges(update)) {
+        return;
       }
       update.heard.forEach(([id, age]) => servers.recordHeartbeat(id, nowMs - age));
       if (update.ageMs !== null) {
         confirmedAtMs = Math.max(confirmedAtMs, nowMs - update.ageMs);
       }
     },
-    updateSince(revision) {
-      const keys = changes.since(revision);
+    updateSince(since) {
+      const position = replica.position();
+      const keys = since.era === position.era ? changes.since(since.revision) : undefined;
       const known = [...(keys ?? [])];
       return {
         complete: keys === undefined,
@@ -208,11 +305,18 @@
           return modRevision === undefined ? [] : [{ key, modRevision }];
         }),
         heard: recentHeartbeats(),
-        revision: replica.revision(),
+        ...position,
+        configuration:
+          tableItem === undefined || replica.get(tableItem.key)?.value === tableItem.value
+            ? null
+            : { key: tableItem.key, value: tableItem.value, modRevision: tableItem.modRevision },
         ageMs: ageMs(confirmedAtMs),
         storeAwayMs: ageMs(storeLastUnavailableAtMs),
       };
     },
+    onRestored(listener) {
+      restoreListeners.push(listener);
+    },
     recordStoreUnavailable() {
       storeLastUnavailableAtMs = clock.monotonicMs();
     },
--- a/packages/gateway/src/fleet/createReplica.ts
+++ b/packages/gateway/src/fleet/createReplica.ts
@@ -1,13 +1,20 @@
 import type { KeyValue, StoreRevision, WatchEvent } from '@camphorbarrow/core';
+import type { StorePosition } from '../model/StorePosition.js';
 import type { StoreChanges, StoreListing } from '../ports/MetadataStore.js';
 
-/** Local copy of the store's items. Older revisions never replace newer ones. */
+/** Local copy of the store's items. Older revisions of an era never replace newer ones. */
 export interface Replica {
-  /** Revision up to which all changes are known; 0 before the first listing. */
-  revision(): StoreRevision;
-  /** Merges a listing of all items. Returns the changes that were not known yet. */
+  /** Position up to which all changes are known; revision 0 before the first listing. */
+  position(): StorePosition;
+  /**
+   * Merges a listing of all items. A listing of a later era replaces the copy; one of an earlier era
+   * is ignored. Returns the changes that were not known yet.
+   */
   applyListing(listing: StoreListing): readonly WatchEvent[];
-  /** Merges changes that follow `revision()`. Returns those that were not known yet. */
+  /**
+   * Merges changes that follow `position()`; those of another era are ignored. Returns the ones that
+   * were not known yet.
+   */
   applyChanges(changes: StoreChanges): readonly WatchEvent[];
   /** All items, for a host that needs a full snapshot. */
   items(): readonly KeyValue[];
@@ -24,7 +31,11 @@
   const items = new Map<string, KeyValue>();
   /** Revisions at which keys were removed, to ignore older versions of them. */
   const removals = new Map<string, StoreRevision>();
-  let revision = 0;
+  let position: StorePosition = { era: 0, revision: 0 };
+
+  const advanceTo = (revision: StoreRevision): void => {
+    position = { ...position, revision: Math.max(position.revision, revision) };
+  };
 
   function merge(event: WatchEvent): boolean {
     const known = items.get(event.key)?.modRevision ?? removals.get(event.key) ?? 0;
@@ -40,24 +51,51 @@
     return items.delete(event.key);
   }
 
+  const toRemoval = (key: string, modRevision: StoreRevision): WatchEvent => ({
+    kind: 'delete',
+    key,
+    value: '',
+    modRevision,
+  });
+  const toPut = (item: KeyValue): WatchEvent => ({ kind: 'put', ...item });
+
+  /** Starts anew with the items of a later era. Returns how they differ from the items before. */
+  function replaceAll(listing: StoreListing): readonly WatchEvent[] {
+    const known = new Map(items);
+    items.clear();
+    removals.clear();
+    listing.items.forEach((item) => items.set(item.key, item));
+    position = { era: listing.era, revision: listing.revision };
+    const removed = [...known.keys()]
+      .filter((key) => !items.has(key))
+      .map((key) => toRemoval(key, listing.revision));
+    const changed = listing.items
+      .filter(({ key, value }) => known.get(key)?.value !== value)
+      .map(toPut);
+    return [...removed, ...changed];
+  }
+
   return {
-    revision: () => revision,
+    position: () => position,
     applyListing(listing) {
+      if (listing.era > position.era) {
+        return replaceAll(listing);
+      }
+      if (listing.era < position.era) {
+        return [];
+      }
       const listed = new Set(listing.items.map(({ key }) => key));
       const removed = [...items.values()]
         .filter(({ key, modRevision }) => !listed.has(key) && modRevision <= listing.revision)
-        .map(({ key }) => ({
-          kind: 'delete' as const,
-          key,
-          value: '',
-          modRevision: listing.revision,
-        }));
-      const added = listing.items.map((item) => ({ kind: 'put' as const, ...item }));
-      revision = Math.max(revision, listing.revision);
-      return [...removed, ...added].filter(merge);
+        .map(({ key }) => toRemoval(key, listing.revision));
+      advanceTo(listing.revision);
+      return [...removed, ...listing.items.map(toPut)].filter(merge);
     },
     applyChanges(changes) {
-      revision = Math.max(revision, changes.revision);
+      if (changes.era !== position.era) {
+        return [];
+      }
+      advanceTo(changes.revision);
       return changes.events.filter(merge);
     },
     items: () => [...items.values()],
--- a/packages/gateway/src/fleet/createServerDirectory.ts
+++ b/packages/gateway/src/fleet/createServerDirectory.ts
@@ -24,6 +24,12 @@
   all(): readonly ServerState[];
   /** Applies a new entry or its removal. Returns whether more than the heartbeat changed. */
   update(id: ServerId, registration: ServerRegistration | undefined): boolean;
+  /**
+   * Whether the entry is older than what is known of the same process, or of one that started later;
+   * also if that server is no longer listed. Only entries of a store that was restored from an older
+   * copy can be.
+   */
+  isOutdated(id: ServerId, registration: ServerRegistration): boolean;
   /** Records the monotonic time at which a peer received a heartbeat of the server. */
   recordHeartbeat(id: ServerId, atMs: number): void;
   /** Treats the servers of the zone as cold, because they received no requests for a while. */
@@ -39,6 +45,22 @@
 /** Changes of the reported cold time below this are attributed to delays of the heartbeat. */
 const COLD_TIME_TOLERANCE_MS = 500;
 
+/** Time for which the last entries of servers that are no longer listed are kept. */
+const REMOVED_RETENTION_MS = 120_000;
+
+interface RemovedServer {
+  readonly registration: ServerRegistration;
+  readonly removedAtMs: number;
+}
+
+function startedLater(later: ServerRegistration, earlier: ServerRegistration): boolean {
+  return (
+    later.startedAtMs !== undefined &&
+    earlier.startedAtMs !== undefined &&
+    later.startedAtMs > earlier.startedAtMs
+  );
+}
+
 function isSameLifetime(earlier: ServerRegistration, later: ServerRegistration): boolean {
   return (
     earlier.endpoint.host === later.endpoint.host &&
@@ -53,13 +75,26 @@
 export function createServerDirectory(options: ServerDirectoryOptions): ServerDirectory {
   const { clock } = options;
   const servers = new Map<ServerId, DirectoryEntry>();
+  const removedServers = new Map<ServerId, RemovedServer>();
   let lifetimeCount = 0;
 
+  function drop(id: ServerId): boolean {
+    const entry = servers.get(id);
+    const removedAtMs = clock.monotonicMs();
+    if (entry !== undefined) {
+      removedServers.set(id, { registration: entry.state.registration, removedAtMs });
+    }
+    [...removedServers]
+      .filter(([, removed]) => removedAtMs - removed.removedAtMs > REMOVED_RETENTION_MS)
+      .forEach(([removedId]) => removedServers.delete(removedId));
+    return servers.delete(id);
+  }
+
   function dropExpired(): void {
     const nowMs = clock.monotonicMs();
     [...servers]
       .filter(([, entry]) => entry.expiresAtMs !== undefined && entry.expiresAtMs <= nowMs)
-      .forEach(([id]) => servers.delete(id));
+      .forEach(([id]) => drop(id));
   }
 
   function nextIncarnation(registration: ServerRegistration): string {
@@ -74,7 +109,7 @@
       entry.expiresAtMs = expiresAtMs;
       return true;
     }
-    return servers.delete(id);
+    return drop(id);
   }
 
   return {
@@ -98,6 +133,7 @@
       const knownColdUntilMs = sameLifetime ? known.coldUntilMs : 0;
       const turnedCold =
         reportedColdUntilMs > Math.max(nowMs, knownColdUntilMs) + COLD_TIME_TOLERANCE_MS;
+      removedServers.delete(id);
       servers.set(id, {
         expiresAtMs: undefined,
         state: {
@@ -110,6 +146,22 @@
       });
       return !sameLifetime || known.registration.state !== registration.state || turnedCold;
     },
+    isOutdated(id, registration) {
+      dropExpired();
+      const listed = servers.get(id)?.state.registration;
+      const known = listed ?? removedServers.get(id)?.registration;
+      if (known === undefined) {
+        return false;
+      }
+      const isEarlier =
+        listed === undefined
+          ? registration.sequence <= known.sequence
+          : registration.sequence < known.sequence;
+      return (
+        startedLater(known, registration) ||
+        (isEarlier && isSameLifetime(registration, { ...known, sequence: Infinity }))
+      );
+    },
     recordHeartbeat(id, atMs) {
       const entry = servers.get(id);
       if (entry !== undefined && entry.state.lastHeartbeatAtMs < atMs) {
--- a/packages/gateway/src/fleet/runStoreFollower.ts
+++ b/packages/gateway/src/fleet/runStoreFollower.ts
@@ -38,20 +38,20 @@
     if (isReachable !== wasReachable) {
       wasReachable = isReachable;
       if (isReachable) {
-        log.info('store-reached', { revision: view.revision() });
+        log.info('store-reached', { ...view.position() });
       } else {
-        log.error('store-unreachable', { revision: view.revision() }, error);
+        log.error('store-unreachable', { ...view.position() }, error);
       }
     }
   }
 
   async function readStore(): Promise<void> {
-    if (historyLost || view.revision() === 0) {
+    if (historyLost || view.position().revision === 0) {
       view.applyListing(await store.list(ALL_KEYS));
       historyLost = false;
       return;
     }
-    view.applyChanges(await store.waitForChanges(ALL_KEYS, view.revision(), options.watchWaitMs));
+    view.applyChanges(await store.waitForChanges(ALL_KEYS, view.position(), options.watchWaitMs));
   }
 
   while (!signal.aborted) {
@@ -68,7 +68,7 @@
         return;
       }
       if (error instanceof StoreHistoryLostError) {
-        log.warn('store-history-lost', { revision: view.revision() });
+        log.warn('store-history-lost', { ...view.position() });
         historyLost = true;
       } else {
         setReachable(false, error);
--- a/packages/gateway/src/lifecycle/createEntryHost.ts
+++ b/packages/gateway/src/lifecycle/createEntryHost.ts
@@ -142,7 +142,8 @@
       incarnation: ownIncarnation,
       sentAtMs: clock.monotonicMs(),
       state: currentState(),
-      revision: view.revision(),
+      storePosition: view.position(),
+      configurationVersion: view.table()?.version ?? 0,
       loads: loads.ownLoads(),
       paces: paces.ownPaces(),
       capacity: serverView.capacity(),
@@ -172,7 +173,8 @@
       callerListener.applyLimits(table.limits);
     }
     options.metrics.gauge('configuration_version', table?.version ?? 0);
-    options.metrics.gauge('store_revision', view.revision());
+    options.metrics.gauge('store_era', view.position().era);
+    options.metrics.gauge('store_revision', view.position().revision);
     options.metrics.gauge('in_flight', inFlight);
     options.metrics.gauge('peers_reachable', peers.alive().length);
     options.metrics.gauge('store_age_ms', clock.monotonicMs() - view.confirmedAtMs());
--- /dev/null
+++ b/packages/gateway/src/model/StorePosition.ts
@@ -0,0 +1,13 @@
+import type { StoreRevision } from '@camphorbarrow/core';
+
+/** Era of the store's history. It rises when the store is restored from an older copy. */
+export type StoreEra = number;
+
+/**
+ * Point in the history of the store. Revisions are given out again after a restore, so they are only
+ * comparable within an era.
+ */
+export interface StorePosition {
+  readonly era: StoreEra;
+  readonly revision: StoreRevision;
+}
--- a/packages/gateway/src/peers/PeerHeartbeat.ts
+++ b/packages/gateway/src/peers/PeerHeartbeat.ts
@@ -1,6 +1,7 @@
 import type { CrashReport, PartEvidence, PromptPartKey, ServerId } from '@camphorbarrow/core';
 import type { ServerLimitReport } from '../limits/createServerLimits.js';
 import type { HostRegistration } from '../model/HostRegistration.js';
+import type { StorePosition } from '../model/StorePosition.js';
 import type { ServiceName } from '../model/ServiceName.js';
 
 /** Load that one entry host causes at one server. */
@@ -44,8 +45,10 @@
   readonly sentAtMs: number;
   readonly echo: HeartbeatEcho | undefined;
   readonly state: HostState;
-  /** Latest store revision known to the sender. */
-  readonly revision: number;
+  /** Latest position in the history of the store known to the sender. */
+  readonly storePosition: StorePosition;
+  /** Version of the configuration in force at the sender; 0 if it has none. */
+  readonly configurationVersion: number;
   readonly loads: ReadonlyMap<ServerId, HostLoad>;
   /** Recent time between events of the sender's streams, by server, in ms. */
   readonly paces: ReadonlyMap<ServerId, number>;
--- a/packages/gateway/src/peers/createRegionStoreReaders.ts
+++ b/packages/gateway/src/peers/createRegionStoreReaders.ts
@@ -54,7 +54,11 @@
         return false;
       }
       try {
-        view.applyPeerUpdate(await options.fetchStoreUpdate(reader));
+        const update = await options.fetchStoreUpdate(reader);
+        if (update.era < view.position().era) {
+          return false;
+        }
+        view.applyPeerUpdate(update);
       } catch (error) {
         log.warn('store-update-from-reader-failed', {
           reader: formatEndpoint(reader),
--- a/packages/gateway/src/peers/createStoreUpdateExchange.ts
+++ b/packages/gateway/src/peers/createStoreUpdateExchange.ts
@@ -11,6 +11,8 @@
 
 /** Marks a request for a store update; holds the revision after which changes are requested. */
 const UPDATE_HEADER = 'x-entry-host-news';
+/** Era of the revision in `UPDATE_HEADER`; 0 if absent. */
+const ERA_HEADER = 'x-entry-host-store-era';
 const UPDATE_PATH = '/news';
 const TIMEOUT_MS = 1_000;
 const MAX_UPDATE_BYTES = 67_108_864;
@@ -34,20 +36,29 @@
     update !== null &&
     typeof update.complete === 'boolean' &&
     typeof update.revision === 'number' &&
+    (update.era === undefined || typeof update.era === 'number') &&
     Array.isArray(update.heard) &&
     Array.isArray(update.items) &&
     Array.isArray(update.removals)
   );
 }
 
+function parseNumber(header: string | readonly string[] | undefined): number {
+  const value = Number(header);
+  return Number.isFinite(value) ? value : 0;
+}
+
 /** Creates the client and the server side of the exchange of store updates. */
 export function createStoreUpdateExchange(
   view: FleetView,
   connections: ConnectionPools,
 ): StoreUpdateExchange {
   async function respond(request: IncomingMessage, response: ServerResponse): Promise<void> {
-    const since = Number(request.headers[UPDATE_HEADER]);
-    const body = Buffer.from(JSON.stringify(view.updateSince(Number.isFinite(since) ? since : 0)));
+    const since = {
+      era: parseNumber(request.headers[ERA_HEADER]),
+      revision: parseNumber(request.headers[UPDATE_HEADER]),
+    };
+    const body = Buffer.from(JSON.stringify(view.updateSince(since)));
     response.writeHead(200, { 'content-length': body.length }).end(body);
   }
 
@@ -63,7 +74,14 @@
         endpoint: peer,
         method: 'GET',
         path: UPDATE_PATH,
-        headers: ['Host', formatEndpoint(peer), UPDATE_HEADER, String(view.revision())],
+        headers: [
+          'Host',
+          formatEndpoint(peer),
+          UPDATE_HEADER,
+          String(view.position().revision),
+          ERA_HEADER,
+          String(view.position().era),
+        ],
         body: Buffer.alloc(0),
         connectTimeoutMs: TIMEOUT_MS,
         responseTimeoutMs: TIMEOUT_MS,
@@ -79,7 +97,8 @@
           'The store update of the peer has missing or malformed fields.',
         );
       }
-      return update;
+      // Hosts of an earlier build send neither field.
+      return { ...update, era: update.era ?? 0, configuration: update.configuration ?? null };
     },
   };
 }
--- a/packages/gateway/src/peers/heartbeatCodec.ts
+++ b/packages/gateway/src/peers/heartbeatCodec.ts
@@ -26,6 +26,10 @@
   readonly echo?: HeartbeatEcho;
   readonly state: HostState;
   readonly rev: number;
+  /** Era of `rev`; omitted if it is 0. */
+  readonly era?: number;
+  /** Version of the configuration in force; omitted if there is none. */
+  readonly cfg?: number;
   /** Server, running requests, pending prompt tokens by rank, and the pace if there is one. */
   readonly load: readonly (readonly [
     ServerId,
@@ -98,6 +102,8 @@
     typeof message.inc === 'string' &&
     typeof message.at === 'number' &&
     typeof message.rev === 'number' &&
+    (message.era === undefined || typeof message.era === 'number') &&
+    (message.cfg === undefined || typeof message.cfg === 'number') &&
     HOST_STATES.includes(message.state ?? '') &&
     Array.isArray(message.load) &&
     Array.isArray(message.cap) &&
@@ -147,7 +153,9 @@
     inc: heartbeat.incarnation,
     at: heartbeat.sentAtMs,
     state: heartbeat.state,
-    rev: heartbeat.revision,
+    rev: heartbeat.storePosition.revision,
+    ...(heartbeat.storePosition.era === 0 ? {} : { era: heartbeat.storePosition.era }),
+    ...(heartbeat.configurationVersion === 0 ? {} : { cfg: heartbeat.configurationVersion }),
     load: [...heartbeat.loads].map(([id, { running, pendingTokens }]) => {
       const pace = heartbeat.paces.get(id);
       return pace === undefined
@@ -200,7 +208,8 @@
     sentAtMs: message.at,
     echo: message.echo,
     state: message.state,
-    revision: message.rev,
+    storePosition: { era: message.era ?? 0, revision: message.rev },
+    configurationVersion: message.cfg ?? 0,
     loads: new Map(
       message.load.map(([id, running, pendingTokens]) => [
         id,
--- a/packages/gateway/src/ports/MetadataStore.ts
+++ b/packages/gateway/src/ports/MetadataStore.ts
@@ -1,16 +1,17 @@
-import type { KeyValue, LeaseId, StoreRevision, WatchEvent } from '@camphorbarrow/core';
+import type { KeyValue, LeaseId, WatchEvent } from '@camphorbarrow/core';
+import type { StorePosition } from '../model/StorePosition.js';
 
-/** All items with a key prefix, at `revision` or newer. */
-export interface StoreListing {
+/**
+ * All items with a key prefix, at this position or newer. A watch from this position sees every
+ * change made after the listing began.
+ */
+export interface StoreListing extends StorePosition {
   readonly items: readonly KeyValue[];
-  /** A watch from this revision sees every change made after the listing began. */
-  readonly revision: StoreRevision;
 }
 
-export interface StoreChanges {
+/** Changes up to this position, from which the next watch continues. */
+export interface StoreChanges extends StorePosition {
   readonly events: readonly WatchEvent[];
-  /** Revision from which the next watch continues. */
-  readonly revision: StoreRevision;
 }
 
 export interface LeasedWrite {
@@ -25,17 +26,15 @@
  * does not respond in time or rejects the call; a write may still have taken effect.
  */
 export interface MetadataStore {
+  /** @throws StoreHistoryLostError if the store was restored from an older copy meanwhile */
   list(prefix: string): Promise<StoreListing>;
   /**
-   * Waits until a key with the prefix changes after `afterRevision`, but at most for `waitMs`.
+   * Waits until a key with the prefix changes after the position, but at most for `waitMs`.
    *
-   * @throws StoreHistoryLostError if the store no longer has the changes since that revision
+   * @throws StoreHistoryLostError if the store no longer has the changes since that position, or was
+   *   restored from an older copy
    */
-  waitForChanges(
-    prefix: string,
-    afterRevision: StoreRevision,
-    waitMs: number,
-  ): Promise<StoreChanges>;
+  waitForChanges(prefix: string, after: StorePosition, waitMs: number): Promise<StoreChanges>;
   /** @throws LeaseEndedError if the lease does not exist */
   putLeased(write: LeasedWrite): Promise<void>;
   grantLease(ttlMs: number): Promise<LeaseId>;
--- a/packages/gateway/tests/fleet/createFleetView.test.ts
+++ b/packages/gateway/tests/fleet/createFleetView.test.ts
@@ -31,6 +31,8 @@
 }
 
 const emptyUpdate: Omit<StoreUpdate, 'revision'> = {
+  era: 1,
+  configuration: null,
   complete: true,
   items: [],
   removals: [],
@@ -43,17 +45,17 @@
 
 test('an older configuration does not replace a newer one, regardless of its revision', (t) => {
   const view = setUp();
-  view.applyListing({ items: [put('config', '7', 3)], revision: 3 });
-  view.applyChanges({ events: [{ kind: 'put', ...put('config', '6', 4) }], revision: 4 });
+  view.applyListing({ items: [put('config', '7', 3)], era: 1, revision: 3 });
+  view.applyChanges({ events: [{ kind: 'put', ...put('config', '6', 4) }], era: 1, revision: 4 });
   t.is(view.table()?.version, 7);
 });
 
 test('an update from a peer at an older revision does not revert an evacuation', (t) => {
   const view = setUp();
-  view.applyListing({ items: [put('north-a', '', 5)], revision: 5 });
-  view.applyPeerUpdate({ ...emptyUpdate, revision: 4 });
+  view.applyListing({ items: [put('north-a', '', 5)], era: 1, revision: 5 });
+  view.applyPeerUpdate({ ...emptyUpdate, era: 1, revision: 4 });
   t.true(view.isEvacuated(asId('north-a')));
-  view.applyPeerUpdate({ ...emptyUpdate, revision: 6 });
+  view.applyPeerUpdate({ ...emptyUpdate, era: 1, revision: 6 });
   t.false(view.isEvacuated(asId('north-a')));
 });
 
@@ -80,10 +82,10 @@
 // Otherwise every heartbeat of every server would be sent to every host of the region.
 test('updates for peers have changed items, but only the age of heartbeats', (t) => {
   const view = serverView();
-  view.applyListing({ items: [], revision: 1 });
-  view.applyChanges({ events: [heartbeat('a', 2, 0), heartbeat('b', 3, 0)], revision: 3 });
-  view.applyChanges({ events: [heartbeat('a', 4, 0)], revision: 4 });
-  const update = view.updateSince(3);
+  view.applyListing({ items: [], era: 1, revision: 1 });
+  view.applyChanges({ events: [heartbeat('a', 2, 0), heartbeat('b', 3, 0)], era: 1, revision: 3 });
+  view.applyChanges({ events: [heartbeat('a', 4, 0)], era: 1, revision: 4 });
+  const update = view.updateSince({ era: 1, revision: 3 });
   t.deepEqual([update.complete, update.items, update.removals], [false, [], []]);
   t.deepEqual(update.heard, [
     ['a', 0],
@@ -95,34 +97,39 @@
   const clock = createManualClock();
   const reader = serverView(clock);
   const follower = serverView(clock);
-  reader.applyListing({ items: [], revision: 1 });
-  reader.applyChanges({ events: [heartbeat('a', 2, 0), heartbeat('b', 3, 0)], revision: 3 });
-  follower.applyPeerUpdate(reader.updateSince(follower.revision()));
+  reader.applyListing({ items: [], era: 1, revision: 1 });
+  reader.applyChanges({
+    events: [heartbeat('a', 2, 0), heartbeat('b', 3, 0)],
+    era: 1,
+    revision: 3,
+  });
+  follower.applyPeerUpdate(reader.updateSince(follower.position()));
   t.is(follower.servers.all().length, 2);
   const removal = { kind: 'delete', key: 'b', value: '', modRevision: 5 } as const;
-  reader.applyChanges({ events: [heartbeat('a', 4, 3_000), removal], revision: 5 });
-  follower.applyPeerUpdate(reader.updateSince(follower.revision()));
+  reader.applyChanges({ events: [heartbeat('a', 4, 3_000), removal], era: 1, revision: 5 });
+  follower.applyPeerUpdate(reader.updateSince(follower.position()));
   t.deepEqual(
     follower.servers.all().map(({ registration, coldUntilMs }) => [registration.id, coldUntilMs]),
     [[asId('a'), clock.monotonicMs() + 3_000]],
   );
   t.is(follower.confirmedAtMs(), reader.confirmedAtMs());
-  t.is(follower.revision(), 5);
+  t.deepEqual(follower.position(), { era: 1, revision: 5 });
 });
 
 test('expired servers are kept for a grace period if a peer saw an outage of the store', (t) => {
   const clock = createManualClock();
   const reader = serverView(clock);
   const follower = serverView(clock);
-  reader.applyListing({ items: [], revision: 1 });
-  reader.applyChanges({ events: [heartbeat('a', 2, 0)], revision: 2 });
-  follower.applyPeerUpdate(reader.updateSince(0));
+  reader.applyListing({ items: [], era: 1, revision: 1 });
+  reader.applyChanges({ events: [heartbeat('a', 2, 0)], era: 1, revision: 2 });
+  follower.applyPeerUpdate(reader.updateSince({ era: 1, revision: 0 }));
   reader.recordStoreUnavailable();
   reader.applyChanges({
     events: [{ kind: 'delete', key: 'a', value: '', modRevision: 3 }],
+    era: 1,
     revision: 3,
   });
-  follower.applyPeerUpdate(reader.updateSince(2));
+  follower.applyPeerUpdate(reader.updateSince({ era: 1, revision: 2 }));
   t.is(follower.servers.all().length, 1);
   clock.advance(3_000);
   t.is(follower.servers.all().length, 0);
--- a/packages/gateway/tests/peers/createRegionStoreReaders.test.ts
+++ b/packages/gateway/tests/peers/createRegionStoreReaders.test.ts
@@ -12,13 +12,15 @@
   items: [],
   removals: [],
   heard: [],
+  era: 1,
   revision: 5,
+  configuration: null,
   ageMs: 0,
   storeAwayMs: null,
 };
 
 /** Sets up a region whose hosts all know each other. */
-function setUpRegion(hosts: number, confirmedAgeMs = 100, isFailing = false) {
+function setUpRegion(hosts: number, confirmedAgeMs = 100, isFailing = false, viewEra = 1) {
   const ids = Array.from({ length: hosts }, (_, index) => asId<HostId>(`host-${index}`));
   const askedReaders: string[] = [];
   const clock = createManualClock();
@@ -31,6 +33,7 @@
       region,
       view: {
         applyPeerUpdate() {},
+        position: () => ({ era: viewEra, revision: 5 }),
         confirmedAtMs: () => clock.monotonicMs() - confirmedAgeMs,
       } as unknown as FleetView,
       peers: {
@@ -74,3 +77,7 @@
   t.is(await countReaders(setUpRegion(20, 5_000)), 20);
   t.is(await countReaders(setUpRegion(20, 100, true)), 20);
 });
+
+test('a host that knows of a restore of the store does not take updates of an earlier reader', async (t) => {
+  t.is(await countReaders(setUpRegion(20, 100, false, 2)), 20);
+});
--- a/packages/gateway/tests/peers/heartbeatCodec.test.ts
+++ b/packages/gateway/tests/peers/heartbeatCodec.test.ts
@@ -16,7 +16,8 @@
   sentAtMs: 12.5,
   echo: { sentAtMs: 3, heldMs: 4 },
   state: 'ready',
-  revision: 17,
+  storePosition: { era: 3, revision: 17 },
+  configurationVersion: 4,
   loads: new Map([
     [asId('s'), { running: 3, pendingTokens: new Map([[2, 900]]) }],
     [asId('idle'), { running: 1, pendingTokens: new Map() }],
--- a/packages/gateway/tests/routing/createRegionChooser.test.ts
+++ b/packages/gateway/tests/routing/createRegionChooser.test.ts
@@ -21,7 +21,8 @@
       sentAtMs: 0,
       echo: undefined,
       state,
-      revision: 1,
+      storePosition: { era: 0, revision: 1 },
+      configurationVersion: 1,
       loads: new Map(),
       paces: new Map(),
       capacity: new Map([
