Give up leases and the registration when the store was restored

A restored store has lost the leases and registrations written after its copy and gives lease numbers out again. A host renewed the number that it had: another owner's lease, which it also ended when it stopped, and with it that owner's keys. Its own registration stayed missing.

Ruled out: that the missing lease ends in 404 by itself; it does only until the number is given out again.

Change: a lease id carries the era in which it was granted, and is not used in another one. After a restore a host registers again within a random second, so that not all hosts write at once; before, it took up to a renewal interval of 3 s, or for ever.

--- a/packages/gateway/src/lifecycle/createEntryHost.ts
+++ b/packages/gateway/src/lifecycle/createEntryHost.ts
@@ -212,7 +212,9 @@
       ...options.registration,
       leaseTtlMs: HOST_LEASE_TTL_MS,
       renewEveryMs: HOST_LEASE_RENEWAL_MS,
+      random: options.random,
       isRegistered: () => view.hosts().some(({ id }) => id === own.id),
+      onStoreRestored: view.onRestored,
       signal: stop.signal,
     }),
     runCacheFollower({
--- a/packages/gateway/src/ports/MetadataStore.ts
+++ b/packages/gateway/src/ports/MetadataStore.ts
@@ -35,11 +35,12 @@
    *   restored from an older copy
    */
   waitForChanges(prefix: string, after: StorePosition, waitMs: number): Promise<StoreChanges>;
-  /** @throws LeaseEndedError if the lease does not exist */
+  /** @throws LeaseEndedError if the lease does not exist, or belongs to an earlier era */
   putLeased(write: LeasedWrite): Promise<void>;
   grantLease(ttlMs: number): Promise<LeaseId>;
-  /** @throws LeaseEndedError if the lease does not exist */
+  /** @throws LeaseEndedError if the lease does not exist, or belongs to an earlier era */
   renewLease(leaseId: LeaseId): Promise<void>;
+  /** @throws LeaseEndedError if the lease does not exist, or belongs to an earlier era */
   endLease(leaseId: LeaseId): Promise<void>;
   close(): void;
 }
