Report a request that cannot be built as not run

Seen by callers: 500 "Internal error in the gateway", for orders too, while a server that could serve them was known. Cause: `node:http` throws from `request()` on a header value, path or port that it cannot send; `sendUpstream` says that it never rejects, but the exception left its promise and ended the exchange. Server ids from the store and event ids from streams get into headers this way.

Change: the exception becomes a failed send with the failure `invalid`, which has not run; the next attempt goes to another server. The server does not count as unreachable, because the fault is not known to be its own.

Ruled out: encoding the values, since the server would compare another id.

--- a/packages/gateway/src/exchange/AttemptResult.ts
+++ b/packages/gateway/src/exchange/AttemptResult.ts
@@ -14,7 +14,7 @@
   | {
       readonly kind: 'not-run';
       readonly cause: string;
-      /** Whether the intended server received the request; otherwise it counts as unreachable. */
+      /** False if the intended server could not be reached; it then counts as unreachable. */
       readonly reachedServer: boolean;
     }
   /** The server ran the request and returned an error response. */
--- a/packages/gateway/src/exchange/forwardToServer.ts
+++ b/packages/gateway/src/exchange/forwardToServer.ts
@@ -143,7 +143,8 @@
     }
     return sent.mayHaveRun
       ? { kind: 'unknown', cause: sent.failure }
-      : { kind: 'not-run', cause: sent.cause, reachedServer: false };
+      : // A request that cannot be built says nothing about the server.
+        { kind: 'not-run', cause: sent.cause, reachedServer: sent.failure === 'invalid' };
   }
   const { response } = sent;
   context.serverConnections.updateIdleTimeout(response.socket, response.headers['keep-alive']);
--- a/packages/gateway/src/upstream/sendUpstream.ts
+++ b/packages/gateway/src/upstream/sendUpstream.ts
@@ -1,13 +1,16 @@
 import { request as httpRequest } from 'node:http';
-import type { Agent, IncomingMessage } from 'node:http';
+import type { Agent, ClientRequest, IncomingMessage } from 'node:http';
 import { PlatformError } from '@camphorbarrow/core';
 import type { Endpoint } from '../model/Endpoint.js';
 
 /** Interim responses (status 1xx) to one request after which its connection is closed. */
 const MAX_INTERIM_RESPONSES = 16;
 
-/** Why a server or a peer returned no response. */
-export type SendFailure = 'unreachable' | 'broken' | 'silent' | 'cancelled';
+/**
+ * Why a server or a peer returned no response. `invalid`: the HTTP client rejected the request, such
+ * as a header value that it cannot send.
+ */
+export type SendFailure = 'invalid' | 'unreachable' | 'broken' | 'silent' | 'cancelled';
 
 export type SendResult =
   | { readonly kind: 'response'; readonly response: IncomingMessage }
@@ -58,6 +61,16 @@
   }
 }
 
+const buildRequest = (options: UpstreamRequest): ClientRequest =>
+  httpRequest({
+    agent: options.agent,
+    host: options.endpoint.host,
+    port: options.endpoint.port,
+    method: options.method,
+    path: options.path,
+    headers: options.headers as string[],
+  });
+
 /**
  * Sends one request and resolves with the response head. Never rejects. A failure after which the
  * request may have reached the other end is marked with `mayHaveRun`.
@@ -70,14 +83,14 @@
     let failure: SendFailure = 'broken';
     const timers: NodeJS.Timeout[] = [];
 
-    const outgoing = httpRequest({
-      agent: options.agent,
-      host: options.endpoint.host,
-      port: options.endpoint.port,
-      method: options.method,
-      path: options.path,
-      headers: options.headers as string[],
-    });
+    let outgoing: ClientRequest;
+    try {
+      outgoing = buildRequest(options);
+    } catch (error) {
+      const cause = `invalid request: ${(error as Error).message}`;
+      resolve({ kind: 'failed', failure: 'invalid', mayHaveRun: false, cause });
+      return;
+    }
 
     function cancel(reason: SendFailure): void {
       failure = reason;
--- a/packages/gateway/tests/upstream/sendUpstream.test.ts
+++ b/packages/gateway/tests/upstream/sendUpstream.test.ts
@@ -133,3 +133,18 @@
   });
   t.is(sent.kind, 'response');
 });
+
+// Otherwise the exception ends the exchange with status 500, although nothing was sent.
+const unsendable: Record<string, Partial<UpstreamRequest>> = {
+  'a line end in a header': { headers: ['Host', 'a.example', 'Id', 'i-\n2'] },
+  'a header that is not Latin-1': { headers: ['Host', 'a.example', 'Id', 'i-\u65e5'] },
+  'a space in the path': { path: '/a b' },
+  'a port that is out of range': { endpoint: { host: '127.0.0.1', port: 70_000 } },
+};
+
+for (const [problem, changes] of Object.entries(unsendable)) {
+  test(`a request with ${problem} is reported as not run`, async (t) => {
+    const sent = await sendUpstream({ ...upstreamRequest(1), ...changes });
+    t.like(sent, { kind: 'failed', failure: 'invalid', mayHaveRun: false });
+  });
+}
