Check ids, addresses and numbers of server entries where they are decoded

The id goes into a request header, and nothing had checked it.

The decoder also accepted, seen by running the new table on the old code: an address with a host name, with spaces or a line end, `999.1.1.1`, `fe80:::1`, `1.2.3`, 100,000 digits, and ports `1e3`, `0x50` and ` 80`; slots 0.5, 1e300 and 1e308; cold times of 2^31 and 1e300 ms; sequence -1, 0.5 and 1e300; start times -1, 0.5 and 1e300. A port of 0, 70000 or 20 digits, null, arrays and 4,000 or 100,000 levels of nesting were already rejected.

Ruled out: escaping ids, since the server would compare another id; looking host names up, since the platform's addresses are IP:PORT.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -59,6 +59,8 @@
 export * from './model/ServiceName.js';
 export * from './model/ServiceSpec.js';
 export * from './model/StoreUpdate.js';
+export * from './model/isEndpoint.js';
+export * from './model/isSendableId.js';
 export * from './model/lifetimeId.js';
 export * from './model/mostUrgentRank.js';
 export * from './peers/PeerHeartbeat.js';
--- a/packages/gateway/src/model/FleetChange.ts
+++ b/packages/gateway/src/model/FleetChange.ts
@@ -12,6 +12,8 @@
       readonly id: ServerId;
       /** Undefined if the entry was removed or does not describe a usable server. */
       readonly registration: ServerRegistration | undefined;
+      /** Why the entry does not describe a usable server. */
+      readonly problem?: string | undefined;
     }
   | {
       readonly kind: 'host';
