Check every item of a store update from a peer

Hosts that do not read the store take changes from a reader of their region. Only the outer fields of an update were checked. Found by reading, seen by the new test on the old code: a revision of 1e300 was accepted, after which a view drops every later listing and asks the store for changes after 1e300; so were items and removals that are null or whose key, value or revision is of another type, and negative ages, which make a view seem fresh.

Change: `isStoreUpdate` checks every item, removal, heartbeat and age. An update with a malformed item is rejected as a whole and logged by its caller (`store-update-from-reader-failed`), which then reads the store itself.

Ruled out: leaving out only the malformed item, since the receiver would take the revision of the update without it.

--- a/packages/gateway/src/peers/createStoreUpdateExchange.ts
+++ b/packages/gateway/src/peers/createStoreUpdateExchange.ts
@@ -8,6 +8,7 @@
 import { formatEndpoint } from '../upstream/createConnectionPools.js';
 import { readFullBody } from '../upstream/readFullBody.js';
 import { sendUpstream } from '../upstream/sendUpstream.js';
+import { isStoreUpdate } from './isStoreUpdate.js';
 
 /** Marks a request for a store update; holds the revision after which changes are requested. */
 const UPDATE_HEADER = 'x-entry-host-news';
@@ -27,19 +28,6 @@
   fetch(peer: Endpoint): Promise<StoreUpdate>;
 }
 
-function isStoreUpdate(value: unknown): value is StoreUpdate {
-  const update = value as Partial<StoreUpdate> | null;
-  return (
-    typeof update === 'object' &&
-    update !== null &&
-    typeof update.complete === 'boolean' &&
-    typeof update.revision === 'number' &&
-    Array.isArray(update.heard) &&
-    Array.isArray(update.items) &&
-    Array.isArray(update.removals)
-  );
-}
-
 /** Creates the client and the server side of the exchange of store updates. */
 export function createStoreUpdateExchange(
   view: FleetView,
--- /dev/null
+++ b/packages/gateway/tests/peers/createStoreUpdateExchange.test.ts
@@ -0,0 +1,93 @@
+import { createServer } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { once } from 'node:events';
+import test from 'ava';
+import { createManualClock } from '@camphorbarrow/core';
+import type { LogSink } from '@camphorbarrow/core';
+import {
+  InvalidMessageError,
+  createConnectionPools,
+  createFleetView,
+  createStoreUpdateExchange,
+} from '../../src/index.js';
+
+const silentLog: LogSink = { info() {}, warn() {}, error() {} };
+
+const view = createFleetView({
+  clock: createManualClock(),
+  log: silentLog,
+  decode: () => ({ kind: 'unrelated' }),
+  regionOfZone: () => undefined,
+  coldAfterEvacuationMs: () => 0,
+});
+
+const update = {
+  complete: true,
+  items: [{ key: 'servers/a', value: '{}', modRevision: 3 }],
+  removals: [{ key: 'servers/b', modRevision: 2 }],
+  heard: [['a', 5]],
+  revision: 3,
+  ageMs: 1,
+  storeAwayMs: null,
+};
+
+async function fetchUpdate(text: string): Promise<unknown> {
+  const server = createServer((_request, response) => response.end(text));
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const connections = createConnectionPools(1_000);
+  const { port } = server.address() as AddressInfo;
+  try {
+    return await createStoreUpdateExchange(view, connections).fetch({ host: '127.0.0.1', port });
+  } finally {
+    connections.close();
+    server.close();
+  }
+}
+
+const nested = (levels: number): string => `${'['.repeat(levels)}${']'.repeat(levels)}`;
+const numbers = [-1, 0.5, 1e300, '3', null, []];
+
+// A revision that is too large ended the following of all changes; a value that is no text, when
+// encoded again for the next host, failed all updates.
+const malformed: Record<string, readonly object[]> = {
+  'a revision': numbers.map((revision) => ({ revision })),
+  'an item': [
+    ...[null, [], 7, {}].map((item) => ({ items: [...update.items, item] })),
+    ...[null, 7, [], {}].flatMap((text) => [
+      { items: [{ ...update.items[0], key: text }] },
+      { items: [{ ...update.items[0], value: text }] },
+    ]),
+    ...numbers.map((modRevision) => ({ items: [{ ...update.items[0], modRevision }] })),
+  ],
+  'a removal': [
+    ...[null, [], 7, {}, { key: 'a' }].map((removal) => ({ removals: [removal] })),
+    ...numbers.map((modRevision) => ({ removals: [{ key: 'a', modRevision }] })),
+  ],
+  'a time': [
+    ...[-1, '1', []].flatMap((age) => [{ ageMs: age }, { storeAwayMs: age }]),
+    ...[null, 7, [], ['a'], ['a', -1], ['a', null], [7, 1]].map((heard) => ({ heard: [heard] })),
+  ],
+};
+
+test('a well-formed store update of a peer is accepted', async (t) => {
+  t.deepEqual(await fetchUpdate(JSON.stringify(update)), update);
+});
+
+for (const [subject, changes] of Object.entries(malformed)) {
+  test(`a store update with ${subject} that is malformed is rejected`, async (t) => {
+    for (const change of changes) {
+      await t.throwsAsync(
+        fetchUpdate(JSON.stringify({ ...update, ...change })),
+        { instanceOf: InvalidMessageError },
+        JSON.stringify(change),
+      );
+    }
+  });
+}
+
+test('a store update that is nested, an array, a number or null is rejected', async (t) => {
+  for (const text of [nested(4_000), nested(100_000), '[]', '7', 'null']) {
+    await t.throwsAsync(fetchUpdate(text), { instanceOf: InvalidMessageError });
+  }
+});
