Keep malformed addresses of entry hosts away from sockets and callers

Seen by callers: nothing answered, because the process had ended. One entry of an entry host with port 70000 in the store is enough: the timer of the heartbeats calls `socket.send`, which throws `ERR_SOCKET_BAD_PORT`, and nothing catches it. Each restart reads the entry again. The same address can come in a heartbeat, and the directory tells it to callers.

Change: `parseHostRegistration` checks an entry host from the store and from a heartbeat alike: id, region, zone, and IP and port of both addresses; unknown fields are left out. A malformed entry names no host; before, it left the one that it replaced in force. A heartbeat is also checked for its revision, echo and rows; a malformed row does not hide the other rows. `createHeartbeats` logs what a send throws, the round continues with the next host, and the timer logs what a round throws (`heartbeat-round-failed`).

Ruled out: a handler of uncaught exceptions for the process, since the state after one is not known; rejecting a whole heartbeat for one row, since its host would count as unresponsive.

--- a/packages/gateway/src/model/FleetChange.ts
+++ b/packages/gateway/src/model/FleetChange.ts
@@ -18,7 +18,10 @@
   | {
       readonly kind: 'host';
       readonly id: HostId;
+      /** Undefined if the entry was removed or does not describe a usable host. */
       readonly registration: HostRegistration | undefined;
+      /** Why the entry does not describe a usable host. */
+      readonly problem?: string | undefined;
     }
   | { readonly kind: 'unreadable'; readonly problem: string }
   | { readonly kind: 'unrelated' };
--- a/packages/gateway/src/peers/createHeartbeats.ts
+++ b/packages/gateway/src/peers/createHeartbeats.ts
@@ -1,5 +1,6 @@
 import { createSocket } from 'node:dgram';
 import type { Clock, LogSink } from '@camphorbarrow/core';
+import { logFailures } from '../errors/logFailures.js';
 import type { Endpoint } from '../model/Endpoint.js';
 import type { HostRegistration } from '../model/HostRegistration.js';
 import type { PeerRegistry } from './createPeerRegistry.js';
@@ -66,6 +67,21 @@
     return [...targetsByEndpoint.values()];
   }
 
+  function sendDatagram(datagram: Buffer, endpoint: Endpoint): void {
+    const fail = ({ message }: Error): void =>
+      log.warn('heartbeat-send-failed', { peer: endpointKey(endpoint), reason: message });
+    try {
+      socket.send(datagram, endpoint.port, endpoint.host, (error) => {
+        if (error !== null) {
+          fail(error);
+        }
+      });
+    } catch (error) {
+      // Thrown for an address that is out of range and for a closed socket.
+      fail(error as Error);
+    }
+  }
+
   function sendTo(receivers: readonly Target[]): void {
     const heartbeat = options.buildHeartbeat();
     const encodeLocal = createHeartbeatEncoder(heartbeat);
@@ -79,11 +95,7 @@
       const { endpoint, host } = target;
       const echo = host === undefined ? undefined : peers.echoFor(host.id);
       const datagram = isLocal(target) ? encodeLocal(echo) : encodeRemote(echo);
-      socket.send(datagram, endpoint.port, endpoint.host, (error) => {
-        if (error !== null) {
-          log.warn('heartbeat-send-failed', { peer: endpointKey(endpoint), reason: error.message });
-        }
-      });
+      sendDatagram(datagram, endpoint);
     });
   }
 
@@ -117,7 +129,10 @@
   socket.on('error', (error) => log.error('heartbeat-socket-failed', {}, error));
   socket.bind(own.peers.port, own.peers.host);
 
-  const timer = setInterval(sendRound, options.intervalMs);
+  const timer = setInterval(
+    logFailures(log, 'heartbeat-round-failed', sendRound),
+    options.intervalMs,
+  );
 
   return {
     sendToAll: () => sendTo(targets()),
--- a/packages/gateway/src/peers/heartbeatCodec.ts
+++ b/packages/gateway/src/peers/heartbeatCodec.ts
@@ -1,112 +1,11 @@
-import { asId } from '@camphorbarrow/core';
-import type {
-  CrashReport,
-  PartCrashReport,
-  PartEvidence,
-  PartServedReport,
-  PromptPartKey,
-  ServerId,
-} from '@camphorbarrow/core';
+import type { PartCrashReport, PartEvidence, PartServedReport } from '@camphorbarrow/core';
 import { InvalidMessageError } from '../errors/InvalidMessageError.js';
-import type { HostRegistration } from '../model/HostRegistration.js';
-import type { ServiceName } from '../model/ServiceName.js';
-import type { HeartbeatEcho, HostState, PeerHeartbeat } from './PeerHeartbeat.js';
-
-/** Version of the message format. Messages with another version are rejected. */
-const MESSAGE_VERSION = 1;
-
-/** `queueMs`, `msPerToken`, `msPerEvent`, `usableServers`, `slotUsageRatio`, `running`. */
-type CapacityFigures = readonly [number, number, number, number, number, number];
-
-interface WireHeartbeat {
-  readonly v: number;
-  readonly host: HostRegistration;
-  readonly inc: string;
-  readonly at: number;
-  readonly echo?: HeartbeatEcho;
-  readonly state: HostState;
-  readonly rev: number;
-  /** Server, running requests, pending prompt tokens by rank, and the pace if there is one. */
-  readonly load: readonly (readonly [
-    ServerId,
-    number,
-    readonly (readonly [number, number])[],
-    number?,
-  ])[];
-  readonly cap: readonly (readonly [ServiceName, ...CapacityFigures])[];
-  readonly crash: readonly CrashReport[];
-  /** Crashes and responses by prompt part; omitted if there are none. */
-  readonly parts?: WirePartEvidence;
-  /** Suspected prompt parts on trial; omitted if there are none. */
-  readonly trials?: readonly PromptPartKey[];
-  /** Server, its limit in requests per second or null, and age in ms; omitted if there are none. */
-  readonly limits?: readonly (readonly [string, number | null, number])[];
-}
-
-interface WirePartEvidence {
-  /** Crash id, age in ms, parts, and those of them that were on trial. */
-  readonly crashes: readonly (readonly [
-    string,
-    number,
-    readonly PromptPartKey[],
-    readonly PromptPartKey[],
-  ])[];
-  /** Part and age of its latest response in ms. */
-  readonly served: readonly (readonly [PromptPartKey, number])[];
-}
-
-const HOST_STATES: readonly string[] = ['starting', 'ready', 'draining', 'closing'];
-
-function isWirePartEvidence(value: unknown): value is WirePartEvidence {
-  const evidence = value as Partial<WirePartEvidence> | null;
-  return (
-    Array.isArray(evidence?.crashes) &&
-    Array.isArray(evidence.served) &&
-    evidence.crashes.every(
-      ([crashId, ageMs, parts, trialParts]) =>
-        typeof crashId === 'string' &&
-        Number.isFinite(ageMs) &&
-        Array.isArray(parts) &&
-        Array.isArray(trialParts),
-    ) &&
-    evidence.served.every(([part, ageMs]) => typeof part === 'string' && Number.isFinite(ageMs))
-  );
-}
-
-function isWireLimits(value: unknown): value is NonNullable<WireHeartbeat['limits']> {
-  return (
-    Array.isArray(value) &&
-    value.every(
-      ([server, requestsPerSecond, ageMs]) =>
-        typeof server === 'string' &&
-        (requestsPerSecond === null || Number.isFinite(requestsPerSecond)) &&
-        Number.isFinite(ageMs),
-    )
-  );
-}
-
-function isWireHeartbeat(value: unknown): value is WireHeartbeat {
-  const message = value as Partial<WireHeartbeat> | null;
-  return (
-    typeof message === 'object' &&
-    message !== null &&
-    message.v === MESSAGE_VERSION &&
-    typeof message.host?.id === 'string' &&
-    typeof message.host.region === 'string' &&
-    typeof message.host.callers?.port === 'number' &&
-    typeof message.host.peers?.port === 'number' &&
-    typeof message.inc === 'string' &&
-    typeof message.at === 'number' &&
-    typeof message.rev === 'number' &&
-    HOST_STATES.includes(message.state ?? '') &&
-    Array.isArray(message.load) &&
-    Array.isArray(message.cap) &&
-    Array.isArray(message.crash) &&
-    (message.parts === undefined || isWirePartEvidence(message.parts)) &&
-    (message.trials === undefined || Array.isArray(message.trials)) &&
-    (message.limits === undefined || isWireLimits(message.limits))
-  );
-}
+import { parseHostRegistration } from '../model/parseHostRegistration.js';
+import { isWireHeartbeat } from './isWireHeartbeat.js';
+import type { HeartbeatEcho, PeerHeartbeat } from './PeerHeartbeat.js';
+import { usableRows } from './usableRows.js';
+import { MESSAGE_VERSION } from './WireHeartbeat.js';
+import type { WireHeartbeat, WirePartEvidence } from './WireHeartbeat.js';
 
 function encodePartEvidence({ crashes, served }: PartEvidence): WirePartEvidence | undefined {
   return crashes.length === 0 && served.length === 0
@@ -194,24 +93,25 @@
   if (!isWireHeartbeat(message)) {
     throw new InvalidMessageError('The heartbeat has missing or malformed fields.');
   }
+  const rows = usableRows(message);
   return {
-    host: { ...message.host, id: asId(message.host.id) },
+    host: parseHostRegistration(message.host),
     incarnation: message.inc,
     sentAtMs: message.at,
     echo: message.echo,
     state: message.state,
     revision: message.rev,
     loads: new Map(
-      message.load.map(([id, running, pendingTokens]) => [
+      rows.load.map(([id, running, pendingTokens]) => [
         id,
         { running, pendingTokens: new Map(pendingTokens) },
       ]),
     ),
     paces: new Map(
-      message.load.flatMap(([id, , , pace]) => (pace === undefined ? [] : [[id, pace] as const])),
+      rows.load.flatMap(([id, , , pace]) => (pace === undefined ? [] : [[id, pace] as const])),
     ),
     capacity: new Map(
-      message.cap.map(([service, ...figures]) => {
+      rows.cap.map(([service, ...figures]) => {
         const [queueMs, msPerToken, msPerEvent, usableServers, slotUsageRatio, running] = figures;
         return [
           service,
@@ -219,7 +119,7 @@
         ];
       }),
     ),
-    crashes: message.crash,
+    crashes: rows.crash,
     partEvidence: decodePartEvidence(message.parts),
     partTrials: message.trials ?? [],
     serverLimits: (message.limits ?? []).map(([server, requestsPerSecond, ageMs]) => ({
--- a/packages/gateway/tests/peers/heartbeatCodec.test.ts
+++ b/packages/gateway/tests/peers/heartbeatCodec.test.ts
@@ -82,3 +82,61 @@
     t.throws(() => decodeHeartbeat(Buffer.from(text)), { instanceOf: InvalidMessageError });
   });
 });
+
+/** Encodes the heartbeat with changed fields of the message. */
+const encodeWith = (changes: object): Buffer => {
+  const message = JSON.parse(createHeartbeatEncoder(heartbeat)(undefined).toString()) as object;
+  return Buffer.from(JSON.stringify({ ...message, ...changes }));
+};
+
+const withHost = (changes: object): object => ({ host: { ...heartbeat.host, ...changes } });
+const oddEndpoints: readonly unknown[] = [
+  ...[0, -1, 70_000, 1e20, 0.5, '80', null].map((port) => ({ host: '10.0.0.1', port })),
+  ...['', 'a b', 'host.invalid', '999.1.1.1', ':::', 7].map((host) => ({ host, port: 80 })),
+  ...[null, [], 'text', undefined],
+];
+
+// The address of a heartbeat becomes that of sockets here, and the directory tells it to callers.
+const malformed: Record<string, readonly object[]> = {
+  'an address': oddEndpoints.flatMap((endpoint) => [
+    withHost({ peers: endpoint }),
+    withHost({ callers: endpoint }),
+  ]),
+  'an IPv6 address for datagrams': [withHost({ peers: { host: '::1', port: 80 } })],
+  'an id': ['', 'a\n', '\u65e5', 'i'.repeat(201), 7, null].map((id) => withHost({ id })),
+  'a region or zone': ['', 7, null].flatMap((name) => [
+    withHost({ region: name }),
+    withHost({ zone: name }),
+  ]),
+  'a host': [{ host: null }, { host: [] }, { host: 'text' }],
+  'a revision': [-1, 0.5, 1e300, '17', null].map((rev) => ({ rev })),
+  'an echo': [null, {}, { sentAtMs: '3', heldMs: 4 }, []].map((echo) => ({ echo })),
+};
+
+for (const [subject, changes] of Object.entries(malformed)) {
+  test(`a heartbeat with ${subject} that is malformed is rejected`, (t) => {
+    changes.forEach((change) => {
+      t.throws(
+        () => decodeHeartbeat(encodeWith(change)),
+        { instanceOf: InvalidMessageError },
+        JSON.stringify(change),
+      );
+    });
+  });
+}
+
+test('a malformed row of a heartbeat does not hide the other rows, or its host', (t) => {
+  const load = [null, 7, [], ['s', 'x', []], ['s', 1, [[1]]], ['good', 1, [[0, 5]]], ['s', 1]];
+  const figures = [1, 2, 3, 4, 5, 6];
+  const cap = [null, [], ['s', ...figures.map(String)], ['s', 1], ['good', ...figures]];
+  const crash = [null, {}, { serverId: 's', incarnation: 7, running: [], suspects: [] }];
+  const decoded = decodeHeartbeat(encodeWith({ load, cap, crash }));
+  t.deepEqual([...decoded.loads.keys()], [asId('good')]);
+  t.deepEqual([...decoded.capacity.keys()], [asId('good')]);
+  t.deepEqual(decoded.crashes, []);
+});
+
+test('unknown fields of a host are not kept, because they would be passed on', (t) => {
+  const { host } = decodeHeartbeat(encodeWith(withHost({ extra: [[[]]] })));
+  t.deepEqual(host, heartbeat.host);
+});
