Log and count malformed store items

A malformed server entry was ignored without a trace, so an operator could not see why a server got no requests; a malformed configuration was logged at each write. An exception of the decoder itself would have left the view and failed each listing.

Change: `createChangeDecoder` stands before the view: it logs key, kind and problem (`store-item-unreadable`), once per key until the problem changes, for the latest 1,024 keys; it counts every ignored write in `store_items_ignored_total` and turns an exception into an unreadable item.

Ruled out: logging each write, since warnings are never left out and a server writes every `heartbeat_ms`.

--- a/packages/gateway/src/fleet/createFleetView.ts
+++ b/packages/gateway/src/fleet/createFleetView.ts
@@ -23,7 +23,7 @@
 export interface FleetViewOptions {
   readonly clock: Clock;
   readonly log: LogSink;
-  /** Decodes a changed key of the store. */
+  /** Decodes a changed key of the store. Does not throw, and logs what it cannot decode. */
   readonly decode: (event: WatchEvent) => FleetChange;
   readonly regionOfZone: (zone: AvailabilityZoneId) => RegionId | undefined;
   readonly coldAfterEvacuationMs: () => number;
@@ -123,8 +123,6 @@
         }
         break;
       case 'unreadable':
-        log.warn('store-item-unreadable', { key: event.key, problem: change.problem });
-        break;
       case 'unrelated':
         break;
     }
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -23,6 +23,7 @@
 export * from './exchange/splitEvents.js';
 export * from './exchange/stripHopByHopHeaders.js';
 export * from './exchange/toRoutingRequest.js';
+export * from './fleet/createChangeDecoder.js';
 export * from './fleet/createChangeLog.js';
 export * from './fleet/createFleetView.js';
 export * from './fleet/createReplica.js';
--- a/packages/gateway/src/lifecycle/createEntryHost.ts
+++ b/packages/gateway/src/lifecycle/createEntryHost.ts
@@ -2,6 +2,8 @@
 import { setMaxListeners } from 'node:events';
 import { asId } from '@camphorbarrow/core';
 import type { HostId, RegionId } from '@camphorbarrow/core';
+import { logFailures } from '../errors/logFailures.js';
+import { createChangeDecoder } from '../fleet/createChangeDecoder.js';
 import { createFleetView } from '../fleet/createFleetView.js';
 import type { FleetView } from '../fleet/createFleetView.js';
 import { runHostRegistration } from '../fleet/runHostRegistration.js';
@@ -60,7 +62,7 @@
   const view = createFleetView({
     clock,
     log,
-    decode: options.decodeChange,
+    decode: createChangeDecoder({ log, metrics: options.metrics, decode: options.decodeChange }),
     regionOfZone: options.regionOfZone,
     coldAfterEvacuationMs: () => COLD_HEARTBEAT_COUNT * bounds().serverHeartbeatMs,
   });
@@ -188,7 +190,10 @@
     );
   }
   const eventLoopMonitor = createEventLoopMonitor(clock, log, options.metrics);
-  const housekeeping = setInterval(runHousekeeping, HOUSEKEEPING_INTERVAL_MS);
+  const housekeeping = setInterval(
+    logFailures(log, 'housekeeping-failed', runHousekeeping),
+    HOUSEKEEPING_INTERVAL_MS,
+  );
 
   const tasks = [
     runStoreFollower({
