--- a/packages/gateway/src/peers/createStoreUpdateExchange.ts
+++ b/packages/gateway/src/peers/createStoreUpdateExchange.ts
@@ -8,6 +8,7 @@
 import { formatEndpoint } from '../upstream/createConnectionPools.js';
 import { readFullBody } from '../upstream/readFullBody.js';
 import { sendUpstream } from '../upstream/sendUpstream.js';
+import { isStoreUpdate } from './isStoreUpdate.js';
 
 /** Marks a request for a store update; holds the revision after which changes are requested. */
 const UPDATE_HEADER = 'x-entry-host-news';
@@ -29,20 +30,6 @@
   fetch(peer: Endpoint): Promise<StoreUpdate>;
 }
 
-function isStoreUpdate(value: unknown): value is StoreUpdate {
-  const update = value as Partial<StoreUpdate> | null;
-  return (
-    typeof update === 'object' &&
-    update !== null &&
-    typeof update.complete === 'boolean' &&
-    typeof update.revision === 'number' &&
-    (update.era === undefined || typeof update.era === 'number') &&
-    Array.isArray(update.heard) &&
-    Array.isArray(update.items) &&
-    Array.isArray(update.removals)
-  );
-}
-
 function parseNumber(header: string | readonly string[] | undefined): number {
   const value = Number(header);
   return Number.isFinite(value) ? value : 0;
