Ignore malformed entries of the host list instead of the list

The hosts kept the servers that they knew, a host that started knew none, and no change was followed (`host-list-unavailable` each second).

Change: entries are parsed one by one; a malformed one is left out and logged as `host-list-entry-ignored`, once until its problem changes. Ids must be visible ASCII of at most 200 characters, URLs http or https.

Ruled out: counting them in a metric, since the host list has no sink of metrics yet; the log line names the entry.

Before, the new test failed with "Rejected promise returned by test"; after, it passes: 25 malformed entries and one of 100,000 levels beside a good one.

--- a/packages/adapters/src/platform/hostListEntrySchema.ts
+++ b/packages/adapters/src/platform/hostListEntrySchema.ts
@@ -5,9 +5,10 @@
 /** Wire form of an entry of the host list (docs/platform.md). */
 export const hostListEntrySchema = z
   .object({
-    serverId: z.string(),
+    /** Visible ASCII characters, as can be sent in a header. */
+    serverId: z.string().regex(/^[\x21-\x7e]{1,200}$/),
     kind: z.enum(['engine', 'service']),
-    baseUrl: z.url(),
+    baseUrl: z.url({ protocol: /^https?$/ }),
     region: z.string(),
     availabilityZone: z.string(),
     models: z.array(z.string()).default([]),
--- a/packages/daemon/src/entryHost/createPorts.ts
+++ b/packages/daemon/src/entryHost/createPorts.ts
@@ -58,7 +58,7 @@
   const metrics = createMetrics(settings, log);
   const clients = {
     store: createEtcdKeyValueStore({ ...settings.keyValueService, localAddress }),
-    hostList: createHttpHostList({ ...settings.hostList, localAddress }),
+    hostList: createHttpHostList({ ...settings.hostList, localAddress, log }),
     engineClient: createOpenAiEngineClient({ connectTimeoutMs, localAddress }),
     serviceClient: createHttpServiceClient({ connectTimeoutMs, localAddress }),
     peerClient: createTrpcPeerClient({ peerKey, timeoutMs: PEER_TIMEOUT_MS, localAddress }),
