Ignore malformed registrations of entry hosts in the own interface

Found by reading: `createPeerTable` took what stood under `/hosts/` without a check. One value that is no JSON ended the reading with an exception, so that the hosts after it stayed unknown; one without the fields would have become a peer, and would have gone out in this host's heartbeats, which a receiver rejects as a whole.

Ruled out: parsing the registrations in the adapter of the store, which does not know what its values mean.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -138,6 +138,7 @@
 export * from './membership/createPeerBackedHostList.js';
 export * from './membership/createPeerTable.js';
 export * from './membership/createServerRegistry.js';
+export * from './membership/peerDescriptionSchema.js';
 export * from './membership/shuffle.js';
 export * from './orders/ClaimRecord.js';
 export * from './orders/ClaimStatus.js';
--- a/packages/core/src/membership/createPeerTable.ts
+++ b/packages/core/src/membership/createPeerTable.ts
@@ -1,7 +1,7 @@
 import type { HostId } from '../ids/HostId.js';
 import type { RegionId } from '../ids/RegionId.js';
 import type { Clock } from '../ports/Clock.js';
-import type { KeyValueStore, LeaseId } from '../ports/KeyValueStore.js';
+import type { KeyValue, KeyValueStore, LeaseId } from '../ports/KeyValueStore.js';
 import type { LogSink } from '../ports/LogSink.js';
 import type { PeerClient } from '../ports/PeerClient.js';
 import type { RandomSource } from '../ports/RandomSource.js';
@@ -9,6 +9,7 @@
 import type { Heartbeat } from './Heartbeat.js';
 import type { PeerDescription } from './PeerDescription.js';
 import type { PeerView } from './PeerView.js';
+import { peerDescriptionSchema } from './peerDescriptionSchema.js';
 import { shuffle } from './shuffle.js';
 
 /** Prefix of the keys under which entry hosts register in the key-value service. */
@@ -20,6 +21,8 @@
 const MAX_KNOWN_IN_HEARTBEAT = 32;
 const FAILURE_TIMEOUT_MS = 3_500;
 const EVICTION_TIMEOUT_MS = 120_000;
+/** Other programs choose the length of their keys and values; a log line stays short. */
+const MAX_LOGGED_LENGTH = 200;
 
 export interface PeerTableOptions {
   readonly clock: Clock;
@@ -159,6 +162,16 @@
     }
   }
 
+  /** Applies a registration, unless it is malformed: its peer must not hide the others. */
+  function applyRegistration({ key, value }: KeyValue): void {
+    try {
+      applyDescription(peerDescriptionSchema.parse(JSON.parse(value)));
+    } catch (cause) {
+      const error = String(cause).slice(0, MAX_LOGGED_LENGTH);
+      log.warn('registration-ignored', { key: key.slice(0, MAX_LOGGED_LENGTH), error });
+    }
+  }
+
   async function register(): Promise<void> {
     const self = describeSelf();
     const key = `${REGISTRATION_PREFIX}${self.regionId}/${self.hostId}`;
@@ -171,7 +184,7 @@
       leaseId,
     });
     const registered = await store.list(REGISTRATION_PREFIX);
-    registered.forEach(({ value }) => applyDescription(JSON.parse(value) as PeerDescription));
+    registered.forEach(applyRegistration);
   }
 
   async function keepRegistered(): Promise<void> {
