Start evacuations that were written after a restore at once

Callers saw: nothing yet; found in review of the change for restored stores. Requests would go to an evacuated zone for up to 10 s (EVAC).

Cause: every evacuation in the first listing of a later era that this host had not in force was taken for an ended one of the copy, and deferred by 10 s. The listing is read some hundred ms after the restore, so it also holds what was written since; and a host that was cut off at the start of the evacuation never knew it.

Evidence: the new tests fail before the change: an evacuation that this host never knew starts at once, even with the listing after a restore: "Value is not `true`: false" an evacuation that ended and was written again before the listing after a restore starts at once: "Value is not `true`: false"

Change: only an evacuation that this host knew, by key and revision, and that ended is deferred. One that this host can't tell from a new one starts.

--- a/packages/gateway/src/fleet/createFleetView.ts
+++ b/packages/gateway/src/fleet/createFleetView.ts
@@ -64,6 +64,8 @@
   const restoreListeners: (() => void)[] = [];
   const hosts = new Map<HostId, HostRegistration>();
   const evacuated = new Set<AvailabilityZoneId>();
+  /** Evacuations that were known so far, also those that ended; as key and revision. */
+  const knownEvacuations = new Set<string>();
   let table: RoutingTable | undefined;
   /** Item that `table` was decoded from. */
   let tableItem: KeyValue | undefined;
@@ -105,6 +107,8 @@
     }
   }
 
+  const toEvacuationId = ({ key, modRevision }: KeyValue): string => `${key}@${modRevision}`;
+
   /** Applies one change. Returns whether more than a heartbeat changed. */
   function apply(event: WatchEvent): boolean {
     const change = options.decode(event);
@@ -113,6 +117,9 @@
         applyTable(change.table, event);
         break;
       case 'evacuation':
+        if (change.active) {
+          knownEvacuations.add(toEvacuationId(event));
+        }
         applyEvacuation(change.zone, change.active);
         break;
       case 'server':
@@ -149,7 +156,10 @@
     const change = options.decode(event);
     switch (change.kind) {
       case 'evacuation':
-        return evacuated.has(change.zone) !== change.active;
+        // The listing also holds what was written after the restore, which must not wait.
+        return change.active
+          ? !evacuated.has(change.zone) && knownEvacuations.has(toEvacuationId(event))
+          : evacuated.has(change.zone);
       case 'server':
         return (
           change.registration !== undefined && servers.isOutdated(change.id, change.registration)
--- a/packages/gateway/tests/fleet/createFleetView.restoredStore.test.ts
+++ b/packages/gateway/tests/fleet/createFleetView.restoredStore.test.ts
@@ -176,3 +176,19 @@
   started.applyPeerUpdate(known.updateSince(started.position()));
   t.is(started.table()?.version, 7);
 });
+
+// A host that lists late sees the restored copy together with what was written after the restore.
+test('an evacuation that this host never knew starts at once, even with the listing after a restore', (t) => {
+  const { view } = setUp();
+  list(view, 1, 40, []);
+  list(view, 2, 32, [['evacuation/north-a', '', 31]]);
+  t.true(view.isEvacuated(zone));
+});
+
+test('an evacuation that ended and was written again before the listing after a restore starts at once', (t) => {
+  const { view } = setUp();
+  list(view, 1, 38, [['evacuation/north-a', '', 38]]);
+  remove(view, 1, 'evacuation/north-a', 41);
+  list(view, 2, 40, [['evacuation/north-a', '', 39]]);
+  t.true(view.isEvacuated(zone));
+});
