Keep what waits when the store is restored a second time

Callers saw: nothing yet; found in review of the change for restored stores. After two restores in a row a host kept an evacuation in force that the store no longer had, and dropped servers early.

Cause: the second listing is compared with the replica, which holds the first copy, while the deferred changes, which say how this host differs from it, were cleared. Servers that both copies lack expired by the time of the first restore. An item that was written again with the same value counted as unchanged.

Evidence: four new tests fail before the change, three of them with a later copy that has the same content: an evacuation that two copies lack ends when the time is over: "Value is not `false`: true" a server that left and that two copies name is used after the time, without a new entry: "Value is the same as: undefined" a server that two copies lack is kept for the whole time after the second restore: "Value is the same as: undefined" an evacuation that is written again before a second restore is listed starts at once: "Value is not `true`: false"

Change: deferred changes that the new copy repeats are judged again and wait from then on; expired entries get the grace again; items are compared by value and revision.

--- a/packages/gateway/src/fleet/createDeferredChanges.ts
+++ b/packages/gateway/src/fleet/createDeferredChanges.ts
@@ -11,8 +11,8 @@
   defer(event: WatchEvent): void;
   /** Drops the change of a key, because the key was written since. */
   drop(key: string): void;
-  /** Drops all changes. */
-  clear(): void;
+  /** Removes and returns all changes. */
+  takeAll(): readonly WatchEvent[];
   /** Removes and returns the changes whose time is over. */
   takeDue(): readonly WatchEvent[];
 }
@@ -28,8 +28,10 @@
     drop(key) {
       deferred.delete(key);
     },
-    clear() {
+    takeAll() {
+      const all = [...deferred.values()].map(({ event }) => event);
       deferred.clear();
+      return all;
     },
     takeDue() {
       const nowMs = clock.monotonicMs();
--- a/packages/gateway/src/fleet/createFleetView.ts
+++ b/packages/gateway/src/fleet/createFleetView.ts
@@ -193,11 +193,15 @@
     const previous = replica.position();
     // Entries that the copy lacks are kept for as long as those that expired during an outage.
     storeLastUnavailableAtMs = clock.monotonicMs();
-    deferred.clear();
-    const events = replica.applyListing(listing);
-    const outdated = events.filter(isOutdated);
+    servers.recordStoreRestored();
+    const waiting = deferred.takeAll();
+    const changed = replica.applyListing(listing);
+    const changedKeys = new Set(changed.map(({ key }) => key));
+    // The replica already holds what an earlier copy showed; this host has not applied it yet.
+    const events = [...changed, ...waiting.filter(({ key }) => !changedKeys.has(key))];
+    const outdated = new Set(events.filter(isOutdated));
     outdated.forEach(deferred.defer);
-    events.filter((event) => !outdated.includes(event)).forEach(apply);
+    events.filter((event) => !outdated.has(event)).forEach(apply);
     changes.reset(listing.revision);
     log.warn('store-restored', {
       era: listing.era,
@@ -205,7 +209,7 @@
       previousEra: previous.era,
       previousRevision: previous.revision,
       changes: events.length,
-      deferred: outdated.length,
+      deferred: outdated.size,
       version: table?.version,
     });
     restoreListeners.forEach((listener) => listener());
--- a/packages/gateway/src/fleet/createReplica.ts
+++ b/packages/gateway/src/fleet/createReplica.ts
@@ -70,7 +70,10 @@
       .filter((key) => !items.has(key))
       .map((key) => toRemoval(key, listing.revision));
     const changed = listing.items
-      .filter(({ key, value }) => known.get(key)?.value !== value)
+      .filter(({ key, value, modRevision }) => {
+        const before = known.get(key);
+        return before?.value !== value || before.modRevision !== modRevision;
+      })
       .map(toPut);
     return [...removed, ...changed];
   }
--- a/packages/gateway/src/fleet/createServerDirectory.ts
+++ b/packages/gateway/src/fleet/createServerDirectory.ts
@@ -30,6 +30,8 @@
    * copy can be.
    */
   isOutdated(id: ServerId, registration: ServerRegistration): boolean;
+  /** Gives servers whose entries expired the time to register again in a restored store. */
+  recordStoreRestored(): void;
   /** Records the monotonic time at which a peer received a heartbeat of the server. */
   recordHeartbeat(id: ServerId, atMs: number): void;
   /** Treats the servers of the zone as cold, because they received no requests for a while. */
@@ -162,6 +164,15 @@
         (isEarlier && isSameLifetime(registration, { ...known, sequence: Infinity }))
       );
     },
+    recordStoreRestored() {
+      dropExpired();
+      const expiresAtMs = options.storeLastUnavailableAtMs() + EXPIRED_ENTRY_GRACE_MS;
+      servers.forEach((entry) => {
+        if (entry.expiresAtMs !== undefined) {
+          entry.expiresAtMs = expiresAtMs;
+        }
+      });
+    },
     recordHeartbeat(id, atMs) {
       const entry = servers.get(id);
       if (entry !== undefined && entry.state.lastHeartbeatAtMs < atMs) {
--- a/packages/gateway/tests/fleet/createFleetView.restoredStore.test.ts
+++ b/packages/gateway/tests/fleet/createFleetView.restoredStore.test.ts
@@ -192,3 +192,48 @@
   list(view, 2, 40, [['evacuation/north-a', '', 39]]);
   t.true(view.isEvacuated(zone));
 });
+
+test('an evacuation that two copies lack ends when the time is over', (t) => {
+  const { clock, view } = setUp();
+  list(view, 1, 40, [['evacuation/north-a', '', 40]]);
+  list(view, 2, 30, []);
+  clock.advance(1_000);
+  list(view, 3, 30, []);
+  t.true(view.isEvacuated(zone));
+  clock.advance(RESTORED_COPY_GRACE_MS);
+  put(view, 3, ['config', '1', 31]);
+  t.false(view.isEvacuated(zone));
+});
+
+test('a server that left and that two copies name is used after the time, without a new entry', (t) => {
+  const { clock, view } = setUp();
+  list(view, 1, 40, [['server/a', { sequence: 4 }, 40]]);
+  remove(view, 1, 'server/a', 41);
+  list(view, 2, 40, [['server/a', { sequence: 4 }, 40]]);
+  list(view, 3, 40, [['server/a', { sequence: 4 }, 40]]);
+  t.is(view.servers.get(server), undefined);
+  clock.advance(RESTORED_COPY_GRACE_MS);
+  put(view, 3, ['config', '1', 41]);
+  t.not(view.servers.get(server), undefined);
+});
+
+test('a server that two copies lack is kept for the whole time after the second restore', (t) => {
+  const { clock, view } = setUp();
+  list(view, 1, 40, [['server/a', { sequence: 4 }, 40]]);
+  list(view, 2, 30, []);
+  clock.advance(1_500);
+  list(view, 3, 30, []);
+  clock.advance(1_500);
+  t.not(view.servers.get(server), undefined);
+  clock.advance(1_500);
+  t.is(view.servers.get(server), undefined);
+});
+
+test('an evacuation that is written again before a second restore is listed starts at once', (t) => {
+  const { view } = setUp();
+  list(view, 1, 40, [['evacuation/north-a', '', 40]]);
+  remove(view, 1, 'evacuation/north-a', 41);
+  list(view, 2, 40, [['evacuation/north-a', '', 40]]);
+  list(view, 3, 43, [['evacuation/north-a', '', 42]]);
+  t.true(view.isEvacuated(zone));
+});
