Keep servers that left out of the view of hosts that follow a peer

After a restore, requests would go again to a server that had left without draining (DRAIN), at all but the three readers of a region.

Cause: an entry of the copy counted as outdated only if its sequence was not above the last known one. Heartbeats that change nothing else are passed on without their sequence, so the one that a following host knows is that of the last change, mostly from before the copy.

Evidence: the new test fails before the change; the follower lists the server with `sequence: 6`, `state: 'ready'` where undefined is expected.

Change: an entry of a process that left is deferred whatever its sequence. If it is alive, its next heartbeat brings it back.

--- a/packages/gateway/src/fleet/createServerDirectory.ts
+++ b/packages/gateway/src/fleet/createServerDirectory.ts
@@ -26,8 +26,8 @@
   update(id: ServerId, registration: ServerRegistration | undefined): boolean;
   /**
    * Whether the entry is older than what is known of the same process, or of one that started later;
-   * also if that server is no longer listed. Only entries of a store that was restored from an older
-   * copy can be.
+   * any entry is if that process is no longer listed. Only entries of a store that was restored from
+   * an older copy can be.
    */
   isOutdated(id: ServerId, registration: ServerRegistration): boolean;
   /** Gives servers whose entries expired the time to register again in a restored store. */
@@ -155,10 +155,9 @@
       if (known === undefined) {
         return false;
       }
-      const isEarlier =
-        listed === undefined
-          ? registration.sequence <= known.sequence
-          : registration.sequence < known.sequence;
+      // A server that left had written its last entry, which a host that follows a peer may not have
+      // seen; if the server is alive, it writes again.
+      const isEarlier = listed === undefined || registration.sequence < known.sequence;
       return (
         startedLater(known, registration) ||
         (isEarlier && isSameLifetime(registration, { ...known, sequence: Infinity }))
--- a/packages/gateway/tests/fleet/createFleetView.restoredStore.test.ts
+++ b/packages/gateway/tests/fleet/createFleetView.restoredStore.test.ts
@@ -237,3 +237,23 @@
   list(view, 3, 43, [['evacuation/north-a', '', 42]]);
   t.true(view.isEvacuated(zone));
 });
+
+// Followers get no heartbeats with their sequence, so the one that they know can be before the copy.
+test('a server that left does not come back to a host that follows a peer', (t) => {
+  const { view } = setUp();
+  list(view, 1, 20, [['server/a', { sequence: 2 }, 20]]);
+  const reader = setUp().view;
+  list(reader, 1, 20, [['server/a', { sequence: 2 }, 20]]);
+  put(reader, 1, ['server/a', { sequence: 6 }, 30]);
+  view.applyPeerUpdate(reader.updateSince(view.position()));
+  remove(reader, 1, 'server/a', 41);
+  view.applyPeerUpdate(reader.updateSince(view.position()));
+  t.is(view.servers.get(server), undefined);
+  list(reader, 2, 30, [['server/a', { sequence: 6 }, 30]]);
+  t.is(reader.servers.get(server), undefined);
+  view.applyPeerUpdate(reader.updateSince(view.position()));
+  t.is(view.servers.get(server), undefined);
+  put(reader, 2, ['server/a', { sequence: 7 }, 31]);
+  view.applyPeerUpdate(reader.updateSince(view.position()));
+  t.not(view.servers.get(server), undefined);
+});
