Register again if the write after a restore fails

Callers saw: nothing; found in review of the change for restored stores. A host's registration disappeared for up to 3 s, up to 10 s after a restore.

Cause: the new lease was remembered before the key was written with it. If that write failed (429 when many hosts register), the copy still showed the host as registered, so it only renewed the new lease, while its key had the old one and expired with it.

Evidence: the new test fails before the change: "renew 2" where "grant 3", "put 3" are expected.

Change: a lease is kept only once the key is written with it.

--- a/packages/gateway/src/fleet/runHostRegistration.ts
+++ b/packages/gateway/src/fleet/runHostRegistration.ts
@@ -30,8 +30,10 @@
   options.onStoreRestored(() => restored.abort());
 
   async function register(): Promise<void> {
-    leaseId = await store.grantLease(options.leaseTtlMs);
-    await store.putLeased({ key: options.key, value: options.value, leaseId });
+    leaseId = undefined;
+    const granted = await store.grantLease(options.leaseTtlMs);
+    await store.putLeased({ key: options.key, value: options.value, leaseId: granted });
+    leaseId = granted;
     log.info('host-registered', { leaseTtlMs: options.leaseTtlMs });
   }
 
