Reject requests that may not end before a draining host closes

What callers saw: in a planned stop of an entry host, an order sent shortly after the stop began was run by its server, and its connection was closed without a response.

Cause: a draining host took every request for 3 s, whatever its grace period and whatever the time limit of the request, and closed all connections 0.7 s before the grace was over. With a grace of 1 s, requests were still taken after connections were due to be closed. The grace was also read again while draining, so that a change of the settings moved the end under the requests that had been taken.

Ruled out: a race in closing (the order came 100 ms after the stop began, 200 ms before the close), the server (it ran the order to its end).

Change: during a drain a request is taken only if its time limit, the shorter one of its route's and its caller's and for a relayed one what is left of it, passes before connections are closed. Others get 503 'draining', not run, with a retry delay of 0 and 'Connection: close'. The limit is checked before the body is read and again after it, as a drain may begin in between. The 3 s remain as the upper bound. The grace is read once, at the start of the drain.

Weighed and not taken: the expected end in place of the time limit for streams. It would take more of the long streams, and cut those that last longer than expected.

--- a/packages/gateway/src/ingress/createRequestHandler.ts
+++ b/packages/gateway/src/ingress/createRequestHandler.ts
@@ -34,8 +34,8 @@
   readonly view: FleetView;
   /** Whether connections are closed after their next response. */
   readonly isDraining: () => boolean;
-  /** Whether new requests are rejected, because they could not finish before the process exits. */
-  readonly isRejectingRequests: () => boolean;
+  /** Whether a request with this deadline on the monotonic clock is served. */
+  readonly acceptsRequest: (deadlineAtMs: number) => boolean;
   /** `callers`, or `peers` for requests that another entry host relays. */
   readonly source: 'callers' | 'peers';
 }
@@ -107,22 +107,32 @@
       : context.transits.excessTransitMs(asId(relayedBy), sendTime);
   }
 
+  /**
+   * Rejects requests that may not end before the process does. The caller can retry at another host
+   * immediately.
+   */
+  function requireAccepting(deadlineAtMs: number): void {
+    if (!options.acceptsRequest(deadlineAtMs)) {
+      throw new DrainingError('This entry host is shutting down.', { props: { retryAfterMs: 0 } });
+    }
+  }
+
   async function createExchange(
     request: IncomingMessage,
     responseWriter: Exchange['responseWriter'],
     arrivedAtMs: number,
   ): Promise<Exchange> {
-    if (options.isRejectingRequests()) {
-      throw new DrainingError('This entry host is shutting down.', { props: { retryAfterMs: 0 } });
-    }
+    requireAccepting(arrivedAtMs);
     const table = requireTable(view);
     requireHeadWithinLimit(table, request);
     const route = requireRoute(table, request);
     const service = chooseService(table, route, request);
+    const metadata = context.codec.readRequest(request.headers);
+    const timeoutMs = Math.min(route.timeoutMs, metadata.deadlineMs ?? route.timeoutMs);
+    requireAccepting(arrivedAtMs + timeoutMs);
     const body = await readBody(request, table.limits);
     const method = request.method ?? 'GET';
     const target = request.url ?? '/';
-    const metadata = context.codec.readRequest(request.headers);
     const relayedBy = isRelayed
       ? (firstHeaderValue(request, relayHeaders.relayedBy) ?? '')
       : undefined;
@@ -131,7 +141,9 @@
     // The remaining time of a relayed request counts from when it was sent.
     const timeoutStartMs =
       excessTransitMs === undefined ? arrivedAtMs : context.clock.monotonicMs() - excessTransitMs;
-    const timeoutMs = Math.min(route.timeoutMs, metadata.deadlineMs ?? route.timeoutMs);
+    const deadlineAtMs = timeoutStartMs + timeoutMs;
+    // A drain may have begun while the body arrived.
+    requireAccepting(deadlineAtMs);
     return {
       method,
       target,
@@ -146,7 +158,7 @@
       service,
       tableVersion: table.version,
       arrivedAtMs,
-      deadlineAtMs: timeoutStartMs + timeoutMs,
+      deadlineAtMs,
       relayedBy,
       excessTransitMs,
       responseWriter,
--- a/packages/gateway/src/lifecycle/createDrainState.ts
+++ b/packages/gateway/src/lifecycle/createDrainState.ts
@@ -11,8 +11,13 @@
 
 export interface DrainState {
   isDraining(): boolean;
-  /** Whether new requests are rejected. */
+  /** Whether every new request is rejected. */
   isRejectingRequests(): boolean;
+  /**
+   * Whether a new request is served: always before a drain; during one, only a request whose
+   * deadline passes before connections are closed, so that it gets its response in any case.
+   */
+  acceptsRequest(deadlineAtMs: number): boolean;
   start(): void;
   /**
    * Resolves when no request is in flight after the serving time, but at the latest shortly before
@@ -21,22 +26,32 @@
   waitUntilDrained(inFlight: () => number): Promise<void>;
 }
 
-/** Creates the state of a graceful shutdown. */
+/**
+ * Creates the state of a graceful shutdown.
+ *
+ * @param graceMs time between the start of a drain and the end of the process, read at the start
+ */
 export function createDrainState(clock: Clock, graceMs: () => number): DrainState {
-  let startAtMs: number | undefined;
-  const elapsedMs = (): number => (startAtMs === undefined ? 0 : clock.monotonicMs() - startAtMs);
+  let startAtMs = Infinity;
+  /** Time at which connections are closed. */
+  let closeAtMs = Infinity;
+
+  const isDraining = (): boolean => startAtMs !== Infinity;
+  const isRejectingRequests = (): boolean =>
+    clock.monotonicMs() >= Math.min(startAtMs + SERVE_WHILE_DRAINING_MS, closeAtMs);
 
   return {
-    isDraining: () => startAtMs !== undefined,
-    isRejectingRequests: () => elapsedMs() > SERVE_WHILE_DRAINING_MS,
+    isDraining,
+    isRejectingRequests,
+    acceptsRequest: (deadlineAtMs) => !isRejectingRequests() && deadlineAtMs <= closeAtMs,
     start() {
-      startAtMs ??= clock.monotonicMs();
+      if (!isDraining()) {
+        startAtMs = clock.monotonicMs();
+        closeAtMs = startAtMs + graceMs() - CLOSE_MARGIN_MS;
+      }
     },
     async waitUntilDrained(inFlight) {
-      while (
-        elapsedMs() < graceMs() - CLOSE_MARGIN_MS &&
-        (elapsedMs() <= SERVE_WHILE_DRAINING_MS || inFlight() > 0)
-      ) {
+      while (clock.monotonicMs() < closeAtMs && (!isRejectingRequests() || inFlight() > 0)) {
         await clock.sleep(POLL_MS);
       }
     },
--- a/packages/gateway/src/lifecycle/createEntryHost.ts
+++ b/packages/gateway/src/lifecycle/createEntryHost.ts
@@ -92,7 +92,7 @@
       context,
       view,
       isDraining: drain.isDraining,
-      isRejectingRequests: drain.isRejectingRequests,
+      acceptsRequest: drain.acceptsRequest,
       source,
     });
     return async (request, response) => {
