Answer requests that are in flight when a draining host closes

What callers saw: at the end of the grace period, requests that were still running, or whose body was still arriving, had their connection closed without a response. The caller of an order learned neither that it may have run nor that it had not.

Cause: when the grace was nearly over, the host closed every connection in one step. Nothing told the requests in flight, and between that decision and the close (up to 0.2 s) the listeners accepted connections.

Ruled out: the new rule for accepting requests covers only those that come during the drain; a request from before it may last longer than the grace.

Change: when the host decides to close, it stops listening, rejects every further request and ends those in flight: 503 'draining' when none of their attempts has started, 502 otherwise, and a stream that has begun is broken off as before. Up to 0.4 s of the 0.7 s that were already reserved go to sending these responses. Connections without a request stay open meanwhile: http.Server.close would close them, and a request on its way would be lost instead of rejected.

The context of the test of prompt part trials gets the new signal.

--- /dev/null
+++ b/packages/gateway/src/errors/createDrainingError.ts
@@ -0,0 +1,5 @@
+import { DrainingError } from '@camphorbarrow/core';
+
+/** Creates the rejection of a request by a host that stops; another host takes it immediately. */
+export const createDrainingError = (): InstanceType<typeof DrainingError> =>
+  new DrainingError('This entry host is shutting down.', { props: { retryAfterMs: 0 } });
--- a/packages/gateway/src/exchange/GatewayContext.ts
+++ b/packages/gateway/src/exchange/GatewayContext.ts
@@ -34,6 +34,8 @@
   readonly metrics: MetricsSink;
   readonly codec: WireCodec;
   readonly router: Router;
+  /** Aborts when this host stops and ends the requests that are still in flight. */
+  readonly closing: AbortSignal;
   readonly dispatchQueue: DispatchQueue;
   /** Load of the servers and peers. */
   readonly loads: LoadTracker;
--- a/packages/gateway/src/exchange/sendFinalResponse.ts
+++ b/packages/gateway/src/exchange/sendFinalResponse.ts
@@ -4,13 +4,24 @@
   NoServerError,
   type RequestError,
 } from '@camphorbarrow/core';
+import { createDrainingError } from '../errors/createDrainingError.js';
 import type { Exchange } from './Exchange.js';
 import type { ExchangeProgress } from './ExchangeProgress.js';
 import type { GatewayContext } from './GatewayContext.js';
 import { sendErrorResponse } from './sendErrorResponse.js';
 
-function createFinalError(progress: ExchangeProgress, isExpired: boolean): RequestError {
+function createFinalError(
+  progress: ExchangeProgress,
+  isExpired: boolean,
+  isClosing: boolean,
+): RequestError {
   const cause = progress.causes.join(', ');
+  if (isClosing && !isExpired) {
+    // A cancelled attempt may have run, although it counts as no run.
+    return progress.attempts === 0
+      ? createDrainingError()
+      : new BackendFailedError('The entry host was shut down before the response was complete.');
+  }
   if (progress.runs > 0) {
     return isExpired
       ? new DeadlineExceededError(`No response before the deadline: ${cause}.`)
@@ -46,7 +57,7 @@
     responseWriter.send(status, headers, body);
     return status;
   }
-  const error = createFinalError(progress, isExpired);
+  const error = createFinalError(progress, isExpired, context.closing.aborted);
   sendErrorResponse(responseWriter, context.codec, error, exchange.relayedBy !== undefined);
   return error.statusCode;
 }
--- a/packages/gateway/src/exchange/serveExchange.ts
+++ b/packages/gateway/src/exchange/serveExchange.ts
@@ -214,21 +214,26 @@
     context.metrics.increment('caller_disconnects', { phase });
   };
   responseWriter.disconnected.addEventListener('abort', onDisconnect);
-  const expiry = new AbortController();
-  const timer = setTimeout(
-    () => expiry.abort(),
-    Math.max(0, exchange.deadlineAtMs - clock.monotonicMs()),
-  );
+  const end = new AbortController();
+  const endExchange = (): void => end.abort();
+  const timer = setTimeout(endExchange, Math.max(0, exchange.deadlineAtMs - clock.monotonicMs()));
+  context.closing.addEventListener('abort', endExchange);
   // A buffered request that is not idempotent, such as an order, goes on when its caller
   // disconnects, because a cancelled one could be left half done.
   const cancelsOnDisconnect = route.idempotent || route.delivery === 'events';
-  const startSignal = AbortSignal.any([expiry.signal, responseWriter.disconnected]);
-  const signal = cancelsOnDisconnect ? startSignal : expiry.signal;
+  const startSignal = AbortSignal.any([end.signal, responseWriter.disconnected]);
+  const signal = cancelsOnDisconnect ? startSignal : end.signal;
 
   context.retryBudget.recordRequest(exchange.service.name);
-  const result = await runAttempts(context, exchange, progress, { signal, startSignal });
-  clearTimeout(timer);
-  const isExpired = expiry.signal.aborted || clock.monotonicMs() >= exchange.deadlineAtMs;
+  const result = await runAttempts(context, exchange, progress, { signal, startSignal }).finally(
+    () => {
+      clearTimeout(timer);
+      context.closing.removeEventListener('abort', endExchange);
+    },
+  );
+  const isExpired =
+    (end.signal.aborted && !context.closing.aborted) ||
+    clock.monotonicMs() >= exchange.deadlineAtMs;
   responseWriter.disconnected.removeEventListener('abort', onDisconnect);
   if (result?.kind === 'delivered' && progress.runs === 0) {
     context.outputLengths.recordResponse(route, progress.eventCount);
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,6 +1,7 @@
 export * from './errors/InvalidMessageError.js';
 export * from './errors/LeaseEndedError.js';
 export * from './errors/StoreHistoryLostError.js';
+export * from './errors/createDrainingError.js';
 export * from './exchange/AttemptResult.js';
 export * from './exchange/AttemptSignals.js';
 export * from './exchange/Exchange.js';
--- a/packages/gateway/src/ingress/createListener.ts
+++ b/packages/gateway/src/ingress/createListener.ts
@@ -1,4 +1,5 @@
 import { createServer } from 'node:http';
+import { Server as NetServer } from 'node:net';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { once } from 'node:events';
 import type { LogSink } from '@camphorbarrow/core';
@@ -22,7 +23,7 @@
   /** Applies the limits of a new configuration. */
   applyLimits(limits: CallerLimits): void;
   readonly server: Server;
-  /** Stops listening and closes idle connections. */
+  /** Accepts no further connections. Requests on open ones are still handled. */
   stopListening(): void;
   /** Stops listening and closes every connection immediately. */
   close(): void;
@@ -52,8 +53,9 @@
       server.keepAliveTimeout = limits.idleTimeoutMs;
     },
     stopListening() {
-      server.close();
-      server.closeIdleConnections();
+      // The method of the HTTP server would also close idle connections, on which a request may be
+      // on its way that the handler can still reject.
+      NetServer.prototype.close.call(server);
     },
     close() {
       server.close();
--- a/packages/gateway/src/ingress/createRequestHandler.ts
+++ b/packages/gateway/src/ingress/createRequestHandler.ts
@@ -1,12 +1,12 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import {
-  DrainingError,
   NoConfigurationError,
   NotFoundError,
   RequestError,
   UnknownServiceError,
   asId,
 } from '@camphorbarrow/core';
+import { createDrainingError } from '../errors/createDrainingError.js';
 import { createResponseWriter } from '../exchange/createResponseWriter.js';
 import type { Exchange } from '../exchange/Exchange.js';
 import type { GatewayContext } from '../exchange/GatewayContext.js';
@@ -113,7 +113,7 @@
    */
   function requireAccepting(deadlineAtMs: number): void {
     if (!options.acceptsRequest(deadlineAtMs)) {
-      throw new DrainingError('This entry host is shutting down.', { props: { retryAfterMs: 0 } });
+      throw createDrainingError();
     }
   }
 
@@ -130,7 +130,7 @@
     const metadata = context.codec.readRequest(request.headers);
     const timeoutMs = Math.min(route.timeoutMs, metadata.deadlineMs ?? route.timeoutMs);
     requireAccepting(arrivedAtMs + timeoutMs);
-    const body = await readBody(request, table.limits);
+    const body = await readBody(request, table.limits, context.closing);
     const method = request.method ?? 'GET';
     const target = request.url ?? '/';
     const relayedBy = isRelayed
--- a/packages/gateway/src/ingress/readBody.ts
+++ b/packages/gateway/src/ingress/readBody.ts
@@ -1,15 +1,18 @@
 import type { IncomingMessage } from 'node:http';
 import { BodyTimeoutError, BodyTooLargeError, InvalidBodyError } from '@camphorbarrow/core';
+import { createDrainingError } from '../errors/createDrainingError.js';
 import type { CallerLimits } from '../model/CallerLimits.js';
 
 /**
  * Reads a request body completely.
  *
- * @throws BodyTooLargeError, BodyTimeoutError, or InvalidBodyError when the connection closes early
+ * @throws BodyTooLargeError, BodyTimeoutError, InvalidBodyError when the connection closes early, or
+ * DrainingError when the host closes before the body is complete
  */
 export function readBody(
   request: IncomingMessage,
   limits: Pick<CallerLimits, 'maxBodyBytes' | 'idleTimeoutMs'>,
+  closing: AbortSignal,
 ): Promise<Buffer> {
   return new Promise((resolve, reject) => {
     const chunks: Buffer[] = [];
@@ -18,10 +21,16 @@
       () => reject(new BodyTimeoutError('The request body did not arrive in time.')),
       limits.idleTimeoutMs,
     );
+    const onClosing = (): void => reject(createDrainingError());
+    closing.addEventListener('abort', onClosing);
+    const stopWaiting = (): void => {
+      clearTimeout(timer);
+      closing.removeEventListener('abort', onClosing);
+    };
     request.on('data', (chunk: Buffer) => {
       sizeBytes += chunk.length;
       if (sizeBytes > limits.maxBodyBytes) {
-        clearTimeout(timer);
+        stopWaiting();
         reject(
           new BodyTooLargeError(`The request body exceeds ${limits.maxBodyBytes} bytes.`, {
             props: { details: { maxBytes: limits.maxBodyBytes } },
@@ -32,11 +41,11 @@
       chunks.push(chunk);
     });
     request.on('end', () => {
-      clearTimeout(timer);
+      stopWaiting();
       resolve(Buffer.concat(chunks));
     });
     request.on('close', () => {
-      clearTimeout(timer);
+      stopWaiting();
       reject(
         new InvalidBodyError('The connection was closed before the request body was complete.'),
       );
--- a/packages/gateway/src/lifecycle/createDrainState.ts
+++ b/packages/gateway/src/lifecycle/createDrainState.ts
@@ -1,3 +1,4 @@
+import { setMaxListeners } from 'node:events';
 import type { Clock } from '@camphorbarrow/core';
 
 /**
@@ -7,7 +8,10 @@
 const SERVE_WHILE_DRAINING_MS = 3_000;
 /** Time reserved at the end of the grace period for closing connections. */
 const CLOSE_MARGIN_MS = 700;
+/** Part of that time in which the last responses are sent. */
+const FLUSH_MS = 400;
 const POLL_MS = 100;
+const FLUSH_POLL_MS = 5;
 
 export interface DrainState {
   isDraining(): boolean;
@@ -19,11 +23,17 @@
    */
   acceptsRequest(deadlineAtMs: number): boolean;
   start(): void;
+  /** Aborts when requests that are still in flight have to end. */
+  readonly closing: AbortSignal;
+  /** Rejects all further requests and ends those in flight. */
+  startClosing(): void;
   /**
    * Resolves when no request is in flight after the serving time, but at the latest shortly before
    * the grace period ends.
    */
   waitUntilDrained(inFlight: () => number): Promise<void>;
+  /** Resolves when no request is in flight, but in time before the grace period ends. */
+  waitUntilFlushed(inFlight: () => number): Promise<void>;
 }
 
 /**
@@ -35,12 +45,17 @@
   let startAtMs = Infinity;
   /** Time at which connections are closed. */
   let closeAtMs = Infinity;
+  const closing = new AbortController();
+  // Every request in flight listens.
+  setMaxListeners(0, closing.signal);
 
   const isDraining = (): boolean => startAtMs !== Infinity;
   const isRejectingRequests = (): boolean =>
+    closing.signal.aborted ||
     clock.monotonicMs() >= Math.min(startAtMs + SERVE_WHILE_DRAINING_MS, closeAtMs);
 
   return {
+    closing: closing.signal,
     isDraining,
     isRejectingRequests,
     acceptsRequest: (deadlineAtMs) => !isRejectingRequests() && deadlineAtMs <= closeAtMs,
@@ -50,10 +65,18 @@
         closeAtMs = startAtMs + graceMs() - CLOSE_MARGIN_MS;
       }
     },
+    startClosing() {
+      closing.abort();
+    },
     async waitUntilDrained(inFlight) {
       while (clock.monotonicMs() < closeAtMs && (!isRejectingRequests() || inFlight() > 0)) {
         await clock.sleep(POLL_MS);
       }
     },
+    async waitUntilFlushed(inFlight) {
+      while (clock.monotonicMs() < closeAtMs + FLUSH_MS && inFlight() > 0) {
+        await clock.sleep(FLUSH_POLL_MS);
+      }
+    },
   };
 }
--- a/packages/gateway/src/lifecycle/createEntryHost.ts
+++ b/packages/gateway/src/lifecycle/createEntryHost.ts
@@ -74,6 +74,7 @@
     peers,
     view,
     ownIncarnation,
+    closing: drain.closing,
     regionHosts,
   });
   const { loads, speeds, paces, health, prefixes, crashGuard, serverConnections, peerConnections } =
@@ -128,6 +129,7 @@
     maxConnections: options.maxConnections,
   });
 
+  const listeners = [callerListener, peerListener];
   peerListener.server.keepAliveTimeout = PEER_LISTENER_IDLE_TIMEOUT_MS;
 
   const heartbeats = createHeartbeats({
@@ -241,13 +243,16 @@
     heartbeats.sendToAll();
     log.info('drain-began', { inFlight });
     await drain.waitUntilDrained(() => inFlight);
+    listeners.forEach((listener) => listener.stopListening());
     log.info('drain-ended', { inFlight });
+    drain.startClosing();
     stop.abort();
     await Promise.race([Promise.all(tasks), clock.sleep(UNREGISTER_TIMEOUT_MS)]);
+    await drain.waitUntilFlushed(() => inFlight);
     clearInterval(housekeeping);
     eventLoopMonitor.close();
     heartbeats.close();
-    [callerListener, peerListener].forEach((listener) => listener.close());
+    listeners.forEach((listener) => listener.close());
     serverConnections.close();
     peerConnections.close();
     store.close();
--- a/packages/gateway/src/lifecycle/createGatewayContext.ts
+++ b/packages/gateway/src/lifecycle/createGatewayContext.ts
@@ -36,6 +36,8 @@
   readonly peers: PeerRegistry;
   readonly view: FleetView;
   readonly ownIncarnation: string;
+  /** Aborts when requests in flight have to end. */
+  readonly closing: AbortSignal;
   /** Active entry hosts of this region, including this one. */
   readonly regionHosts: () => readonly HostId[];
 }
@@ -103,6 +105,7 @@
     metrics,
     codec,
     router,
+    closing: options.closing,
     dispatchQueue: createDispatchQueue(),
     loads,
     speeds,
--- a/packages/gateway/tests/exchange/serveExchange.test.ts
+++ b/packages/gateway/tests/exchange/serveExchange.test.ts
@@ -11,6 +11,7 @@
   let endedTrials = 0;
   const context = {
     clock: createManualClock(),
+    closing: new AbortController().signal,
     metrics: { increment: noop },
     retryBudget: { recordRequest: noop },
     crashGuard: { isQuarantined: () => false },
