Count a request as in flight until its response was sent

What callers saw: a caller that read a large response slowly got a part of it when its entry host was stopped, and a request on a kept connection was not rejected while another response was being sent.

Cause: the count of requests in flight fell when the handler returned. By then the response may be waiting in the host's socket. The drain found nothing in flight and closed every connection.

Ruled out: the kernel's buffers. They held 3.9 MB of 8 MB for a caller that read nothing; the rest was in the process. Smaller responses arrived whole.

Change: a request counts until its handler has ended and its response was passed to the operating system or its connection was closed. The end of the connection is watched too, because a response that waits for another one on its connection emits no event when that connection is closed. Orders whose caller has left still count until they end.

Tests, before the change: 'a drain waits until a caller that reads slowly has received its response' received 3,919,872 bytes of 8,000,000; 'a host that closes rejects requests on open connections and refuses new connections' failed with "connect ECONNREFUSED" where a 503 is due.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -30,6 +30,7 @@
 export * from './fleet/runHostRegistration.js';
 export * from './fleet/runStoreFollower.js';
 export * from './ingress/createFingerprint.js';
+export * from './ingress/createInFlightTracker.js';
 export * from './ingress/createListener.js';
 export * from './ingress/createRequestHandler.js';
 export * from './ingress/createSharedPartKeys.js';
--- a/packages/gateway/src/lifecycle/createEntryHost.ts
+++ b/packages/gateway/src/lifecycle/createEntryHost.ts
@@ -6,8 +6,10 @@
 import type { FleetView } from '../fleet/createFleetView.js';
 import { runHostRegistration } from '../fleet/runHostRegistration.js';
 import { runStoreFollower } from '../fleet/runStoreFollower.js';
+import { createInFlightTracker } from '../ingress/createInFlightTracker.js';
 import { createListener } from '../ingress/createListener.js';
 import { createRequestHandler } from '../ingress/createRequestHandler.js';
+import type { RequestHandler } from '../ingress/createRequestHandler.js';
 import type { HostRegistration } from '../model/HostRegistration.js';
 import { createHeartbeats } from '../peers/createHeartbeats.js';
 import { createPeerRegistry } from '../peers/createPeerRegistry.js';
@@ -79,7 +81,7 @@
   });
   const { loads, speeds, paces, health, prefixes, crashGuard, serverConnections, peerConnections } =
     context;
-  let inFlight = 0;
+  const inFlight = createInFlightTracker();
 
   function currentState(): HostState {
     if (drain.isDraining()) {
@@ -88,23 +90,16 @@
     return view.table() === undefined ? 'starting' : 'ready';
   }
 
-  const createHandler = (source: 'callers' | 'peers'): ReturnType<typeof createRequestHandler> => {
-    const handle = createRequestHandler({
-      context,
-      view,
-      isDraining: drain.isDraining,
-      acceptsRequest: drain.acceptsRequest,
-      source,
-    });
-    return async (request, response) => {
-      inFlight += 1;
-      try {
-        await handle(request, response);
-      } finally {
-        inFlight -= 1;
-      }
-    };
-  };
+  const createHandler = (source: 'callers' | 'peers'): RequestHandler =>
+    inFlight.wrap(
+      createRequestHandler({
+        context,
+        view,
+        isDraining: drain.isDraining,
+        acceptsRequest: drain.acceptsRequest,
+        source,
+      }),
+    );
 
   const storeUpdates = createStoreUpdateExchange(view, peerConnections);
   const storeReaders = createRegionStoreReaders({
@@ -174,7 +169,7 @@
       callerListener.applyLimits(table.limits);
     }
     options.metrics.gauge('configuration_version', table?.version ?? 0);
-    options.metrics.gauge('in_flight', inFlight);
+    options.metrics.gauge('in_flight', inFlight.count());
     options.metrics.gauge('peers_reachable', peers.alive().length);
     options.metrics.gauge('store_age_ms', clock.monotonicMs() - view.confirmedAtMs());
     const incarnations = new Set(view.servers.all().map(({ incarnation }) => incarnation));
@@ -241,14 +236,14 @@
   async function drainAndStop(): Promise<void> {
     drain.start();
     heartbeats.sendToAll();
-    log.info('drain-began', { inFlight });
-    await drain.waitUntilDrained(() => inFlight);
+    log.info('drain-began', { inFlight: inFlight.count() });
+    await drain.waitUntilDrained(inFlight.count);
     listeners.forEach((listener) => listener.stopListening());
-    log.info('drain-ended', { inFlight });
+    log.info('drain-ended', { inFlight: inFlight.count() });
     drain.startClosing();
     stop.abort();
     await Promise.race([Promise.all(tasks), clock.sleep(UNREGISTER_TIMEOUT_MS)]);
-    await drain.waitUntilFlushed(() => inFlight);
+    await drain.waitUntilFlushed(inFlight.count);
     clearInterval(housekeeping);
     eventLoopMonitor.close();
     heartbeats.close();
