Exclude only the draining host when it rejects a relayed request

What callers saw: 503 'No server accepted the request' while a ready host of the other region could have served it.

Cause: the host that relays took every rejection by a peer for one by the whole region.

Ruled out: the directory and the choice of peers. A draining peer is chosen only while its region has no ready host; what matters is the time before the heartbeat.

Change: an error response to a peer names its error code. After 'draining' that host is excluded for the request, any other rejection still excludes the region.

--- a/packages/gateway/src/exchange/AttemptResult.ts
+++ b/packages/gateway/src/exchange/AttemptResult.ts
@@ -16,6 +16,8 @@
       readonly cause: string;
       /** Whether the intended server received the request; otherwise it counts as unreachable. */
       readonly reachedServer: boolean;
+      /** Whether a draining peer rejected the request, which says nothing of its region. */
+      readonly isPeerDraining?: boolean;
     }
   /** The server ran the request and returned an error response. */
   | { readonly kind: 'failed-run'; readonly response: BufferedResponse }
--- a/packages/gateway/src/exchange/ExchangeProgress.ts
+++ b/packages/gateway/src/exchange/ExchangeProgress.ts
@@ -1,4 +1,4 @@
-import type { ServerId } from '@camphorbarrow/core';
+import type { HostId, ServerId } from '@camphorbarrow/core';
 import type { LocalChoice, RegionChoice } from '../routing/Destination.js';
 import type { BufferedResponse } from './AttemptResult.js';
 
@@ -14,6 +14,7 @@
   errorResponse: BufferedResponse | undefined;
   readonly triedServers: Set<ServerId>;
   readonly triedRegions: Set<string>;
+  readonly rejectingHosts: Set<HostId>;
   /** Reasons of the failed attempts, for the log and the error message. */
   readonly causes: string[];
   /** Delay after which the caller may retry a rejected request. */
--- a/packages/gateway/src/exchange/forwardToPeer.ts
+++ b/packages/gateway/src/exchange/forwardToPeer.ts
@@ -15,6 +15,8 @@
 /** Added to the round-trip time to get the connect timeout for a peer in another region. */
 const CONNECT_MARGIN_MS = 500;
 const DEFAULT_ROUND_TRIP_MS = 200;
+/** Error code of a host that rejects requests because it stops. */
+const DRAINING_CODE = 'draining';
 
 export interface ForwardToPeerOptions extends AttemptSignals {
   readonly context: GatewayContext;
@@ -45,9 +47,12 @@
   const outcome = response.headers[relayHeaders.outcome];
   if (outcome !== undefined) {
     discardBody(response);
-    return outcome === 'not-run'
-      ? { kind: 'not-run', cause: 'rejected by peer', reachedServer: false }
-      : { kind: 'unknown', cause: 'outcome unknown at peer' };
+    if (outcome !== 'not-run') {
+      return { kind: 'unknown', cause: 'outcome unknown at peer' };
+    }
+    return response.headers[relayHeaders.errorCode] === DRAINING_CODE
+      ? { kind: 'not-run', cause: 'peer is draining', reachedServer: false, isPeerDraining: true }
+      : { kind: 'not-run', cause: 'rejected by peer', reachedServer: false };
   }
   return receiveResponse({
     exchange,
--- a/packages/gateway/src/exchange/relayHeaders.ts
+++ b/packages/gateway/src/exchange/relayHeaders.ts
@@ -8,6 +8,8 @@
   sentAt: 'x-entry-host-sent-at',
   /** On an error response: `not-run` or `unknown`. */
   outcome: 'x-entry-host-outcome',
+  /** On an error response: code of the error. */
+  errorCode: 'x-entry-host-error-code',
 } as const;
 
 const RELAY_HEADER_NAMES: ReadonlySet<string> = new Set(Object.values(relayHeaders));
--- a/packages/gateway/src/exchange/sendErrorResponse.ts
+++ b/packages/gateway/src/exchange/sendErrorResponse.ts
@@ -11,9 +11,11 @@
   error: RequestError,
   isRelayed: boolean,
 ): void {
-  const { statusCode, outcome, retryAfterMs } = error;
+  const { code, statusCode, outcome, retryAfterMs } = error;
   const retryHeaders = retryAfterMs === undefined ? [] : codec.retryAfterHeader(retryAfterMs);
-  const outcomeHeaders = isRelayed ? [relayHeaders.outcome, outcome] : [];
+  const outcomeHeaders = isRelayed
+    ? [relayHeaders.outcome, outcome, relayHeaders.errorCode, code]
+    : [];
   responseWriter.send(
     statusCode,
     ['Content-Type', 'application/json', ...retryHeaders, ...outcomeHeaders],
--- a/packages/gateway/src/exchange/serveExchange.ts
+++ b/packages/gateway/src/exchange/serveExchange.ts
@@ -86,9 +86,11 @@
       onResponseStart,
       onEvents,
     });
-    // A rejection holds for the whole region. After a failure of one of its servers, another server
-    // of the region may still succeed.
-    if (result.kind === 'not-run') {
+    // A rejection holds for the whole region, except by a draining host. After a failure of one of
+    // its servers, another server of the region may still succeed.
+    if (result.kind === 'not-run' && result.isPeerDraining === true) {
+      progress.rejectingHosts.add(host.id);
+    } else if (result.kind === 'not-run') {
       progress.triedRegions.add(host.region);
     }
     return result;
@@ -199,6 +201,7 @@
     errorResponse: undefined,
     triedServers: new Set(),
     triedRegions: new Set(),
+    rejectingHosts: new Set(),
     causes: [],
     retryAfterMs: RETRY_AFTER_MS,
     lastChoice: undefined,
--- a/packages/gateway/src/exchange/toRoutingRequest.ts
+++ b/packages/gateway/src/exchange/toRoutingRequest.ts
@@ -9,7 +9,10 @@
  */
 export function toRoutingRequest(
   exchange: Exchange,
-  progress: Pick<ExchangeProgress, 'runs' | 'lastEventId' | 'triedServers' | 'triedRegions'>,
+  progress: Pick<
+    ExchangeProgress,
+    'runs' | 'lastEventId' | 'triedServers' | 'triedRegions' | 'rejectingHosts'
+  >,
   remainingMs: number,
 ): RoutingRequest {
   const { route, service, metadata, expectedEvents, typicalEvents } = exchange;
@@ -22,6 +25,7 @@
     remainingMs,
     triedServers: progress.triedServers,
     triedRegions: progress.triedRegions,
+    rejectingHosts: progress.rejectingHosts,
     isRetry: progress.runs > 0 || progress.lastEventId !== undefined,
     isRelayed: exchange.relayedBy !== undefined,
   };
--- a/packages/gateway/src/routing/Destination.ts
+++ b/packages/gateway/src/routing/Destination.ts
@@ -1,4 +1,4 @@
-import type { ServerId } from '@camphorbarrow/core';
+import type { HostId, ServerId } from '@camphorbarrow/core';
 import type { Route } from '../model/Route.js';
 import type { RequestMetadata } from '../model/RequestMetadata.js';
 import type { ServerState } from '../model/ServerState.js';
@@ -21,6 +21,8 @@
   readonly triedServers: ReadonlySet<ServerId>;
   /** Regions with a host that rejected the request or was unreachable; they are not tried again. */
   readonly triedRegions: ReadonlySet<string>;
+  /** Draining hosts that rejected the request. */
+  readonly rejectingHosts: ReadonlySet<HostId>;
   /** Whether a server may already have run the request; it is then not rejected for overload. */
   readonly isRetry: boolean;
   /** Whether another entry host relayed the request; it must then be processed in this region. */
--- a/packages/gateway/src/routing/createRegionChooser.ts
+++ b/packages/gateway/src/routing/createRegionChooser.ts
@@ -64,7 +64,12 @@
     const { homeRegions } = request.route;
     const alive = peers.alive().filter(({ heartbeat: { host } }) => {
       const isAllowed = homeRegions.length === 0 || homeRegions.includes(host.region);
-      return host.region !== options.region && isAllowed && !request.triedRegions.has(host.region);
+      return (
+        host.region !== options.region &&
+        isAllowed &&
+        !request.triedRegions.has(host.region) &&
+        !request.rejectingHosts.has(host.id)
+      );
     });
     const ready = alive.filter(({ heartbeat }) => heartbeat.state === 'ready');
     if (request.remainingMs > DRAINING_MAX_REMAINING_MS) {
--- a/packages/gateway/tests/exchange/toRoutingRequest.test.ts
+++ b/packages/gateway/tests/exchange/toRoutingRequest.test.ts
@@ -16,6 +16,7 @@
   lastEventId: undefined,
   triedServers: new Set<never>(),
   triedRegions: new Set<string>(),
+  rejectingHosts: new Set<never>(),
 };
 
 // Guards against a resumed stream being treated as a new request: a stream that had delivered 92
--- a/packages/gateway/tests/support/builders.ts
+++ b/packages/gateway/tests/support/builders.ts
@@ -90,6 +90,7 @@
     remainingMs: 5_000,
     triedServers: new Set(),
     triedRegions: new Set(),
+    rejectingHosts: new Set(),
     isRetry: false,
     isRelayed: false,
     ...overrides,
