Relay to a draining host only what ends before it closes

What callers saw: nothing yet on the users' sites, whose grace period is 8 s. With a shorter one, requests were relayed to a draining host that rejects them, or, before it rejected them, cut them.

Cause: the choice of peers assumed that a draining host still serves for 5 s, whatever its grace period and however long ago its heartbeat was sent.

Change: heartbeats of a draining host name the time until it closes its connections. A request is relayed to it if its remaining time and a round trip fit into what is left of that. A draining host that names none, of an earlier version, gets no relayed requests. The condition that no host of its region is ready remains.

Tests, before the change: 'a draining host gets only requests that end before it closes, by its own statement' and 'a draining host that does not state when it closes gets no request' chose 'draining' in place of none. The existing tests of the choice name a closing time for their draining hosts and are otherwise unchanged.

--- a/packages/gateway/src/lifecycle/createDrainState.ts
+++ b/packages/gateway/src/lifecycle/createDrainState.ts
@@ -22,6 +22,8 @@
    * deadline passes before connections are closed, so that it gets its response in any case.
    */
   acceptsRequest(deadlineAtMs: number): boolean;
+  /** Time until connections are closed; undefined before a drain. */
+  closesInMs(): number | undefined;
   start(): void;
   /** Aborts when requests that are still in flight have to end. */
   readonly closing: AbortSignal;
@@ -59,6 +61,7 @@
     isDraining,
     isRejectingRequests,
     acceptsRequest: (deadlineAtMs) => !isRejectingRequests() && deadlineAtMs <= closeAtMs,
+    closesInMs: () => (isDraining() ? Math.max(0, closeAtMs - clock.monotonicMs()) : undefined),
     start() {
       if (!isDraining()) {
         startAtMs = clock.monotonicMs();
--- a/packages/gateway/src/lifecycle/createEntryHost.ts
+++ b/packages/gateway/src/lifecycle/createEntryHost.ts
@@ -139,6 +139,7 @@
       incarnation: ownIncarnation,
       sentAtMs: clock.monotonicMs(),
       state: currentState(),
+      closesInMs: drain.closesInMs(),
       revision: view.revision(),
       loads: loads.ownLoads(),
       paces: paces.ownPaces(),
--- a/packages/gateway/src/lifecycle/createGatewayContext.ts
+++ b/packages/gateway/src/lifecycle/createGatewayContext.ts
@@ -88,7 +88,7 @@
       serverRateLimiter,
       serverLimits,
     }),
-    chooseRegion: createRegionChooser({ random, region, peers, loads }),
+    chooseRegion: createRegionChooser({ clock, random, region, peers, loads }),
     loads,
   });
   const partSuspicion = createPartSuspicion(clock);
--- a/packages/gateway/src/peers/PeerHeartbeat.ts
+++ b/packages/gateway/src/peers/PeerHeartbeat.ts
@@ -44,6 +44,11 @@
   readonly sentAtMs: number;
   readonly echo: HeartbeatEcho | undefined;
   readonly state: HostState;
+  /**
+   * Time until a draining sender closes its connections; it rejects requests that may not end by
+   * then. Undefined if the sender does not drain.
+   */
+  readonly closesInMs?: number | undefined;
   /** Latest store revision known to the sender. */
   readonly revision: number;
   readonly loads: ReadonlyMap<ServerId, HostLoad>;
--- a/packages/gateway/src/peers/heartbeatCodec.ts
+++ b/packages/gateway/src/peers/heartbeatCodec.ts
@@ -25,6 +25,8 @@
   readonly at: number;
   readonly echo?: HeartbeatEcho;
   readonly state: HostState;
+  /** Time in ms until a draining sender closes its connections; omitted if it does not drain. */
+  readonly closes?: number;
   readonly rev: number;
   /** Server, running requests, pending prompt tokens by rank, and the pace if there is one. */
   readonly load: readonly (readonly [
@@ -99,6 +101,7 @@
     typeof message.at === 'number' &&
     typeof message.rev === 'number' &&
     HOST_STATES.includes(message.state ?? '') &&
+    (message.closes === undefined || Number.isFinite(message.closes)) &&
     Array.isArray(message.load) &&
     Array.isArray(message.cap) &&
     Array.isArray(message.crash) &&
@@ -147,6 +150,7 @@
     inc: heartbeat.incarnation,
     at: heartbeat.sentAtMs,
     state: heartbeat.state,
+    ...(heartbeat.closesInMs === undefined ? {} : { closes: Math.floor(heartbeat.closesInMs) }),
     rev: heartbeat.revision,
     load: [...heartbeat.loads].map(([id, { running, pendingTokens }]) => {
       const pace = heartbeat.paces.get(id);
@@ -200,6 +204,7 @@
     sentAtMs: message.at,
     echo: message.echo,
     state: message.state,
+    ...(message.closes === undefined ? {} : { closesInMs: message.closes }),
     revision: message.rev,
     loads: new Map(
       message.load.map(([id, running, pendingTokens]) => [
--- a/packages/gateway/src/routing/createRegionChooser.ts
+++ b/packages/gateway/src/routing/createRegionChooser.ts
@@ -1,4 +1,4 @@
-import type { RandomSource, RegionId } from '@camphorbarrow/core';
+import type { Clock, RandomSource, RegionId } from '@camphorbarrow/core';
 import type { Peer, PeerRegistry } from '../peers/createPeerRegistry.js';
 import type { LoadTracker } from './createLoadTracker.js';
 import { sharedParts } from './createPrefixCacheTracker.js';
@@ -12,14 +12,8 @@
 /** Part of the shared prompt that a server in another region is assumed to have cached. */
 const REMOTE_CACHED_RATIO = 0.5;
 
-/**
- * Maximum remaining time of a request that is sent to a draining host. Such a request ends before
- * the host does: the host's grace period is several seconds longer than the time in which it
- * accepts requests.
- */
-const DRAINING_MAX_REMAINING_MS = 5_000;
-
 export interface RegionChooserOptions {
+  readonly clock: Clock;
   readonly random: RandomSource;
   readonly region: RegionId;
   readonly peers: PeerRegistry;
@@ -56,9 +50,19 @@
     return { choice: { waitMs, estimateMs, ...finish }, scoreMs: estimateMs + scoreMs };
   }
 
+  /**
+   * Whether a draining peer takes the request: it has to end before the peer closes. A round trip
+   * covers the transit of the heartbeat and of the request.
+   */
+  function endsBeforeClose(request: RoutingRequest, peer: Peer): boolean {
+    const ageMs = options.clock.monotonicMs() - peer.lastHeartbeatAtMs;
+    const closesInMs = (peer.heartbeat.closesInMs ?? 0) - ageMs;
+    return request.remainingMs + (peer.roundTripMs ?? DEFAULT_ROUND_TRIP_MS) <= closesInMs;
+  }
+
   /**
    * Ready peers of other regions. Only the hosts of a region can reach its servers, so while all of
-   * them drain, as in a rolling restart, short requests also go to draining hosts.
+   * them drain, as in a rolling restart, requests that end in time also go to draining hosts.
    */
   function acceptingPeers(request: RoutingRequest): readonly Peer[] {
     const { homeRegions } = request.route;
@@ -72,12 +76,12 @@
       );
     });
     const ready = alive.filter(({ heartbeat }) => heartbeat.state === 'ready');
-    if (request.remainingMs > DRAINING_MAX_REMAINING_MS) {
-      return ready;
-    }
     const readyRegions = new Set(ready.map(({ heartbeat }) => heartbeat.host.region));
     const draining = alive.filter(
-      ({ heartbeat: { state, host } }) => state === 'draining' && !readyRegions.has(host.region),
+      (peer) =>
+        peer.heartbeat.state === 'draining' &&
+        !readyRegions.has(peer.heartbeat.host.region) &&
+        endsBeforeClose(request, peer),
     );
     return [...ready, ...draining];
   }
--- a/packages/gateway/tests/peers/heartbeatCodec.test.ts
+++ b/packages/gateway/tests/peers/heartbeatCodec.test.ts
@@ -77,6 +77,14 @@
   t.throws(() => decodeHeartbeat(Buffer.from(malformed)), { instanceOf: InvalidMessageError });
 });
 
+test('the time until a draining host closes survives encoding', (t) => {
+  const draining: PeerHeartbeat = { ...heartbeat, state: 'draining', closesInMs: 2_300 };
+  const datagram = createHeartbeatEncoder(draining)(heartbeat.echo);
+  t.deepEqual(decodeHeartbeat(datagram), draining);
+  const malformed = datagram.toString().replace('"closes":2300', '"closes":"soon"');
+  t.throws(() => decodeHeartbeat(Buffer.from(malformed)), { instanceOf: InvalidMessageError });
+});
+
 test('malformed datagrams are rejected with a typed error', (t) => {
   ['', 'null', '{', '{"v":2}', '{"v":1,"host":{"id":"a"}}'].forEach((text) => {
     t.throws(() => decodeHeartbeat(Buffer.from(text)), { instanceOf: InvalidMessageError });
--- a/packages/gateway/tests/routing/createRegionChooser.test.ts
+++ b/packages/gateway/tests/routing/createRegionChooser.test.ts
@@ -1,10 +1,14 @@
 import test from 'ava';
 import { asId, createManualClock, createSeededRandom } from '@camphorbarrow/core';
+import type { ManualClock } from '@camphorbarrow/core';
 import { createLoadTracker, createRegionChooser } from '../../src/index.js';
 import type { RoutingRequest, HostState, Peer, PeerRegistry } from '../../src/index.js';
 import { buildRoutingRequest, buildRoute, buildService } from '../support/builders.js';
 
 const service = buildService();
+/** Time for which a draining host of the tests still serves requests. */
+const CLOSES_IN_MS = 5_000;
+const ROUND_TRIP_MS = 100;
 
 function buildPeer(id: string, region: string, state: HostState): Peer {
   const endpoint = { host: id, port: 1 };
@@ -21,6 +25,7 @@
       sentAtMs: 0,
       echo: undefined,
       state,
+      closesInMs: state === 'draining' ? CLOSES_IN_MS : undefined,
       revision: 1,
       loads: new Map(),
       paces: new Map(),
@@ -43,19 +48,21 @@
       serverLimits: [],
     },
     lastHeartbeatAtMs: 0,
-    roundTripMs: 100,
+    roundTripMs: ROUND_TRIP_MS,
   };
 }
 
 function chooseAmong(
   peers: readonly Peer[],
   changes: Partial<RoutingRequest> = {},
+  clock: ManualClock = createManualClock(),
 ): string | undefined {
   const choose = createRegionChooser({
+    clock,
     random: createSeededRandom(1),
     region: asId('north'),
     peers: { alive: () => peers } as unknown as PeerRegistry,
-    loads: createLoadTracker(createManualClock(), () => []),
+    loads: createLoadTracker(clock, () => []),
   });
   return choose(buildRoutingRequest({ remainingMs: 4_000, ...changes }))?.choice.peer.heartbeat.host
     .id;
@@ -81,6 +88,25 @@
   t.is(chooseAmong([draining], { remainingMs: 12_000 }), undefined);
 });
 
+// Hosts assumed five seconds for every draining host; one with a shorter grace period rejects the
+// request or closes before the request has ended.
+test('a draining host gets only requests that end before it closes, by its own statement', (t) => {
+  const clock = createManualClock();
+  const draining = buildPeer('draining', 'south', 'draining');
+  const limitMs = CLOSES_IN_MS - ROUND_TRIP_MS;
+  t.is(chooseAmong([draining], { remainingMs: limitMs }, clock), 'draining');
+  t.is(chooseAmong([draining], { remainingMs: limitMs + 1 }, clock), undefined);
+  clock.advance(1_000);
+  t.is(chooseAmong([draining], { remainingMs: limitMs - 1_000 }, clock), 'draining');
+  t.is(chooseAmong([draining], { remainingMs: limitMs - 999 }, clock), undefined);
+});
+
+test('a draining host that does not state when it closes gets no request', (t) => {
+  const draining = buildPeer('draining', 'south', 'draining');
+  const heartbeat = { ...draining.heartbeat, closesInMs: undefined };
+  t.is(chooseAmong([{ ...draining, heartbeat }], { remainingMs: 1 }), undefined);
+});
+
 test('a request with home regions is not sent to other regions', (t) => {
   const route = buildRoute({ homeRegions: [asId('west')] });
   const peers = [buildPeer('south', 'south', 'ready'), buildPeer('west', 'west', 'ready')];
