Count responses that a host breaks off, and log how a drain went

Why: in an incident nothing told which connections were closed by the host and which by the network. requests_total has status 0 for both, and for callers that left.

Change: the counter responses_aborted names what ended a response that had begun: upstream (server or peer broke off), deadline, shutdown or internal-error. Connections that are still in use when a stopping host closes them count as shutdown. drain-began and drain-ended name requests in flight, elapsed time and grace, and the new line connections-closed the requests that got no complete response.

--- a/packages/gateway/src/exchange/sendFinalResponse.ts
+++ b/packages/gateway/src/exchange/sendFinalResponse.ts
@@ -37,6 +37,14 @@
   });
 }
 
+/** Why a response that has started cannot be completed. */
+function describeAbort(isExpired: boolean, isClosing: boolean): string {
+  if (isExpired) {
+    return 'deadline';
+  }
+  return isClosing ? 'shutdown' : 'upstream';
+}
+
 /** Ends an exchange that no attempt delivered. Returns the status sent, or 0 when none could be. */
 export function sendFinalResponse(
   context: GatewayContext,
@@ -49,6 +57,8 @@
     return 0;
   }
   if (responseWriter.isStarted()) {
+    const cause = describeAbort(isExpired, context.closing.aborted);
+    context.metrics.increment('responses_aborted', { cause });
     responseWriter.abort();
     return 0;
   }
--- a/packages/gateway/src/ingress/createRequestHandler.ts
+++ b/packages/gateway/src/ingress/createRequestHandler.ts
@@ -165,7 +165,7 @@
     };
   }
 
-  return async (request, response) => {
+  async function handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const arrivedAtMs = context.clock.monotonicMs();
     const responseWriter = createResponseWriter(response, options.isDraining);
     try {
@@ -189,6 +189,7 @@
         context.log.error('request-failed', fields, error);
       }
       if (responseWriter.isStarted()) {
+        context.metrics.increment('responses_aborted', { cause: 'internal-error' });
         responseWriter.abort();
       } else {
         sendErrorResponse(responseWriter, context.codec, requestError, isRelayed);
@@ -197,5 +198,15 @@
         discardBody(request);
       }
     }
+  }
+
+  return async (request, response) => {
+    try {
+      await handle(request, response);
+    } catch (error) {
+      // The listener logs the error and closes the connection.
+      context.metrics.increment('responses_aborted', { cause: 'internal-error' });
+      throw error;
+    }
   };
 }
--- a/packages/gateway/src/lifecycle/createDrainState.ts
+++ b/packages/gateway/src/lifecycle/createDrainState.ts
@@ -13,6 +13,14 @@
 const POLL_MS = 100;
 const FLUSH_POLL_MS = 5;
 
+/** Progress of a drain, for the log. */
+export interface DrainProgress {
+  readonly inFlight: number;
+  /** Time since the start of the drain. */
+  readonly elapsedMs: number;
+  readonly graceMs: number;
+}
+
 export interface DrainState {
   isDraining(): boolean;
   /** Whether every new request is rejected. */
@@ -24,6 +32,7 @@
   acceptsRequest(deadlineAtMs: number): boolean;
   /** Time until connections are closed; undefined before a drain. */
   closesInMs(): number | undefined;
+  describe(inFlight: number): DrainProgress;
   start(): void;
   /** Aborts when requests that are still in flight have to end. */
   readonly closing: AbortSignal;
@@ -62,6 +71,11 @@
     isRejectingRequests,
     acceptsRequest: (deadlineAtMs) => !isRejectingRequests() && deadlineAtMs <= closeAtMs,
     closesInMs: () => (isDraining() ? Math.max(0, closeAtMs - clock.monotonicMs()) : undefined),
+    describe: (inFlight) => ({
+      inFlight,
+      elapsedMs: Math.round(clock.monotonicMs() - startAtMs),
+      graceMs: Math.round(closeAtMs + CLOSE_MARGIN_MS - startAtMs),
+    }),
     start() {
       if (!isDraining()) {
         startAtMs = clock.monotonicMs();
--- a/packages/gateway/src/lifecycle/createEntryHost.ts
+++ b/packages/gateway/src/lifecycle/createEntryHost.ts
@@ -21,6 +21,7 @@
 import { formatEndpoint } from '../upstream/createConnectionPools.js';
 import { chooseDirectoryHosts } from './chooseDirectoryHosts.js';
 import { createDrainState } from './createDrainState.js';
+import type { DrainProgress } from './createDrainState.js';
 import { createEventLoopMonitor } from './createEventLoopMonitor.js';
 import { createGatewayContext } from './createGatewayContext.js';
 import type { EntryHostOptions } from './EntryHostOptions.js';
@@ -237,14 +238,17 @@
   async function drainAndStop(): Promise<void> {
     drain.start();
     heartbeats.sendToAll();
-    log.info('drain-began', { inFlight: inFlight.count() });
+    const describeDrain = (): DrainProgress => drain.describe(inFlight.count());
+    log.info('drain-began', { ...describeDrain() });
     await drain.waitUntilDrained(inFlight.count);
     listeners.forEach((listener) => listener.stopListening());
-    log.info('drain-ended', { inFlight: inFlight.count() });
+    log.info('drain-ended', { ...describeDrain() });
     drain.startClosing();
     stop.abort();
     await Promise.race([Promise.all(tasks), clock.sleep(UNREGISTER_TIMEOUT_MS)]);
     await drain.waitUntilFlushed(inFlight.count);
+    log.info('connections-closed', { ...describeDrain() });
+    options.metrics.increment('responses_aborted', { cause: 'shutdown' }, inFlight.count());
     clearInterval(housekeeping);
     eventLoopMonitor.close();
     heartbeats.close();
