Tell every peer that a host closes before it ends

What callers saw: nothing yet. In a fleet of more than seven peers, some of them know a drained host as still serving for up to 2.5 s after it has ended, and relay requests to it when its region has no ready host. The refused connection excludes the region.

Cause: the state 'closing' was sent only by regular heartbeats, which reach three hosts of other regions in 0.1 s, and a host with nothing in flight ends 0.2 s after its decision.

Change: the decision to close sends a heartbeat to all peers, as the start of a drain does.

Test, before the change: 'every peer is told that a host closes before it ends', with 24 peers, failed with "The condition was not met in time."; three of three runs passed after it.

--- a/packages/gateway/src/lifecycle/createEntryHost.ts
+++ b/packages/gateway/src/lifecycle/createEntryHost.ts
@@ -244,6 +244,7 @@
     listeners.forEach((listener) => listener.stopListening());
     log.info('drain-ended', { ...describeDrain() });
     drain.startClosing();
+    heartbeats.sendToAll();
     stop.abort();
     await Promise.race([Promise.all(tasks), clock.sleep(UNREGISTER_TIMEOUT_MS)]);
     await drain.waitUntilFlushed(inFlight.count);
