--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,6 +1,7 @@
 export * from './errors/InvalidMessageError.js';
 export * from './errors/LeaseEndedError.js';
 export * from './errors/StoreHistoryLostError.js';
+export * from './errors/createDrainingError.js';
 export * from './errors/logFailures.js';
 export * from './exchange/AttemptResult.js';
 export * from './exchange/AttemptSignals.js';
@@ -33,6 +34,7 @@
 export * from './fleet/runHostRegistration.js';
 export * from './fleet/runStoreFollower.js';
 export * from './ingress/createFingerprint.js';
+export * from './ingress/createInFlightTracker.js';
 export * from './ingress/createListener.js';
 export * from './ingress/createRequestHandler.js';
 export * from './ingress/createSharedPartKeys.js';
--- a/packages/gateway/src/peers/PeerHeartbeat.ts
+++ b/packages/gateway/src/peers/PeerHeartbeat.ts
@@ -45,6 +45,11 @@
   readonly sentAtMs: number;
   readonly echo: HeartbeatEcho | undefined;
   readonly state: HostState;
+  /**
+   * Time until a draining sender closes its connections; it rejects requests that may not end by
+   * then. Undefined if the sender does not drain.
+   */
+  readonly closesInMs?: number | undefined;
   /** Latest position in the history of the store known to the sender. */
   readonly storePosition: StorePosition;
   /** Version of the configuration in force at the sender; 0 if it has none. */
--- a/packages/gateway/src/peers/isWireHeartbeat.ts
+++ b/packages/gateway/src/peers/isWireHeartbeat.ts
@@ -51,6 +51,7 @@
     (message.era === undefined || isStoreRevision(message.era)) &&
     (message.cfg === undefined || Number.isFinite(message.cfg)) &&
     HOST_STATES.includes(message.state ?? '') &&
+    (message.closes === undefined || Number.isFinite(message.closes)) &&
     Array.isArray(message.load) &&
     Array.isArray(message.cap) &&
     Array.isArray(message.crash) &&
