Spread registrations after a restore by the number of hosts

Found in review: at 1,100 hosts all would make two writes within one second, 2,200 against the several hundred that the store takes; those that got 429 had no registration for up to 3 s more. The spread is now one second, or the time in which 100 hosts a second register. The new test fails on the code before ("grant 2" after 1 s).

--- a/packages/gateway/src/fleet/runHostRegistration.ts
+++ b/packages/gateway/src/fleet/runHostRegistration.ts
@@ -2,8 +2,11 @@
 import { LeaseEndedError } from '../errors/LeaseEndedError.js';
 import type { MetadataStore } from '../ports/MetadataStore.js';
 
-/** Maximum delay after a restore of the store, so that not all hosts register at the same time. */
-const RESTORE_SPREAD_MS = 1_000;
+/** Minimum time over which the hosts spread their registrations after a restore of the store. */
+const MIN_RESTORE_SPREAD_MS = 1_000;
+/** Registrations of all hosts per second; each takes two of the store's several hundred writes. */
+const FLEET_REGISTRATIONS_PER_SECOND = 100;
+const MS_PER_SECOND = 1_000;
 
 export interface HostRegistrationOptions {
   readonly clock: Clock;
@@ -15,6 +18,8 @@
   readonly value: string;
   readonly leaseTtlMs: number;
   readonly renewEveryMs: number;
+  /** Number of entry hosts that share the store, including this one. */
+  readonly hostCount: () => number;
   /** Whether the store still has the registration, according to the view of this host. */
   readonly isRegistered: () => boolean;
   /** Registers a listener for restores of the store, which lose the registration and its lease. */
@@ -53,8 +58,11 @@
     if (restored.signal.aborted) {
       restored = new AbortController();
       leaseId = undefined;
-      const spreadMs = options.random.next() * RESTORE_SPREAD_MS;
-      await clock.sleep(spreadMs, signal).catch(() => undefined);
+      const spreadMs = Math.max(
+        MIN_RESTORE_SPREAD_MS,
+        (options.hostCount() / FLEET_REGISTRATIONS_PER_SECOND) * MS_PER_SECOND,
+      );
+      await clock.sleep(options.random.next() * spreadMs, signal).catch(() => undefined);
     }
   }
 
--- a/packages/gateway/src/lifecycle/createEntryHost.ts
+++ b/packages/gateway/src/lifecycle/createEntryHost.ts
@@ -218,6 +218,7 @@
       renewEveryMs: HOST_LEASE_RENEWAL_MS,
       random: options.random,
       isRegistered: () => view.hosts().some(({ id }) => id === own.id),
+      hostCount: () => peers.known().length + 1,
       onStoreRestored: view.onRestored,
       signal: stop.signal,
     }),
--- a/packages/gateway/tests/fleet/runHostRegistration.test.ts
+++ b/packages/gateway/tests/fleet/runHostRegistration.test.ts
@@ -8,7 +8,7 @@
 const RENEW_EVERY_MS = 3_000;
 
 /** Runs the registration of a host against a store that fails the writes with the given numbers. */
-function setUp(failingWrites: readonly number[] = []) {
+function setUp(failingWrites: readonly number[] = [], hostCount = 1) {
   const clock = createManualClock();
   const stop = new AbortController();
   const calls: string[] = [];
@@ -45,6 +45,7 @@
     leaseTtlMs: 10_000,
     renewEveryMs: RENEW_EVERY_MS,
     isRegistered: () => true,
+    hostCount: () => hostCount,
     onStoreRestored(listener) {
       restore = listener;
     },
@@ -85,3 +86,15 @@
   await host.stop();
   t.is(host.calls.at(-1), 'end 3');
 });
+
+// 1,100 hosts would otherwise make 2,200 writes within a second; the store takes 400.
+test('the registrations of a large fleet are spread after a restore of the store', async (t) => {
+  const host = setUp([], 1_100);
+  await host.advance(0);
+  host.restore();
+  await host.advance(5_400);
+  t.deepEqual(host.calls, ['grant 1', 'put 1']);
+  await host.advance(200);
+  t.deepEqual(host.calls.slice(2), ['grant 2', 'put 2']);
+  await host.stop();
+});
