--- a/packages/gateway/src/fleet/createFleetView.ts
+++ b/packages/gateway/src/fleet/createFleetView.ts
@@ -80,7 +80,9 @@
 
   function applyTable(next: RoutingTable, item: KeyValue): void {
     if (table !== undefined && next.version <= table.version) {
-      if (next.version < table.version) {
+      if (next.version === table.version) {
+        tableItem = item;
+      } else {
         log.info('configuration-ignored', { version: next.version, knownVersion: table.version });
       }
       return;
--- a/packages/gateway/src/peers/runPeerStoreFollower.ts
+++ b/packages/gateway/src/peers/runPeerStoreFollower.ts
@@ -58,7 +58,8 @@
 
   while (!signal.aborted) {
     const isStale = clock.monotonicMs() - view.confirmedAtMs() > STORE_STALE_AFTER_MS;
-    const peer = (isStale ? findNewestPeer() : undefined) ?? findPeerWithNewerConfiguration();
+    const peerWithNewerConfiguration = findPeerWithNewerConfiguration();
+    const peer = (isStale ? findNewestPeer() : undefined) ?? peerWithNewerConfiguration;
     if (peer !== undefined) {
       const { host } = peer.heartbeat;
       try {
