Close a connection only after its last request during a drain

What callers saw: of two orders sent on one connection without waiting for the first response, the second one ran during a drain and its connection was closed without a response.

Cause: every response of a draining host asked to close its connection. Node.js closes it after that response, while requests behind it have already been handed to the handler.

Change: only the response to the latest request of a connection closes it. A request that comes after such a response has begun, as behind a stream, is not run, and the log has request-not-read.

Tests, before the change: 'orders that are sent one after the other on a connection all get a response during a drain' got 1 response of 2; 'an order behind a response that closes its connection does not run' counted 2 runs in place of 1.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -29,6 +29,7 @@
 export * from './fleet/createServerDirectory.js';
 export * from './fleet/runHostRegistration.js';
 export * from './fleet/runStoreFollower.js';
+export * from './ingress/createConnectionDrain.js';
 export * from './ingress/createFingerprint.js';
 export * from './ingress/createInFlightTracker.js';
 export * from './ingress/createListener.js';
--- a/packages/gateway/src/ingress/createRequestHandler.ts
+++ b/packages/gateway/src/ingress/createRequestHandler.ts
@@ -22,6 +22,7 @@
 import { findRoute } from '../routing/findRoute.js';
 import { pickTarget } from '../routing/pickTarget.js';
 import { discardBody } from '../upstream/discardBody.js';
+import { createConnectionDrain } from './createConnectionDrain.js';
 import { createFingerprint } from './createFingerprint.js';
 import { createSharedPartKeys } from './createSharedPartKeys.js';
 import { readBody } from './readBody.js';
@@ -93,6 +94,7 @@
 export function createRequestHandler(options: RequestHandlerOptions): RequestHandler {
   const { context, view } = options;
   const isRelayed = options.source === 'peers';
+  const connections = createConnectionDrain(options.isDraining);
 
   function chooseService(table: RoutingTable, route: Route, request: IncomingMessage): ServiceSpec {
     const requestedName = isRelayed ? firstHeaderValue(request, relayHeaders.service) : undefined;
@@ -167,7 +169,12 @@
 
   async function handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const arrivedAtMs = context.clock.monotonicMs();
-    const responseWriter = createResponseWriter(response, options.isDraining);
+    if (!connections.recordRequest(request)) {
+      // It must not run. The connection closes when the response before it has been sent.
+      context.log.info('request-not-read', { reason: 'connection-closes' });
+      return;
+    }
+    const responseWriter = createResponseWriter(response, () => connections.closesAfter(request));
     try {
       await serveExchange(context, await createExchange(request, responseWriter, arrivedAtMs));
     } catch (error) {
