--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -15,6 +15,7 @@
 export * from './exchange/forwardToServer.js';
 export * from './exchange/receiveResponse.js';
 export * from './exchange/relayHeaders.js';
+export * from './exchange/runAttempts.js';
 export * from './exchange/sendErrorResponse.js';
 export * from './exchange/sendFinalResponse.js';
 export * from './exchange/sendTimeHeader.js';
