Count the responses that a host ends before they are complete

The log and `requests_total` with status 0 did not tell a stream that the host ended from one whose caller had left, nor why no further attempt was made.

--- a/packages/gateway/src/exchange/ExchangeProgress.ts
+++ b/packages/gateway/src/exchange/ExchangeProgress.ts
@@ -1,6 +1,7 @@
 import type { ServerId } from '@camphorbarrow/core';
 import type { LocalChoice, RegionChoice } from '../routing/Destination.js';
 import type { BufferedResponse } from './AttemptResult.js';
+import type { StopCause } from './StopCause.js';
 
 /** Mutable state of the attempts to serve one request. */
 export interface ExchangeProgress {
@@ -16,6 +17,9 @@
   readonly triedRegions: Set<string>;
   /** Reasons of the failed attempts, for the log and the error message. */
   readonly causes: string[];
+  /** Why the last attempt failed, as a label of metrics; undefined if it did not. */
+  lastFailure: 'rejected' | 'error' | 'silent' | 'broken' | undefined;
+  stopCause: StopCause;
   /** Delay after which the caller may retry a rejected request. */
   retryAfterMs: number;
   /** Latest choice of the router, even when it was rejected as overloaded. */
--- /dev/null
+++ b/packages/gateway/src/exchange/StopCause.ts
@@ -0,0 +1,12 @@
+/** Why no further attempt was made for a request that was not delivered. */
+export type StopCause =
+  /** The request was delivered or cancelled, or its deadline has passed. */
+  | 'ended'
+  /** The route, or the outcome of the last attempt, allows no other one. */
+  | 'not-repeatable'
+  | 'no-server'
+  | 'rate-limited'
+  | 'overloaded'
+  | 'retry-budget'
+  | 'prompt-part'
+  | 'quarantined';
--- a/packages/gateway/src/exchange/runAttempts.ts
+++ b/packages/gateway/src/exchange/runAttempts.ts
@@ -21,6 +21,8 @@
   return exchange.relayedBy === undefined ? exchange.route.maxServers : 1;
 }
 
+const failureOf = (cause: string): 'silent' | 'broken' => (cause === 'silent' ? cause : 'broken');
+
 /** Records the result of an attempt. Returns whether another attempt is allowed. */
 function recordResult(
   exchange: Exchange,
@@ -34,18 +36,22 @@
       return false;
     case 'not-run':
       progress.causes.push(result.cause);
+      progress.lastFailure = 'rejected';
       return progress.attempts < MAX_ATTEMPTS;
     case 'failed-run':
       progress.causes.push(`status ${result.response.status}`);
+      progress.lastFailure = 'error';
       progress.errorResponse = result.response;
       progress.runs += 1;
       return route.idempotent && progress.runs < maxRuns(exchange);
     case 'unknown':
       progress.causes.push(result.cause);
+      progress.lastFailure = failureOf(result.cause);
       progress.runs += 1;
       return route.idempotent && progress.runs < maxRuns(exchange);
     case 'interrupted':
       progress.causes.push(`interrupted: ${result.cause}`);
+      progress.lastFailure = failureOf(result.cause);
       progress.lastEventId = result.lastEventId ?? progress.lastEventId;
       progress.runs += 1;
       return route.resumable && progress.runs < maxRuns(exchange);
@@ -120,6 +126,7 @@
   const destination = context.router.choose(toRoutingRequest(exchange, progress, remainingMs));
   if (destination.kind === 'none') {
     progress.causes.push(destination.reason);
+    progress.stopCause = destination.reason;
     if (destination.reason === 'overloaded') {
       progress.lastChoice = destination.rejected;
       progress.retryAfterMs = Math.min(
@@ -131,6 +138,7 @@
   }
   if (progress.attempts > 0 && !context.retryBudget.tryWithdraw(exchange.service.name)) {
     progress.causes.push('retry budget exhausted');
+    progress.stopCause = 'retry-budget';
     return undefined;
   }
   progress.attempts += 1;
@@ -152,6 +160,7 @@
   let result: AttemptResult | undefined;
   if (context.crashGuard.isQuarantined(exchange.fingerprint)) {
     progress.causes.push('quarantined after server crashes');
+    progress.stopCause = 'quarantined';
     progress.retryAfterMs = QUARANTINE_RETRY_AFTER_MS;
     return result;
   }
@@ -159,6 +168,7 @@
     const admission = await admitPromptParts(context, exchange, progress.runs > 0, startSignal);
     if (admission.kind === 'rejected') {
       progress.causes.push(admission.cause);
+      progress.stopCause = 'prompt-part';
       progress.retryAfterMs = admission.retryAfterMs;
       return result;
     }
@@ -170,5 +180,8 @@
     }
     result = next;
   } while (recordResult(exchange, progress, result));
+  if (result.kind !== 'delivered' && result.kind !== 'cancelled') {
+    progress.stopCause = 'not-repeatable';
+  }
   return result;
 }
--- a/packages/gateway/src/exchange/sendFinalResponse.ts
+++ b/packages/gateway/src/exchange/sendFinalResponse.ts
@@ -4,6 +4,7 @@
   NoServerError,
   type RequestError,
 } from '@camphorbarrow/core';
+import type { Route } from '../model/Route.js';
 import type { Exchange } from './Exchange.js';
 import type { ExchangeProgress } from './ExchangeProgress.js';
 import type { GatewayContext } from './GatewayContext.js';
@@ -26,6 +27,13 @@
   });
 }
 
+function routeKind({ delivery, resumable, idempotent }: Route): string {
+  if (delivery === 'events') {
+    return resumable ? 'resumable-stream' : 'stream';
+  }
+  return idempotent ? 'call' : 'order';
+}
+
 /** Ends an exchange that no attempt delivered. Returns the status sent, or 0 when none could be. */
 export function sendFinalResponse(
   context: GatewayContext,
@@ -38,6 +46,11 @@
     return 0;
   }
   if (responseWriter.isStarted()) {
+    context.metrics.increment('incomplete_responses', {
+      kind: routeKind(exchange.route),
+      failure: progress.lastFailure ?? 'none',
+      stop: isExpired ? 'deadline' : progress.stopCause,
+    });
     responseWriter.abort();
     return 0;
   }
--- a/packages/gateway/src/ingress/createRequestHandler.ts
+++ b/packages/gateway/src/ingress/createRequestHandler.ts
@@ -177,6 +177,8 @@
         context.log.error('request-failed', fields, error);
       }
       if (responseWriter.isStarted()) {
+        const labels = { kind: 'unknown', failure: 'none', stop: 'exception' };
+        context.metrics.increment('incomplete_responses', labels);
         responseWriter.abort();
       } else {
         sendErrorResponse(responseWriter, context.codec, requestError, isRelayed);
