Give up a silent server only once the next attempt is prepared

What callers saw: a stream ended without its rest, or a call got a 502, although its server was sound and went on a moment later.

Cause: after a pause of three target gaps (a call: 0.8 of its target) the host cut the attempt, and only then asked whether another one was possible. A named limit, a suspected prompt part, a region with no other server or a used-up retry budget said no when it was too late. Class of fault: an irreversible step taken before the conditions of the step after it are known.

Change: the time-out of a silent server asks for the next attempt first: destination, turn of a suspected prompt part and retry budget. Only if all three are there, the silent server is given up; otherwise it is waited for, and asked again after the same time. A pause of up to 1.5 s is no silence, as sound servers pause for a second.

Why this works: the only end of a response before its deadline is then the server's own, or an attempt that has somewhere to go.

--- a/packages/gateway/src/exchange/forwardEvents.ts
+++ b/packages/gateway/src/exchange/forwardEvents.ts
@@ -16,6 +16,8 @@
   readonly onEvents: (count: number) => void;
   /** Longest pause between events; undefined for no limit. */
   readonly maxEventGapMs: number | undefined;
+  /** Checked after such a pause; while it returns true, the stream is not ended. */
+  readonly keepWaiting?: () => boolean;
   readonly signal: AbortSignal;
 }
 
@@ -54,7 +56,13 @@
   function restartGapTimer(): void {
     clearTimeout(gapTimer);
     if (options.maxEventGapMs !== undefined) {
-      gapTimer = setTimeout(() => stop('silent'), options.maxEventGapMs);
+      gapTimer = setTimeout(() => {
+        if (options.keepWaiting?.() === true) {
+          restartGapTimer();
+        } else {
+          stop('silent');
+        }
+      }, options.maxEventGapMs);
     }
   }
 
--- a/packages/gateway/src/exchange/forwardToServer.ts
+++ b/packages/gateway/src/exchange/forwardToServer.ts
@@ -19,15 +19,21 @@
 const RESPONSE_TIMEOUT_ESTIMATE_RATIO = 3;
 /** An engine that started another response within this time has a queue and is not unresponsive. */
 const ALIVE_WINDOW_MS = 1_000;
-/** A resumable stream moves to another server after a pause of this multiple of the target gap. */
+/** A resumable stream may move to another server after a pause of this multiple of the target gap. */
 const MAX_EVENT_GAP_RATIO = 3;
+/** Sound servers fall silent for about a second; moving their streams would only repeat work. */
+const MIN_EVENT_GAP_MS = 1_500;
 
 export interface ForwardToServerOptions extends AttemptSignals {
   readonly context: GatewayContext;
   readonly exchange: Exchange;
   readonly destination: Extract<Destination, { kind: 'server' }>;
-  /** Whether another server may run the request if this one fails. */
-  readonly mayRetry: boolean;
+  /**
+   * Called when the server has been silent for long. Reserves the next attempt; while it returns
+   * false, none is possible and the server is waited for. Undefined if no other server may run the
+   * request.
+   */
+  readonly reserveNext: (() => boolean) | undefined;
   readonly lastEventId: string | undefined;
   /** Called on the first event of a stream, or on the head of any other response. */
   readonly onResponseStart: () => void;
@@ -38,10 +44,10 @@
 function responseTimeoutMs({
   exchange,
   destination,
-  mayRetry,
+  reserveNext,
 }: ForwardToServerOptions): number | undefined {
   const { route } = exchange;
-  if (!mayRetry) {
+  if (reserveNext === undefined) {
     return undefined;
   }
   return route.delivery === 'whole'
@@ -104,8 +110,16 @@
   sentAtMs: number,
   callbacks: Pick<ReceiveResponseOptions, 'onResponseStart' | 'onEvents'>,
 ): Promise<AttemptResult> {
-  const { context, exchange, destination, signal } = options;
+  const { context, exchange, destination, signal, reserveNext } = options;
   const { server } = destination;
+  const keepWaiting = (): boolean => reserveNext?.() !== true;
+  const hasQueue = (): boolean => {
+    const lastStartAtMs = context.health.lastResponseStartAtMs(server.incarnation);
+    return (
+      exchange.route.delivery === 'events' &&
+      context.clock.monotonicMs() - lastStartAtMs < ALIVE_WINDOW_MS
+    );
+  };
   const sent = await sendUpstream({
     agent: context.serverConnections.agentFor(server.incarnation),
     endpoint: server.registration.endpoint,
@@ -128,11 +142,7 @@
     body: exchange.body,
     connectTimeoutMs: CONNECT_TIMEOUT_MS,
     responseTimeoutMs: responseTimeoutMs(options),
-    isAlive: () => {
-      const { delivery } = exchange.route;
-      const lastStartAtMs = context.health.lastResponseStartAtMs(server.incarnation);
-      return delivery === 'events' && context.clock.monotonicMs() - lastStartAtMs < ALIVE_WINDOW_MS;
-    },
+    keepWaiting: () => hasQueue() || keepWaiting(),
     signal,
     startSignal: options.startSignal,
     beforeWrite: () => context.dispatchQueue.wait(options.startSignal),
@@ -161,7 +171,11 @@
     expectedServer: server.registration.id,
     signal,
     ...callbacks,
-    maxEventGapMs: options.mayRetry ? exchange.route.targetGapMs * MAX_EVENT_GAP_RATIO : undefined,
+    maxEventGapMs:
+      reserveNext === undefined
+        ? undefined
+        : Math.max(MIN_EVENT_GAP_MS, exchange.route.targetGapMs * MAX_EVENT_GAP_RATIO),
+    keepWaiting,
   });
 }
 
--- /dev/null
+++ b/packages/gateway/src/exchange/prepareAttempt.ts
@@ -0,0 +1,97 @@
+import type { PartTrial } from '../limits/createPartTrials.js';
+import type { Destination } from '../routing/Destination.js';
+import { admitPromptParts, tryAdmitPromptParts } from './admitPromptParts.js';
+import type { Exchange } from './Exchange.js';
+import type { ExchangeProgress } from './ExchangeProgress.js';
+import type { GatewayContext } from './GatewayContext.js';
+import { toRoutingRequest } from './toRoutingRequest.js';
+
+/** Maximum retry delay sent to callers of an overloaded service. */
+const MAX_RETRY_AFTER_MS = 2_000;
+
+/** An attempt that may be made: it has a destination, and the limits on attempts permit it. */
+export interface PreparedAttempt {
+  readonly destination: Exclude<Destination, { kind: 'none' }>;
+  /** Must be ended after the attempt, or if it is not made. */
+  readonly trial: PartTrial;
+}
+
+/**
+ * Prepares the next attempt as soon as it may be made; undefined if none is possible. The reason is
+ * then in the progress.
+ *
+ * @param startSignal once aborted, no attempt may be made
+ */
+export async function prepareAttempt(
+  context: GatewayContext,
+  exchange: Exchange,
+  progress: ExchangeProgress,
+  startSignal: AbortSignal,
+): Promise<PreparedAttempt | undefined> {
+  const admission = await admitPromptParts(context, exchange, progress.runs > 0, startSignal);
+  if (admission.kind === 'rejected') {
+    progress.causes.push(admission.cause);
+    progress.stopCause = 'prompt-part';
+    progress.retryAfterMs = admission.retryAfterMs;
+    return undefined;
+  }
+  const { trial } = admission;
+  let prepared: PreparedAttempt | undefined;
+  try {
+    await context.dispatchQueue.wait(startSignal);
+    const remainingMs = exchange.deadlineAtMs - context.clock.monotonicMs();
+    if (startSignal.aborted || remainingMs <= 0) {
+      progress.stopCause = 'ended';
+      return undefined;
+    }
+    const destination = context.router.choose(toRoutingRequest(exchange, progress, remainingMs));
+    if (destination.kind === 'none') {
+      progress.causes.push(destination.reason);
+      progress.stopCause = destination.reason;
+      if (destination.reason === 'overloaded') {
+        progress.lastChoice = destination.rejected;
+        progress.retryAfterMs = Math.min(
+          MAX_RETRY_AFTER_MS,
+          Math.max(progress.retryAfterMs, destination.rejected.waitMs),
+        );
+      }
+    } else if (progress.attempts > 0 && !context.retryBudget.tryWithdraw(exchange.service.name)) {
+      progress.causes.push('retry budget exhausted');
+      progress.stopCause = 'retry-budget';
+    } else {
+      prepared = { destination, trial };
+    }
+    return prepared;
+  } finally {
+    if (prepared === undefined) {
+      trial.end();
+    }
+  }
+}
+
+/**
+ * Prepares the attempt that would follow the one that is running, without waiting and without a
+ * trace in the progress; undefined if none is possible now.
+ */
+export function tryPrepareNextAttempt(
+  context: GatewayContext,
+  exchange: Exchange,
+  progress: ExchangeProgress,
+): PreparedAttempt | undefined {
+  const remainingMs = exchange.deadlineAtMs - context.clock.monotonicMs();
+  const destination = context.router.choose(
+    toRoutingRequest(exchange, { ...progress, runs: progress.runs + 1 }, remainingMs),
+  );
+  if (destination.kind === 'none') {
+    return undefined;
+  }
+  const admission = tryAdmitPromptParts(context, exchange, true);
+  if (admission?.kind !== 'admitted') {
+    return undefined;
+  }
+  if (!context.retryBudget.tryWithdraw(exchange.service.name)) {
+    admission.trial.end();
+    return undefined;
+  }
+  return { destination, trial: admission.trial };
+}
--- a/packages/gateway/src/exchange/receiveResponse.ts
+++ b/packages/gateway/src/exchange/receiveResponse.ts
@@ -28,6 +28,8 @@
   readonly onEvents: (count: number) => void;
   /** Longest pause between events; undefined for no limit. */
   readonly maxEventGapMs: number | undefined;
+  /** Checked after such a pause; while it returns true, the stream is not ended. */
+  readonly keepWaiting?: () => boolean;
 }
 
 /** Whether the response carries the attempt id of this request and not of another one. */
@@ -72,6 +74,7 @@
     onFirstEvent: startResponse,
     onEvents: options.onEvents,
     maxEventGapMs: options.maxEventGapMs,
+    ...(options.keepWaiting === undefined ? {} : { keepWaiting: options.keepWaiting }),
     signal: options.signal,
   });
   if (result.cause === 'cancelled') {
--- a/packages/gateway/src/exchange/runAttempts.ts
+++ b/packages/gateway/src/exchange/runAttempts.ts
@@ -1,5 +1,3 @@
-import type { Destination } from '../routing/Destination.js';
-import { admitPromptParts } from './admitPromptParts.js';
 import type { AttemptResult } from './AttemptResult.js';
 import type { AttemptSignals } from './AttemptSignals.js';
 import type { Exchange } from './Exchange.js';
@@ -7,12 +5,11 @@
 import { forwardToPeer } from './forwardToPeer.js';
 import { forwardToServer } from './forwardToServer.js';
 import type { GatewayContext } from './GatewayContext.js';
-import { toRoutingRequest } from './toRoutingRequest.js';
+import { prepareAttempt, tryPrepareNextAttempt } from './prepareAttempt.js';
+import type { PreparedAttempt } from './prepareAttempt.js';
 
 /** Maximum number of attempts when every server rejects the request without running it. */
 const MAX_ATTEMPTS = 4;
-/** Maximum retry delay sent to callers of an overloaded service. */
-const MAX_RETRY_AFTER_MS = 2_000;
 /** Retry delay for a request that crashed its servers; by then its crashes have expired. */
 const QUARANTINE_RETRY_AFTER_MS = 60_000;
 
@@ -62,8 +59,9 @@
   context: GatewayContext,
   exchange: Exchange,
   progress: ExchangeProgress,
-  destination: Exclude<Destination, { kind: 'none' }>,
+  { destination }: PreparedAttempt,
   signals: AttemptSignals,
+  reserveNext: () => boolean,
 ): Promise<AttemptResult> {
   const { lastEventId } = progress;
   const onResponseStart = (): void => {
@@ -103,7 +101,7 @@
     context,
     exchange,
     destination,
-    mayRetry,
+    reserveNext: mayRetry ? reserveNext : undefined,
     lastEventId,
     ...signals,
     onResponseStart,
@@ -111,77 +109,66 @@
   });
 }
 
-/** Chooses a destination and makes one attempt there; undefined if none is possible. */
-async function attemptOnce(
-  context: GatewayContext,
-  exchange: Exchange,
-  progress: ExchangeProgress,
-  signals: AttemptSignals,
-): Promise<AttemptResult | undefined> {
-  await context.dispatchQueue.wait(signals.startSignal);
-  const remainingMs = exchange.deadlineAtMs - context.clock.monotonicMs();
-  if (signals.startSignal.aborted || remainingMs <= 0) {
-    return undefined;
-  }
-  const destination = context.router.choose(toRoutingRequest(exchange, progress, remainingMs));
-  if (destination.kind === 'none') {
-    progress.causes.push(destination.reason);
-    progress.stopCause = destination.reason;
-    if (destination.reason === 'overloaded') {
-      progress.lastChoice = destination.rejected;
-      progress.retryAfterMs = Math.min(
-        MAX_RETRY_AFTER_MS,
-        Math.max(progress.retryAfterMs, destination.rejected.waitMs),
-      );
-    }
-    return undefined;
-  }
-  if (progress.attempts > 0 && !context.retryBudget.tryWithdraw(exchange.service.name)) {
-    progress.causes.push('retry budget exhausted');
-    progress.stopCause = 'retry-budget';
-    return undefined;
-  }
-  progress.attempts += 1;
-  return attemptDestination(context, exchange, progress, destination, signals);
-}
-
 /**
- * Makes attempts until one succeeds or no further one is allowed.
+ * Makes attempts until one succeeds or no further one is allowed. A server that has been silent for
+ * long is given up only once the next attempt is prepared: until then, its response may still come.
  *
- * @param signal cancels the attempt that runs
- * @param startSignal once aborted, no further attempt starts
+ * @param signals `signal` cancels the attempt that runs; after `startSignal` no other one starts
  */
 export async function runAttempts(
   context: GatewayContext,
   exchange: Exchange,
   progress: ExchangeProgress,
-  { signal, startSignal }: AttemptSignals,
+  signals: AttemptSignals,
 ): Promise<AttemptResult | undefined> {
+  const { startSignal } = signals;
   let result: AttemptResult | undefined;
+  let reserved: PreparedAttempt | undefined;
+  const reserveNext = (): boolean => {
+    reserved ??= tryPrepareNextAttempt(context, exchange, progress);
+    return reserved !== undefined;
+  };
+
+  /** Makes an attempt and returns whether another one is allowed at once. */
+  async function attempt(prepared: PreparedAttempt): Promise<boolean> {
+    progress.attempts += 1;
+    progress.stopCause = 'ended';
+    result = await attemptDestination(
+      context,
+      exchange,
+      progress,
+      prepared,
+      signals,
+      reserveNext,
+    ).finally(prepared.trial.end);
+    const mayRepeat = recordResult(exchange, progress, result);
+    if (!mayRepeat && result.kind !== 'delivered' && result.kind !== 'cancelled') {
+      progress.stopCause = 'not-repeatable';
+    }
+    return mayRepeat;
+  }
+
   if (context.crashGuard.isQuarantined(exchange.fingerprint)) {
     progress.causes.push('quarantined after server crashes');
     progress.stopCause = 'quarantined';
     progress.retryAfterMs = QUARANTINE_RETRY_AFTER_MS;
     return result;
   }
-  do {
-    const admission = await admitPromptParts(context, exchange, progress.runs > 0, startSignal);
-    if (admission.kind === 'rejected') {
-      progress.causes.push(admission.cause);
-      progress.stopCause = 'prompt-part';
-      progress.retryAfterMs = admission.retryAfterMs;
-      return result;
-    }
-    const next = await attemptOnce(context, exchange, progress, { signal, startSignal }).finally(
-      admission.trial.end,
-    );
-    if (next === undefined) {
-      return result;
+  try {
+    for (;;) {
+      const prepared = reserved ?? (await prepareAttempt(context, exchange, progress, startSignal));
+      if (reserved !== undefined) {
+        await context.dispatchQueue.wait(startSignal);
+        if (startSignal.aborted) {
+          return result;
+        }
+        reserved = undefined;
+      }
+      if (prepared === undefined || !(await attempt(prepared))) {
+        return result;
+      }
     }
-    result = next;
-  } while (recordResult(exchange, progress, result));
-  if (result.kind !== 'delivered' && result.kind !== 'cancelled') {
-    progress.stopCause = 'not-repeatable';
+  } finally {
+    reserved?.trial.end();
   }
-  return result;
 }
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -14,6 +14,7 @@
 export * from './exchange/forwardEvents.js';
 export * from './exchange/forwardToPeer.js';
 export * from './exchange/forwardToServer.js';
+export * from './exchange/prepareAttempt.js';
 export * from './exchange/receiveResponse.js';
 export * from './exchange/relayHeaders.js';
 export * from './exchange/runAttempts.js';
--- a/packages/gateway/src/upstream/sendUpstream.ts
+++ b/packages/gateway/src/upstream/sendUpstream.ts
@@ -31,7 +31,7 @@
   /** Timeout for the response head; undefined for none. */
   readonly responseTimeoutMs: number | undefined;
   /** Checked when the response timeout elapses; while it returns true, the timeout is restarted. */
-  readonly isAlive?: () => boolean;
+  readonly keepWaiting?: () => boolean;
   readonly signal: AbortSignal;
   /** Cancels the request only until it is written to a connection. @default `signal` */
   readonly startSignal?: AbortSignal;
@@ -119,7 +119,7 @@
     });
     function startResponseTimer(timeoutMs: number): void {
       const timer = setTimeout(() => {
-        if (options.isAlive?.() === true) {
+        if (options.keepWaiting?.() === true) {
           startResponseTimer(timeoutMs);
         } else {
           cancel('silent');
