Let a stream that has started wait for a destination

What callers saw: a stream that was to go on at another server ended when that server rejected it without running it, or when no server could take it at that moment, with most of its time left.

Cause: the attempts of a started stream ended like those of a request that can still be refused. A started stream cannot: its only other end is a response without its rest.

Change: while its deadline has not passed, its caller is there and another run is allowed, the stream is tried again after 0.2 s, then after pauses that double up to 1.6 s, at any server; each try is taken from the retry budget. Blocked prompt parts and quarantined requests still end it at once.

--- a/packages/gateway/src/exchange/runAttempts.ts
+++ b/packages/gateway/src/exchange/runAttempts.ts
@@ -7,9 +7,15 @@
 import type { GatewayContext } from './GatewayContext.js';
 import { prepareAttempt, tryPrepareNextAttempt } from './prepareAttempt.js';
 import type { PreparedAttempt } from './prepareAttempt.js';
+import type { StopCause } from './StopCause.js';
 
 /** Maximum number of attempts when every server rejects the request without running it. */
 const MAX_ATTEMPTS = 4;
+/** Pause before a stream without a destination is tried again; doubles each time. */
+const INITIAL_RETRY_PAUSE_MS = 200;
+const MAX_RETRY_PAUSE_MS = 1_600;
+/** Reasons to stop that a short pause does not change. */
+const LASTING_STOP_CAUSES: ReadonlySet<StopCause> = new Set(['prompt-part', 'quarantined']);
 /** Retry delay for a request that crashed its servers; by then its crashes have expired. */
 const QUARANTINE_RETRY_AFTER_MS = 60_000;
 
@@ -109,6 +115,24 @@
   });
 }
 
+/**
+ * Whether a stream without a destination waits for one. The only other end of a stream that has
+ * started is a response without its rest.
+ */
+function waitsForDestination(
+  exchange: Exchange,
+  progress: ExchangeProgress,
+  startSignal: AbortSignal,
+): boolean {
+  return (
+    exchange.responseWriter.isStarted() &&
+    exchange.route.resumable &&
+    progress.runs < maxRuns(exchange) &&
+    !LASTING_STOP_CAUSES.has(progress.stopCause) &&
+    !startSignal.aborted
+  );
+}
+
 /**
  * Makes attempts until one succeeds or no further one is allowed. A server that has been silent for
  * long is given up only once the next attempt is prepared: until then, its response may still come.
@@ -124,6 +148,7 @@
   const { startSignal } = signals;
   let result: AttemptResult | undefined;
   let reserved: PreparedAttempt | undefined;
+  let pauseMs = INITIAL_RETRY_PAUSE_MS;
   const reserveNext = (): boolean => {
     reserved ??= tryPrepareNextAttempt(context, exchange, progress);
     return reserved !== undefined;
@@ -164,8 +189,16 @@
         }
         reserved = undefined;
       }
-      if (prepared === undefined || !(await attempt(prepared))) {
-        return result;
+      const mayRepeat = prepared !== undefined && (await attempt(prepared));
+      if (!mayRepeat) {
+        const isFinal = result?.kind === 'delivered' || result?.kind === 'cancelled';
+        if (isFinal || !waitsForDestination(exchange, progress, startSignal)) {
+          return result;
+        }
+        await context.clock.sleep(pauseMs, startSignal).catch(() => undefined);
+        pauseMs = Math.min(MAX_RETRY_PAUSE_MS, pauseMs * 2);
+        progress.triedServers.clear();
+        progress.triedRegions.clear();
       }
     }
   } finally {
