Keep the time-out of the host that took a relayed request

What callers saw: beside a change of a time-out, a response ended before the time that its host had accepted it for.

Cause: hosts apply a version up to half a second apart. A host hands the time left to the peer that it relays to, and the peer bounded it once more by the time-out of its own version, the shorter one just before a longer time-out reaches it, or just after a shorter one has. For a stream that has started, that is a response without its rest. Class of fault: one request is bound by two versions.

On the code before, in entryHost.configurationChanges.test.ts: not ok 1 - a relayed stream goes on while its host allows, though the peer has a shorter time-out

Ruled out by the other 8 tests of that file, which pass before and after: a lower idle and header time, shorter time-outs and targets, a removed route or service do not end a stream in flight on a kept connection at the host that took it.

Change: the peer takes the time left as it was handed on.

--- a/packages/gateway/src/ingress/createRequestHandler.ts
+++ b/packages/gateway/src/ingress/createRequestHandler.ts
@@ -131,7 +131,12 @@
     // The remaining time of a relayed request counts from when it was sent.
     const timeoutStartMs =
       excessTransitMs === undefined ? arrivedAtMs : context.clock.monotonicMs() - excessTransitMs;
-    const timeoutMs = Math.min(route.timeoutMs, metadata.deadlineMs ?? route.timeoutMs);
+    // The host that took a relayed request has applied the time-out of its own configuration, which
+    // may be another version.
+    const timeoutMs =
+      relayedBy === undefined
+        ? Math.min(route.timeoutMs, metadata.deadlineMs ?? route.timeoutMs)
+        : (metadata.deadlineMs ?? route.timeoutMs);
     return {
       method,
       target,
