Try a request again whose server was given up, after a rejection

What callers saw: a 502 within a few seconds and with most of the time left, after the host had given up a silent server and the next one had rejected the request.

Cause: what was reserved before a server is given up is a destination's permission as this host knows it; the destination may still reject the request. The wait for another one was only there for streams that had started.

Change: a request whose server this host has given up waits in the same way, while its deadline has not passed and another run is allowed.

Ruled out: keeping the silent server until the next one responds. The two would run at once for longer than the 400 ms that the users allow, and a rejection that is sent late could not be told from a queue.

--- a/packages/gateway/src/exchange/ExchangeProgress.ts
+++ b/packages/gateway/src/exchange/ExchangeProgress.ts
@@ -19,6 +19,8 @@
   readonly causes: string[];
   /** Why the last attempt failed, as a label of metrics; undefined if it did not. */
   lastFailure: 'rejected' | 'error' | 'silent' | 'broken' | undefined;
+  /** Whether this host ended an attempt because its server was silent. */
+  hasGivenUpServer: boolean;
   stopCause: StopCause;
   /** Delay after which the caller may retry a rejected request. */
   retryAfterMs: number;
--- a/packages/gateway/src/exchange/runAttempts.ts
+++ b/packages/gateway/src/exchange/runAttempts.ts
@@ -11,7 +11,7 @@
 
 /** Maximum number of attempts when every server rejects the request without running it. */
 const MAX_ATTEMPTS = 4;
-/** Pause before a stream without a destination is tried again; doubles each time. */
+/** Pause before a request without a destination is tried again; doubles each time. */
 const INITIAL_RETRY_PAUSE_MS = 200;
 const MAX_RETRY_PAUSE_MS = 1_600;
 /** Reasons to stop that a short pause does not change. */
@@ -24,7 +24,10 @@
   return exchange.relayedBy === undefined ? exchange.route.maxServers : 1;
 }
 
-const failureOf = (cause: string): 'silent' | 'broken' => (cause === 'silent' ? cause : 'broken');
+function recordFailure(progress: ExchangeProgress, cause: string): void {
+  progress.lastFailure = cause === 'silent' ? cause : 'broken';
+  progress.hasGivenUpServer ||= cause === 'silent';
+}
 
 /** Records the result of an attempt. Returns whether another attempt is allowed. */
 function recordResult(
@@ -49,12 +52,12 @@
       return route.idempotent && progress.runs < maxRuns(exchange);
     case 'unknown':
       progress.causes.push(result.cause);
-      progress.lastFailure = failureOf(result.cause);
+      recordFailure(progress, result.cause);
       progress.runs += 1;
       return route.idempotent && progress.runs < maxRuns(exchange);
     case 'interrupted':
       progress.causes.push(`interrupted: ${result.cause}`);
-      progress.lastFailure = failureOf(result.cause);
+      recordFailure(progress, result.cause);
       progress.lastEventId = result.lastEventId ?? progress.lastEventId;
       progress.runs += 1;
       return route.resumable && progress.runs < maxRuns(exchange);
@@ -116,8 +119,9 @@
 }
 
 /**
- * Whether a stream without a destination waits for one. The only other end of a stream that has
- * started is a response without its rest.
+ * Whether a request without a destination waits for one. The only other end of a stream that has
+ * started is a response without its rest; the server that this host has given up might have
+ * responded by now.
  */
 function waitsForDestination(
   exchange: Exchange,
@@ -125,8 +129,8 @@
   startSignal: AbortSignal,
 ): boolean {
   return (
-    exchange.responseWriter.isStarted() &&
-    exchange.route.resumable &&
+    (exchange.responseWriter.isStarted() || progress.hasGivenUpServer) &&
+    exchange.route.idempotent &&
     progress.runs < maxRuns(exchange) &&
     !LASTING_STOP_CAUSES.has(progress.stopCause) &&
     !startSignal.aborted
--- a/packages/gateway/src/exchange/serveExchange.ts
+++ b/packages/gateway/src/exchange/serveExchange.ts
@@ -32,6 +32,7 @@
     triedRegions: new Set(),
     causes: [],
     lastFailure: undefined,
+    hasGivenUpServer: false,
     stopCause: 'ended',
     retryAfterMs: RETRY_AFTER_MS,
     lastChoice: undefined,
