--- /dev/null
+++ b/packages/gateway/src/exchange/runAttempts.ts
@@ -0,0 +1,213 @@
+import type { AttemptResult } from './AttemptResult.js';
+import type { AttemptSignals } from './AttemptSignals.js';
+import type { Exchange } from './Exchange.js';
+import type { ExchangeProgress } from './ExchangeProgress.js';
+import { forwardToPeer } from './forwardToPeer.js';
+import { forwardToServer } from './forwardToServer.js';
+import type { GatewayContext } from './GatewayContext.js';
+import { prepareAttempt, tryPrepareNextAttempt } from './prepareAttempt.js';
+import type { PreparedAttempt } from './prepareAttempt.js';
+import type { StopCause } from './StopCause.js';
+
+/** Maximum number of attempts when every server rejects the request without running it. */
+const MAX_ATTEMPTS = 4;
+/** Pause before a request without a destination is tried again; doubles each time. */
+const INITIAL_RETRY_PAUSE_MS = 200;
+const MAX_RETRY_PAUSE_MS = 1_600;
+/** Reasons to stop that a short pause does not change. */
+const LASTING_STOP_CAUSES: ReadonlySet<StopCause> = new Set(['prompt-part', 'quarantined']);
+/** Retry delay for a request that crashed its servers; by then its crashes have expired. */
+const QUARANTINE_RETRY_AFTER_MS = 60_000;
+
+/** Number of servers that may run the request; the relaying host retries a relayed one. */
+function maxRuns(exchange: Exchange): number {
+  return exchange.relayedBy === undefined ? exchange.route.maxServers : 1;
+}
+
+function recordFailure(progress: ExchangeProgress, cause: string): void {
+  progress.lastFailure = cause === 'silent' ? cause : 'broken';
+  progress.hasGivenUpServer ||= cause === 'silent';
+}
+
+/** Records the result of an attempt. Returns whether another attempt is allowed. */
+function recordResult(
+  exchange: Exchange,
+  progress: ExchangeProgress,
+  result: AttemptResult,
+): boolean {
+  const { route } = exchange;
+  switch (result.kind) {
+    case 'delivered':
+    case 'cancelled':
+      return false;
+    case 'not-run':
+      progress.causes.push(result.cause);
+      progress.lastFailure = 'rejected';
+      return progress.attempts < MAX_ATTEMPTS;
+    case 'failed-run':
+      progress.causes.push(`status ${result.response.status}`);
+      progress.lastFailure = 'error';
+      progress.errorResponse = result.response;
+      progress.runs += 1;
+      return route.idempotent && progress.runs < maxRuns(exchange);
+    case 'unknown':
+      progress.causes.push(result.cause);
+      recordFailure(progress, result.cause);
+      progress.runs += 1;
+      return route.idempotent && progress.runs < maxRuns(exchange);
+    case 'interrupted':
+      progress.causes.push(`interrupted: ${result.cause}`);
+      recordFailure(progress, result.cause);
+      progress.lastEventId = result.lastEventId ?? progress.lastEventId;
+      progress.runs += 1;
+      return route.resumable && progress.runs < maxRuns(exchange);
+  }
+}
+
+async function attemptDestination(
+  context: GatewayContext,
+  exchange: Exchange,
+  progress: ExchangeProgress,
+  { destination }: PreparedAttempt,
+  signals: AttemptSignals,
+  reserveNext: () => boolean,
+): Promise<AttemptResult> {
+  const { lastEventId } = progress;
+  const onResponseStart = (): void => {
+    progress.firstEventMs ??= context.clock.monotonicMs() - exchange.arrivedAtMs;
+  };
+  const onEvents = (count: number): void => {
+    if (progress.eventCount === 0 && count > 0) {
+      context.partSuspicion.recordServed(exchange.sharedPartKeys());
+    }
+    progress.eventCount += count;
+  };
+  progress.lastChoice = destination;
+  progress.lastAttemptMs = context.clock.monotonicMs() - exchange.arrivedAtMs;
+  if (destination.kind === 'region') {
+    const { host } = destination.peer.heartbeat;
+    const result = await forwardToPeer({
+      context,
+      exchange,
+      destination,
+      lastEventId,
+      ...signals,
+      onResponseStart,
+      onEvents,
+    });
+    // A rejection holds for the whole region, except by a draining host. After a failure of one of
+    // its servers, another server of the region may still succeed.
+    if (result.kind === 'not-run' && result.isPeerDraining === true) {
+      progress.rejectingHosts.add(host.id);
+    } else if (result.kind === 'not-run') {
+      progress.triedRegions.add(host.region);
+    }
+    return result;
+  }
+  const { id } = destination.server.registration;
+  progress.reportedWaiting = context.loads.reportedWaiting(id);
+  progress.triedServers.add(id);
+  const mayRetry = exchange.route.idempotent && progress.runs + 1 < maxRuns(exchange);
+  return forwardToServer({
+    context,
+    exchange,
+    destination,
+    reserveNext: mayRetry ? reserveNext : undefined,
+    lastEventId,
+    ...signals,
+    onResponseStart,
+    onEvents,
+  });
+}
+
+/**
+ * Whether a request without a destination waits for one. The only other end of a stream that has
+ * started is a response without its rest; the server that this host has given up might have
+ * responded by now.
+ */
+function waitsForDestination(
+  exchange: Exchange,
+  progress: ExchangeProgress,
+  startSignal: AbortSignal,
+): boolean {
+  return (
+    (exchange.responseWriter.isStarted() || progress.hasGivenUpServer) &&
+    exchange.route.idempotent &&
+    progress.runs < maxRuns(exchange) &&
+    !LASTING_STOP_CAUSES.has(progress.stopCause) &&
+    !startSignal.aborted
+  );
+}
+
+/**
+ * Makes attempts until one succeeds or no further one is allowed. A server that has been silent for
+ * long is given up only once the next attempt is prepared: until then, its response may still come.
+ *
+ * @param signals `signal` cancels the attempt that runs; after `startSignal` no other one starts
+ */
+export async function runAttempts(
+  context: GatewayContext,
+  exchange: Exchange,
+  progress: ExchangeProgress,
+  signals: AttemptSignals,
+): Promise<AttemptResult | undefined> {
+  const { startSignal } = signals;
+  let result: AttemptResult | undefined;
+  let reserved: PreparedAttempt | undefined;
+  let pauseMs = INITIAL_RETRY_PAUSE_MS;
+  const reserveNext = (): boolean => {
+    reserved ??= tryPrepareNextAttempt(context, exchange, progress);
+    return reserved !== undefined;
+  };
+
+  /** Makes an attempt and returns whether another one is allowed at once. */
+  async function attempt(prepared: PreparedAttempt): Promise<boolean> {
+    progress.attempts += 1;
+    progress.stopCause = 'ended';
+    result = await attemptDestination(
+      context,
+      exchange,
+      progress,
+      prepared,
+      signals,
+      reserveNext,
+    ).finally(prepared.trial.end);
+    const mayRepeat = recordResult(exchange, progress, result);
+    if (!mayRepeat && result.kind !== 'delivered' && result.kind !== 'cancelled') {
+      progress.stopCause = 'not-repeatable';
+    }
+    return mayRepeat;
+  }
+
+  if (context.crashGuard.isQuarantined(exchange.fingerprint)) {
+    progress.causes.push('quarantined after server crashes');
+    progress.stopCause = 'quarantined';
+    progress.retryAfterMs = QUARANTINE_RETRY_AFTER_MS;
+    return result;
+  }
+  try {
+    for (;;) {
+      const prepared = reserved ?? (await prepareAttempt(context, exchange, progress, startSignal));
+      if (reserved !== undefined) {
+        await context.dispatchQueue.wait(startSignal);
+        if (startSignal.aborted) {
+          return result;
+        }
+        reserved = undefined;
+      }
+      const mayRepeat = prepared !== undefined && (await attempt(prepared));
+      if (!mayRepeat) {
+        const isFinal = result?.kind === 'delivered' || result?.kind === 'cancelled';
+        if (isFinal || !waitsForDestination(exchange, progress, startSignal)) {
+          return result;
+        }
+        await context.clock.sleep(pauseMs, startSignal).catch(() => undefined);
+        pauseMs = Math.min(MAX_RETRY_PAUSE_MS, pauseMs * 2);
+        progress.triedServers.clear();
+        progress.triedRegions.clear();
+      }
+    }
+  } finally {
+    reserved?.trial.end();
+  }
+}
--- a/packages/gateway/src/exchange/sendFinalResponse.ts
+++ b/packages/gateway/src/exchange/sendFinalResponse.ts
@@ -5,6 +5,7 @@
   type RequestError,
 } from '@camphorbarrow/core';
 import { createDrainingError } from '../errors/createDrainingError.js';
+import type { Route } from '../model/Route.js';
 import type { Exchange } from './Exchange.js';
 import type { ExchangeProgress } from './ExchangeProgress.js';
 import type { GatewayContext } from './GatewayContext.js';
@@ -37,12 +38,23 @@
   });
 }
 
+function routeKind({ delivery, resumable, idempotent }: Route): string {
+  if (delivery === 'events') {
+    return resumable ? 'resumable-stream' : 'stream';
+  }
+  return idempotent ? 'call' : 'order';
+}
+
 /** Why a response that has started cannot be completed. */
-function describeAbort(isExpired: boolean, isClosing: boolean): string {
+function describeStop(
+  { stopCause }: ExchangeProgress,
+  isExpired: boolean,
+  isClosing: boolean,
+): string {
   if (isExpired) {
     return 'deadline';
   }
-  return isClosing ? 'shutdown' : 'upstream';
+  return isClosing ? 'shutdown' : stopCause;
 }
 
 /** Ends an exchange that no attempt delivered. Returns the status sent, or 0 when none could be. */
@@ -57,8 +69,11 @@
     return 0;
   }
   if (responseWriter.isStarted()) {
-    const cause = describeAbort(isExpired, context.closing.aborted);
-    context.metrics.increment('responses_aborted', { cause });
+    context.metrics.increment('incomplete_responses', {
+      kind: routeKind(exchange.route),
+      failure: progress.lastFailure ?? 'none',
+      stop: describeStop(progress, isExpired, context.closing.aborted),
+    });
     responseWriter.abort();
     return 0;
   }
--- a/packages/gateway/src/ingress/createRequestHandler.ts
+++ b/packages/gateway/src/ingress/createRequestHandler.ts
@@ -130,14 +130,19 @@
     const route = requireRoute(table, request);
     const service = chooseService(table, route, request);
     const metadata = context.codec.readRequest(request.headers);
-    const timeoutMs = Math.min(route.timeoutMs, metadata.deadlineMs ?? route.timeoutMs);
+    const relayedBy = isRelayed
+      ? (firstHeaderValue(request, relayHeaders.relayedBy) ?? '')
+      : undefined;
+    // The host that took a relayed request has applied the time-out of its own configuration, which
+    // may be another version.
+    const timeoutMs =
+      relayedBy === undefined
+        ? Math.min(route.timeoutMs, metadata.deadlineMs ?? route.timeoutMs)
+        : (metadata.deadlineMs ?? route.timeoutMs);
     requireAccepting(arrivedAtMs + timeoutMs);
     const body = await readBody(request, table.limits, context.closing);
     const method = request.method ?? 'GET';
     const target = request.url ?? '/';
-    const relayedBy = isRelayed
-      ? (firstHeaderValue(request, relayHeaders.relayedBy) ?? '')
-      : undefined;
     const excessTransitMs =
       relayedBy === undefined ? undefined : readExcessTransitMs(request, relayedBy);
     // The remaining time of a relayed request counts from when it was sent.
@@ -196,7 +201,8 @@
         context.log.error('request-failed', fields, error);
       }
       if (responseWriter.isStarted()) {
-        context.metrics.increment('responses_aborted', { cause: 'internal-error' });
+        const labels = { kind: 'unknown', failure: 'none', stop: 'exception' };
+        context.metrics.increment('incomplete_responses', labels);
         responseWriter.abort();
       } else {
         sendErrorResponse(responseWriter, context.codec, requestError, isRelayed);
--- a/packages/gateway/src/lifecycle/createEntryHost.ts
+++ b/packages/gateway/src/lifecycle/createEntryHost.ts
@@ -260,7 +260,11 @@
     await Promise.race([Promise.all(tasks), clock.sleep(UNREGISTER_TIMEOUT_MS)]);
     await drain.waitUntilFlushed(inFlight.count);
     log.info('connections-closed', { ...describeDrain() });
-    options.metrics.increment('responses_aborted', { cause: 'shutdown' }, inFlight.count());
+    options.metrics.increment(
+      'incomplete_responses',
+      { kind: 'unknown', failure: 'none', stop: 'shutdown' },
+      inFlight.count(),
+    );
     clearInterval(housekeeping);
     eventLoopMonitor.close();
     heartbeats.close();
