Try a server again whose entry outlasts its failure

Cause: an unreachable server was tried again only after a heartbeat, but on this store an entry changes only with more than the heartbeat. Class of fault: a liveness proof that never comes.

Change: an entry of a dead server is gone after three heartbeat intervals and the time that entries are kept after a failure of the store. One that still stands 6 s after the failure is that of a running server, which is tried again; a new failure counts anew.

On the code before, createServerHealth.test.ts: not ok 5 - an unreachable server whose entry stays without heartbeats is tried again The other 4 tests are unchanged and pass.

--- a/packages/gateway/src/routing/createServerHealth.ts
+++ b/packages/gateway/src/routing/createServerHealth.ts
@@ -4,6 +4,11 @@
 /** Initial backoff before an unreachable server is retried; doubles with each failure. */
 const INITIAL_BACKOFF_MS = 800;
 const MAX_BACKOFF_MS = 4_000;
+/**
+ * Time for which the entry of a dead server can stay: three heartbeat intervals, and the time that
+ * entries are kept after a failure of the store.
+ */
+const DEAD_ENTRY_MAX_AGE_MS = 6_000;
 /** Weight of a new outcome in the moving average of the failure ratio. */
 const OUTCOME_WEIGHT = 0.1;
 /** Time constant of the exponential decay of the failure ratio without new outcomes. */
@@ -110,9 +115,12 @@
         return true;
       }
       // A heartbeat after the failure shows that the process is running and for how long it is cold.
+      // Without heartbeats, an entry that outlasts the failure shows that the process is running.
+      const nowMs = clock.monotonicMs();
       return (
-        clock.monotonicMs() >= record.nextAttemptAtMs &&
-        server.lastHeartbeatAtMs > record.unreachableSinceMs
+        nowMs >= record.nextAttemptAtMs &&
+        (server.lastHeartbeatAtMs > record.unreachableSinceMs ||
+          nowMs >= record.unreachableSinceMs + DEAD_ENTRY_MAX_AGE_MS)
       );
     },
     penaltyMs(incarnation) {
--- a/packages/gateway/tests/routing/createServerHealth.test.ts
+++ b/packages/gateway/tests/routing/createServerHealth.test.ts
@@ -60,3 +60,18 @@
   }
   t.true(health.penaltyMs('s') > 500);
 });
+
+// On a store whose entries change only with more than the heartbeat, a server that had been silent for
+// a second was not used again.
+test('an unreachable server whose entry stays without heartbeats is tried again', (t) => {
+  const clock = createManualClock();
+  const health = createServerHealth(clock);
+  const server = buildServer();
+  health.recordUnreachable(server.incarnation);
+  clock.advance(5_000);
+  t.false(health.isReachable(server));
+  clock.advance(1_000);
+  t.true(health.isReachable(server));
+  health.recordUnreachable(server.incarnation);
+  t.false(health.isReachable(server));
+});
