Send nothing more to a server whose responses say that it leaves

Seen: a server that answers with `Server-Leaving: 1` while its entry still says ready kept getting requests from the host that had passed the answer on, first attempts, retries, resumptions and relayed ones alike, until the store called it draining or its process ended under them.

Cause: nothing read the header; only the state in the store's entry counted.

Ruled out: `Connection: close` alone, which other responses carry too. Sharing the mark in heartbeats: the rule is per host, and the store soon tells the others. Using the last server of a service until shortly before `drain_ms` has passed: a response does not say when the server began to leave, so a request could be cut there with an unknown outcome; a rejection that is truly not run, or another region, is better for its caller.

Change: the head of every response of a server is read for the mark, whatever becomes of the response, also of cache calls. The response must name the server or carry the attempt id, so that another server at the address marks nobody. Servers that leave, by their entry or by a response, are not usable, not a source of cached tokens, get no cache calls and add nothing to the capacity told to other regions. When only they are left, the request is rejected with `servers-leaving`, which `explain` knows, or goes to another region.

--- a/packages/daemon/src/report/explainRequest.ts
+++ b/packages/daemon/src/report/explainRequest.ts
@@ -69,6 +69,9 @@
   if (/(no-server|rate-limited|cold)$/.test(causes)) {
     return `${host} rejected it before it ran: it knew no server that could accept it (${causes}).`;
   }
+  if (causes.endsWith('servers-leaving')) {
+    return `${host} rejected it before it ran: all servers that it could reach were leaving (${causes}); see server-leaving and server-changed in its log.`;
+  }
   if (/prompt part (crashed servers|suspected after server crashes)$/.test(causes)) {
     return `${host} rejected it before it ran: ${causes}; see server-crashed in the logs of all hosts.`;
   }
--- a/packages/gateway/src/exchange/GatewayContext.ts
+++ b/packages/gateway/src/exchange/GatewayContext.ts
@@ -9,6 +9,7 @@
 } from '@camphorbarrow/core';
 import type { RetryBudget } from '../limits/createRetryBudget.js';
 import type { CrashGuard } from '../limits/createCrashGuard.js';
+import type { LeavingServers } from '../limits/createLeavingServers.js';
 import type { PartTrials } from '../limits/createPartTrials.js';
 import type { ServerLimits } from '../limits/createServerLimits.js';
 import type { ServerRateLimiter } from '../limits/createServerRateLimiter.js';
@@ -49,6 +50,7 @@
   readonly serverRateLimiter: ServerRateLimiter;
   /** Request rates that servers named. */
   readonly serverLimits: ServerLimits;
+  readonly leavingServers: LeavingServers;
   readonly retryBudget: RetryBudget;
   readonly crashGuard: CrashGuard;
   /** Prompt parts that are suspected of crashing servers. */
--- a/packages/gateway/src/exchange/forwardToServer.ts
+++ b/packages/gateway/src/exchange/forwardToServer.ts
@@ -3,8 +3,9 @@
 import { sendUpstream } from '../upstream/sendUpstream.js';
 import type { Exchange } from './Exchange.js';
 import type { GatewayContext } from './GatewayContext.js';
-import { belongsTo, receiveResponse } from './receiveResponse.js';
+import { belongsTo, comesFrom, receiveResponse } from './receiveResponse.js';
 import type { ReceiveResponseOptions } from './receiveResponse.js';
+import { recordServerNotices } from './recordServerNotices.js';
 import { stripRelayHeaders } from './relayHeaders.js';
 import { stripHopByHopHeaders } from './stripHopByHopHeaders.js';
 import type { AttemptResult } from './AttemptResult.js';
@@ -151,6 +152,9 @@
   if (metadata.load !== undefined) {
     context.loads.recordReport(server.registration.id, metadata.load);
   }
+  if (comesFrom(server.registration.id, exchange, metadata)) {
+    recordServerNotices(context, server, { status: response.statusCode ?? 0, metadata });
+  }
   if (belongsTo(exchange, metadata)) {
     context.serverLimits.recordResponse(server, metadata.requestsPerSecond);
   }
--- a/packages/gateway/src/exchange/receiveResponse.ts
+++ b/packages/gateway/src/exchange/receiveResponse.ts
@@ -35,6 +35,20 @@
   return metadata.attemptId === exchange.metadata.attemptId;
 }
 
+/**
+ * Whether the response comes from the server that the request was sent to, and not from another one
+ * that got its address. A response that names no server shows it by the attempt id.
+ */
+export function comesFrom(
+  server: ServerId,
+  exchange: Exchange,
+  metadata: ResponseMetadata,
+): boolean {
+  return metadata.serverId === undefined
+    ? metadata.attemptId !== undefined && belongsTo(exchange, metadata)
+    : metadata.serverId === server;
+}
+
 /**
  * Whether the address now belongs to another server. Such a server sends its own id without the
  * attempt id, and has not run the request. The intended server itself may be running it.
--- /dev/null
+++ b/packages/gateway/src/exchange/recordServerNotices.ts
@@ -0,0 +1,22 @@
+import type { ResponseMetadata } from '../model/ResponseMetadata.js';
+import type { ServerState } from '../model/ServerState.js';
+import type { GatewayContext } from './GatewayContext.js';
+
+export interface ServerResponse {
+  readonly status: number;
+  readonly metadata: ResponseMetadata;
+}
+
+/**
+ * Records what a server says about itself in the head of a response, whatever becomes of the
+ * response. The caller has checked that the response comes from the server.
+ */
+export function recordServerNotices(
+  { leavingServers }: Pick<GatewayContext, 'leavingServers'>,
+  server: ServerState,
+  { status, metadata }: ServerResponse,
+): void {
+  if (metadata.leaving) {
+    leavingServers.recordResponse(server, status);
+  }
+}
--- a/packages/gateway/src/lifecycle/EntryHostOptions.ts
+++ b/packages/gateway/src/lifecycle/EntryHostOptions.ts
@@ -7,6 +7,7 @@
   RegionId,
   WatchEvent,
 } from '@camphorbarrow/core';
+import type { CacheResponseRecorder } from '../exchange/createCacheResponseRecorder.js';
 import type { Endpoint } from '../model/Endpoint.js';
 import type { FleetChange } from '../model/FleetChange.js';
 import type { HostRegistration } from '../model/HostRegistration.js';
@@ -43,7 +44,10 @@
   readonly store: MetadataStore;
   readonly codec: WireCodec;
   /** Creates the reader of the engines' cache events over the host's connections. */
-  readonly createCacheFeed: (connections: ConnectionPools) => CacheFeed;
+  readonly createCacheFeed: (
+    connections: ConnectionPools,
+    onResponse: CacheResponseRecorder,
+  ) => CacheFeed;
   readonly decodeChange: (event: WatchEvent) => FleetChange;
   /** Key and encoded value under which this host registers in the store. */
   readonly registration: { readonly key: string; readonly value: string };
--- a/packages/gateway/src/lifecycle/createEntryHost.ts
+++ b/packages/gateway/src/lifecycle/createEntryHost.ts
@@ -2,6 +2,7 @@
 import { setMaxListeners } from 'node:events';
 import { asId } from '@camphorbarrow/core';
 import type { HostId, RegionId } from '@camphorbarrow/core';
+import { createCacheResponseRecorder } from '../exchange/createCacheResponseRecorder.js';
 import { createFleetView } from '../fleet/createFleetView.js';
 import type { FleetView } from '../fleet/createFleetView.js';
 import { runHostRegistration } from '../fleet/runHostRegistration.js';
@@ -181,6 +182,7 @@
       tracker.retain(incarnations),
     );
     context.serverLimits.retain(view.servers.all());
+    context.leavingServers.retain(view.servers.all());
     paces.retain(new Set(view.servers.all().map(({ registration }) => registration.id)));
     serverConnections.retain(incarnations);
     peerConnections.retain(
@@ -219,9 +221,11 @@
       region: own.region,
       regionHosts,
       view,
-      feed: options.createCacheFeed(serverConnections),
+      feed: options.createCacheFeed(serverConnections, createCacheResponseRecorder(context)),
       prefixes,
-      isLimited: (server) => context.serverLimits.limitOf(server) !== undefined,
+      mayCall: (server) =>
+        context.serverLimits.limitOf(server) === undefined &&
+        !context.leavingServers.isLeaving(server),
       signal: stop.signal,
     }),
     runPeerStoreFollower({
--- a/packages/gateway/src/lifecycle/createGatewayContext.ts
+++ b/packages/gateway/src/lifecycle/createGatewayContext.ts
@@ -3,6 +3,7 @@
 import type { GatewayContext } from '../exchange/GatewayContext.js';
 import type { FleetView } from '../fleet/createFleetView.js';
 import { createCrashGuard } from '../limits/createCrashGuard.js';
+import { createLeavingServers } from '../limits/createLeavingServers.js';
 import { createPartTrials } from '../limits/createPartTrials.js';
 import { createServerLimits } from '../limits/createServerLimits.js';
 import { createServerRateLimiter } from '../limits/createServerRateLimiter.js';
@@ -56,6 +57,7 @@
   const health = createServerHealth(clock);
   const prefixes = createPrefixCacheTracker(clock);
   const serverLimits = createServerLimits({ clock, log, metrics });
+  const leavingServers = createLeavingServers({ clock, log, metrics });
   const serverRateLimiter = createServerRateLimiter({
     clock,
     ownId: own.id,
@@ -71,6 +73,7 @@
     paces,
     health,
     serverLimits,
+    leavingServers,
   });
   const router = createRouter({
     chooseLocal: createLocalChooser({
@@ -112,6 +115,7 @@
     prefixes,
     serverRateLimiter,
     serverLimits,
+    leavingServers,
     retryBudget: createRetryBudget({ clock, bounds, hostCount: () => peers.known().length + 1 }),
     crashGuard: createCrashGuard({ clock, log, suspicion: partSuspicion, refusesConnections }),
     partSuspicion,
--- a/packages/gateway/src/model/ResponseMetadata.ts
+++ b/packages/gateway/src/model/ResponseMetadata.ts
@@ -14,4 +14,6 @@
   readonly load: ServerLoad | undefined;
   /** Rate that the server accepts from all entry hosts together; undefined if it names none. */
   readonly requestsPerSecond: number | undefined;
+  /** Whether the server says that it is leaving. */
+  readonly leaving: boolean;
 }
--- a/packages/gateway/src/routing/Destination.ts
+++ b/packages/gateway/src/routing/Destination.ts
@@ -28,6 +28,11 @@
 }
 
 export type LocalChoice = Extract<Destination, { kind: 'server' }>;
+/** Rejection of a request that no server of this region can receive. */
+export type LocalRejection = Exclude<
+  Extract<Destination, { kind: 'none' }>,
+  { reason: 'overloaded' }
+>;
 export type RegionChoice = Extract<Destination, { kind: 'region' }>;
 
 /** Where to send a request. `estimateMs` is the expected time to the first event or response. */
@@ -62,7 +67,15 @@
       /** Like `finishMs`, for a response of typical length. */
       readonly typicalFinishMs: number;
     }
-  | { readonly kind: 'none'; readonly reason: 'no-server' | 'rate-limited' }
+  | {
+      readonly kind: 'none';
+      /**
+       * - `rate-limited`: all usable servers are cold or have named a limit, and may not receive
+       *   more requests of this host now.
+       * - `servers-leaving`: the servers that are left are about to stop.
+       */
+      readonly reason: 'no-server' | 'rate-limited' | 'servers-leaving';
+    }
   | {
       readonly kind: 'none';
       readonly reason: 'overloaded';
--- a/packages/gateway/src/routing/createLocalChooser.ts
+++ b/packages/gateway/src/routing/createLocalChooser.ts
@@ -11,7 +11,7 @@
 import type { ServerHealth } from './createServerHealth.js';
 import type { ServerView } from './createServerView.js';
 import type { SpeedTracker } from './createSpeedTracker.js';
-import type { RoutingRequest, LocalChoice } from './Destination.js';
+import type { RoutingRequest, LocalChoice, LocalRejection } from './Destination.js';
 import { estimateFinish } from './estimateFinish.js';
 import { planCacheFetch } from './planCacheFetch.js';
 import { prefillRank } from './prefillRank.js';
@@ -50,13 +50,8 @@
  */
 const ASSUMED_CACHED_RATIO = 0.7;
 
-/**
- * Selects a local server. `rate-limited`: all usable servers are cold or have named a limit, and
- * may not receive more requests of this host now; undefined: no server is usable.
- */
-export type LocalChooser = (
-  request: RoutingRequest,
-) => Scored<LocalChoice> | 'rate-limited' | undefined;
+/** Selects a local server, or says why none can receive the request. */
+export type LocalChooser = (request: RoutingRequest) => Scored<LocalChoice> | LocalRejection;
 
 /** Server that all hosts with the same candidates prefer for a shared prefix. */
 function preferredServer(
@@ -102,19 +97,21 @@
     const { route, service, metadata } = request;
     const mayServe = route.homeRegions.length === 0 || route.homeRegions.includes(options.region);
     if (!mayServe) {
-      return undefined;
+      return { kind: 'none', reason: 'no-server' };
     }
-    const usable = servers
-      .usable(service)
-      .filter(
-        (server) =>
-          !request.triedServers.has(server.registration.id) && hasFreeConnection(server, service),
-      );
+    const usableForService = servers.usable(service);
+    if (usableForService.length === 0) {
+      return servers.rejection(service);
+    }
+    const usable = usableForService.filter(
+      (server) =>
+        !request.triedServers.has(server.registration.id) && hasFreeConnection(server, service),
+    );
     const permitted = usable.filter((server) =>
       options.serverRateLimiter.permits(server, service.coldRequestsPerSecond),
     );
     if (permitted.length === 0) {
-      return usable.length === 0 ? undefined : 'rate-limited';
+      return { kind: 'none', reason: usable.length === 0 ? 'no-server' : 'rate-limited' };
     }
     const preferred = preferredServer(request, permitted);
     const assumedTokens =
--- a/packages/gateway/src/routing/createRouter.ts
+++ b/packages/gateway/src/routing/createRouter.ts
@@ -73,20 +73,16 @@
   return {
     choose(request) {
       const local = chooseLocal(request);
-      const usableLocal = local === undefined || local === 'rate-limited' ? undefined : local;
       const staysLocal =
-        usableLocal !== undefined &&
-        usableLocal.choice.estimateMs <= request.route.targetLatencyMs * STAY_LOCAL_RATIO &&
-        usableLocal.choice.finishMs <= request.remainingMs * STAY_LOCAL_RATIO;
+        'choice' in local &&
+        local.choice.estimateMs <= request.route.targetLatencyMs * STAY_LOCAL_RATIO &&
+        local.choice.finishMs <= request.remainingMs * STAY_LOCAL_RATIO;
       const region = request.isRelayed || staysLocal ? undefined : chooseRegion(request);
-      if (usableLocal === undefined) {
-        return region === undefined
-          ? { kind: 'none', reason: local === 'rate-limited' ? 'rate-limited' : 'no-server' }
-          : admit(request, region.choice);
+      if (!('choice' in local)) {
+        return region === undefined ? local : admit(request, region.choice);
       }
-      const spills =
-        region !== undefined && region.scoreMs + MIN_SPILL_GAIN_MS < usableLocal.scoreMs;
-      return admit(request, spills ? region.choice : usableLocal.choice);
+      const spills = region !== undefined && region.scoreMs + MIN_SPILL_GAIN_MS < local.scoreMs;
+      return admit(request, spills ? region.choice : local.choice);
     },
   };
 }
--- a/packages/gateway/src/routing/createServerView.ts
+++ b/packages/gateway/src/routing/createServerView.ts
@@ -3,8 +3,10 @@
 import type { ServerState } from '../model/ServerState.js';
 import type { ServiceName } from '../model/ServiceName.js';
 import type { ServiceSpec } from '../model/ServiceSpec.js';
+import type { LeavingServers } from '../limits/createLeavingServers.js';
 import type { ServerLimits } from '../limits/createServerLimits.js';
 import type { RegionCapacity } from '../peers/PeerHeartbeat.js';
+import type { LocalRejection } from './Destination.js';
 import type { LoadTracker } from './createLoadTracker.js';
 import type { PaceTracker } from './createPaceTracker.js';
 import type { ServerHealth } from './createServerHealth.js';
@@ -26,12 +28,15 @@
   readonly paces: PaceTracker;
   readonly health: ServerHealth;
   readonly serverLimits: Pick<ServerLimits, 'limitOf'>;
+  readonly leavingServers: Pick<LeavingServers, 'isLeaving'>;
 }
 
 /** Servers of this region, as the router sees them. */
 export interface ServerView {
   /** Servers of the service that can receive requests, including cold ones. */
   usable(service: ServiceSpec): readonly ServerState[];
+  /** Why a service has no usable server. */
+  rejection(service: ServiceSpec): LocalRejection;
   /** Estimated wait for the work already queued at the server. */
   queueMs(server: ServerState, service: ServiceSpec, rank: number): number;
   /** Estimated capacity of this region per service, for heartbeats. */
@@ -40,15 +45,19 @@
 
 /** Creates the view from the state of the fleet and the observations of this host. */
 export function createServerView(options: ServerViewOptions): ServerView {
-  const { clock, view, loads, speeds, paces, health } = options;
+  const { clock, view, loads, speeds, paces, health, leavingServers } = options;
 
-  function isUsable(server: ServerState): boolean {
-    return (
-      server.region === options.region &&
-      server.registration.state === 'ready' &&
-      !view.isEvacuated(server.registration.zone) &&
-      health.isReachable(server)
-    );
+  /** Servers of the service that are reachable from here, including leaving ones. */
+  function reachable(service: ServiceSpec): readonly ServerState[] {
+    return view.servers
+      .all()
+      .filter(
+        (server) =>
+          server.registration.service === service.name &&
+          server.region === options.region &&
+          !view.isEvacuated(server.registration.zone) &&
+          health.isReachable(server),
+      );
   }
 
   function queueMs(server: ServerState, service: ServiceSpec, rank: number): number {
@@ -67,9 +76,7 @@
   }
 
   function usable(service: ServiceSpec): readonly ServerState[] {
-    return view.servers
-      .all()
-      .filter((server) => server.registration.service === service.name && isUsable(server));
+    return reachable(service).filter((server) => !leavingServers.isLeaving(server));
   }
 
   function capacityOf(service: ServiceSpec): RegionCapacity | undefined {
@@ -101,6 +108,10 @@
 
   return {
     usable,
+    rejection: (service) => ({
+      kind: 'none',
+      reason: reachable(service).length === 0 ? 'no-server' : 'servers-leaving',
+    }),
     queueMs,
     capacity() {
       const services = [...(view.table()?.services.values() ?? [])];
--- a/packages/gateway/src/routing/runCacheFollower.ts
+++ b/packages/gateway/src/routing/runCacheFollower.ts
@@ -25,8 +25,11 @@
   readonly view: FleetView;
   readonly feed: CacheFeed;
   readonly prefixes: PrefixCacheTracker;
-  /** Whether the engine accepts only a limited rate of requests, which is left to callers. */
-  readonly isLimited: (server: ServerState) => boolean;
+  /**
+   * Whether this host may call the engine. An engine that is leaving gets no calls, and one that
+   * accepts only a limited rate of requests is left to callers.
+   */
+  readonly mayCall: (server: ServerState) => boolean;
   readonly signal: AbortSignal;
 }
 
@@ -54,7 +57,7 @@
     let since = 0;
     let epoch: string | undefined;
     while (!signal.aborted && isCurrent(server)) {
-      if (options.isLimited(server)) {
+      if (!options.mayCall(server)) {
         await clock.sleep(RETRY_DELAY_MS, signal).catch(() => undefined);
         continue;
       }
--- a/packages/gateway/tests/routing/createLocalChooser.test.ts
+++ b/packages/gateway/tests/routing/createLocalChooser.test.ts
@@ -65,7 +65,7 @@
     serverLimits: { limitOf: (server) => (isLimited(server) ? 1 : undefined), isOutdated },
     serverRateLimiter: { permits: () => true } as unknown as ServerRateLimiter,
   })(routingRequest);
-  return scored === undefined || scored === 'rate-limited' ? undefined : scored.choice;
+  return 'choice' in scored ? scored.choice : undefined;
 }
 
 // In regions of twenty hosts, a host reads the cache reports of a fifth of the engines. Without an
--- a/packages/gateway/tests/routing/createRouter.test.ts
+++ b/packages/gateway/tests/routing/createRouter.test.ts
@@ -39,7 +39,9 @@
   let regionsConsidered = false;
   const router = createRouter({
     chooseLocal: () =>
-      local === undefined ? undefined : { choice: local, scoreMs: local.estimateMs },
+      local === undefined
+        ? { kind: 'none', reason: 'no-server' }
+        : { choice: local, scoreMs: local.estimateMs },
     chooseRegion: () => {
       regionsConsidered = true;
       return region === undefined ? undefined : { choice: region, scoreMs: region.estimateMs };
--- /dev/null
+++ b/packages/gateway/tests/routing/createServerView.test.ts
@@ -0,0 +1,58 @@
+import test from 'ava';
+import { asId, createManualClock } from '@camphorbarrow/core';
+import {
+  createLeavingServers,
+  createLoadTracker,
+  createPaceTracker,
+  createServerHealth,
+  createServerView,
+  createSpeedTracker,
+} from '../../src/index.js';
+import type { FleetView, ServerState, ServerView } from '../../src/index.js';
+import { buildServer, buildService } from '../support/builders.js';
+import { discardingMetrics, silentLog } from '../support/silentSinks.js';
+
+const service = buildService();
+
+function setUp(servers: readonly ServerState[]) {
+  const clock = createManualClock();
+  const sinks = { clock, log: silentLog, metrics: discardingMetrics };
+  const leavingServers = createLeavingServers(sinks);
+  const view: ServerView = createServerView({
+    clock,
+    region: asId('north'),
+    view: {
+      table: () => ({ services: new Map([[service.name, service]]) }),
+      isEvacuated: () => false,
+      servers: { all: () => servers },
+    } as unknown as FleetView,
+    loads: createLoadTracker(clock, () => []),
+    speeds: createSpeedTracker(),
+    paces: createPaceTracker(clock, () => []),
+    health: createServerHealth(clock),
+    serverLimits: { limitOf: () => undefined },
+    leavingServers,
+  });
+  return { clock, view, leavingServers };
+}
+
+const first = buildServer();
+const second = buildServer({ id: asId('server-2') });
+
+// Other regions relayed requests for servers that no longer accepted any.
+test('leaving servers are not usable and add nothing to the capacity of the region', (t) => {
+  const { view, leavingServers } = setUp([first, second]);
+  t.is(view.capacity().get(service.name)?.usableServers, 2);
+  leavingServers.recordResponse(first, 200);
+  t.deepEqual(view.usable(service), [second]);
+  t.is(view.capacity().get(service.name)?.usableServers, 1);
+  leavingServers.recordResponse(second, 200);
+  t.is(view.capacity().get(service.name), undefined);
+});
+
+test('the rejection tells servers that leave from servers that are not there', (t) => {
+  const { view, leavingServers } = setUp([first]);
+  leavingServers.recordResponse(first, 200);
+  t.deepEqual(view.rejection(service), { kind: 'none', reason: 'servers-leaving' });
+  t.deepEqual(setUp([]).view.rejection(service), { kind: 'none', reason: 'no-server' });
+});
