Keep to the pause that a server asks for with 503 and Retry-After

Seen: a server that answered 503 with `Retry-After` kept getting requests in the time that it had named. Beside a healthy server, 3 to 35 requests a host reached it between half a second after its first 503 and the end of two seconds; when it was the only one, callers were told to come back after 0.5 s and were sent on to it each time.

Cause: the header was not read. Where fewer requests were seen it was luck: a 503 that does not say "not run" counts as a failure and lowers the rank of the server for some seconds.

Ruled out: taking the pause from 429, which names the load of all hosts, and sharing it in heartbeats, since it is asked of one host. Shortening a pause after a response of an earlier request, which says nothing about the time that was named.

Change: the time of a 503 is read where the mark of leaving servers is read, with the same proof of origin, also from cache calls, and whether or not the request has run, which stays a separate matter. A paused server is not usable for this host, is no source of cached tokens, gets no cache calls and adds nothing to the capacity told to other regions. The pause belongs to one start of the server, only grows, and is cut at ten minutes with a log line. Seconds may have decimals, the longest of several values counts, a date counts from the `Date` of the response, other text names no pause. When all servers pause, the request is rejected as `servers-paused`, not run, with the time until the first pause ends (0.5 s at least), or goes to another region.

Not proved: a pause beyond ten minutes is asked again by all requests at once when it is cut; a host that relays a request does not hand on the time that the other region's host names.

--- a/packages/daemon/src/report/explainRequest.ts
+++ b/packages/daemon/src/report/explainRequest.ts
@@ -72,6 +72,9 @@
   if (causes.endsWith('servers-leaving')) {
     return `${host} rejected it before it ran: all servers that it could reach were leaving (${causes}); see server-leaving and server-changed in its log.`;
   }
+  if (causes.endsWith('servers-paused')) {
+    return `${host} rejected it before it ran: all servers that it could reach and that were not leaving had asked it for a pause (${causes}); see server-paused in its log.`;
+  }
   if (/prompt part (crashed servers|suspected after server crashes)$/.test(causes)) {
     return `${host} rejected it before it ran: ${causes}; see server-crashed in the logs of all hosts.`;
   }
--- a/packages/daemon/tests/report/explainRequest.test.ts
+++ b/packages/daemon/tests/report/explainRequest.test.ts
@@ -130,7 +130,7 @@
   );
 });
 
-test('rejections for a limited rate, leaving servers and a suspected prompt part are explained', (t) => {
+test('rejections for a limited rate, leaving and paused servers and a suspected prompt part are explained', (t) => {
   const rejected = {
     event: 'request',
     requestId: 'a1',
@@ -149,6 +149,10 @@
     conclusionFor('rejected with 503, servers-leaving'),
     'host-1 rejected it before it ran: all servers that it could reach were leaving (rejected with 503, servers-leaving); see server-leaving and server-changed in its log.',
   );
+  t.is(
+    conclusionFor('rejected with 503, servers-paused'),
+    'host-1 rejected it before it ran: all servers that it could reach and that were not leaving had asked it for a pause (rejected with 503, servers-paused); see server-paused in its log.',
+  );
   t.is(
     conclusionFor('prompt part crashed servers'),
     'host-1 rejected it before it ran: prompt part crashed servers; see server-crashed in the logs of all hosts.',
--- a/packages/gateway/src/exchange/GatewayContext.ts
+++ b/packages/gateway/src/exchange/GatewayContext.ts
@@ -12,6 +12,7 @@
 import type { LeavingServers } from '../limits/createLeavingServers.js';
 import type { PartTrials } from '../limits/createPartTrials.js';
 import type { ServerLimits } from '../limits/createServerLimits.js';
+import type { ServerPauses } from '../limits/createServerPauses.js';
 import type { ServerRateLimiter } from '../limits/createServerRateLimiter.js';
 import type { WireCodec } from '../ports/WireCodec.js';
 import type { TransitTracker } from '../peers/createTransitTracker.js';
@@ -51,6 +52,8 @@
   /** Request rates that servers named. */
   readonly serverLimits: ServerLimits;
   readonly leavingServers: LeavingServers;
+  /** Pauses that servers asked of this host. */
+  readonly serverPauses: ServerPauses;
   readonly retryBudget: RetryBudget;
   readonly crashGuard: CrashGuard;
   /** Prompt parts that are suspected of crashing servers. */
--- a/packages/gateway/src/exchange/recordServerNotices.ts
+++ b/packages/gateway/src/exchange/recordServerNotices.ts
@@ -2,6 +2,9 @@
 import type { ServerState } from '../model/ServerState.js';
 import type { GatewayContext } from './GatewayContext.js';
 
+/** Status of a rejection that may ask for a pause. */
+const UNAVAILABLE = 503;
+
 export interface ServerResponse {
   readonly status: number;
   readonly metadata: ResponseMetadata;
@@ -12,11 +15,15 @@
  * response. The caller has checked that the response comes from the server.
  */
 export function recordServerNotices(
-  { leavingServers }: Pick<GatewayContext, 'leavingServers'>,
+  { leavingServers, serverPauses }: Pick<GatewayContext, 'leavingServers' | 'serverPauses'>,
   server: ServerState,
   { status, metadata }: ServerResponse,
 ): void {
   if (metadata.leaving) {
     leavingServers.recordResponse(server, status);
   }
+  const { retryAfterMs } = metadata;
+  if (status === UNAVAILABLE && retryAfterMs !== undefined) {
+    serverPauses.recordRejection(server, { status, retryAfterMs });
+  }
 }
--- a/packages/gateway/src/exchange/serveExchange.ts
+++ b/packages/gateway/src/exchange/serveExchange.ts
@@ -124,6 +124,9 @@
   const destination = context.router.choose(toRoutingRequest(exchange, progress, remainingMs));
   if (destination.kind === 'none') {
     progress.causes.push(destination.reason);
+    if (destination.reason === 'servers-paused') {
+      progress.retryAfterMs = Math.max(RETRY_AFTER_MS, destination.retryAfterMs);
+    }
     if (destination.reason === 'overloaded') {
       progress.lastChoice = destination.rejected;
       progress.retryAfterMs = Math.min(
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -46,6 +46,7 @@
 export * from './limits/createPartTrials.js';
 export * from './limits/createRetryBudget.js';
 export * from './limits/createServerLimits.js';
+export * from './limits/createServerPauses.js';
 export * from './limits/createServerRateLimiter.js';
 export * from './model/AttemptId.js';
 export * from './model/CallerLimits.js';
--- a/packages/gateway/src/lifecycle/createEntryHost.ts
+++ b/packages/gateway/src/lifecycle/createEntryHost.ts
@@ -183,6 +183,7 @@
     );
     context.serverLimits.retain(view.servers.all());
     context.leavingServers.retain(view.servers.all());
+    context.serverPauses.endElapsed();
     paces.retain(new Set(view.servers.all().map(({ registration }) => registration.id)));
     serverConnections.retain(incarnations);
     peerConnections.retain(
@@ -225,7 +226,8 @@
       prefixes,
       mayCall: (server) =>
         context.serverLimits.limitOf(server) === undefined &&
-        !context.leavingServers.isLeaving(server),
+        !context.leavingServers.isLeaving(server) &&
+        context.serverPauses.remainingMs(server) === 0,
       signal: stop.signal,
     }),
     runPeerStoreFollower({
--- a/packages/gateway/src/lifecycle/createGatewayContext.ts
+++ b/packages/gateway/src/lifecycle/createGatewayContext.ts
@@ -6,6 +6,7 @@
 import { createLeavingServers } from '../limits/createLeavingServers.js';
 import { createPartTrials } from '../limits/createPartTrials.js';
 import { createServerLimits } from '../limits/createServerLimits.js';
+import { createServerPauses } from '../limits/createServerPauses.js';
 import { createServerRateLimiter } from '../limits/createServerRateLimiter.js';
 import { createRetryBudget } from '../limits/createRetryBudget.js';
 import type { PeerRegistry } from '../peers/createPeerRegistry.js';
@@ -58,6 +59,7 @@
   const prefixes = createPrefixCacheTracker(clock);
   const serverLimits = createServerLimits({ clock, log, metrics });
   const leavingServers = createLeavingServers({ clock, log, metrics });
+  const serverPauses = createServerPauses({ clock, log, metrics });
   const serverRateLimiter = createServerRateLimiter({
     clock,
     ownId: own.id,
@@ -74,6 +76,7 @@
     health,
     serverLimits,
     leavingServers,
+    serverPauses,
   });
   const router = createRouter({
     chooseLocal: createLocalChooser({
@@ -116,6 +119,7 @@
     serverRateLimiter,
     serverLimits,
     leavingServers,
+    serverPauses,
     retryBudget: createRetryBudget({ clock, bounds, hostCount: () => peers.known().length + 1 }),
     crashGuard: createCrashGuard({ clock, log, suspicion: partSuspicion, refusesConnections }),
     partSuspicion,
--- a/packages/gateway/src/model/ResponseMetadata.ts
+++ b/packages/gateway/src/model/ResponseMetadata.ts
@@ -16,4 +16,6 @@
   readonly requestsPerSecond: number | undefined;
   /** Whether the server says that it is leaving. */
   readonly leaving: boolean;
+  /** Time for which the sender wants no further request; undefined if it names none. */
+  readonly retryAfterMs: number | undefined;
 }
--- a/packages/gateway/src/routing/Destination.ts
+++ b/packages/gateway/src/routing/Destination.ts
@@ -76,6 +76,13 @@
        */
       readonly reason: 'no-server' | 'rate-limited' | 'servers-leaving';
     }
+  | {
+      readonly kind: 'none';
+      /** All servers that are not leaving have asked this host for a pause. */
+      readonly reason: 'servers-paused';
+      /** Time until the first of the pauses ends. */
+      readonly retryAfterMs: number;
+    }
   | {
       readonly kind: 'none';
       readonly reason: 'overloaded';
--- a/packages/gateway/src/routing/createServerView.ts
+++ b/packages/gateway/src/routing/createServerView.ts
@@ -5,6 +5,7 @@
 import type { ServiceSpec } from '../model/ServiceSpec.js';
 import type { LeavingServers } from '../limits/createLeavingServers.js';
 import type { ServerLimits } from '../limits/createServerLimits.js';
+import type { ServerPauses } from '../limits/createServerPauses.js';
 import type { RegionCapacity } from '../peers/PeerHeartbeat.js';
 import type { LocalRejection } from './Destination.js';
 import type { LoadTracker } from './createLoadTracker.js';
@@ -29,6 +30,7 @@
   readonly health: ServerHealth;
   readonly serverLimits: Pick<ServerLimits, 'limitOf'>;
   readonly leavingServers: Pick<LeavingServers, 'isLeaving'>;
+  readonly serverPauses: Pick<ServerPauses, 'remainingMs'>;
 }
 
 /** Servers of this region, as the router sees them. */
@@ -45,9 +47,9 @@
 
 /** Creates the view from the state of the fleet and the observations of this host. */
 export function createServerView(options: ServerViewOptions): ServerView {
-  const { clock, view, loads, speeds, paces, health, leavingServers } = options;
+  const { clock, view, loads, speeds, paces, health, leavingServers, serverPauses } = options;
 
-  /** Servers of the service that are reachable from here, including leaving ones. */
+  /** Servers of the service that are reachable from here, including leaving and paused ones. */
   function reachable(service: ServiceSpec): readonly ServerState[] {
     return view.servers
       .all()
@@ -76,7 +78,19 @@
   }
 
   function usable(service: ServiceSpec): readonly ServerState[] {
-    return reachable(service).filter((server) => !leavingServers.isLeaving(server));
+    return reachable(service).filter(
+      (server) => !leavingServers.isLeaving(server) && serverPauses.remainingMs(server) === 0,
+    );
+  }
+
+  function rejection(service: ServiceSpec): LocalRejection {
+    const servers = reachable(service);
+    const staying = servers.filter((server) => !leavingServers.isLeaving(server));
+    if (staying.length > 0) {
+      const retryAfterMs = Math.min(...staying.map(serverPauses.remainingMs));
+      return { kind: 'none', reason: 'servers-paused', retryAfterMs };
+    }
+    return { kind: 'none', reason: servers.length === 0 ? 'no-server' : 'servers-leaving' };
   }
 
   function capacityOf(service: ServiceSpec): RegionCapacity | undefined {
@@ -108,10 +122,7 @@
 
   return {
     usable,
-    rejection: (service) => ({
-      kind: 'none',
-      reason: reachable(service).length === 0 ? 'no-server' : 'servers-leaving',
-    }),
+    rejection,
     queueMs,
     capacity() {
       const services = [...(view.table()?.services.values() ?? [])];
--- a/packages/gateway/src/routing/runCacheFollower.ts
+++ b/packages/gateway/src/routing/runCacheFollower.ts
@@ -26,8 +26,8 @@
   readonly feed: CacheFeed;
   readonly prefixes: PrefixCacheTracker;
   /**
-   * Whether this host may call the engine. An engine that is leaving gets no calls, and one that
-   * accepts only a limited rate of requests is left to callers.
+   * Whether this host may call the engine. An engine that is leaving or has asked for a pause gets
+   * no calls, and one that accepts only a limited rate of requests is left to callers.
    */
   readonly mayCall: (server: ServerState) => boolean;
   readonly signal: AbortSignal;
--- a/packages/gateway/tests/routing/createServerView.test.ts
+++ b/packages/gateway/tests/routing/createServerView.test.ts
@@ -5,6 +5,7 @@
   createLoadTracker,
   createPaceTracker,
   createServerHealth,
+  createServerPauses,
   createServerView,
   createSpeedTracker,
 } from '../../src/index.js';
@@ -18,6 +19,7 @@
   const clock = createManualClock();
   const sinks = { clock, log: silentLog, metrics: discardingMetrics };
   const leavingServers = createLeavingServers(sinks);
+  const serverPauses = createServerPauses(sinks);
   const view: ServerView = createServerView({
     clock,
     region: asId('north'),
@@ -32,8 +34,9 @@
     health: createServerHealth(clock),
     serverLimits: { limitOf: () => undefined },
     leavingServers,
+    serverPauses,
   });
-  return { clock, view, leavingServers };
+  return { clock, view, leavingServers, serverPauses };
 }
 
 const first = buildServer();
@@ -56,3 +59,25 @@
   t.deepEqual(view.rejection(service), { kind: 'none', reason: 'servers-leaving' });
   t.deepEqual(setUp([]).view.rejection(service), { kind: 'none', reason: 'no-server' });
 });
+
+test('paused servers are not usable and add no capacity until the pause ends', (t) => {
+  const { clock, view, serverPauses } = setUp([first, second]);
+  serverPauses.recordRejection(first, { status: 503, retryAfterMs: 3_000 });
+  t.deepEqual(view.usable(service), [second]);
+  t.is(view.capacity().get(service.name)?.usableServers, 1);
+  clock.advance(3_000);
+  t.deepEqual(view.usable(service), [first, second]);
+});
+
+test('a rejection for pauses names the time until the first one ends', (t) => {
+  const { clock, view, leavingServers, serverPauses } = setUp([first, second]);
+  serverPauses.recordRejection(first, { status: 503, retryAfterMs: 3_000 });
+  serverPauses.recordRejection(second, { status: 503, retryAfterMs: 5_000 });
+  clock.advance(1_000);
+  const reason = 'servers-paused';
+  t.deepEqual(view.rejection(service), { kind: 'none', reason, retryAfterMs: 2_000 });
+  leavingServers.recordResponse(first, 503);
+  t.deepEqual(view.rejection(service), { kind: 'none', reason, retryAfterMs: 4_000 });
+  leavingServers.recordResponse(second, 503);
+  t.deepEqual(view.rejection(service), { kind: 'none', reason: 'servers-leaving' });
+});
