Let servers of the soak leave and ask for pauses, and check both

The soak's servers could not say that they leave or ask for a pause, so that no seed would have shown either fault.

--- a/packages/soak/src/Arrival.ts
+++ b/packages/soak/src/Arrival.ts
@@ -4,4 +4,11 @@
   readonly target: string;
   readonly atMs: number;
   readonly zone: string;
+  /** Id of one start of the server. */
+  readonly server: string;
+}
+
+/** A request that a server rejected with 503, asking for a pause. */
+export interface PausingRejection extends Omit<Arrival, 'target'> {
+  readonly retryAfterMs: number;
 }
--- a/packages/soak/src/CallRecord.ts
+++ b/packages/soak/src/CallRecord.ts
@@ -11,6 +11,8 @@
   readonly status: number | undefined;
   /** Whether the response is complete. */
   readonly complete: boolean;
+  /** Id of the server whose response says that it is leaving; undefined if it does not. */
+  readonly leavingServer: string | undefined;
   /** Attempt id in the response. */
   readonly responseAttemptId: string | undefined;
   /** Ids of the received events in order of arrival. */
--- a/packages/soak/src/PlannedFault.ts
+++ b/packages/soak/src/PlannedFault.ts
@@ -35,5 +35,7 @@
   | 'server-interrupted'
   | 'server-hang'
   | 'server-replaced'
+  | 'server-leaving'
+  | 'server-paused'
   | 'configuration'
   | 'evacuation';
--- a/packages/soak/src/Violation.ts
+++ b/packages/soak/src/Violation.ts
@@ -3,6 +3,8 @@
   /**
    * - `home`: bound requests run only in their home region.
    * - `evacuation`: an evacuated zone receives no requests after the time limit.
+   * - `drain`: a server whose response said that it leaves gets nothing more from the same host.
+   * - `pause`: a server that asked a host for a pause gets nothing from it for that time.
    * - `budget`: retries stay within the retry budget.
    * - `twice`: no request runs at more servers than its route allows.
    * - `refused`: a request with an error response that rules out its execution has not run.
@@ -18,6 +20,8 @@
   readonly promise:
     | 'home'
     | 'evacuation'
+    | 'drain'
+    | 'pause'
     | 'budget'
     | 'twice'
     | 'refused'
--- a/packages/soak/src/createFaultInjector.ts
+++ b/packages/soak/src/createFaultInjector.ts
@@ -6,6 +6,8 @@
 
 /** Time until an evacuated zone must be free of requests: the platform's `evacuation_ms`. */
 const EVACUATION_MS = 5_000;
+/** Pause that servers ask for. */
+const PAUSE_MS = 2_000;
 const EVACUATION_KEY = 'op/evacuate/north-a';
 
 /** Injects a fault into the system and resolves when the fault has ended. */
@@ -80,6 +82,16 @@
       case 'server-replaced':
         await servers.replace(index);
         break;
+      case 'server-leaving':
+        servers.setLeaving(index);
+        await sleep(forMs);
+        await servers.replace(index);
+        break;
+      case 'server-paused':
+        servers.setPause(index, PAUSE_MS);
+        await sleep(forMs);
+        servers.setPause(index, undefined);
+        break;
       case 'configuration':
         system.putConfiguration();
         break;
--- a/packages/soak/src/index.ts
+++ b/packages/soak/src/index.ts
@@ -6,6 +6,7 @@
 export * from './Violation.js';
 export * from './checkArrivals.js';
 export * from './checkCalls.js';
+export * from './checkNotices.js';
 export * from './commands/SoakCommand.js';
 export * from './createFaultInjector.js';
 export * from './createFaultyLink.js';
--- a/packages/soak/src/planFaults.ts
+++ b/packages/soak/src/planFaults.ts
@@ -32,6 +32,9 @@
   'configuration',
   'evacuation',
 ];
+/** What servers say about themselves; not a disturbance of the system. */
+const NOTICE_KINDS: readonly FaultKind[] = ['server-leaving', 'server-paused'];
+const MEAN_NOTICE_GAP_MS = 2_000;
 /** Mean time between faults. Shorter than most faults, so that faults overlap. */
 const MEAN_GAP_MS = 700;
 const MIN_FAULT_MS = 200;
@@ -40,26 +43,29 @@
 const REPEAT_RATIO = 0.25;
 
 /**
- * Generates the faults of a run, with an index below `targetCount` each. The same random numbers
+ * Generates the faults or the notices of a run, with an index below `targetCount` each. The same random numbers
  * yield the same faults.
  */
 export function planFaults(
   random: RandomSource,
   durationMs: number,
   targetCount: number,
+  group: 'faults' | 'notices' = 'faults',
 ): readonly PlannedFault[] {
+  const kinds = group === 'faults' ? FAULT_KINDS : NOTICE_KINDS;
+  const meanGapMs = group === 'faults' ? MEAN_GAP_MS : MEAN_NOTICE_GAP_MS;
   const faults: PlannedFault[] = [];
   // Discarded: with small seeds, the first random number hardly depends on the seed.
   random.next();
   let atMs = 0;
   let repeated: PlannedFault | undefined;
   for (;;) {
-    atMs += random.next() * 2 * MEAN_GAP_MS;
+    atMs += random.next() * 2 * meanGapMs;
     const forMs = MIN_FAULT_MS + random.next() * (MAX_FAULT_MS - MIN_FAULT_MS);
     if (atMs + forMs > durationMs) {
       return faults;
     }
-    const kind = FAULT_KINDS[Math.floor(random.next() * FAULT_KINDS.length)] ?? 'host-kill';
+    const kind = kinds[Math.floor(random.next() * kinds.length)] ?? 'host-kill';
     const index = Math.floor(random.next() * targetCount);
     const fault =
       repeated === undefined ? { atMs, forMs, kind, index } : { ...repeated, atMs, forMs };
--- a/packages/soak/src/runCaller.ts
+++ b/packages/soak/src/runCaller.ts
@@ -63,6 +63,10 @@
       left: timeout.aborted,
       status: result?.status,
       complete: result?.complete ?? false,
+      leavingServer:
+        result?.headers['server-leaving'] === undefined
+          ? undefined
+          : result.headers['camphorbarrow-server-seal']?.toString().replace('seal-', ''),
       responseAttemptId: result?.answeredAttemptId,
       eventIds: result !== undefined && isStream ? eventIdsOf(result.body) : [],
     });
--- a/packages/soak/src/runSoak.ts
+++ b/packages/soak/src/runSoak.ts
@@ -3,6 +3,7 @@
 import type { CallRecord } from './CallRecord.js';
 import { checkArrivals } from './checkArrivals.js';
 import { checkCalls } from './checkCalls.js';
+import { checkNotices } from './checkNotices.js';
 import { createFaultInjector } from './createFaultInjector.js';
 import type { FaultInterval } from './FaultInterval.js';
 import type { PlannedFault } from './PlannedFault.js';
@@ -27,6 +28,9 @@
 /** Time for which effects outlast a fault: connections are reopened, backoffs expire. */
 const FAULT_EFFECT_MS = 3_000;
 
+/** Notices are drawn apart from the faults, so that a seed keeps the faults that it is known for. */
+const NOTICE_SEED_OFFSET = 1_000_000;
+
 export interface SoakOptions {
   readonly seed: number;
   /** Time during which faults are injected; the run lasts some seconds longer. */
@@ -59,8 +63,10 @@
 
 /** Runs host processes under the faults of a seed and checks what callers and servers observe. */
 export async function runSoak({ seed, durationMs }: SoakOptions): Promise<SoakReport> {
-  const random = createSeededRandom(seed);
-  const faults = planFaults(random, durationMs, HOSTS);
+  const faults = [
+    ...planFaults(createSeededRandom(seed), durationMs, HOSTS),
+    ...planFaults(createSeededRandom(seed + NOTICE_SEED_OFFSET), durationMs, HOSTS, 'notices'),
+  ];
   const violations: Violation[] = [];
   const calls: CallRecord[] = [];
   const faultIntervals: FaultInterval[] = [];
@@ -146,6 +152,7 @@
     await system.close();
   }
   const arrivals = system.servers.arrivals();
+  const pausingRejections = system.servers.pausingRejections();
   return {
     seed,
     faults,
@@ -153,6 +160,7 @@
       ...violations,
       ...checkCalls({ calls, arrivals, faultIntervals }),
       ...checkArrivals({ arrivals, faultIntervals }),
+      ...checkNotices({ calls, arrivals, pausingRejections, faultIntervals }),
     ],
     calls: calls.length,
     served: calls.filter(({ status, complete }) => status === 200 && complete).length,
--- a/packages/soak/src/startServerFleet.ts
+++ b/packages/soak/src/startServerFleet.ts
@@ -1,6 +1,6 @@
 import { buildServerEntry, startFakeServer } from '@camphorbarrow/platform/testing';
 import type { ServerFault, FakeServer, FakeStore } from '@camphorbarrow/platform/testing';
-import type { Arrival } from './Arrival.js';
+import type { Arrival, PausingRejection } from './Arrival.js';
 import { createFaultyLink } from './createFaultyLink.js';
 import type { FaultyLink } from './createFaultyLink.js';
 import type { LinkFault } from './LinkFault.js';
@@ -8,9 +8,17 @@
 /** Interval at which servers refresh their store entries: `heartbeat_ms` of the settings. */
 const HEARTBEAT_MS = 1_200;
 
+const MS_PER_S = 1_000;
+
 export interface ServerFleet {
   /** Requests that current and replaced servers received and did not reject. */
   arrivals(): readonly Arrival[];
+  /** Requests that current and replaced servers rejected to ask for a pause. */
+  pausingRejections(): readonly PausingRejection[];
+  /** Lets all further responses of the server say that it leaves; its entry says ready. */
+  setLeaving(index: number): void;
+  /** Lets the server reject everything and ask for a pause; undefined ends this. */
+  setPause(index: number, retryAfterMs: number | undefined): void;
   setFault(index: number, fault: ServerFault): void;
   setLinkFault(index: number, fault: LinkFault): void;
   /** Stops a server without notice and starts another one in the same zone. */
@@ -63,8 +71,26 @@
           target,
           atMs,
           zone,
+          server: server.id,
+        })),
+      ),
+    pausingRejections: () =>
+      [...replaced, ...members].flatMap(({ server, zone }) =>
+        server.pausedRequests.map(({ attemptId, atMs, retryAfter }) => ({
+          attemptId,
+          atMs,
+          zone,
+          server: server.id,
+          retryAfterMs: Number(retryAfter) * MS_PER_S,
         })),
       ),
+    setLeaving: (index) => members[index]?.server.setLeaving('1'),
+    setPause: (index, retryAfterMs) =>
+      members[index]?.server.setPause(
+        retryAfterMs === undefined
+          ? undefined
+          : { retryAfter: String(retryAfterMs / MS_PER_S), notRun: true },
+      ),
     setFault: (index, fault) => members[index]?.server.setFault(fault),
     setLinkFault: (index, fault) => members[index]?.link.setFault(fault),
     async replace(index) {
--- a/packages/soak/tests/checkArrivals.test.ts
+++ b/packages/soak/tests/checkArrivals.test.ts
@@ -7,6 +7,7 @@
   target: '/safe/a',
   atMs: 1_000,
   zone: 'north-a',
+  server: 'i-1',
   ...overrides,
 });
 
--- a/packages/soak/tests/checkCalls.test.ts
+++ b/packages/soak/tests/checkCalls.test.ts
@@ -11,6 +11,7 @@
   left: false,
   status: 200,
   complete: true,
+  leavingServer: undefined,
   responseAttemptId: 'a',
   eventIds: [],
   ...overrides,
@@ -23,7 +24,13 @@
 ): string[] =>
   checkCalls({
     calls: [call],
-    arrivals: runs.map((attemptId) => ({ attemptId, target: '/', atMs: 1_050, zone: 'north-a' })),
+    arrivals: runs.map((attemptId) => ({
+      attemptId,
+      target: '/',
+      atMs: 1_050,
+      zone: 'north-a',
+      server: 'i-1',
+    })),
     faultIntervals,
   }).map(({ promise }) => promise);
 
@@ -104,6 +111,7 @@
       target: '/',
       atMs: arrivalMs,
       zone: 'north-a',
+      server: 'i-1',
     }));
     return checkCalls({ calls, arrivals, faultIntervals: faults }).map(({ promise }) => promise);
   };
--- a/packages/soak/tests/planFaults.test.ts
+++ b/packages/soak/tests/planFaults.test.ts
@@ -18,3 +18,11 @@
   t.true(faults.every(({ atMs }, index) => atMs <= next(index)));
   t.true(faults.some(({ atMs, forMs }, index) => atMs + forMs > next(index)));
 });
+
+test('a plan of notices holds both kinds and no faults', (t) => {
+  const notices = planFaults(createSeededRandom(3), 60_000, 3, 'notices');
+  t.deepEqual([...new Set(notices.map(({ kind }) => kind))].sort(), [
+    'server-leaving',
+    'server-paused',
+  ]);
+});
