--- a/packages/gateway/src/exchange/StopCause.ts
+++ b/packages/gateway/src/exchange/StopCause.ts
@@ -6,6 +6,8 @@
   | 'not-repeatable'
   | 'no-server'
   | 'rate-limited'
+  | 'servers-leaving'
+  | 'servers-paused'
   | 'overloaded'
   | 'retry-budget'
   | 'prompt-part'
--- a/packages/gateway/src/exchange/prepareAttempt.ts
+++ b/packages/gateway/src/exchange/prepareAttempt.ts
@@ -48,6 +48,9 @@
     if (destination.kind === 'none') {
       progress.causes.push(destination.reason);
       progress.stopCause = destination.reason;
+      if (destination.reason === 'servers-paused') {
+        progress.retryAfterMs = Math.max(progress.retryAfterMs, destination.retryAfterMs);
+      }
       if (destination.reason === 'overloaded') {
         progress.lastChoice = destination.rejected;
         progress.retryAfterMs = Math.min(
--- a/packages/gateway/src/lifecycle/createEntryHost.ts
+++ b/packages/gateway/src/lifecycle/createEntryHost.ts
@@ -4,6 +4,7 @@
 import type { HostId, RegionId } from '@camphorbarrow/core';
 import { logFailures } from '../errors/logFailures.js';
 import { createChangeDecoder } from '../fleet/createChangeDecoder.js';
+import { createCacheResponseRecorder } from '../exchange/createCacheResponseRecorder.js';
 import { createFleetView } from '../fleet/createFleetView.js';
 import type { FleetView } from '../fleet/createFleetView.js';
 import { runHostRegistration } from '../fleet/runHostRegistration.js';
@@ -185,6 +186,8 @@
       tracker.retain(incarnations),
     );
     context.serverLimits.retain(view.servers.all());
+    context.leavingServers.retain(view.servers.all());
+    context.serverPauses.endElapsed();
     paces.retain(new Set(view.servers.all().map(({ registration }) => registration.id)));
     serverConnections.retain(incarnations);
     peerConnections.retain(
@@ -229,9 +232,12 @@
       region: own.region,
       regionHosts,
       view,
-      feed: options.createCacheFeed(serverConnections),
+      feed: options.createCacheFeed(serverConnections, createCacheResponseRecorder(context)),
       prefixes,
-      isLimited: (server) => context.serverLimits.limitOf(server) !== undefined,
+      mayCall: (server) =>
+        context.serverLimits.limitOf(server) === undefined &&
+        !context.leavingServers.isLeaving(server) &&
+        context.serverPauses.remainingMs(server) === 0,
       signal: stop.signal,
     }),
     runPeerStoreFollower({
--- a/packages/gateway/src/lifecycle/createGatewayContext.ts
+++ b/packages/gateway/src/lifecycle/createGatewayContext.ts
@@ -3,8 +3,10 @@
 import type { GatewayContext } from '../exchange/GatewayContext.js';
 import type { FleetView } from '../fleet/createFleetView.js';
 import { createCrashGuard } from '../limits/createCrashGuard.js';
+import { createLeavingServers } from '../limits/createLeavingServers.js';
 import { createPartTrials } from '../limits/createPartTrials.js';
 import { createServerLimits } from '../limits/createServerLimits.js';
+import { createServerPauses } from '../limits/createServerPauses.js';
 import { createServerRateLimiter } from '../limits/createServerRateLimiter.js';
 import { createRetryBudget } from '../limits/createRetryBudget.js';
 import type { PeerRegistry } from '../peers/createPeerRegistry.js';
@@ -58,6 +60,8 @@
   const health = createServerHealth(clock);
   const prefixes = createPrefixCacheTracker(clock);
   const serverLimits = createServerLimits({ clock, log, metrics });
+  const leavingServers = createLeavingServers({ clock, log, metrics });
+  const serverPauses = createServerPauses({ clock, log, metrics });
   const serverRateLimiter = createServerRateLimiter({
     clock,
     ownId: own.id,
@@ -73,6 +77,8 @@
     paces,
     health,
     serverLimits,
+    leavingServers,
+    serverPauses,
   });
   const router = createRouter({
     chooseLocal: createLocalChooser({
@@ -115,6 +121,8 @@
     prefixes,
     serverRateLimiter,
     serverLimits,
+    leavingServers,
+    serverPauses,
     retryBudget: createRetryBudget({ clock, bounds, hostCount: () => peers.known().length + 1 }),
     crashGuard: createCrashGuard({ clock, log, suspicion: partSuspicion, refusesConnections }),
     partSuspicion,
--- a/packages/gateway/src/model/ResponseMetadata.ts
+++ b/packages/gateway/src/model/ResponseMetadata.ts
@@ -14,4 +14,8 @@
   readonly load: ServerLoad | undefined;
   /** Rate that the server accepts from all entry hosts together; undefined if it names none. */
   readonly requestsPerSecond: number | undefined;
+  /** Whether the server says that it is leaving. */
+  readonly leaving: boolean;
+  /** Time for which the sender wants no further request; undefined if it names none. */
+  readonly retryAfterMs: number | undefined;
 }
