Restore the store from an older copy in the soak

The soak now takes a copy, lets revisions run ahead by 100 writes, resets the store and brings the copy back; the operator writes again after 0.5 s, and entries of servers that left expire after 3.6 s. Restores come every 5 s, from a random source of their own, so that seeds keep their other faults.

A first form without the 100 writes did not catch it: servers' heartbeats raise the revision again within seconds.

--- a/packages/soak/src/PlannedFault.ts
+++ b/packages/soak/src/PlannedFault.ts
@@ -18,6 +18,7 @@
   | 'store-lost'
   | 'store-history'
   | 'store-leases'
+  | 'store-restored'
   | 'store-link-delayed'
   | 'store-link-reset'
   | 'store-link-silent'
--- a/packages/soak/src/createFaultInjector.ts
+++ b/packages/soak/src/createFaultInjector.ts
@@ -10,6 +10,17 @@
 const PAUSE_MS = 2_000;
 const EVACUATION_KEY = 'op/evacuate/north-a';
 
+/** Age of the copy to which the store is restored. */
+const COPY_AGE_MS = 1_500;
+/** Writes that the copy lacks; revisions do not catch up with them during a run. */
+const LOST_WRITES = 100;
+/** Time within which hosts learn of these writes. */
+const LOST_WRITES_SEEN_MS = 700;
+/** Time after a restore in which the operator writes again what the store lost. */
+const REWRITE_DELAY_MS = 500;
+/** Time after which entries of servers that left expire: three heartbeats of silence. */
+const ENTRY_EXPIRY_MS = 3_600;
+
 /** Injects a fault into the system and resolves when the fault has ended. */
 export type FaultInjector = (fault: PlannedFault) => Promise<void>;
 
@@ -29,6 +40,31 @@
     }
   }
 
+  /** Takes the store away for a moment and brings it back with an older copy of its content. */
+  async function restoreStore(forMs: number): Promise<void> {
+    store.takeCopy();
+    await sleep(COPY_AGE_MS);
+    for (let count = 0; count < LOST_WRITES; count += 1) {
+      store.put('op/unrelated', {});
+    }
+    await sleep(LOST_WRITES_SEEN_MS);
+    store.setFault('reset');
+    await sleep(forMs);
+    const lost = new Set(store.keys());
+    store.restoreCopy();
+    store.setFault('none');
+    const revived = store.keys().filter((key) => key.startsWith('servers/') && !lost.has(key));
+    await sleep(REWRITE_DELAY_MS);
+    system.rewriteConfiguration();
+    if (activeEvacuations > 0) {
+      store.put(EVACUATION_KEY, {});
+    } else {
+      store.remove(EVACUATION_KEY);
+    }
+    await sleep(ENTRY_EXPIRY_MS - REWRITE_DELAY_MS);
+    revived.forEach(store.remove);
+  }
+
   /**
    * Applies a fault of a link, the store or a server for its duration. The kind consists of the
    * target and the name of its fault.
@@ -79,6 +115,9 @@
       case 'store-leases':
         store.expireLeases();
         break;
+      case 'store-restored':
+        await restoreStore(forMs);
+        break;
       case 'server-replaced':
         await servers.replace(index);
         break;
--- a/packages/soak/src/planFaults.ts
+++ b/packages/soak/src/planFaults.ts
@@ -32,28 +32,38 @@
   'configuration',
   'evacuation',
 ];
-/** What servers say about themselves; not a disturbance of the system. */
-const NOTICE_KINDS: readonly FaultKind[] = ['server-leaving', 'server-paused'];
-const MEAN_NOTICE_GAP_MS = 2_000;
-/** Mean time between faults. Shorter than most faults, so that faults overlap. */
-const MEAN_GAP_MS = 700;
+/** Faults that are drawn from a random source of their own, so that seeds keep their other faults. */
+export type FaultGroup = 'faults' | 'notices' | 'restores';
+
+interface GroupPlan {
+  readonly kinds: readonly FaultKind[];
+  /** Mean time between two faults. */
+  readonly meanGapMs: number;
+}
+
+const GROUPS: Readonly<Record<FaultGroup, GroupPlan>> = {
+  // The gap is shorter than most faults, so that faults overlap.
+  faults: { kinds: FAULT_KINDS, meanGapMs: 700 },
+  // What servers say about themselves; not a disturbance of the system.
+  notices: { kinds: ['server-leaving', 'server-paused'], meanGapMs: 2_000 },
+  restores: { kinds: ['store-restored'], meanGapMs: 5_000 },
+};
 const MIN_FAULT_MS = 200;
 const MAX_FAULT_MS = 2_500;
 /** Share of faults that are followed by another fault of the same kind at the same index. */
 const REPEAT_RATIO = 0.25;
 
 /**
- * Generates the faults or the notices of a run, with an index below `targetCount` each. The same random numbers
- * yield the same faults.
+ * Generates the faults of a group in a run, with an index below `targetCount` each. The same random
+ * numbers yield the same faults.
  */
 export function planFaults(
   random: RandomSource,
   durationMs: number,
   targetCount: number,
-  group: 'faults' | 'notices' = 'faults',
+  group: FaultGroup = 'faults',
 ): readonly PlannedFault[] {
-  const kinds = group === 'faults' ? FAULT_KINDS : NOTICE_KINDS;
-  const meanGapMs = group === 'faults' ? MEAN_GAP_MS : MEAN_NOTICE_GAP_MS;
+  const { kinds, meanGapMs } = GROUPS[group];
   const faults: PlannedFault[] = [];
   // Discarded: with small seeds, the first random number hardly depends on the seed.
   random.next();
--- a/packages/soak/src/runSoak.ts
+++ b/packages/soak/src/runSoak.ts
@@ -30,6 +30,7 @@
 
 /** Notices are drawn apart from the faults, so that a seed keeps the faults that it is known for. */
 const NOTICE_SEED_OFFSET = 1_000_000;
+const RESTORE_SEED_OFFSET = 2_000_000;
 
 export interface SoakOptions {
   readonly seed: number;
@@ -66,6 +67,7 @@
   const faults = [
     ...planFaults(createSeededRandom(seed), durationMs, HOSTS),
     ...planFaults(createSeededRandom(seed + NOTICE_SEED_OFFSET), durationMs, HOSTS, 'notices'),
+    ...planFaults(createSeededRandom(seed + RESTORE_SEED_OFFSET), durationMs, HOSTS, 'restores'),
   ];
   const violations: Violation[] = [];
   const calls: CallRecord[] = [];
--- a/packages/soak/src/startSoakSystem.ts
+++ b/packages/soak/src/startSoakSystem.ts
@@ -30,6 +30,8 @@
   readonly storeLinks: readonly FaultyLink[];
   /** Writes the next configuration, with an added route if a name is given; returns its version. */
   putConfiguration(routeName?: string): number;
+  /** Writes the latest configuration once more, as after a restore of the store. */
+  rewriteConfiguration(): void;
   close(): Promise<void>;
 }
 
@@ -54,9 +56,16 @@
   let version = 0;
   const store = await startFakeStore();
 
+  let configuration: unknown;
+
+  function rewriteConfiguration(): void {
+    store.put('op/config', configuration);
+  }
+
   function putConfiguration(routeName?: string): number {
     version += 1;
-    store.put('op/config', buildSoakConfiguration(version, routeName));
+    configuration = buildSoakConfiguration(version, routeName);
+    rewriteConfiguration();
     return version;
   }
 
@@ -88,6 +97,7 @@
     hosts,
     storeLinks,
     putConfiguration,
+    rewriteConfiguration,
     async close() {
       await Promise.all(hosts.map((host) => host.close()));
       storeLinks.forEach((link) => link.close());
--- a/packages/soak/tests/planFaults.test.ts
+++ b/packages/soak/tests/planFaults.test.ts
@@ -26,3 +26,8 @@
     'server-paused',
   ]);
 });
+
+test('a plan of restores holds only them', (t) => {
+  const restores = planFaults(createSeededRandom(3), 60_000, 3, 'restores');
+  t.deepEqual([...new Set(restores.map(({ kind }) => kind))], ['store-restored']);
+});
