--- /dev/null
+++ b/packages/gateway/src/fleet/createFleetState.ts
@@ -0,0 +1,166 @@
+import type {
+  AvailabilityZoneId,
+  Clock,
+  HostId,
+  KeyValue,
+  LogSink,
+  RegionId,
+  WatchEvent,
+} from '@camphorbarrow/core';
+import type { FleetChange } from '../model/FleetChange.js';
+import type { HostRegistration } from '../model/HostRegistration.js';
+import type { RoutingTable } from '../model/RoutingTable.js';
+import { createServerDirectory } from './createServerDirectory.js';
+import type { ServerDirectory } from './createServerDirectory.js';
+
+export interface FleetStateOptions {
+  readonly clock: Clock;
+  readonly log: LogSink;
+  /** Decodes a changed key of the store. */
+  readonly decode: (event: WatchEvent) => FleetChange;
+  readonly regionOfZone: (zone: AvailabilityZoneId) => RegionId | undefined;
+  readonly coldAfterEvacuationMs: () => number;
+  /** Monotonic time at which the store was last seen unavailable; -Infinity if never. */
+  readonly storeLastUnavailableAtMs: () => number;
+}
+
+/** Configuration, evacuations, servers and entry hosts in the form in which they are used. */
+export interface FleetState {
+  /** Latest configuration; undefined until the first one is known. */
+  table(): RoutingTable | undefined;
+  /** Item that `table` was decoded from. */
+  tableItem(): KeyValue | undefined;
+  isEvacuated(zone: AvailabilityZoneId): boolean;
+  readonly servers: ServerDirectory;
+  /** Entry hosts registered in the store. */
+  hosts(): readonly HostRegistration[];
+  /** Applies one change. Returns whether more than a heartbeat changed. */
+  apply(event: WatchEvent): boolean;
+  /** Applies the item if it holds a configuration that is newer than the one in force. */
+  applyConfiguration(item: KeyValue): void;
+  /** Whether the item of a restored copy contradicts what this host learned after the copy. */
+  isOutdated(event: WatchEvent): boolean;
+  /** Whether the change is about a server that is listed. */
+  isOfListedServer(event: WatchEvent): boolean;
+}
+
+/** Creates an empty state. */
+export function createFleetState(options: FleetStateOptions): FleetState {
+  const { log } = options;
+  const hosts = new Map<HostId, HostRegistration>();
+  const evacuated = new Set<AvailabilityZoneId>();
+  /** Evacuations that were known so far, also those that ended; as key and revision. */
+  const knownEvacuations = new Set<string>();
+  let table: RoutingTable | undefined;
+  let tableItem: KeyValue | undefined;
+  const servers = createServerDirectory(options);
+
+  function applyTable(next: RoutingTable, item: KeyValue): void {
+    if (table !== undefined && next.version <= table.version) {
+      if (next.version === table.version) {
+        tableItem = item;
+      } else {
+        log.info('configuration-ignored', { version: next.version, knownVersion: table.version });
+      }
+      return;
+    }
+    log.info('configuration-applied', {
+      version: next.version,
+      replacedVersion: table?.version,
+      routes: next.routes.length,
+    });
+    table = next;
+    tableItem = item;
+  }
+
+  function applyEvacuation(zone: AvailabilityZoneId, active: boolean): void {
+    if (evacuated.has(zone) === active) {
+      return;
+    }
+    log.info('evacuation-changed', { zone, active });
+    if (active) {
+      evacuated.add(zone);
+    } else {
+      evacuated.delete(zone);
+      servers.recordEvacuationEnd(zone);
+    }
+  }
+
+  const toEvacuationId = ({ key, modRevision }: KeyValue): string => `${key}@${modRevision}`;
+
+  function apply(event: WatchEvent): boolean {
+    const change = options.decode(event);
+    switch (change.kind) {
+      case 'configuration':
+        applyTable(change.table, event);
+        break;
+      case 'evacuation':
+        if (change.active) {
+          knownEvacuations.add(toEvacuationId(event));
+        }
+        applyEvacuation(change.zone, change.active);
+        break;
+      case 'server':
+        if (!servers.update(change.id, change.registration)) {
+          return false;
+        }
+        log.info('server-changed', {
+          serverId: change.id,
+          state: change.registration?.state ?? 'gone',
+          service: change.registration?.service,
+          zone: change.registration?.zone,
+          coldRemainingMs: change.registration?.coldRemainingMs,
+          revision: event.modRevision,
+        });
+        break;
+      case 'host':
+        if (change.registration === undefined) {
+          hosts.delete(change.id);
+        } else {
+          hosts.set(change.id, change.registration);
+        }
+        break;
+      case 'unreadable':
+      case 'unrelated':
+        break;
+    }
+    return true;
+  }
+
+  function isOutdated(event: WatchEvent): boolean {
+    const change = options.decode(event);
+    switch (change.kind) {
+      case 'evacuation':
+        // The listing also holds what was written after the restore, which must not wait.
+        return change.active
+          ? !evacuated.has(change.zone) && knownEvacuations.has(toEvacuationId(event))
+          : evacuated.has(change.zone);
+      case 'server':
+        return (
+          change.registration !== undefined && servers.isOutdated(change.id, change.registration)
+        );
+      default:
+        return false;
+    }
+  }
+
+  return {
+    table: () => table,
+    tableItem: () => tableItem,
+    isEvacuated: (zone) => evacuated.has(zone),
+    servers,
+    hosts: () => [...hosts.values()],
+    apply,
+    applyConfiguration(item) {
+      const change = options.decode({ kind: 'put', ...item });
+      if (change.kind === 'configuration') {
+        applyTable(change.table, item);
+      }
+    },
+    isOutdated,
+    isOfListedServer(event) {
+      const change = options.decode(event);
+      return change.kind === 'server' && servers.get(change.id) !== undefined;
+    },
+  };
+}
--- a/packages/gateway/src/fleet/createFleetView.ts
+++ b/packages/gateway/src/fleet/createFleetView.ts
@@ -1,13 +1,4 @@
-import type {
-  AvailabilityZoneId,
-  Clock,
-  HostId,
-  KeyValue,
-  LogSink,
-  RegionId,
-  WatchEvent,
-} from '@camphorbarrow/core';
-import type { FleetChange } from '../model/FleetChange.js';
+import type { AvailabilityZoneId, WatchEvent } from '@camphorbarrow/core';
 import type { HostRegistration } from '../model/HostRegistration.js';
 import type { RoutingTable } from '../model/RoutingTable.js';
 import type { StoreChanges, StoreListing } from '../ports/MetadataStore.js';
@@ -17,20 +8,14 @@
 import { createChangeLog } from './createChangeLog.js';
 import { createDeferredChanges } from './createDeferredChanges.js';
 import { createReplica } from './createReplica.js';
-import { createServerDirectory } from './createServerDirectory.js';
+import { createFleetState } from './createFleetState.js';
+import type { FleetStateOptions } from './createFleetState.js';
 import type { ServerDirectory } from './createServerDirectory.js';
 
 /** Maximum age of server heartbeats sent to peers; longer than their polling interval. */
 const RECENT_HEARTBEAT_MAX_AGE_MS = 1_000;
 
-export interface FleetViewOptions {
-  readonly clock: Clock;
-  readonly log: LogSink;
-  /** Decodes a changed key of the store. Does not throw, and logs what it cannot decode. */
-  readonly decode: (event: WatchEvent) => FleetChange;
-  readonly regionOfZone: (zone: AvailabilityZoneId) => RegionId | undefined;
-  readonly coldAfterEvacuationMs: () => number;
-}
+export type FleetViewOptions = Omit<FleetStateOptions, 'storeLastUnavailableAtMs'>;
 
 /** This host's view of the fleet, from the store or from peers. */
 export interface FleetView {
@@ -62,126 +47,22 @@
   const changes = createChangeLog();
   const deferred = createDeferredChanges(clock);
   const restoreListeners: (() => void)[] = [];
-  const hosts = new Map<HostId, HostRegistration>();
-  const evacuated = new Set<AvailabilityZoneId>();
-  /** Evacuations that were known so far, also those that ended; as key and revision. */
-  const knownEvacuations = new Set<string>();
-  let table: RoutingTable | undefined;
-  /** Item that `table` was decoded from. */
-  let tableItem: KeyValue | undefined;
   let storeLastUnavailableAtMs = -Infinity;
   let confirmedAtMs = -Infinity;
-  const servers = createServerDirectory({
-    clock,
-    regionOfZone: options.regionOfZone,
+  const state = createFleetState({
+    ...options,
     storeLastUnavailableAtMs: () => storeLastUnavailableAtMs,
-    coldAfterEvacuationMs: options.coldAfterEvacuationMs,
   });
-
-  function applyTable(next: RoutingTable, item: KeyValue): void {
-    if (table !== undefined && next.version <= table.version) {
-      if (next.version === table.version) {
-        tableItem = item;
-      } else {
-        log.info('configuration-ignored', { version: next.version, knownVersion: table.version });
-      }
-      return;
-    }
-    log.info('configuration-applied', {
-      version: next.version,
-      replacedVersion: table?.version,
-      routes: next.routes.length,
-    });
-    table = next;
-    tableItem = item;
-  }
-
-  function applyEvacuation(zone: AvailabilityZoneId, active: boolean): void {
-    if (evacuated.has(zone) === active) {
-      return;
-    }
-    log.info('evacuation-changed', { zone, active });
-    if (active) {
-      evacuated.add(zone);
-    } else {
-      evacuated.delete(zone);
-      servers.recordEvacuationEnd(zone);
-    }
-  }
-
-  const toEvacuationId = ({ key, modRevision }: KeyValue): string => `${key}@${modRevision}`;
-
-  /** Applies one change. Returns whether more than a heartbeat changed. */
-  function apply(event: WatchEvent): boolean {
-    const change = options.decode(event);
-    switch (change.kind) {
-      case 'configuration':
-        applyTable(change.table, event);
-        break;
-      case 'evacuation':
-        if (change.active) {
-          knownEvacuations.add(toEvacuationId(event));
-        }
-        applyEvacuation(change.zone, change.active);
-        break;
-      case 'server':
-        if (!servers.update(change.id, change.registration)) {
-          return false;
-        }
-        log.info('server-changed', {
-          serverId: change.id,
-          state: change.registration?.state ?? 'gone',
-          service: change.registration?.service,
-          zone: change.registration?.zone,
-          coldRemainingMs: change.registration?.coldRemainingMs,
-          revision: event.modRevision,
-        });
-        break;
-      case 'host':
-        if (change.registration === undefined) {
-          hosts.delete(change.id);
-        } else {
-          hosts.set(change.id, change.registration);
-        }
-        break;
-      case 'unreadable':
-      case 'unrelated':
-        break;
-    }
-    return true;
-  }
-
-  /** Whether the item of a restored copy contradicts what this host learned after the copy. */
-  function isOutdated(event: WatchEvent): boolean {
-    const change = options.decode(event);
-    switch (change.kind) {
-      case 'evacuation':
-        // The listing also holds what was written after the restore, which must not wait.
-        return change.active
-          ? !evacuated.has(change.zone) && knownEvacuations.has(toEvacuationId(event))
-          : evacuated.has(change.zone);
-      case 'server':
-        return (
-          change.registration !== undefined && servers.isOutdated(change.id, change.registration)
-        );
-      default:
-        return false;
-    }
-  }
-
-  function isServerListed(event: WatchEvent): boolean {
-    const change = options.decode(event);
-    return change.kind === 'server' && servers.get(change.id) !== undefined;
-  }
+  const { servers } = state;
 
   function applyEvents(events: readonly WatchEvent[]): void {
     const { revision } = replica.position();
     events.forEach(({ key }) => deferred.drop(key));
-    events.filter(apply).forEach(({ key }) => changes.append(key, revision));
+    events.filter(state.apply).forEach(({ key }) => changes.append(key, revision));
     deferred
       .takeDue()
-      .filter((event) => !isOutdated(event) || !isServerListed(event))
-      .forEach(apply);
+      .filter((event) => !state.isOutdated(event) || !state.isOfListedServer(event))
+      .forEach(state.apply);
   }
 
   /**
@@ -199,9 +80,9 @@
     const changedKeys = new Set(changed.map(({ key }) => key));
     // The replica already holds what an earlier copy showed; this host has not applied it yet.
     const events = [...changed, ...waiting.filter(({ key }) => !changedKeys.has(key))];
-    const outdated = new Set(events.filter(isOutdated));
+    const outdated = new Set(events.filter(state.isOutdated));
     outdated.forEach(deferred.defer);
-    events.filter((event) => !outdated.has(event)).forEach(apply);
+    events.filter((event) => !outdated.has(event)).forEach(state.apply);
     changes.reset(listing.revision);
     log.warn('store-restored', {
       era: listing.era,
@@ -210,7 +91,7 @@
       previousRevision: previous.revision,
       changes: events.length,
       deferred: outdated.size,
-      version: table?.version,
+      version: state.table()?.version,
     });
     restoreListeners.forEach((listener) => listener());
   }
@@ -249,17 +130,6 @@
     return era === replica.position().era;
   }
 
-  /** Adopts a newer configuration that a peer keeps in force although the store lost it. */
-  function applyPeerConfiguration(item: KeyValue | null): void {
-    if (item !== null) {
-      const event = { kind: 'put' as const, ...item };
-      const change = options.decode(event);
-      if (change.kind === 'configuration') {
-        applyTable(change.table, item);
-      }
-    }
-  }
-
   function recentHeartbeats(): StoreUpdate['heard'] {
     const nowMs = clock.monotonicMs();
     return servers
@@ -275,10 +145,10 @@
     Number.isFinite(atMs) ? clock.monotonicMs() - atMs : null;
 
   return {
-    table: () => table,
-    isEvacuated: (zone) => evacuated.has(zone),
+    table: state.table,
+    isEvacuated: state.isEvacuated,
     servers,
-    hosts: () => [...hosts.values()],
+    hosts: state.hosts,
     position: replica.position,
     confirmedAtMs: () => confirmedAtMs,
     applyListing(listing) {
@@ -294,7 +164,10 @@
     },
     applyPeerUpdate(update) {
       const nowMs = clock.monotonicMs();
-      applyPeerConfiguration(update.configuration);
+      // A peer keeps a configuration in force although a restored store lost it.
+      if (update.configuration !== null) {
+        state.applyConfiguration(update.configuration);
+      }
       if (update.storeAwayMs !== null) {
         storeLastUnavailableAtMs = Math.max(storeLastUnavailableAtMs, nowMs - update.storeAwayMs);
       }
@@ -308,6 +181,7 @@
     },
     updateSince(since) {
       const position = replica.position();
+      const tableItem = state.tableItem();
       const keys = since.era === position.era ? changes.since(since.revision) : undefined;
       const known = [...(keys ?? [])];
       return {
