Count a request to a limited server before the next one is routed

What servers saw: of 24 requests that arrived together, a server that allows a burst of two got eight, the number that is released per turn of the event loop.

A prepared retry is recorded even later, after another wait. Class of fault: a condition is checked, then others act before its use is recorded.

Change: an admitted attempt is chosen and started without a wait in between. The rate limit counts a request when its destination is chosen, which includes retries that are prepared in advance.

--- a/packages/gateway/src/exchange/forwardToServer.ts
+++ b/packages/gateway/src/exchange/forwardToServer.ts
@@ -197,7 +197,6 @@
     promptTokens: uncachedTokens,
   });
   const capacityTokens = exchange.service.kvCapacityTokens;
-  context.serverRateLimiter.recordSend(server);
   if (capacityTokens !== undefined) {
     context.prefixes.recordPrompt(
       server.incarnation,
--- a/packages/gateway/src/exchange/prepareAttempt.ts
+++ b/packages/gateway/src/exchange/prepareAttempt.ts
@@ -16,18 +16,23 @@
   readonly trial: PartTrial;
 }
 
+/** Counts a request to a server with a limited rate before any other request is routed. */
+function recordChoice(context: GatewayContext, destination: PreparedAttempt['destination']): void {
+  if (destination.kind === 'server') {
+    context.serverRateLimiter.recordSend(destination.server);
+  }
+}
+
 /**
- * Prepares the next attempt as soon as it may be made; undefined if none is possible. The reason is
- * then in the progress.
- *
- * @param startSignal once aborted, no attempt may be made
+ * Waits until the next attempt may be prepared; undefined if its prompt parts are rejected. The
+ * reason is then in the progress.
  */
-export async function prepareAttempt(
+export async function admitAttempt(
   context: GatewayContext,
   exchange: Exchange,
   progress: ExchangeProgress,
   startSignal: AbortSignal,
-): Promise<PreparedAttempt | undefined> {
+): Promise<PartTrial | undefined> {
   const admission = await admitPromptParts(context, exchange, progress.runs > 0, startSignal);
   if (admission.kind === 'rejected') {
     progress.causes.push(admission.cause);
@@ -35,10 +40,26 @@
     progress.retryAfterMs = admission.retryAfterMs;
     return undefined;
   }
-  const { trial } = admission;
+  await context.dispatchQueue.wait(startSignal);
+  return admission.trial;
+}
+
+/**
+ * Prepares an admitted attempt; undefined if none is possible, with the reason in the progress. Must
+ * be followed by the attempt without waiting, so that the next choice sees the load of this one.
+ *
+ * @param startSignal once aborted, no attempt may be made
+ * @param trial ended here if no attempt is possible
+ */
+export function prepareAttempt(
+  context: GatewayContext,
+  exchange: Exchange,
+  progress: ExchangeProgress,
+  startSignal: AbortSignal,
+  trial: PartTrial,
+): PreparedAttempt | undefined {
   let prepared: PreparedAttempt | undefined;
   try {
-    await context.dispatchQueue.wait(startSignal);
     const remainingMs = exchange.deadlineAtMs - context.clock.monotonicMs();
     if (startSignal.aborted || remainingMs <= 0) {
       progress.stopCause = 'ended';
@@ -62,6 +83,7 @@
       progress.causes.push('retry budget exhausted');
       progress.stopCause = 'retry-budget';
     } else {
+      recordChoice(context, destination);
       prepared = { destination, trial };
     }
     return prepared;
@@ -96,5 +118,6 @@
     admission.trial.end();
     return undefined;
   }
+  recordChoice(context, destination);
   return { destination, trial: admission.trial };
 }
--- a/packages/gateway/src/exchange/runAttempts.ts
+++ b/packages/gateway/src/exchange/runAttempts.ts
@@ -5,7 +5,7 @@
 import { forwardToPeer } from './forwardToPeer.js';
 import { forwardToServer } from './forwardToServer.js';
 import type { GatewayContext } from './GatewayContext.js';
-import { prepareAttempt, tryPrepareNextAttempt } from './prepareAttempt.js';
+import { admitAttempt, prepareAttempt, tryPrepareNextAttempt } from './prepareAttempt.js';
 import type { PreparedAttempt } from './prepareAttempt.js';
 import type { StopCause } from './StopCause.js';
 
@@ -187,13 +187,17 @@
   }
   try {
     for (;;) {
-      const prepared = reserved ?? (await prepareAttempt(context, exchange, progress, startSignal));
+      let prepared: PreparedAttempt | undefined;
       if (reserved !== undefined) {
         await context.dispatchQueue.wait(startSignal);
         if (startSignal.aborted) {
           return result;
         }
+        prepared = reserved;
         reserved = undefined;
+      } else {
+        const trial = await admitAttempt(context, exchange, progress, startSignal);
+        prepared = trial && prepareAttempt(context, exchange, progress, startSignal, trial);
       }
       const mayRepeat = prepared !== undefined && (await attempt(prepared));
       if (!mayRepeat) {
