Pass on the error of a server when no other one is left to try

Found in review: a request whose silent server had been given up waited for a destination also when another server had answered with an error, until its deadline if none came, and ran once more where one did. The error is the answer then.

An attempt that would follow a silent one is no longer prepared once the deadline has passed; by reading, without a test.

--- a/packages/gateway/src/exchange/prepareAttempt.ts
+++ b/packages/gateway/src/exchange/prepareAttempt.ts
@@ -104,6 +104,10 @@
   progress: ExchangeProgress,
 ): PreparedAttempt | undefined {
   const remainingMs = exchange.deadlineAtMs - context.clock.monotonicMs();
+  // The timer of a silent server can run before the one of the deadline on a busy host.
+  if (remainingMs <= 0) {
+    return undefined;
+  }
   const destination = context.router.choose(
     toRoutingRequest(exchange, { ...progress, runs: progress.runs + 1 }, remainingMs),
   );
--- a/packages/gateway/src/exchange/runAttempts.ts
+++ b/packages/gateway/src/exchange/runAttempts.ts
@@ -131,7 +131,8 @@
   startSignal: AbortSignal,
 ): boolean {
   return (
-    (exchange.responseWriter.isStarted() || progress.hasGivenUpServer) &&
+    (exchange.responseWriter.isStarted() ||
+      (progress.hasGivenUpServer && progress.errorResponse === undefined)) &&
     exchange.route.idempotent &&
     progress.runs < maxRuns(exchange) &&
     !LASTING_STOP_CAUSES.has(progress.stopCause) &&
