--- a/packages/gateway/src/lifecycle/createEntryHost.ts
+++ b/packages/gateway/src/lifecycle/createEntryHost.ts
@@ -21,12 +21,12 @@
 import { createStoreUpdateExchange } from '../peers/createStoreUpdateExchange.js';
 import { runPeerStoreFollower } from '../peers/runPeerStoreFollower.js';
 import { runCacheFollower } from '../routing/runCacheFollower.js';
-import { formatEndpoint } from '../upstream/createConnectionPools.js';
 import { chooseDirectoryHosts } from './chooseDirectoryHosts.js';
 import { createDrainState } from './createDrainState.js';
 import type { DrainProgress } from './createDrainState.js';
 import { createEventLoopMonitor } from './createEventLoopMonitor.js';
 import { createGatewayContext } from './createGatewayContext.js';
+import { createHousekeeping } from './createHousekeeping.js';
 import type { EntryHostOptions } from './EntryHostOptions.js';
 
 const WATCH_WAIT_MS = 2_000;
@@ -83,8 +83,7 @@
     closing: drain.closing,
     regionHosts,
   });
-  const { loads, speeds, paces, health, prefixes, crashGuard, serverConnections, peerConnections } =
-    context;
+  const { loads, paces, prefixes, crashGuard, serverConnections, peerConnections } = context;
   const inFlight = createInFlightTracker();
 
   function currentState(): HostState {
@@ -169,31 +168,15 @@
   crashGuard.onCrash(heartbeats.sendToAll);
   context.partTrials.onStart(heartbeats.sendToAll);
 
-  function runHousekeeping(): void {
-    const table = view.table();
-    if (table !== undefined) {
-      callerListener.applyLimits(table.limits);
-    }
-    options.metrics.gauge('configuration_version', table?.version ?? 0);
-    options.metrics.gauge('store_era', view.position().era);
-    options.metrics.gauge('store_revision', view.position().revision);
-    options.metrics.gauge('in_flight', inFlight.count());
-    options.metrics.gauge('peers_reachable', peers.alive().length);
-    options.metrics.gauge('store_age_ms', clock.monotonicMs() - view.confirmedAtMs());
-    const incarnations = new Set(view.servers.all().map(({ incarnation }) => incarnation));
-    const { serverRateLimiter } = context;
-    [speeds, health, prefixes, crashGuard, serverRateLimiter].forEach((tracker) =>
-      tracker.retain(incarnations),
-    );
-    context.serverLimits.retain(view.servers.all());
-    context.leavingServers.retain(view.servers.all());
-    context.serverPauses.endElapsed();
-    paces.retain(new Set(view.servers.all().map(({ registration }) => registration.id)));
-    serverConnections.retain(incarnations);
-    peerConnections.retain(
-      new Set(peers.known().map(({ heartbeat }) => formatEndpoint(heartbeat.host.peers))),
-    );
-  }
+  const runHousekeeping = createHousekeeping({
+    clock,
+    metrics: options.metrics,
+    context,
+    view,
+    peers,
+    inFlight: inFlight.count,
+    applyLimits: callerListener.applyLimits,
+  });
   const eventLoopMonitor = createEventLoopMonitor(clock, log, options.metrics);
   const housekeeping = setInterval(
     logFailures(log, 'housekeeping-failed', runHousekeeping),
--- /dev/null
+++ b/packages/gateway/src/lifecycle/createHousekeeping.ts
@@ -0,0 +1,50 @@
+import type { Clock, MetricsSink } from '@camphorbarrow/core';
+import type { GatewayContext } from '../exchange/GatewayContext.js';
+import type { FleetView } from '../fleet/createFleetView.js';
+import type { CallerLimits } from '../model/CallerLimits.js';
+import type { PeerRegistry } from '../peers/createPeerRegistry.js';
+import { formatEndpoint } from '../upstream/createConnectionPools.js';
+
+export interface HousekeepingOptions {
+  readonly clock: Clock;
+  readonly metrics: MetricsSink;
+  readonly context: GatewayContext;
+  readonly view: FleetView;
+  readonly peers: PeerRegistry;
+  /** Number of requests in flight. */
+  readonly inFlight: () => number;
+  /** Applies the limits of the configuration in force to callers' connections. */
+  readonly applyLimits: (limits: CallerLimits) => void;
+}
+
+/** Creates the periodic work that reports gauges and drops state of removed servers and peers. */
+export function createHousekeeping(options: HousekeepingOptions): () => void {
+  const { clock, metrics, context, view, peers } = options;
+  const { speeds, health, prefixes, crashGuard, serverRateLimiter, paces } = context;
+
+  return () => {
+    const table = view.table();
+    if (table !== undefined) {
+      options.applyLimits(table.limits);
+    }
+    metrics.gauge('configuration_version', table?.version ?? 0);
+    metrics.gauge('store_era', view.position().era);
+    metrics.gauge('store_revision', view.position().revision);
+    metrics.gauge('in_flight', options.inFlight());
+    metrics.gauge('peers_reachable', peers.alive().length);
+    metrics.gauge('store_age_ms', clock.monotonicMs() - view.confirmedAtMs());
+    const servers = view.servers.all();
+    const incarnations = new Set(servers.map(({ incarnation }) => incarnation));
+    [speeds, health, prefixes, crashGuard, serverRateLimiter].forEach((tracker) =>
+      tracker.retain(incarnations),
+    );
+    context.serverLimits.retain(servers);
+    context.leavingServers.retain(servers);
+    context.serverPauses.endElapsed();
+    paces.retain(new Set(servers.map(({ registration }) => registration.id)));
+    context.serverConnections.retain(incarnations);
+    context.peerConnections.retain(
+      new Set(peers.known().map(({ heartbeat }) => formatEndpoint(heartbeat.host.peers))),
+    );
+  };
+}
