--- a/packages/gateway/src/model/FleetChange.ts
+++ b/packages/gateway/src/model/FleetChange.ts
@@ -12,11 +12,16 @@
       readonly id: ServerId;
       /** Undefined if the entry was removed or does not describe a usable server. */
       readonly registration: ServerRegistration | undefined;
+      /** Why the entry does not describe a usable server. */
+      readonly problem?: string | undefined;
     }
   | {
       readonly kind: 'host';
       readonly id: HostId;
+      /** Undefined if the entry was removed or does not describe a usable host. */
       readonly registration: HostRegistration | undefined;
+      /** Why the entry does not describe a usable host. */
+      readonly problem?: string | undefined;
     }
   | { readonly kind: 'unreadable'; readonly problem: string }
   | { readonly kind: 'unrelated' };
