--- a/packages/gateway/src/exchange/GatewayContext.ts
+++ b/packages/gateway/src/exchange/GatewayContext.ts
@@ -9,8 +9,10 @@
 } from '@camphorbarrow/core';
 import type { RetryBudget } from '../limits/createRetryBudget.js';
 import type { CrashGuard } from '../limits/createCrashGuard.js';
+import type { LeavingServers } from '../limits/createLeavingServers.js';
 import type { PartTrials } from '../limits/createPartTrials.js';
 import type { ServerLimits } from '../limits/createServerLimits.js';
+import type { ServerPauses } from '../limits/createServerPauses.js';
 import type { ServerRateLimiter } from '../limits/createServerRateLimiter.js';
 import type { WireCodec } from '../ports/WireCodec.js';
 import type { TransitTracker } from '../peers/createTransitTracker.js';
@@ -34,6 +36,8 @@
   readonly metrics: MetricsSink;
   readonly codec: WireCodec;
   readonly router: Router;
+  /** Aborts when this host stops and ends the requests that are still in flight. */
+  readonly closing: AbortSignal;
   readonly dispatchQueue: DispatchQueue;
   /** Load of the servers and peers. */
   readonly loads: LoadTracker;
@@ -49,6 +53,9 @@
   readonly serverRateLimiter: ServerRateLimiter;
   /** Request rates that servers named. */
   readonly serverLimits: ServerLimits;
+  readonly leavingServers: LeavingServers;
+  /** Pauses that servers asked of this host. */
+  readonly serverPauses: ServerPauses;
   readonly retryBudget: RetryBudget;
   readonly crashGuard: CrashGuard;
   /** Prompt parts that are suspected of crashing servers. */
--- a/packages/gateway/src/exchange/receiveResponse.ts
+++ b/packages/gateway/src/exchange/receiveResponse.ts
@@ -28,6 +28,8 @@
   readonly onEvents: (count: number) => void;
   /** Longest pause between events; undefined for no limit. */
   readonly maxEventGapMs: number | undefined;
+  /** Checked after such a pause; while it returns true, the stream is not ended. */
+  readonly keepWaiting?: () => boolean;
 }
 
 /** Whether the response carries the attempt id of this request and not of another one. */
@@ -35,6 +37,20 @@
   return metadata.attemptId === exchange.metadata.attemptId;
 }
 
+/**
+ * Whether the response comes from the server that the request was sent to, and not from another one
+ * that got its address. A response that names no server shows it by the attempt id.
+ */
+export function comesFrom(
+  server: ServerId,
+  exchange: Exchange,
+  metadata: ResponseMetadata,
+): boolean {
+  return metadata.serverId === undefined
+    ? metadata.attemptId !== undefined && belongsTo(exchange, metadata)
+    : metadata.serverId === server;
+}
+
 /**
  * Whether the address now belongs to another server. Such a server sends its own id without the
  * attempt id, and has not run the request. The intended server itself may be running it.
@@ -72,6 +88,7 @@
     onFirstEvent: startResponse,
     onEvents: options.onEvents,
     maxEventGapMs: options.maxEventGapMs,
+    ...(options.keepWaiting === undefined ? {} : { keepWaiting: options.keepWaiting }),
     signal: options.signal,
   });
   if (result.cause === 'cancelled') {
--- a/packages/gateway/src/lifecycle/createDrainState.ts
+++ b/packages/gateway/src/lifecycle/createDrainState.ts
@@ -1,3 +1,4 @@
+import { setMaxListeners } from 'node:events';
 import type { Clock } from '@camphorbarrow/core';
 
 /**
@@ -7,38 +8,92 @@
 const SERVE_WHILE_DRAINING_MS = 3_000;
 /** Time reserved at the end of the grace period for closing connections. */
 const CLOSE_MARGIN_MS = 700;
+/** Part of that time in which the last responses are sent. */
+const FLUSH_MS = 400;
 const POLL_MS = 100;
+const FLUSH_POLL_MS = 5;
+
+/** Progress of a drain, for the log. */
+export interface DrainProgress {
+  readonly inFlight: number;
+  /** Time since the start of the drain. */
+  readonly elapsedMs: number;
+  readonly graceMs: number;
+}
 
 export interface DrainState {
   isDraining(): boolean;
-  /** Whether new requests are rejected. */
+  /** Whether every new request is rejected. */
   isRejectingRequests(): boolean;
+  /**
+   * Whether a new request is served: always before a drain; during one, only a request whose
+   * deadline passes before connections are closed, so that it gets its response in any case.
+   */
+  acceptsRequest(deadlineAtMs: number): boolean;
+  /** Time until connections are closed; undefined before a drain. */
+  closesInMs(): number | undefined;
+  describe(inFlight: number): DrainProgress;
   start(): void;
+  /** Aborts when requests that are still in flight have to end. */
+  readonly closing: AbortSignal;
+  /** Rejects all further requests and ends those in flight. */
+  startClosing(): void;
   /**
    * Resolves when no request is in flight after the serving time, but at the latest shortly before
    * the grace period ends.
    */
   waitUntilDrained(inFlight: () => number): Promise<void>;
+  /** Resolves when no request is in flight, but in time before the grace period ends. */
+  waitUntilFlushed(inFlight: () => number): Promise<void>;
 }
 
-/** Creates the state of a graceful shutdown. */
+/**
+ * Creates the state of a graceful shutdown.
+ *
+ * @param graceMs time between the start of a drain and the end of the process, read at the start
+ */
 export function createDrainState(clock: Clock, graceMs: () => number): DrainState {
-  let startAtMs: number | undefined;
-  const elapsedMs = (): number => (startAtMs === undefined ? 0 : clock.monotonicMs() - startAtMs);
+  let startAtMs = Infinity;
+  /** Time at which connections are closed. */
+  let closeAtMs = Infinity;
+  const closing = new AbortController();
+  // Every request in flight listens.
+  setMaxListeners(0, closing.signal);
+
+  const isDraining = (): boolean => startAtMs !== Infinity;
+  const isRejectingRequests = (): boolean =>
+    closing.signal.aborted ||
+    clock.monotonicMs() >= Math.min(startAtMs + SERVE_WHILE_DRAINING_MS, closeAtMs);
 
   return {
-    isDraining: () => startAtMs !== undefined,
-    isRejectingRequests: () => elapsedMs() > SERVE_WHILE_DRAINING_MS,
+    closing: closing.signal,
+    isDraining,
+    isRejectingRequests,
+    acceptsRequest: (deadlineAtMs) => !isRejectingRequests() && deadlineAtMs <= closeAtMs,
+    closesInMs: () => (isDraining() ? Math.max(0, closeAtMs - clock.monotonicMs()) : undefined),
+    describe: (inFlight) => ({
+      inFlight,
+      elapsedMs: Math.round(clock.monotonicMs() - startAtMs),
+      graceMs: Math.round(closeAtMs + CLOSE_MARGIN_MS - startAtMs),
+    }),
     start() {
-      startAtMs ??= clock.monotonicMs();
+      if (!isDraining()) {
+        startAtMs = clock.monotonicMs();
+        closeAtMs = startAtMs + graceMs() - CLOSE_MARGIN_MS;
+      }
+    },
+    startClosing() {
+      closing.abort();
     },
     async waitUntilDrained(inFlight) {
-      while (
-        elapsedMs() < graceMs() - CLOSE_MARGIN_MS &&
-        (elapsedMs() <= SERVE_WHILE_DRAINING_MS || inFlight() > 0)
-      ) {
+      while (clock.monotonicMs() < closeAtMs && (!isRejectingRequests() || inFlight() > 0)) {
         await clock.sleep(POLL_MS);
       }
     },
+    async waitUntilFlushed(inFlight) {
+      while (clock.monotonicMs() < closeAtMs + FLUSH_MS && inFlight() > 0) {
+        await clock.sleep(FLUSH_POLL_MS);
+      }
+    },
   };
 }
--- a/packages/gateway/src/lifecycle/createEntryHost.ts
+++ b/packages/gateway/src/lifecycle/createEntryHost.ts
@@ -4,12 +4,15 @@
 import type { HostId, RegionId } from '@camphorbarrow/core';
 import { logFailures } from '../errors/logFailures.js';
 import { createChangeDecoder } from '../fleet/createChangeDecoder.js';
+import { createCacheResponseRecorder } from '../exchange/createCacheResponseRecorder.js';
 import { createFleetView } from '../fleet/createFleetView.js';
 import type { FleetView } from '../fleet/createFleetView.js';
 import { runHostRegistration } from '../fleet/runHostRegistration.js';
 import { runStoreFollower } from '../fleet/runStoreFollower.js';
+import { createInFlightTracker } from '../ingress/createInFlightTracker.js';
 import { createListener } from '../ingress/createListener.js';
 import { createRequestHandler } from '../ingress/createRequestHandler.js';
+import type { RequestHandler } from '../ingress/createRequestHandler.js';
 import type { HostRegistration } from '../model/HostRegistration.js';
 import { createHeartbeats } from '../peers/createHeartbeats.js';
 import { createPeerRegistry } from '../peers/createPeerRegistry.js';
@@ -21,6 +24,7 @@
 import { formatEndpoint } from '../upstream/createConnectionPools.js';
 import { chooseDirectoryHosts } from './chooseDirectoryHosts.js';
 import { createDrainState } from './createDrainState.js';
+import type { DrainProgress } from './createDrainState.js';
 import { createEventLoopMonitor } from './createEventLoopMonitor.js';
 import { createGatewayContext } from './createGatewayContext.js';
 import type { EntryHostOptions } from './EntryHostOptions.js';
@@ -76,11 +80,12 @@
     peers,
     view,
     ownIncarnation,
+    closing: drain.closing,
     regionHosts,
   });
   const { loads, speeds, paces, health, prefixes, crashGuard, serverConnections, peerConnections } =
     context;
-  let inFlight = 0;
+  const inFlight = createInFlightTracker();
 
   function currentState(): HostState {
     if (drain.isDraining()) {
@@ -89,23 +94,16 @@
     return view.table() === undefined ? 'starting' : 'ready';
   }
 
-  const createHandler = (source: 'callers' | 'peers'): ReturnType<typeof createRequestHandler> => {
-    const handle = createRequestHandler({
-      context,
-      view,
-      isDraining: drain.isDraining,
-      isRejectingRequests: drain.isRejectingRequests,
-      source,
-    });
-    return async (request, response) => {
-      inFlight += 1;
-      try {
-        await handle(request, response);
-      } finally {
-        inFlight -= 1;
-      }
-    };
-  };
+  const createHandler = (source: 'callers' | 'peers'): RequestHandler =>
+    inFlight.wrap(
+      createRequestHandler({
+        context,
+        view,
+        isDraining: drain.isDraining,
+        acceptsRequest: drain.acceptsRequest,
+        source,
+      }),
+    );
 
   const storeUpdates = createStoreUpdateExchange(view, peerConnections);
   const storeReaders = createRegionStoreReaders({
@@ -130,6 +128,7 @@
     maxConnections: options.maxConnections,
   });
 
+  const listeners = [callerListener, peerListener];
   peerListener.server.keepAliveTimeout = PEER_LISTENER_IDLE_TIMEOUT_MS;
 
   const heartbeats = createHeartbeats({
@@ -144,6 +143,7 @@
       incarnation: ownIncarnation,
       sentAtMs: clock.monotonicMs(),
       state: currentState(),
+      closesInMs: drain.closesInMs(),
       storePosition: view.position(),
       configurationVersion: view.table()?.version ?? 0,
       loads: loads.ownLoads(),
@@ -177,7 +177,7 @@
     options.metrics.gauge('configuration_version', table?.version ?? 0);
     options.metrics.gauge('store_era', view.position().era);
     options.metrics.gauge('store_revision', view.position().revision);
-    options.metrics.gauge('in_flight', inFlight);
+    options.metrics.gauge('in_flight', inFlight.count());
     options.metrics.gauge('peers_reachable', peers.alive().length);
     options.metrics.gauge('store_age_ms', clock.monotonicMs() - view.confirmedAtMs());
     const incarnations = new Set(view.servers.all().map(({ incarnation }) => incarnation));
@@ -186,6 +186,8 @@
       tracker.retain(incarnations),
     );
     context.serverLimits.retain(view.servers.all());
+    context.leavingServers.retain(view.servers.all());
+    context.serverPauses.endElapsed();
     paces.retain(new Set(view.servers.all().map(({ registration }) => registration.id)));
     serverConnections.retain(incarnations);
     peerConnections.retain(
@@ -219,6 +221,7 @@
       renewEveryMs: HOST_LEASE_RENEWAL_MS,
       random: options.random,
       isRegistered: () => view.hosts().some(({ id }) => id === own.id),
+      hostCount: () => peers.known().length + 1,
       onStoreRestored: view.onRestored,
       signal: stop.signal,
     }),
@@ -229,9 +232,12 @@
       region: own.region,
       regionHosts,
       view,
-      feed: options.createCacheFeed(serverConnections),
+      feed: options.createCacheFeed(serverConnections, createCacheResponseRecorder(context)),
       prefixes,
-      isLimited: (server) => context.serverLimits.limitOf(server) !== undefined,
+      mayCall: (server) =>
+        context.serverLimits.limitOf(server) === undefined &&
+        !context.leavingServers.isLeaving(server) &&
+        context.serverPauses.remainingMs(server) === 0,
       signal: stop.signal,
     }),
     runPeerStoreFollower({
@@ -249,15 +255,26 @@
   async function drainAndStop(): Promise<void> {
     drain.start();
     heartbeats.sendToAll();
-    log.info('drain-began', { inFlight });
-    await drain.waitUntilDrained(() => inFlight);
-    log.info('drain-ended', { inFlight });
+    const describeDrain = (): DrainProgress => drain.describe(inFlight.count());
+    log.info('drain-began', { ...describeDrain() });
+    await drain.waitUntilDrained(inFlight.count);
+    listeners.forEach((listener) => listener.stopListening());
+    log.info('drain-ended', { ...describeDrain() });
+    drain.startClosing();
+    heartbeats.sendToAll();
     stop.abort();
     await Promise.race([Promise.all(tasks), clock.sleep(UNREGISTER_TIMEOUT_MS)]);
+    await drain.waitUntilFlushed(inFlight.count);
+    log.info('connections-closed', { ...describeDrain() });
+    options.metrics.increment(
+      'incomplete_responses',
+      { kind: 'unknown', failure: 'none', stop: 'shutdown' },
+      inFlight.count(),
+    );
     clearInterval(housekeeping);
     eventLoopMonitor.close();
     heartbeats.close();
-    [callerListener, peerListener].forEach((listener) => listener.close());
+    listeners.forEach((listener) => listener.close());
     serverConnections.close();
     peerConnections.close();
     store.close();
--- a/packages/gateway/src/lifecycle/createGatewayContext.ts
+++ b/packages/gateway/src/lifecycle/createGatewayContext.ts
@@ -3,8 +3,10 @@
 import type { GatewayContext } from '../exchange/GatewayContext.js';
 import type { FleetView } from '../fleet/createFleetView.js';
 import { createCrashGuard } from '../limits/createCrashGuard.js';
+import { createLeavingServers } from '../limits/createLeavingServers.js';
 import { createPartTrials } from '../limits/createPartTrials.js';
 import { createServerLimits } from '../limits/createServerLimits.js';
+import { createServerPauses } from '../limits/createServerPauses.js';
 import { createServerRateLimiter } from '../limits/createServerRateLimiter.js';
 import { createRetryBudget } from '../limits/createRetryBudget.js';
 import type { PeerRegistry } from '../peers/createPeerRegistry.js';
@@ -36,6 +38,8 @@
   readonly peers: PeerRegistry;
   readonly view: FleetView;
   readonly ownIncarnation: string;
+  /** Aborts when requests in flight have to end. */
+  readonly closing: AbortSignal;
   /** Active entry hosts of this region, including this one. */
   readonly regionHosts: () => readonly HostId[];
 }
@@ -56,6 +60,8 @@
   const health = createServerHealth(clock);
   const prefixes = createPrefixCacheTracker(clock);
   const serverLimits = createServerLimits({ clock, log, metrics });
+  const leavingServers = createLeavingServers({ clock, log, metrics });
+  const serverPauses = createServerPauses({ clock, log, metrics });
   const serverRateLimiter = createServerRateLimiter({
     clock,
     ownId: own.id,
@@ -71,6 +77,8 @@
     paces,
     health,
     serverLimits,
+    leavingServers,
+    serverPauses,
   });
   const router = createRouter({
     chooseLocal: createLocalChooser({
@@ -86,7 +94,7 @@
       serverRateLimiter,
       serverLimits,
     }),
-    chooseRegion: createRegionChooser({ random, region, peers, loads }),
+    chooseRegion: createRegionChooser({ clock, random, region, peers, loads }),
     loads,
   });
   const partSuspicion = createPartSuspicion(clock);
@@ -103,6 +111,7 @@
     metrics,
     codec,
     router,
+    closing: options.closing,
     dispatchQueue: createDispatchQueue(),
     loads,
     speeds,
@@ -112,6 +121,8 @@
     prefixes,
     serverRateLimiter,
     serverLimits,
+    leavingServers,
+    serverPauses,
     retryBudget: createRetryBudget({ clock, bounds, hostCount: () => peers.known().length + 1 }),
     crashGuard: createCrashGuard({ clock, log, suspicion: partSuspicion, refusesConnections }),
     partSuspicion,
--- a/packages/gateway/src/peers/WireHeartbeat.ts
+++ b/packages/gateway/src/peers/WireHeartbeat.ts
@@ -17,6 +17,8 @@
   readonly at: number;
   readonly echo?: HeartbeatEcho;
   readonly state: HostState;
+  /** Time in ms until a draining sender closes its connections; omitted if it does not drain. */
+  readonly closes?: number;
   readonly rev: number;
   /** Era of `rev`; omitted if it is 0. */
   readonly era?: number;
--- a/packages/gateway/src/peers/heartbeatCodec.ts
+++ b/packages/gateway/src/peers/heartbeatCodec.ts
@@ -46,6 +46,7 @@
     inc: heartbeat.incarnation,
     at: heartbeat.sentAtMs,
     state: heartbeat.state,
+    ...(heartbeat.closesInMs === undefined ? {} : { closes: Math.floor(heartbeat.closesInMs) }),
     rev: heartbeat.storePosition.revision,
     ...(heartbeat.storePosition.era === 0 ? {} : { era: heartbeat.storePosition.era }),
     ...(heartbeat.configurationVersion === 0 ? {} : { cfg: heartbeat.configurationVersion }),
@@ -102,6 +103,7 @@
     sentAtMs: message.at,
     echo: message.echo,
     state: message.state,
+    ...(message.closes === undefined ? {} : { closesInMs: message.closes }),
     storePosition: { era: message.era ?? 0, revision: message.rev },
     configurationVersion: message.cfg ?? 0,
     loads: new Map(
--- a/packages/gateway/src/routing/Destination.ts
+++ b/packages/gateway/src/routing/Destination.ts
@@ -1,4 +1,4 @@
-import type { ServerId } from '@camphorbarrow/core';
+import type { HostId, ServerId } from '@camphorbarrow/core';
 import type { Route } from '../model/Route.js';
 import type { RequestMetadata } from '../model/RequestMetadata.js';
 import type { ServerState } from '../model/ServerState.js';
@@ -21,6 +21,8 @@
   readonly triedServers: ReadonlySet<ServerId>;
   /** Regions with a host that rejected the request or was unreachable; they are not tried again. */
   readonly triedRegions: ReadonlySet<string>;
+  /** Draining hosts that rejected the request. */
+  readonly rejectingHosts: ReadonlySet<HostId>;
   /** Whether a server may already have run the request; it is then not rejected for overload. */
   readonly isRetry: boolean;
   /** Whether another entry host relayed the request; it must then be processed in this region. */
@@ -28,6 +30,11 @@
 }
 
 export type LocalChoice = Extract<Destination, { kind: 'server' }>;
+/** Rejection of a request that no server of this region can receive. */
+export type LocalRejection = Exclude<
+  Extract<Destination, { kind: 'none' }>,
+  { reason: 'overloaded' }
+>;
 export type RegionChoice = Extract<Destination, { kind: 'region' }>;
 
 /** Where to send a request. `estimateMs` is the expected time to the first event or response. */
@@ -62,7 +69,22 @@
       /** Like `finishMs`, for a response of typical length. */
       readonly typicalFinishMs: number;
     }
-  | { readonly kind: 'none'; readonly reason: 'no-server' | 'rate-limited' }
+  | {
+      readonly kind: 'none';
+      /**
+       * - `rate-limited`: all usable servers are cold or have named a limit, and may not receive
+       *   more requests of this host now.
+       * - `servers-leaving`: the servers that are left are about to stop.
+       */
+      readonly reason: 'no-server' | 'rate-limited' | 'servers-leaving';
+    }
+  | {
+      readonly kind: 'none';
+      /** All servers that are not leaving have asked this host for a pause. */
+      readonly reason: 'servers-paused';
+      /** Time until the first of the pauses ends. */
+      readonly retryAfterMs: number;
+    }
   | {
       readonly kind: 'none';
       readonly reason: 'overloaded';
