Take work that grows with the fleet off the paths of an entry host

Hosts of an earlier build rank differently: while a fleet is updated, up to twice as many hosts as planned send to a cold server.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -87,6 +87,7 @@
 export * from './peers/WireHeartbeat.js';
 export * from './peers/createHeartbeats.js';
 export * from './peers/createPeerRegistry.js';
+export * from './peers/createPeerTotals.js';
 export * from './peers/createRegionStoreReaders.js';
 export * from './peers/createStoreUpdateExchange.js';
 export * from './peers/createTransitTracker.js';
--- a/packages/gateway/src/limits/createServerLimits.ts
+++ b/packages/gateway/src/limits/createServerLimits.ts
@@ -63,6 +63,10 @@
     metrics.gauge('limited_servers', limited.length);
   }
 
+  // Called for every server of each choice; servers rarely name limits.
+  const limitOfServer = ({ registration }: ServerState): NamedLimit | undefined =>
+    limits.size === 0 ? undefined : limits.get(lifetimeId(registration));
+
   return {
     recordResponse({ registration }, requestsPerSecond) {
       const lifetime = lifetimeId(registration);
@@ -93,9 +97,9 @@
         }
       });
     },
-    limitOf: ({ registration }) => limits.get(lifetimeId(registration))?.requestsPerSecond,
-    isOutdated({ registration }) {
-      const limit = limits.get(lifetimeId(registration));
+    limitOf: (server) => limitOfServer(server)?.requestsPerSecond,
+    isOutdated(server) {
+      const limit = limitOfServer(server);
       return (
         limit?.requestsPerSecond !== undefined &&
         clock.monotonicMs() - limit.atMs > RECHECK_AFTER_MS
--- a/packages/gateway/src/routing/createLoadTracker.ts
+++ b/packages/gateway/src/routing/createLoadTracker.ts
@@ -1,5 +1,6 @@
 import type { Clock, ServerId } from '@camphorbarrow/core';
 import type { ServerLoad } from '../model/ServerLoad.js';
+import { createPeerTotals } from '../peers/createPeerTotals.js';
 import type { HostLoad, PeerHeartbeat } from '../peers/PeerHeartbeat.js';
 
 /** Older load reports are ignored. */
@@ -49,15 +50,10 @@
   readonly heartbeat: Pick<PeerHeartbeat, 'loads'>;
 }
 
-function addLoads(a: HostLoad, b: HostLoad): HostLoad {
-  const pendingTokens = new Map(a.pendingTokens);
-  b.pendingTokens.forEach((tokens, rank) => {
-    pendingTokens.set(rank, (pendingTokens.get(rank) ?? 0) + tokens);
-  });
-  return {
-    running: a.running + b.running,
-    pendingTokens,
-  };
+/** Load of the peers at one server. */
+interface PeerLoadTotal extends Counters {
+  /** Number of peers that report a load at the server. */
+  reporters: number;
 }
 
 function tokensUpTo(rank: number, { pendingTokens }: HostLoad): number {
@@ -69,8 +65,8 @@
 }
 
 /**
- * Creates a tracker. `peers` returns the other hosts that use the same servers; their reported loads
- * are summed once per returned array.
+ * Creates a tracker. `peers` returns the other hosts that use the same servers, in the same array
+ * until one of them reports again.
  */
 export function createLoadTracker(clock: Clock, peers: () => readonly PeerLoads[]): LoadTracker {
   const counters = new Map<ServerId, Counters>();
@@ -84,22 +80,25 @@
   }
 
   const ownLoad = (server: ServerId): HostLoad => counters.get(server) ?? NO_LOAD;
-  let summedPeers: readonly PeerLoads[] = [];
-  let sums = new Map<ServerId, HostLoad>();
+  const totals = new Map<ServerId, PeerLoadTotal>();
+  const updateTotals = createPeerTotals<PeerLoads['heartbeat']>(peers, (heartbeat, change) =>
+    heartbeat.loads.forEach((load, server) => {
+      const total = totals.get(server) ?? { running: 0, pendingTokens: new Map(), reporters: 0 };
+      totals.set(server, total);
+      total.running += change * load.running;
+      load.pendingTokens.forEach((tokens, rank) => {
+        total.pendingTokens.set(rank, (total.pendingTokens.get(rank) ?? 0) + change * tokens);
+      });
+      total.reporters += change;
+      if (total.reporters === 0) {
+        totals.delete(server);
+      }
+    }),
+  );
 
   function peerLoad(server: ServerId): HostLoad {
-    const current = peers();
-    if (current !== summedPeers) {
-      summedPeers = current;
-      sums = new Map();
-      current.forEach(({ heartbeat }) =>
-        heartbeat.loads.forEach((load, id) => {
-          const sum = sums.get(id);
-          sums.set(id, sum === undefined ? load : addLoads(sum, load));
-        }),
-      );
-    }
-    return sums.get(server) ?? NO_LOAD;
+    updateTotals();
+    return totals.get(server) ?? NO_LOAD;
   }
 
   return {
--- a/packages/gateway/src/routing/createLocalChooser.ts
+++ b/packages/gateway/src/routing/createLocalChooser.ts
@@ -13,9 +13,9 @@
 import type { SpeedTracker } from './createSpeedTracker.js';
 import type { RoutingRequest, LocalChoice, LocalRejection } from './Destination.js';
 import { estimateFinish } from './estimateFinish.js';
-import { planCacheFetch } from './planCacheFetch.js';
+import { longestPrefix, planCacheFetch } from './planCacheFetch.js';
 import { prefillRank } from './prefillRank.js';
-import { rankByRendezvous } from './rankByRendezvous.js';
+import { pickByRendezvous } from './rankByRendezvous.js';
 import type { Scored } from './Scored.js';
 
 /** Part of the prefill time that is added to the score of all but the preferred server. */
@@ -61,21 +61,19 @@
   const lastShared = sharedParts(request.metadata.promptParts).at(-1);
   return lastShared === undefined
     ? undefined
-    : rankByRendezvous(
+    : pickByRendezvous(
         lastShared.id,
         servers.map(({ registration }) => registration.id),
-      )[0];
+      );
 }
 
 /** Creates a chooser among the servers of this region. */
 export function createLocalChooser(options: LocalChooserOptions): LocalChooser {
   const { servers, peers, loads, speeds, paces, health, prefixes } = options;
 
-  function hasFreeConnection(server: ServerState, service: ServiceSpec): boolean {
-    const hosts = peers.aliveIn(options.region).length + 1;
-    return (
-      loads.ownLoad(server.registration.id).running < Math.floor(service.maxConnections / hosts)
-    );
+  /** Number of connections to a server of the service that this host may use. */
+  function connectionShare({ maxConnections }: ServiceSpec): number {
+    return Math.floor(maxConnections / (peers.aliveIn(options.region).length + 1));
   }
 
   /** Added to the score of a server that accepts only a limited rate of requests. */
@@ -103,9 +101,10 @@
     if (usableForService.length === 0) {
       return servers.rejection(service);
     }
+    const maxRunning = connectionShare(service);
     const usable = usableForService.filter(
-      (server) =>
-        !request.triedServers.has(server.registration.id) && hasFreeConnection(server, service),
+      ({ registration: { id } }) =>
+        !request.triedServers.has(id) && loads.ownLoad(id).running < maxRunning,
     );
     const permitted = usable.filter((server) =>
       options.serverRateLimiter.permits(server, service.coldRequestsPerSecond),
@@ -123,6 +122,7 @@
         server.registration.id === preferred && !prefixes.hasReports(server.incarnation);
       return { server, cachedTokens: isAssumed ? Math.max(known, assumedTokens) : known };
     });
+    const longest = longestPrefix(candidates);
     const isPermitted = new Set(permitted);
     const choices = candidates
       .filter(({ server }) => isPermitted.has(server))
@@ -131,7 +131,7 @@
         const prefillMsPerToken = speeds.prefillMsPerToken(server.incarnation);
         const fetch = planCacheFetch({
           target,
-          candidates,
+          longest: longest ?? target,
           transferMsPerToken: service.cacheTransferMsPerToken,
           prefillMsPerToken,
         });
--- a/packages/gateway/src/routing/createPaceTracker.ts
+++ b/packages/gateway/src/routing/createPaceTracker.ts
@@ -1,4 +1,5 @@
 import type { Clock, ServerId } from '@camphorbarrow/core';
+import { createPeerTotals } from '../peers/createPeerTotals.js';
 import type { PeerHeartbeat } from '../peers/PeerHeartbeat.js';
 
 /** Time between events of a stream on an engine without prefill work. */
@@ -26,7 +27,7 @@
   readonly heartbeat: Pick<PeerHeartbeat, 'paces'>;
 }
 
-interface PaceSum {
+interface PaceTotal {
   readonly sumMs: number;
   readonly count: number;
 }
@@ -34,12 +35,21 @@
 /**
  * Creates a tracker. Hosts of a large region exchange their paces because each has few streams on an
  * engine, and a host without any would take a busy engine for an idle one. `peers` returns the other
- * hosts of the region; reported paces are summed once per returned array.
+ * hosts of the region, in the same array until one of them reports again.
  */
 export function createPaceTracker(clock: Clock, peers: () => readonly PeerPaces[]): PaceTracker {
   const observed = new Map<ServerId, { msPerEvent: number; atMs: number }>();
-  let summedPeers: readonly PeerPaces[] = [];
-  let sums = new Map<ServerId, PaceSum>();
+  const totals = new Map<ServerId, PaceTotal>();
+  const updateTotals = createPeerTotals<PeerPaces['heartbeat']>(peers, (heartbeat, change) =>
+    heartbeat.paces.forEach((paceMs, server) => {
+      const { sumMs, count } = totals.get(server) ?? { sumMs: 0, count: 0 };
+      if (count + change === 0) {
+        totals.delete(server);
+      } else {
+        totals.set(server, { sumMs: sumMs + change * paceMs, count: count + change });
+      }
+    }),
+  );
 
   function ownPace(server: ServerId): number {
     const pace = observed.get(server);
@@ -53,21 +63,6 @@
   const isFresh = (server: ServerId): boolean =>
     clock.monotonicMs() - (observed.get(server)?.atMs ?? -Infinity) <= REPORT_MAX_AGE_MS;
 
-  function sumOf(server: ServerId): PaceSum {
-    const current = peers();
-    if (current !== summedPeers) {
-      summedPeers = current;
-      sums = new Map();
-      current.forEach(({ heartbeat }) =>
-        heartbeat.paces.forEach((paceMs, id) => {
-          const { sumMs, count } = sums.get(id) ?? { sumMs: 0, count: 0 };
-          sums.set(id, { sumMs: sumMs + paceMs, count: count + 1 });
-        }),
-      );
-    }
-    return sums.get(server) ?? { sumMs: 0, count: 0 };
-  }
-
   return {
     recordEventGap(server, gapMs) {
       const current = ownPace(server);
@@ -77,10 +72,12 @@
       });
     },
     msPerEvent(server) {
-      const { sumMs, count } = sumOf(server);
-      if (count === 0) {
+      updateTotals();
+      const total = totals.get(server);
+      if (total === undefined) {
         return ownPace(server);
       }
+      const { sumMs, count } = total;
       return isFresh(server) ? (sumMs + ownPace(server)) / (count + 1) : sumMs / count;
     },
     ownPaces: () =>
--- a/packages/gateway/src/routing/planCacheFetch.ts
+++ b/packages/gateway/src/routing/planCacheFetch.ts
@@ -26,25 +26,32 @@
 export interface CacheFetchQuery {
   /** Server that processes the prompt. */
   readonly target: ServerPrefix;
-  /** Servers of the region from which tokens can be transferred. */
-  readonly candidates: readonly ServerPrefix[];
+  /** Server of the region with the most cached tokens of the prompt; see `longestPrefix`. */
+  readonly longest: ServerPrefix;
   /** Time to transfer one token; undefined if the service does not support transfers. */
   readonly transferMsPerToken: number | undefined;
   /** Prefill time of one token on the target. */
   readonly prefillMsPerToken: number;
 }
 
+/** Returns the server with the most cached tokens; undefined if there are no candidates. */
+export function longestPrefix(candidates: readonly ServerPrefix[]): ServerPrefix | undefined {
+  return candidates.reduce<ServerPrefix | undefined>(
+    (best, next) => (best === undefined || next.cachedTokens > best.cachedTokens ? next : best),
+    undefined,
+  );
+}
+
 /** Returns a transfer that saves more prefill time than it takes, or undefined if there is none. */
 export function planCacheFetch(query: CacheFetchQuery): CacheFetch | undefined {
-  const { target, candidates, transferMsPerToken, prefillMsPerToken } = query;
+  const { target, longest, transferMsPerToken, prefillMsPerToken } = query;
   if (transferMsPerToken === undefined) {
     return undefined;
   }
-  const best = candidates.reduce((a, b) => (b.cachedTokens > a.cachedTokens ? b : a), target);
-  const tokens = best.cachedTokens - target.cachedTokens;
-  const isOtherZone = best.server.registration.zone !== target.server.registration.zone;
+  const tokens = longest.cachedTokens - target.cachedTokens;
+  const isOtherZone = longest.server.registration.zone !== target.server.registration.zone;
   const transferMs = SETUP_MS + tokens * transferMsPerToken * (isOtherZone ? OTHER_ZONE_RATIO : 1);
   return tokens * prefillMsPerToken >= transferMs + MIN_GAIN_MS
-    ? { from: best.server.registration.endpoint, cachedTokens: best.cachedTokens, transferMs }
+    ? { from: longest.server.registration.endpoint, cachedTokens: longest.cachedTokens, transferMs }
     : undefined;
 }
--- a/packages/gateway/src/routing/rankByRendezvous.ts
+++ b/packages/gateway/src/routing/rankByRendezvous.ts
@@ -1,8 +1,7 @@
-import { createHash } from 'node:crypto';
+import murmurHash3 from 'imurmurhash';
 
-function weightOf(key: string, candidate: string): number {
-  return createHash('sha1').update(key).update('\0').update(candidate).digest().readUInt32BE(0);
-}
+const weightOf = (key: string, candidate: string): number =>
+  murmurHash3(key).hash('\0').hash(candidate).result();
 
 /**
  * Orders the candidates for a key by rendezvous hashing (highest random weight). Every host computes
@@ -14,3 +13,17 @@
     .sort((a, b) => b.weight - a.weight || (a.candidate < b.candidate ? -1 : 1))
     .map(({ candidate }) => candidate);
 }
+
+/** First of the candidates in the order of `rankByRendezvous`; undefined if there are none. */
+export function pickByRendezvous(key: string, candidates: readonly string[]): string | undefined {
+  let picked: string | undefined;
+  let highest = -1;
+  candidates.forEach((candidate) => {
+    const weight = weightOf(key, candidate);
+    if (weight > highest || (weight === highest && candidate < (picked ?? ''))) {
+      picked = candidate;
+      highest = weight;
+    }
+  });
+  return picked;
+}
