Keep hosts of a large fleet responsive and their evidence small

A host sends to 3 hosts of other regions per round of 100 ms, so 130 of them hear of it every 4.4 s, while the timeout was 2.5 s: half of the remote hosts were missing at any time, each host wrote 60 log lines a second.

Change: the timeout is 2.5 times the interval at which a peer is heard of, at least 2.5 s, by region. Hosts of other regions get the crashes and responses that a host observed itself; the hosts that hear of them tell their region.

Tests: registry with 130 remote hosts (failed before: all unresponsive), own evidence.

--- a/packages/core/src/quarantine/createPartSuspicion.ts
+++ b/packages/core/src/quarantine/createPartSuspicion.ts
@@ -14,10 +14,16 @@
   blockedUntilMs(parts: readonly PromptPartKey[]): number;
   /** Records that a response on a prompt with these parts started. */
   recordServed(parts: readonly PromptPartKey[]): void;
+  /** Records a crash that this host observed. */
+  recordCrash(report: PartCrashReport): void;
   /** Adds the evidence of a host to the known evidence, in any order and any number of times. */
   merge(evidence: PartEvidence): void;
-  /** Evidence to send to other hosts: what is new, and what parts are blocked for. */
-  evidence(): PartEvidence;
+  /**
+   * Evidence to send to other hosts: what is new, and what parts are blocked for.
+   *
+   * @param scope `own` leaves out what only other hosts observed, which they report themselves
+   */
+  evidence(scope?: 'all' | 'own'): PartEvidence;
 }
 
 interface Crash {
@@ -25,6 +31,8 @@
   readonly heardAtMs: number;
   readonly parts: Set<PromptPartKey>;
   readonly trialParts: Set<PromptPartKey>;
+  /** Whether this host observed the crash itself. */
+  isOwn: boolean;
 }
 
 /** Time for which a crash is remembered. */
@@ -76,6 +84,8 @@
   const servedAtMs = new Map<PromptPartKey, number>();
   /** Responses that acquitted a part of a crash and have to be reported. */
   const acquittedAtMs = new Map<PromptPartKey, number>();
+  /** Those of them that this host acquitted. */
+  const ownAcquittals = new Set<PromptPartKey>();
   let blames: readonly Blame[] = [];
   let suspects = new Map<PromptPartKey, Counts>();
 
@@ -177,6 +187,7 @@
       heardAtMs: nowMs,
       parts: new Set(),
       trialParts: new Set(),
+      isOwn: false,
     };
     crashes.set(crashId, crash);
     const sizeBefore = crash.parts.size + crash.trialParts.size;
@@ -188,6 +199,7 @@
         // Other hosts may have heard of the crash, but not of the response since.
         if (!isCounted(crash, part)) {
           acquittedAtMs.set(part, servedAtMs.get(part) ?? nowMs);
+          ownAcquittals.add(part);
         }
       });
     trialParts
@@ -227,10 +239,21 @@
     recordServed(parts) {
       const nowMs = clock.monotonicMs();
       const acquitted = parts.filter((part) => acquit(part, nowMs));
+      acquitted.forEach((part) => ownAcquittals.add(part));
       if (acquitted.length > 0) {
         update();
       }
     },
+    recordCrash(report) {
+      const isNew = addCrash(report);
+      const crash = crashes.get(report.crashId);
+      if (crash !== undefined) {
+        crash.isOwn = true;
+      }
+      if (isNew) {
+        update();
+      }
+    },
     merge({ crashes: reports, served }) {
       const nowMs = clock.monotonicMs();
       const added = reports.filter(addCrash);
@@ -239,11 +262,14 @@
         update();
       }
     },
-    evidence() {
+    evidence(scope = 'all') {
       const nowMs = clock.monotonicMs();
       [...acquittedAtMs]
         .filter(([, atMs]) => nowMs - atMs > REPORT_MAX_AGE_MS)
-        .forEach(([part]) => acquittedAtMs.delete(part));
+        .forEach(([part]) => {
+          acquittedAtMs.delete(part);
+          ownAcquittals.delete(part);
+        });
       const isReported = (crash: Crash): boolean =>
         nowMs - crash.heardAtMs <= REPORT_MAX_AGE_MS ||
         blames.some((blame) =>
@@ -251,7 +277,7 @@
         );
       return {
         crashes: [...crashes]
-          .filter(([, crash]) => isReported(crash))
+          .filter(([, crash]) => (scope === 'all' || crash.isOwn) && isReported(crash))
           .slice(-MAX_REPORTED_CRASHES)
           .map(([crashId, crash]) => {
             const parts = reportedParts(crash);
@@ -260,6 +286,7 @@
           })
           .filter(({ parts }) => parts.length > 0),
         served: [...acquittedAtMs]
+          .filter(([part]) => scope === 'all' || ownAcquittals.has(part))
           .slice(-MAX_REPORTED_SERVED)
           .map(([part, atMs]) => ({ part, ageMs: Math.round(nowMs - atMs) })),
       };
--- a/packages/core/tests/quarantine/createPartSuspicion.test.ts
+++ b/packages/core/tests/quarantine/createPartSuspicion.test.ts
@@ -146,3 +146,25 @@
   t.true(JSON.stringify(evidence).length < 8_000);
   t.true(evidence.crashes.every((report) => report.parts.includes(crashing)));
 });
+
+// Every host of a region of 65 sent the evidence of all others to the 130 hosts of other regions.
+test('own evidence leaves out what only other hosts observed', (t) => {
+  const { clock, suspicion: peer, crash, serve } = createSubject();
+  crash({ parts: [popular] });
+  crash({ parts: [popular] });
+  serve(popular);
+  const host = createPartSuspicion(clock);
+  host.merge(peer.evidence());
+  t.deepEqual(host.evidence('own'), { crashes: [], served: [] });
+  host.recordCrash({ crashId: 'own', ageMs: 0, parts: [rare], trialParts: [] });
+  t.deepEqual(
+    host.evidence('own').crashes.map(({ crashId }) => crashId),
+    ['own'],
+  );
+  clock.advance(1);
+  host.recordServed([rare]);
+  t.deepEqual(
+    host.evidence('own').served.map(({ part }) => part),
+    [rare],
+  );
+});
--- a/packages/gateway/src/lifecycle/createEntryHost.ts
+++ b/packages/gateway/src/lifecycle/createEntryHost.ts
@@ -18,6 +18,7 @@
 import type { HostState } from '../peers/PeerHeartbeat.js';
 import { createRegionStoreReaders } from '../peers/createRegionStoreReaders.js';
 import { createStoreUpdateExchange } from '../peers/createStoreUpdateExchange.js';
+import { HEARTBEAT_INTERVAL_MS } from '../peers/reportRounds.js';
 import { runPeerStoreFollower } from '../peers/runPeerStoreFollower.js';
 import { runCacheFollower } from '../routing/runCacheFollower.js';
 import { chooseDirectoryHosts } from './chooseDirectoryHosts.js';
@@ -37,7 +38,6 @@
 const PEER_LISTENER_IDLE_TIMEOUT_MS = 30_000;
 /** Timeout for removing the registration from the store; otherwise it expires with its lease. */
 const UNREGISTER_TIMEOUT_MS = 200;
-const HEARTBEAT_INTERVAL_MS = 100;
 /** Interval at which state of removed servers and peers is dropped. */
 const HOUSEKEEPING_INTERVAL_MS = 1_000;
 /** Number of heartbeats after an evacuation until a server's report of being cold is used. */
@@ -65,7 +65,7 @@
   // listeners.
   setMaxListeners(0, stop.signal);
   const drain = createDrainState(clock, () => bounds().graceMs);
-  const peers = createPeerRegistry(clock, log);
+  const peers = createPeerRegistry(clock, log, own.region);
   const view = createFleetView({
     clock,
     log,
@@ -156,6 +156,7 @@
       partTrials: context.partTrials.running(),
       serverLimits: context.serverLimits.reports(),
     }),
+    ownPartEvidence: () => context.partSuspicion.evidence('own'),
     onHeartbeat(heartbeat) {
       peers.recordHeartbeat(heartbeat);
       context.transits.recordHeartbeat(heartbeat);
--- a/packages/gateway/src/limits/createCrashGuard.ts
+++ b/packages/gateway/src/limits/createCrashGuard.ts
@@ -89,7 +89,7 @@
     const trialParts = [...new Set(unstarted.flatMap((request) => request.trialParts))];
     const crashId = lifetimeId(server.registration);
     const ageMs = clock.monotonicMs() - atMs;
-    suspicion.merge({ crashes: [{ crashId, ageMs, parts, trialParts }], served: [] });
+    suspicion.recordCrash({ crashId, ageMs, parts, trialParts });
     const crash = tracker.merge({
       serverId: id,
       incarnation: asId(crashId),
--- a/packages/gateway/src/peers/createHeartbeats.ts
+++ b/packages/gateway/src/peers/createHeartbeats.ts
@@ -1,11 +1,12 @@
 import { createSocket } from 'node:dgram';
-import type { Clock, LogSink } from '@camphorbarrow/core';
+import type { Clock, LogSink, PartEvidence } from '@camphorbarrow/core';
 import { logFailures } from '../errors/logFailures.js';
 import type { Endpoint } from '../model/Endpoint.js';
 import type { HostRegistration } from '../model/HostRegistration.js';
 import type { PeerRegistry } from './createPeerRegistry.js';
 import { createHeartbeatEncoder, decodeHeartbeat } from './heartbeatCodec.js';
 import type { PeerHeartbeat } from './PeerHeartbeat.js';
+import { localReportRounds, remoteReportRounds } from './reportRounds.js';
 
 export interface HeartbeatOptions {
   readonly clock: Clock;
@@ -18,6 +19,8 @@
   readonly seeds: () => readonly Endpoint[];
   /** Builds the current heartbeat; hosts of other regions get it without loads, crashes and limits. */
   readonly buildHeartbeat: () => Omit<PeerHeartbeat, 'echo'>;
+  /** Evidence for hosts of other regions; each host of this one sends them what it observed. */
+  readonly ownPartEvidence: () => PartEvidence;
   readonly onHeartbeat: (heartbeat: PeerHeartbeat) => void;
   readonly intervalMs: number;
 }
@@ -29,10 +32,6 @@
   close(): void;
 }
 
-/** Number of datagrams per round to hosts of this region and to hosts of other regions. */
-const LOCAL_TARGETS_PER_ROUND = 4;
-const REMOTE_TARGETS_PER_ROUND = 3;
-
 interface Target {
   readonly endpoint: Endpoint;
   /** Undefined for a seed address whose host is not known yet. */
@@ -90,6 +89,7 @@
       loads: new Map(),
       crashes: [],
       serverLimits: [],
+      partEvidence: options.ownPartEvidence(),
     });
     receivers.forEach((target) => {
       const { endpoint, host } = target;
@@ -100,8 +100,7 @@
   }
 
   /** Selects the hosts of this round, so that its cost does not grow with the fleet. */
-  function selectForRound(hosts: readonly Target[], perRound: number): readonly Target[] {
-    const rounds = Math.max(1, Math.ceil(hosts.length / perRound));
+  function selectForRound(hosts: readonly Target[], rounds: number): readonly Target[] {
     return hosts.filter((_, index) => index % rounds === round % rounds);
   }
 
@@ -110,8 +109,8 @@
     const local = all.filter(isLocal);
     const remote = all.filter((target) => !isLocal(target));
     sendTo([
-      ...selectForRound(local, LOCAL_TARGETS_PER_ROUND),
-      ...selectForRound(remote, REMOTE_TARGETS_PER_ROUND),
+      ...selectForRound(local, localReportRounds(local.length)),
+      ...selectForRound(remote, remoteReportRounds(remote.length)),
     ]);
     round += 1;
   }
--- a/packages/gateway/src/peers/createPeerRegistry.ts
+++ b/packages/gateway/src/peers/createPeerRegistry.ts
@@ -1,8 +1,11 @@
 import type { Clock, HostId, LogSink, RegionId } from '@camphorbarrow/core';
 import type { HeartbeatEcho, PeerHeartbeat } from './PeerHeartbeat.js';
+import { HEARTBEAT_INTERVAL_MS, localReportRounds, remoteReportRounds } from './reportRounds.js';
 
-/** Hosts without a heartbeat for longer get no requests and are not listed to callers. */
-export const PEER_TIMEOUT_MS = 2_500;
+/** Hosts without a heartbeat for longer are unresponsive, if they are heard of often enough. */
+const MIN_PEER_TIMEOUT_MS = 2_500;
+/** Timeout in intervals at which a host is heard of; two heartbeats in a row may be lost. */
+const PEER_TIMEOUT_INTERVALS = 2.5;
 /** Hosts without a heartbeat for longer are removed. */
 const PEER_RETENTION_MS = 60_000;
 /** Maximum age of the cached list of alive peers. */
@@ -23,7 +26,7 @@
 export interface PeerRegistry {
   recordHeartbeat(heartbeat: PeerHeartbeat): void;
   /**
-   * Peers with a recent heartbeat, in any state. Returns the same array until a heartbeat arrives
+   * Responsive peers, in any state. Others get no requests and are not listed to callers. Returns the same array until a heartbeat arrives
    * or the cached list expires.
    */
   alive(): readonly Peer[];
@@ -34,16 +37,34 @@
   echoFor(id: HostId): HeartbeatEcho | undefined;
 }
 
-/** Creates a registry that is updated from the heartbeats of the peers. */
-export function createPeerRegistry(clock: Clock, log: LogSink): PeerRegistry {
+/**
+ * Creates a registry that is updated from the heartbeats of the peers. The more peers there are, the
+ * less often each is heard of, and the longer it takes until a silent one is unresponsive.
+ *
+ * @param ownRegion region whose hosts are heard of more often than others
+ */
+export function createPeerRegistry(clock: Clock, log: LogSink, ownRegion: RegionId): PeerRegistry {
   const peers = new Map<HostId, Peer>();
+  let localTimeoutMs = MIN_PEER_TIMEOUT_MS;
+  let remoteTimeoutMs = MIN_PEER_TIMEOUT_MS;
   const unresponsive = new Set<HostId>();
   let listedAtMs = -Infinity;
   let aliveList: readonly Peer[] = [];
   let aliveByRegion = new Map<RegionId, readonly Peer[]>();
 
+  const isLocal = ({ heartbeat }: Peer): boolean => heartbeat.host.region === ownRegion;
+
+  function updateTimeouts(): void {
+    const locals = [...peers.values()].filter(isLocal).length;
+    const timeoutMs = (rounds: number): number =>
+      Math.max(MIN_PEER_TIMEOUT_MS, rounds * HEARTBEAT_INTERVAL_MS * PEER_TIMEOUT_INTERVALS);
+    localTimeoutMs = timeoutMs(localReportRounds(locals));
+    remoteTimeoutMs = timeoutMs(remoteReportRounds(peers.size - locals));
+  }
+
   function isAlive(peer: Peer): boolean {
-    return clock.monotonicMs() - peer.lastHeartbeatAtMs <= PEER_TIMEOUT_MS;
+    const timeoutMs = isLocal(peer) ? localTimeoutMs : remoteTimeoutMs;
+    return clock.monotonicMs() - peer.lastHeartbeatAtMs <= timeoutMs;
   }
 
   function checkTimeouts(): void {
@@ -52,6 +73,7 @@
       if (nowMs - peer.lastHeartbeatAtMs > PEER_RETENTION_MS) {
         peers.delete(id);
         unresponsive.delete(id);
+        updateTimeouts();
       } else if (!isAlive(peer) && !unresponsive.has(id)) {
         unresponsive.add(id);
         log.warn('peer-unresponsive', {
@@ -104,6 +126,9 @@
         log.info('peer-reachable', { hostId: id, state: heartbeat.state, restarted });
       }
       peers.set(id, { heartbeat, lastHeartbeatAtMs: nowMs, roundTripMs });
+      if (known === undefined) {
+        updateTimeouts();
+      }
       listedAtMs = -Infinity;
     },
     alive,
--- a/packages/gateway/tests/peers/createHeartbeats.test.ts
+++ b/packages/gateway/tests/peers/createHeartbeats.test.ts
@@ -36,7 +36,7 @@
     clock,
     log: silentLog,
     own,
-    peers: createPeerRegistry(clock, silentLog),
+    peers: createPeerRegistry(clock, silentLog, asId('north')),
     registeredHosts: () =>
       [...odd, receiver.endpoint].map((endpoint, index) => hostAt(`host-${index}`, endpoint)),
     seeds: () => [],
@@ -55,6 +55,7 @@
       partTrials: [],
       serverLimits: [],
     }),
+    ownPartEvidence: () => ({ crashes: [], served: [] }),
     onHeartbeat: () => undefined,
     intervalMs: 10,
   });
--- /dev/null
+++ b/packages/gateway/tests/peers/createPeerRegistry.test.ts
@@ -0,0 +1,66 @@
+import test from 'ava';
+import { asId, createManualClock } from '@camphorbarrow/core';
+import { HEARTBEAT_INTERVAL_MS, createPeerRegistry, remoteReportRounds } from '../../src/index.js';
+import type { PeerHeartbeat } from '../../src/index.js';
+import { silentLog } from '../support/silentSinks.js';
+
+const REMOTE_HOSTS = 130;
+
+function buildHeartbeat(id: string, region: string, sentAtMs: number): PeerHeartbeat {
+  const endpoint = { host: id, port: 1 };
+  return {
+    host: {
+      id: asId(id),
+      region: asId(region),
+      zone: asId(`${region}-a`),
+      callers: endpoint,
+      peers: endpoint,
+    },
+    incarnation: id,
+    sentAtMs,
+  } as unknown as PeerHeartbeat;
+}
+
+function createSubject() {
+  const clock = createManualClock();
+  const registry = createPeerRegistry(clock, silentLog, asId('north'));
+  const hear = (id: string, region: string): void =>
+    registry.recordHeartbeat(buildHeartbeat(id, region, clock.monotonicMs()));
+  return { clock, registry, hear };
+}
+
+// Each of 130 remote hosts is heard of every 4.4 s; all of them were taken for lost after 2.5 s and
+// for found again with the next heartbeat, 60 log lines a second on each host.
+test('hosts of a large fleet that send their heartbeats in turn stay responsive', (t) => {
+  const { clock, registry, hear } = createSubject();
+  const rounds = remoteReportRounds(REMOTE_HOSTS);
+  const perRound = Math.ceil(REMOTE_HOSTS / rounds);
+  const hosts = Array.from({ length: REMOTE_HOSTS }, (_, index) => `south-${index}`);
+  hosts.forEach((id) => hear(id, 'south'));
+  for (let round = 0; round < 2 * rounds; round += 1) {
+    clock.advance(HEARTBEAT_INTERVAL_MS);
+    const first = (round % rounds) * perRound;
+    hosts.slice(first, first + perRound).forEach((id) => hear(id, 'south'));
+    t.is(registry.alive().length, REMOTE_HOSTS);
+  }
+});
+
+test('a silent host of a small fleet is unresponsive after 2.5 s', (t) => {
+  const { clock, registry, hear } = createSubject();
+  hear('north-1', 'north');
+  hear('south-1', 'south');
+  clock.advance(2_500);
+  t.is(registry.alive().length, 2);
+  // The list of alive peers is kept for 50 ms.
+  clock.advance(51);
+  t.is(registry.alive().length, 0);
+});
+
+test('many hosts in other regions do not delay the detection of a silent host of the region', (t) => {
+  const { clock, registry, hear } = createSubject();
+  hear('north-1', 'north');
+  Array.from({ length: REMOTE_HOSTS }, (_, index) => hear(`south-${index}`, 'south'));
+  clock.advance(2_600);
+  t.deepEqual(registry.aliveIn(asId('north')), []);
+  t.is(registry.aliveIn(asId('south')).length, REMOTE_HOSTS);
+});
