Charge the retry budget only after a request may have arrived

With 195 hosts each may send about six requests again in ten seconds, and most of them were used for connections that were never made, which no server has seen.

Change: attempts cost budget once the request may have arrived at a server. A host of another region says whether it sent a rejected request to one.

Test: prepareAttempt (failed before: 1 withdrawal).

--- a/packages/gateway/src/exchange/ExchangeProgress.ts
+++ b/packages/gateway/src/exchange/ExchangeProgress.ts
@@ -7,6 +7,8 @@
 export interface ExchangeProgress {
   /** Number of attempts, whether or not they reached a server. */
   attempts: number;
+  /** Whether the request may have arrived at a server. Attempts before that cost no budget. */
+  hasArrived: boolean;
   /** Number of attempts after which a server may have run the request. */
   runs: number;
   /** Id of the last event that the caller has received; a resumed stream continues after it. */
--- a/packages/gateway/src/exchange/forwardToPeer.ts
+++ b/packages/gateway/src/exchange/forwardToPeer.ts
@@ -6,7 +6,7 @@
 import type { Exchange } from './Exchange.js';
 import type { GatewayContext } from './GatewayContext.js';
 import { receiveResponse } from './receiveResponse.js';
-import { relayHeaders, stripRelayHeaders } from './relayHeaders.js';
+import { NOT_ARRIVED, relayHeaders, stripRelayHeaders } from './relayHeaders.js';
 import { formatSendTime } from './sendTimeHeader.js';
 import { stripHopByHopHeaders } from './stripHopByHopHeaders.js';
 import type { AttemptResult } from './AttemptResult.js';
@@ -41,7 +41,12 @@
     }
     return sent.mayHaveRun
       ? { kind: 'unknown', cause: `peer ${sent.failure}` }
-      : { kind: 'not-run', cause: `peer ${sent.cause}`, reachedServer: false };
+      : {
+          kind: 'not-run',
+          cause: `peer ${sent.cause}`,
+          reachedServer: false,
+          hasArrived: false,
+        };
   }
   const { response } = sent;
   const outcome = response.headers[relayHeaders.outcome];
@@ -50,9 +55,14 @@
     if (outcome !== 'not-run') {
       return { kind: 'unknown', cause: 'outcome unknown at peer' };
     }
-    return response.headers[relayHeaders.errorCode] === DRAINING_CODE
-      ? { kind: 'not-run', cause: 'peer is draining', reachedServer: false, isPeerDraining: true }
-      : { kind: 'not-run', cause: 'rejected by peer', reachedServer: false };
+    const isPeerDraining = response.headers[relayHeaders.errorCode] === DRAINING_CODE;
+    return {
+      kind: 'not-run',
+      cause: isPeerDraining ? 'peer is draining' : 'rejected by peer',
+      reachedServer: false,
+      hasArrived: response.headers[relayHeaders.arrived] !== NOT_ARRIVED,
+      isPeerDraining,
+    };
   }
   return receiveResponse({
     exchange,
--- a/packages/gateway/src/exchange/forwardToServer.ts
+++ b/packages/gateway/src/exchange/forwardToServer.ts
@@ -155,7 +155,12 @@
     return sent.mayHaveRun
       ? { kind: 'unknown', cause: sent.failure }
       : // A request that cannot be built says nothing about the server.
-        { kind: 'not-run', cause: sent.cause, reachedServer: sent.failure === 'invalid' };
+        {
+          kind: 'not-run',
+          cause: sent.cause,
+          reachedServer: sent.failure === 'invalid',
+          hasArrived: false,
+        };
   }
   const { response } = sent;
   context.serverConnections.updateIdleTimeout(response.socket, response.headers['keep-alive']);
--- a/packages/gateway/src/exchange/prepareAttempt.ts
+++ b/packages/gateway/src/exchange/prepareAttempt.ts
@@ -79,7 +79,7 @@
           Math.max(progress.retryAfterMs, destination.rejected.waitMs),
         );
       }
-    } else if (progress.attempts > 0 && !context.retryBudget.tryWithdraw(exchange.service.name)) {
+    } else if (progress.hasArrived && !context.retryBudget.tryWithdraw(exchange.service.name)) {
       progress.causes.push('retry budget exhausted');
       progress.stopCause = 'retry-budget';
     } else {
--- a/packages/gateway/src/exchange/receiveResponse.ts
+++ b/packages/gateway/src/exchange/receiveResponse.ts
@@ -133,6 +133,7 @@
       kind: 'not-run',
       cause: 'address now belongs to another server',
       reachedServer: false,
+      hasArrived: true,
     };
   }
   if (!belongsTo(exchange, metadata)) {
@@ -141,7 +142,12 @@
   }
   if (metadata.notRun || status === MISDIRECTED) {
     discardBody(response);
-    return { kind: 'not-run', cause: `rejected with ${status}`, reachedServer: true };
+    return {
+      kind: 'not-run',
+      cause: `rejected with ${status}`,
+      reachedServer: true,
+      hasArrived: true,
+    };
   }
   const isSuccess = status >= 200 && status < 300;
   const isEventStream = isSuccess && mayBeEventStream(response);
--- a/packages/gateway/src/exchange/relayHeaders.ts
+++ b/packages/gateway/src/exchange/relayHeaders.ts
@@ -10,8 +10,13 @@
   outcome: 'x-entry-host-outcome',
   /** On an error response: code of the error. */
   errorCode: 'x-entry-host-error-code',
+  /** On an error response: whether the request may have arrived at a server; assumed if absent. */
+  arrived: 'x-entry-host-arrived',
 } as const;
 
+/** Value of `arrived` for a request that no server has seen. */
+export const NOT_ARRIVED = 'no';
+
 const RELAY_HEADER_NAMES: ReadonlySet<string> = new Set(Object.values(relayHeaders));
 
 /** Removes the relay headers from a list of alternating names and values. */
--- a/packages/gateway/src/exchange/runAttempts.ts
+++ b/packages/gateway/src/exchange/runAttempts.ts
@@ -36,6 +36,7 @@
   result: AttemptResult,
 ): boolean {
   const { route } = exchange;
+  progress.hasArrived ||= result.kind !== 'not-run' || result.hasArrived;
   switch (result.kind) {
     case 'delivered':
     case 'cancelled':
--- a/packages/gateway/src/exchange/sendErrorResponse.ts
+++ b/packages/gateway/src/exchange/sendErrorResponse.ts
@@ -2,20 +2,37 @@
 import type { RequestError } from '@camphorbarrow/core';
 import type { WireCodec } from '../ports/WireCodec.js';
 import type { ResponseWriter } from './ResponseWriter.js';
-import { relayHeaders } from './relayHeaders.js';
+import { NOT_ARRIVED, relayHeaders } from './relayHeaders.js';
 
-/** Sends an error of this host as JSON, with the retry delay when the error has one. */
+/** What the host that relayed a request has to know of its failure. */
+export interface RelayedFailure {
+  /** Whether the request may have arrived at a server. */
+  readonly hasArrived: boolean;
+}
+
+/**
+ * Sends an error of this host as JSON, with the retry delay when the error has one.
+ *
+ * @param relayed undefined if the request came from a caller
+ */
 export function sendErrorResponse(
   responseWriter: ResponseWriter,
   codec: WireCodec,
   error: RequestError,
-  isRelayed: boolean,
+  relayed: RelayedFailure | undefined,
 ): void {
   const { code, statusCode, outcome, retryAfterMs } = error;
   const retryHeaders = retryAfterMs === undefined ? [] : codec.retryAfterHeader(retryAfterMs);
-  const outcomeHeaders = isRelayed
-    ? [relayHeaders.outcome, outcome, relayHeaders.errorCode, code]
-    : [];
+  const outcomeHeaders =
+    relayed === undefined
+      ? []
+      : [
+          relayHeaders.outcome,
+          outcome,
+          relayHeaders.errorCode,
+          code,
+          ...(relayed.hasArrived ? [] : [relayHeaders.arrived, NOT_ARRIVED]),
+        ];
   responseWriter.send(
     statusCode,
     ['Content-Type', 'application/json', ...retryHeaders, ...outcomeHeaders],
--- a/packages/gateway/src/exchange/sendFinalResponse.ts
+++ b/packages/gateway/src/exchange/sendFinalResponse.ts
@@ -83,6 +83,7 @@
     return status;
   }
   const error = createFinalError(progress, isExpired, context.closing.aborted);
-  sendErrorResponse(responseWriter, context.codec, error, exchange.relayedBy !== undefined);
+  const relayed = exchange.relayedBy === undefined ? undefined : progress;
+  sendErrorResponse(responseWriter, context.codec, error, relayed);
   return error.statusCode;
 }
--- a/packages/gateway/src/exchange/serveExchange.ts
+++ b/packages/gateway/src/exchange/serveExchange.ts
@@ -25,6 +25,7 @@
   const { route, responseWriter } = exchange;
   const progress: ExchangeProgress = {
     attempts: 0,
+    hasArrived: false,
     runs: 0,
     lastEventId: exchange.metadata.lastEventId,
     errorResponse: undefined,
--- a/packages/gateway/src/ingress/createRequestHandler.ts
+++ b/packages/gateway/src/ingress/createRequestHandler.ts
@@ -205,7 +205,10 @@
         context.metrics.increment('incomplete_responses', labels);
         responseWriter.abort();
       } else {
-        sendErrorResponse(responseWriter, context.codec, requestError, isRelayed);
+        // Errors that are thrown before the first attempt say that the request has not run.
+        const hasArrived = requestError.outcome !== 'not-run';
+        const relayed = isRelayed ? { hasArrived } : undefined;
+        sendErrorResponse(responseWriter, context.codec, requestError, relayed);
       }
       if (!request.complete) {
         discardBody(request);
--- /dev/null
+++ b/packages/gateway/tests/exchange/prepareAttempt.test.ts
@@ -0,0 +1,47 @@
+import test from 'ava';
+import { createManualClock } from '@camphorbarrow/core';
+import { prepareAttempt } from '../../src/index.js';
+import type { Exchange, ExchangeProgress, GatewayContext } from '../../src/index.js';
+import {
+  buildRequestMetadata,
+  buildRoute,
+  buildServer,
+  buildService,
+} from '../support/builders.js';
+
+const noop = (): void => undefined;
+
+function prepare(hasArrived: boolean): {
+  readonly prepared: boolean;
+  readonly withdrawals: number;
+} {
+  let withdrawals = 0;
+  const context = {
+    clock: createManualClock(),
+    router: { choose: () => ({ kind: 'server', server: buildServer() }) },
+    serverRateLimiter: { recordSend: noop },
+    retryBudget: {
+      tryWithdraw() {
+        withdrawals += 1;
+        return false;
+      },
+    },
+  } as unknown as GatewayContext;
+  const exchange = {
+    metadata: buildRequestMetadata(),
+    route: buildRoute(),
+    service: buildService(),
+    deadlineAtMs: 1_000,
+  } as unknown as Exchange;
+  const progress = { attempts: 1, hasArrived, causes: [] } as unknown as ExchangeProgress;
+  const {signal} = new AbortController();
+  const prepared = prepareAttempt(context, exchange, progress, signal, { end: noop });
+  return { prepared: prepared !== undefined, withdrawals };
+}
+
+// With 195 hosts, each may send about six requests again in ten seconds. Most of them were used up by
+// connections that were never made, and 300 of 2,537 requests ended for lack of a retry.
+test('an attempt costs retry budget only if the request may have arrived at a server before', (t) => {
+  t.deepEqual(prepare(false), { prepared: true, withdrawals: 0 });
+  t.deepEqual(prepare(true), { prepared: false, withdrawals: 1 });
+});
