Keep prefills from stalling streams, and read how slow a server's machine is

The choice weighed a prefill by its length only, and a request whose own first event was on time never looked at another region.

Change: a prompt that would extend the gap of running streams beyond the target counts against a server for each of them, at home and in other regions, and may leave its region for that. The reported slowdown scales the estimates of a server's work, decays within 300 ms, is taken off measured speeds, and is not passed on: each host gets several reports a second there. Request lines have the longest gap of the stream (`longestGapMs`).

--- a/packages/gateway/src/exchange/ExchangeProgress.ts
+++ b/packages/gateway/src/exchange/ExchangeProgress.ts
@@ -31,6 +31,10 @@
   lastChoice: LocalChoice | RegionChoice | undefined;
   /** Number of forwarded events. */
   eventCount: number;
+  /** Monotonic time at which the latest event was forwarded; 0 before the first one. */
+  lastEventAtMs: number;
+  /** Longest time between two forwarded events; 0 before the second one. */
+  longestGapMs: number;
   /** Waiting requests that the server last reported before the attempt. */
   reportedWaiting: number | undefined;
   /** Time from the arrival of the request to the first event or the response head. */
--- a/packages/gateway/src/exchange/forwardToServer.ts
+++ b/packages/gateway/src/exchange/forwardToServer.ts
@@ -201,6 +201,9 @@
     rank,
     promptTokens: uncachedTokens,
   });
+  /** Time since the request was sent, without the slowdown that the server reported. */
+  const usualDurationMs = (): number =>
+    (context.clock.monotonicMs() - sentAtMs) / context.loads.slowdownRatio(server.registration.id);
   const capacityTokens = exchange.service.kvCapacityTokens;
   if (capacityTokens !== undefined) {
     context.prefixes.recordPrompt(
@@ -214,7 +217,7 @@
     context.health.recordResponseStart(server.incarnation);
     options.onResponseStart();
     if (capacityTokens !== undefined) {
-      const elapsedMs = context.clock.monotonicMs() - sentAtMs;
+      const elapsedMs = usualDurationMs();
       context.speeds.recordFirstEvent(server.incarnation, tokensAhead + uncachedTokens, elapsedMs);
     }
   };
@@ -234,7 +237,7 @@
   trackedRequest.ended();
   await recordResult(options, result, { sentAtMs, trialParts });
   if (result.kind === 'delivered' && capacityTokens === undefined) {
-    context.speeds.recordCall(server.incarnation, context.clock.monotonicMs() - sentAtMs);
+    context.speeds.recordCall(server.incarnation, usualDurationMs());
   }
   return result;
 }
--- a/packages/gateway/src/exchange/runAttempts.ts
+++ b/packages/gateway/src/exchange/runAttempts.ts
@@ -78,9 +78,16 @@
     progress.firstEventMs ??= context.clock.monotonicMs() - exchange.arrivedAtMs;
   };
   const onEvents = (count: number): void => {
-    if (progress.eventCount === 0 && count > 0) {
+    if (count === 0) {
+      return;
+    }
+    const nowMs = context.clock.monotonicMs();
+    if (progress.eventCount === 0) {
       context.partSuspicion.recordServed(exchange.sharedPartKeys());
+    } else {
+      progress.longestGapMs = Math.max(progress.longestGapMs, nowMs - progress.lastEventAtMs);
     }
+    progress.lastEventAtMs = nowMs;
     progress.eventCount += count;
   };
   progress.lastChoice = destination;
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -113,6 +113,7 @@
 export * from './routing/createServerView.js';
 export * from './routing/createSpeedTracker.js';
 export * from './routing/estimateFinish.js';
+export * from './routing/estimateStall.js';
 export * from './routing/findRoute.js';
 export * from './routing/pickTarget.js';
 export * from './routing/planCacheFetch.js';
--- a/packages/gateway/src/model/ServerLoad.ts
+++ b/packages/gateway/src/model/ServerLoad.ts
@@ -3,4 +3,6 @@
   readonly running: number;
   readonly waiting: number;
   readonly slots: number;
+  /** How long work takes at this moment, relative to usual: servers share machines with others. */
+  readonly slowdownRatio: number;
 }
--- a/packages/gateway/src/routing/Destination.ts
+++ b/packages/gateway/src/routing/Destination.ts
@@ -51,6 +51,8 @@
       readonly finishMs: number;
       /** Like `finishMs`, for a response of typical length. */
       readonly typicalFinishMs: number;
+      /** Contribution to the score of the streams that stall while the server prefills the prompt. */
+      readonly stallMs: number;
       /** Transfer of cached tokens before the prefill. */
       readonly fetch: CacheFetch | undefined;
       /** Prompt tokens that the server has to prefill. */
--- a/packages/gateway/src/routing/createLoadTracker.ts
+++ b/packages/gateway/src/routing/createLoadTracker.ts
@@ -5,6 +5,8 @@
 
 /** Older load reports are ignored. */
 const REPORT_MAX_AGE_MS = 500;
+/** Time constant of the exponential decay of a reported slowdown to none; it changes often. */
+const SLOWDOWN_DECAY_MS = 300;
 
 /** Handle of a running request at a server. */
 export interface TrackedRequest {
@@ -35,6 +37,8 @@
   tokensAhead(server: ServerId, rank: number): number;
   /** Number of waiting requests in the latest report; 0 if there is no recent report. */
   reportedWaiting(server: ServerId): number;
+  /** Expected duration of work at the server now, relative to usual, by its latest report. */
+  slowdownRatio(server: ServerId): number;
   /** Load of this host at all servers with running requests, for heartbeats. */
   ownLoads(): ReadonlyMap<ServerId, HostLoad>;
 }
@@ -56,12 +60,13 @@
   reporters: number;
 }
 
+/** Rounded, because sums to which fractions were added and taken off again keep a tiny rest. */
 function tokensUpTo(rank: number, { pendingTokens }: HostLoad): number {
   let sum = 0;
   pendingTokens.forEach((tokens, pendingRank) => {
     sum += pendingRank <= rank ? tokens : 0;
   });
-  return sum;
+  return Math.max(0, Math.round(sum));
 }
 
 /**
@@ -147,6 +152,14 @@
     tokensAhead: (server, rank) =>
       tokensUpTo(rank, ownLoad(server)) + tokensUpTo(rank, peerLoad(server)),
     reportedWaiting: (server) => freshReport(server)?.waiting ?? 0,
+    slowdownRatio(server) {
+      const report = reports.get(server);
+      if (report === undefined) {
+        return 1;
+      }
+      const decay = Math.exp((report.atMs - clock.monotonicMs()) / SLOWDOWN_DECAY_MS);
+      return 1 + (report.load.slowdownRatio - 1) * decay;
+    },
     ownLoads: () => counters,
   };
 }
--- a/packages/gateway/src/routing/createLocalChooser.ts
+++ b/packages/gateway/src/routing/createLocalChooser.ts
@@ -15,6 +15,7 @@
 import type { SpeedTracker } from './createSpeedTracker.js';
 import type { RoutingRequest, LocalChoice, LocalRejection } from './Destination.js';
 import { estimateFinish } from './estimateFinish.js';
+import { estimateStallMs } from './estimateStall.js';
 import { longestPrefix, planCacheFetch } from './planCacheFetch.js';
 import { prefillRank } from './prefillRank.js';
 import { pickByRendezvous } from './rankByRendezvous.js';
@@ -143,7 +144,9 @@
       .filter(({ server }) => isCompared.has(server))
       .map((target) => {
         const { server } = target;
-        const prefillMsPerToken = speeds.prefillMsPerToken(server.incarnation);
+        const { id } = server.registration;
+        const slowdownRatio = loads.slowdownRatio(id);
+        const prefillMsPerToken = speeds.prefillMsPerToken(server.incarnation) * slowdownRatio;
         const fetch = planCacheFetch({
           target,
           longest: longest ?? target,
@@ -159,16 +162,25 @@
             : prefillRank(route.rank, uncachedTokens);
         const serviceMs =
           service.kvCapacityTokens === undefined
-            ? speeds.callMs(server.incarnation)
-            : speeds.firstEventBaseMs + prefillMs + (fetch?.transferMs ?? 0);
+            ? speeds.callMs(server.incarnation) * slowdownRatio
+            : speeds.firstEventBaseMs * slowdownRatio + prefillMs + (fetch?.transferMs ?? 0);
         const waitMs = servers.queueMs(server, service, rank);
         const estimateMs = waitMs + serviceMs + health.penaltyMs(server.incarnation);
-        const running = loads.running(server.registration.id);
+        const running = loads.running(id);
         const finish = estimateFinish(request, {
-          msPerEvent: paces.msPerEvent(server.registration.id),
+          msPerEvent: paces.msPerEvent(id),
           prefillMs,
           running,
         });
+        const tokensAhead = loads.tokensAhead(id, rank);
+        const stallMs =
+          service.kvCapacityTokens === undefined
+            ? 0
+            : estimateStallMs({
+                prefillMs: tokensAhead * prefillMsPerToken + prefillMs,
+                running,
+                targetGapMs: route.targetGapMs,
+              });
         const limitedRateMs = limitedRateScoreMs(server, service, prefillMs);
         const affinityMs =
           preferred === undefined || preferred === server.registration.id
@@ -183,12 +195,19 @@
             waitMs,
             finishMs: finish.finishMs,
             typicalFinishMs: finish.typicalFinishMs,
+            stallMs,
             fetch,
             uncachedTokens,
-            tokensAhead: loads.tokensAhead(server.registration.id, rank),
+            tokensAhead,
             running,
           },
-          scoreMs: estimateMs + affinityMs + limitedRateMs + finish.scoreMs + options.random.next(),
+          scoreMs:
+            estimateMs +
+            affinityMs +
+            limitedRateMs +
+            finish.scoreMs +
+            stallMs +
+            options.random.next(),
         };
       });
     return choices.reduce((best, next) => (next.scoreMs < best.scoreMs ? next : best));
--- a/packages/gateway/src/routing/createRegionChooser.ts
+++ b/packages/gateway/src/routing/createRegionChooser.ts
@@ -5,6 +5,7 @@
 import { sharedParts } from './createPrefixCacheTracker.js';
 import type { RoutingRequest, RegionChoice } from './Destination.js';
 import { estimateFinish } from './estimateFinish.js';
+import { estimateStallMs } from './estimateStall.js';
 import { relayLoadId } from './relayLoadId.js';
 import type { Scored } from './Scored.js';
 
@@ -78,9 +79,14 @@
     const estimateMs = waitMs + prefillMs;
     const { scoreMs, ...finish } = estimateFinish(request, { ...capacity, prefillMs });
     const { slotUsageRatio } = capacity;
+    const stallMs = estimateStallMs({
+      prefillMs: capacity.queueMs + relayedMs + prefillMs,
+      running: capacity.running,
+      targetGapMs: route.targetGapMs,
+    });
     return {
       choice: { waitMs, estimateMs, slotUsageRatio, ...finish },
-      scoreMs: estimateMs + scoreMs,
+      scoreMs: estimateMs + scoreMs + stallMs,
     };
   }
 
--- a/packages/gateway/src/routing/createRouter.ts
+++ b/packages/gateway/src/routing/createRouter.ts
@@ -8,7 +8,7 @@
 const MIN_SPILL_GAIN_MS = 80;
 /**
  * A request stays in its region if its estimates there are within this part of its target latency
- * and remaining time.
+ * and remaining time, and no other stream stalls.
  */
 const STAY_LOCAL_RATIO = 0.5;
 /** Part of the target latency that an admitted request may spend in the queue. */
@@ -75,6 +75,7 @@
       const local = chooseLocal(request);
       const staysLocal =
         'choice' in local &&
+        local.choice.stallMs === 0 &&
         local.choice.estimateMs <= request.route.targetLatencyMs * STAY_LOCAL_RATIO &&
         local.choice.finishMs <= request.remainingMs * STAY_LOCAL_RATIO;
       const region = request.isRelayed || staysLocal ? undefined : chooseRegion(request);
--- a/packages/gateway/src/routing/createServerView.ts
+++ b/packages/gateway/src/routing/createServerView.ts
@@ -66,12 +66,13 @@
     const { id, slots } = server.registration;
     const running = loads.running(id);
     const excess = Math.max(0, running - slots + 1) / Math.max(1, slots);
+    const slowdownRatio = loads.slowdownRatio(id);
     if (service.kvCapacityTokens === undefined) {
-      const callMs = speeds.callMs(server.incarnation);
+      const callMs = speeds.callMs(server.incarnation) * slowdownRatio;
       return callMs * (excess + running / Math.max(1, slots));
     }
     return (
-      loads.tokensAhead(id, rank) * speeds.prefillMsPerToken(server.incarnation) +
+      loads.tokensAhead(id, rank) * speeds.prefillMsPerToken(server.incarnation) * slowdownRatio +
       running * MS_PER_RUNNING_REQUEST +
       excess * SLOT_HOLD_MS
     );
--- a/packages/gateway/tests/exchange/prepareAttempt.test.ts
+++ b/packages/gateway/tests/exchange/prepareAttempt.test.ts
@@ -34,7 +34,7 @@
     deadlineAtMs: 1_000,
   } as unknown as Exchange;
   const progress = { attempts: 1, hasArrived, causes: [] } as unknown as ExchangeProgress;
-  const {signal} = new AbortController();
+  const { signal } = new AbortController();
   const prepared = prepareAttempt(context, exchange, progress, signal, { end: noop });
   return { prepared: prepared !== undefined, withdrawals };
 }
--- a/packages/gateway/tests/routing/createRouter.test.ts
+++ b/packages/gateway/tests/routing/createRouter.test.ts
@@ -15,6 +15,7 @@
     waitMs,
     finishMs: 300,
     typicalFinishMs: 300,
+    stallMs: 0,
     fetch: undefined,
     uncachedTokens: 3_000,
     tokensAhead: 0,
@@ -89,7 +90,7 @@
 });
 
 test('a request that would wait beyond its target is rejected if the server has waiting requests', (t) => {
-  const waiting = { running: 20, waiting: 3, slots: 64 };
+  const waiting = { running: 20, waiting: 3, slots: 64, slowdownRatio: 1 };
   const { router } = setUp(localChoice(2_000), undefined, waiting);
   t.like(router.choose(request), {
     kind: 'none',
