Offer a request to another region before rejecting it

A request whose first event is expected within half of the target never looked at other regions, and was then rejected for its end.

Change: what the first choice does not admit is offered to the other one, in both directions. Admission itself is as before.

Tests: both directions (both failed before).

--- a/packages/gateway/src/routing/createRouter.ts
+++ b/packages/gateway/src/routing/createRouter.ts
@@ -3,6 +3,7 @@
 import type { LocalChooser } from './createLocalChooser.js';
 import type { RegionChooser } from './createRegionChooser.js';
 import type { RoutingRequest, Destination, LocalChoice, RegionChoice } from './Destination.js';
+import type { Scored } from './Scored.js';
 
 /** Minimum gain for which a request is sent to another region. */
 const MIN_SPILL_GAIN_MS = 80;
@@ -49,7 +50,7 @@
   }
 
   /**
-   * Rejects a request that would wait for longer than its target. Without this, all requests in the
+   * Whether a request would be served within its target. Without this check, all requests in the
    * queue would be late; with it, the servers process the others in time.
    *
    * The check assumes a long response of the route instead of the expected length of this one. With
@@ -57,33 +58,55 @@
    * the typical length, they would be admitted but exceed their deadline. For the most urgent
    * requests, the check assumes a typical response.
    */
-  function admit(request: RoutingRequest, choice: LocalChoice | RegionChoice): Destination {
+  function isAdmitted(request: RoutingRequest, choice: LocalChoice | RegionChoice): boolean {
     const longFinishMs =
       request.route.rank === mostUrgentRank
         ? choice.typicalFinishMs
         : choice.typicalFinishMs * LONG_RESPONSE_RATIO;
-    const isAdmitted =
+    return (
       request.isRetry ||
       hasFreeSlots(choice) ||
       (choice.waitMs <= request.route.targetLatencyMs * MAX_WAIT_RATIO &&
-        choice.estimateMs + longFinishMs <= request.remainingMs);
-    return isAdmitted ? choice : { kind: 'none', reason: 'overloaded', rejected: choice };
+        choice.estimateMs + longFinishMs <= request.remainingMs)
+    );
+  }
+
+  /** Takes the first choice that admits the request; if none does, the request is rejected. */
+  function admit(
+    request: RoutingRequest,
+    first: LocalChoice | RegionChoice,
+    findSecond: () => LocalChoice | RegionChoice | undefined,
+  ): Destination {
+    if (isAdmitted(request, first)) {
+      return first;
+    }
+    const second = findSecond();
+    return second !== undefined && isAdmitted(request, second)
+      ? second
+      : { kind: 'none', reason: 'overloaded', rejected: first };
   }
 
   return {
     choose(request) {
       const local = chooseLocal(request);
+      const findRegion = (): Scored<RegionChoice> | undefined =>
+        request.isRelayed ? undefined : chooseRegion(request);
+      if (!('choice' in local)) {
+        const region = findRegion();
+        return region === undefined ? local : admit(request, region.choice, () => undefined);
+      }
       const staysLocal =
-        'choice' in local &&
         local.choice.stallMs === 0 &&
         local.choice.estimateMs <= request.route.targetLatencyMs * STAY_LOCAL_RATIO &&
         local.choice.finishMs <= request.remainingMs * STAY_LOCAL_RATIO;
-      const region = request.isRelayed || staysLocal ? undefined : chooseRegion(request);
-      if (!('choice' in local)) {
-        return region === undefined ? local : admit(request, region.choice);
+      if (staysLocal) {
+        return admit(request, local.choice, () => findRegion()?.choice);
       }
+      const region = findRegion();
       const spills = region !== undefined && region.scoreMs + MIN_SPILL_GAIN_MS < local.scoreMs;
-      return admit(request, spills ? region.choice : local.choice);
+      return spills
+        ? admit(request, region.choice, () => local.choice)
+        : admit(request, local.choice, () => region?.choice);
     },
   };
 }
--- a/packages/gateway/tests/routing/createRouter.test.ts
+++ b/packages/gateway/tests/routing/createRouter.test.ts
@@ -120,3 +120,22 @@
   const choice = { ...localChoice(100, 60), finishMs: 6_000 };
   t.is(setUp(choice).router.choose(request).kind, 'server');
 });
+
+// In a burst at 195 hosts, half of the requests of the busy region were rejected for the end of a long
+// response, while the servers of the other regions were idle: their first event was expected in time.
+test('a request that its region would reject goes to another region that admits it', (t) => {
+  const slow = { ...localChoice(100, 60), typicalFinishMs: 2_500 };
+  const quick = { ...regionChoice(300), typicalFinishMs: 500 };
+  const patient = buildRoutingRequest({ route: buildRoute({ rank: 2, targetLatencyMs: 800 }) });
+  t.is(setUp(slow, quick).router.choose(patient).kind, 'region');
+  t.is(setUp(slow, undefined).router.choose(patient).kind, 'none');
+  const relayed = { ...patient, isRelayed: true };
+  t.is(setUp(slow, quick).router.choose(relayed).kind, 'none');
+});
+
+test('a request that another region would reject stays in its region if that admits it', (t) => {
+  const local = { ...localChoice(700, 60), typicalFinishMs: 300 };
+  const region = { ...regionChoice(150), slotUsageRatio: 0.9, typicalFinishMs: 9_000 };
+  const patient = buildRoutingRequest({ route: buildRoute({ rank: 2, targetLatencyMs: 800 }) });
+  t.is(setUp(local, region).router.choose(patient).kind, 'server');
+});
