Spread hosts that lose the store over the hosts of their region

Cause, by reading: a host whose view of the store is older than 1.2 s fetched an update from the one host of all regions that was furthest ahead, every 0.3 s. When the store is away from everybody, 195 hosts ask the same one, most of them across regions.

Change: a host of the own region that is ahead, another one for each asking host; another region only if none of the own is.

--- a/packages/gateway/src/lifecycle/createEntryHost.ts
+++ b/packages/gateway/src/lifecycle/createEntryHost.ts
@@ -233,6 +233,7 @@
     runPeerStoreFollower({
       clock,
       log,
+      own,
       view,
       peers,
       fetchStoreUpdate: storeUpdates.fetch,
--- a/packages/gateway/src/peers/runPeerStoreFollower.ts
+++ b/packages/gateway/src/peers/runPeerStoreFollower.ts
@@ -2,7 +2,9 @@
 import { compareStorePositions } from '../fleet/compareStorePositions.js';
 import type { FleetView } from '../fleet/createFleetView.js';
 import type { Endpoint } from '../model/Endpoint.js';
+import type { HostRegistration } from '../model/HostRegistration.js';
 import type { StoreUpdate } from '../model/StoreUpdate.js';
+import { pickByRendezvous } from '../routing/rankByRendezvous.js';
 import type { Peer, PeerRegistry } from './createPeerRegistry.js';
 
 /** Age of the view from which this host asks its peers for updates. */
@@ -14,6 +16,7 @@
 export interface PeerStoreFollowerOptions {
   readonly clock: Clock;
   readonly log: LogSink;
+  readonly own: Pick<HostRegistration, 'id' | 'region'>;
   readonly view: FleetView;
   readonly peers: PeerRegistry;
   /** Fetches a store update from a peer. */
@@ -27,19 +30,26 @@
  * force and the store, restored from an older copy, no longer has.
  */
 export async function runPeerStoreFollower(options: PeerStoreFollowerOptions): Promise<void> {
-  const { clock, log, view, peers, signal } = options;
+  const { clock, log, own, view, peers, signal } = options;
   let configurationCurrentAtMs = clock.monotonicMs();
 
-  /** Peer that is ahead of this host's view of the store. */
-  function findNewestPeer(): Peer | undefined {
-    return peers
+  /**
+   * Peer that is ahead of this host's view of the store, of the own region if there is one. Hosts
+   * that lose the store together ask different peers.
+   */
+  function findPeerAhead(): Peer | undefined {
+    const ahead = peers
       .alive()
       .filter(
         ({ heartbeat }) => compareStorePositions(heartbeat.storePosition, view.position()) > 0,
-      )
-      .sort((a, b) =>
-        compareStorePositions(b.heartbeat.storePosition, a.heartbeat.storePosition),
-      )[0];
+      );
+    const local = ahead.filter(({ heartbeat }) => heartbeat.host.region === own.region);
+    const candidates = local.length > 0 ? local : ahead;
+    const picked = pickByRendezvous(
+      own.id,
+      candidates.map(({ heartbeat }) => heartbeat.host.id),
+    );
+    return candidates.find(({ heartbeat }) => heartbeat.host.id === picked);
   }
 
   /** Peer whose configuration has been newer than this host's for a while. */
@@ -59,7 +69,7 @@
   while (!signal.aborted) {
     const isStale = clock.monotonicMs() - view.confirmedAtMs() > STORE_STALE_AFTER_MS;
     const peerWithNewerConfiguration = findPeerWithNewerConfiguration();
-    const peer = (isStale ? findNewestPeer() : undefined) ?? peerWithNewerConfiguration;
+    const peer = (isStale ? findPeerAhead() : undefined) ?? peerWithNewerConfiguration;
     if (peer !== undefined) {
       const { host } = peer.heartbeat;
       try {
