--- a/packages/gateway/src/lifecycle/chooseDirectoryHosts.ts
+++ b/packages/gateway/src/lifecycle/chooseDirectoryHosts.ts
@@ -7,8 +7,8 @@
 
 /** Number of hosts that a caller gets if there are as many, so that it can do without some. */
 const MIN_ADDRESSES = 8;
-/** Weights of hosts by `hash` are below this. */
-const HASH_RANGE = 2 ** 32;
+/** Upper bound of `rendezvousWeight`. */
+const WEIGHT_RANGE = 2 ** 32;
 
 export interface DirectoryQuery {
   /** Region of the caller. */
@@ -40,7 +40,7 @@
       host,
       rank:
         rendezvousWeight(callerAddress, host.id) /
-        HASH_RANGE /
+        WEIGHT_RANGE /
         ((host.cores ?? maxCores) / maxCores),
     }))
     .sort((a, b) => a.rank - b.rank || (a.host.id < b.host.id ? -1 : 1));
--- a/packages/gateway/src/peers/createPeerRegistry.ts
+++ b/packages/gateway/src/peers/createPeerRegistry.ts
@@ -4,8 +4,8 @@
 
 /** Hosts without a heartbeat for longer are unresponsive, if they are heard of often enough. */
 const MIN_PEER_TIMEOUT_MS = 2_500;
-/** Timeout in intervals at which a host is heard of; two heartbeats in a row may be lost. */
-const PEER_TIMEOUT_INTERVALS = 2.5;
+/** Timeout in intervals at which a host is heard of; one heartbeat may be lost. */
+const PEER_TIMEOUT_INTERVALS = 2.2;
 /** Hosts without a heartbeat for longer are removed. */
 const PEER_RETENTION_MS = 60_000;
 /** Maximum age of the cached list of alive peers. */
@@ -26,8 +26,8 @@
 export interface PeerRegistry {
   recordHeartbeat(heartbeat: PeerHeartbeat): void;
   /**
-   * Responsive peers, in any state. Others get no requests and are not listed to callers. Returns the same array until a heartbeat arrives
-   * or the cached list expires.
+   * Responsive peers, in any state. Others get no requests and are not listed to callers. Returns
+   * the same array until a heartbeat arrives or the cached list expires.
    */
   alive(): readonly Peer[];
   aliveIn(region: RegionId): readonly Peer[];
--- a/packages/gateway/src/peers/usableRows.ts
+++ b/packages/gateway/src/peers/usableRows.ts
@@ -2,7 +2,11 @@
 
 type Rows = Pick<WireHeartbeat, 'load' | 'cap' | 'crash'>;
 
-const areFinite = (values: readonly unknown[]): boolean => values.every(Number.isFinite);
+/** Larger figures would leave an error in the totals that they are added to and taken off again. */
+const MAX_FIGURE = Number.MAX_SAFE_INTEGER;
+
+const areFigures = (values: readonly unknown[]): boolean =>
+  values.every((value) => typeof value === 'number' && Math.abs(value) <= MAX_FIGURE);
 
 const areStrings = (values: unknown): boolean =>
   Array.isArray(values) && values.every((value) => typeof value === 'string');
@@ -14,9 +18,9 @@
   const [server, running, pendingTokens, pace = 0] = row as readonly unknown[];
   return (
     typeof server === 'string' &&
-    areFinite([running, pace]) &&
+    areFigures([running, pace]) &&
     Array.isArray(pendingTokens) &&
-    pendingTokens.every((pair) => Array.isArray(pair) && pair.length === 2 && areFinite(pair))
+    pendingTokens.every((pair) => Array.isArray(pair) && pair.length === 2 && areFigures(pair))
   );
 }
 
@@ -24,7 +28,7 @@
   Array.isArray(row) &&
   row.length === 7 &&
   typeof row[0] === 'string' &&
-  areFinite(row.slice(1) as unknown[]);
+  areFigures(row.slice(1) as unknown[]);
 
 function isCrash(row: unknown): boolean {
   const crash = (row ?? {}) as Record<string, unknown>;
--- a/packages/gateway/tests/peers/heartbeatCodec.test.ts
+++ b/packages/gateway/tests/peers/heartbeatCodec.test.ts
@@ -135,7 +135,12 @@
 }
 
 test('a malformed row of a heartbeat does not hide the other rows, or its host', (t) => {
-  const load = [null, 7, [], ['s', 'x', []], ['s', 1, [[1]]], ['good', 1, [[0, 5]]], ['s', 1]];
+  const odd = [null, 7, [], ['s', 'x', []], ['s', 1, [[1]]], ['s', 1]];
+  const huge = [
+    ['s', 1e300, []],
+    ['s', 1, [[0, -1e300]]],
+  ];
+  const load = [...odd, ...huge, ['good', 1, [[0, 5]]]];
   const figures = [1, 2, 3, 4, 5, 6];
   const cap = [null, [], ['s', ...figures.map(String)], ['s', 1], ['good', ...figures]];
   const crash = [null, {}, { serverId: 's', incarnation: 7, running: [], suspects: [] }];
