--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -52,6 +52,7 @@
 export * from './lifecycle/createEntryHost.js';
 export * from './lifecycle/createEventLoopMonitor.js';
 export * from './lifecycle/createGatewayContext.js';
+export * from './lifecycle/createHostDirectory.js';
 export * from './lifecycle/createHousekeeping.js';
 export * from './limits/createCrashGuard.js';
 export * from './limits/createLeavingServers.js';
--- a/packages/gateway/src/lifecycle/createEntryHost.ts
+++ b/packages/gateway/src/lifecycle/createEntryHost.ts
@@ -1,6 +1,6 @@
 import { randomUUID } from 'node:crypto';
 import { setMaxListeners } from 'node:events';
-import type { HostId, RegionId } from '@camphorbarrow/core';
+import type { HostId } from '@camphorbarrow/core';
 import { logFailures } from '../errors/logFailures.js';
 import { createChangeDecoder } from '../fleet/createChangeDecoder.js';
 import { createCacheResponseRecorder } from '../exchange/createCacheResponseRecorder.js';
@@ -12,7 +12,6 @@
 import { createListener } from '../ingress/createListener.js';
 import { createRequestHandler } from '../ingress/createRequestHandler.js';
 import type { RequestHandler } from '../ingress/createRequestHandler.js';
-import type { HostRegistration } from '../model/HostRegistration.js';
 import { createHeartbeats } from '../peers/createHeartbeats.js';
 import { createPeerRegistry } from '../peers/createPeerRegistry.js';
 import type { HostState } from '../peers/PeerHeartbeat.js';
@@ -21,13 +20,14 @@
 import { HEARTBEAT_INTERVAL_MS } from '../peers/reportRounds.js';
 import { runPeerStoreFollower } from '../peers/runPeerStoreFollower.js';
 import { runCacheFollower } from '../routing/runCacheFollower.js';
-import { chooseDirectoryHosts } from './chooseDirectoryHosts.js';
 import { createDrainState } from './createDrainState.js';
 import type { DrainProgress } from './createDrainState.js';
 import { createEventLoopMonitor } from './createEventLoopMonitor.js';
 import { createGatewayContext } from './createGatewayContext.js';
 import { createHousekeeping } from './createHousekeeping.js';
 import type { EntryHostOptions } from './EntryHostOptions.js';
+import { createHostDirectory } from './createHostDirectory.js';
+import type { HostDirectory } from './createHostDirectory.js';
 
 const WATCH_WAIT_MS = 2_000;
 /** Pause between watch calls, so that each returns more changes; every store call is charged. */
@@ -43,19 +43,12 @@
 /** Number of heartbeats after an evacuation until a server's report of being cold is used. */
 const COLD_HEARTBEAT_COUNT = 2;
 
-export interface DirectoryCaller {
-  /** Host name of the routes that the caller uses; all routes if absent or unknown. */
-  readonly name?: string | undefined;
-  /** IP address of the caller. */
-  readonly address?: string | undefined;
-}
-
 export interface EntryHost {
   readonly view: FleetView;
   /** Whether this host accepts callers' connections. */
   isReady(): boolean;
   /** Hosts that a caller in the region should currently use. */
-  directoryHosts(region: RegionId, caller?: DirectoryCaller): readonly HostRegistration[];
+  readonly directoryHosts: HostDirectory;
   /** Drains and stops the host; further calls wait for the first. */
   close(): Promise<void>;
 }
@@ -99,6 +92,8 @@
     return view.table() === undefined ? 'starting' : 'ready';
   }
 
+  const directoryHosts = createHostDirectory({ own, peers, view, currentState });
+
   const createHandler = (source: 'callers' | 'peers'): RequestHandler =>
     inFlight.wrap(
       createRequestHandler({
@@ -275,27 +270,7 @@
   return {
     view,
     isReady: () => currentState() === 'ready',
-    directoryHosts(region, { name, address = '' } = {}) {
-      const hostsIn = (state: HostState): readonly HostRegistration[] => [
-        ...(currentState() === state ? [own] : []),
-        ...peers
-          .alive()
-          .filter(({ heartbeat }) => heartbeat.state === state)
-          .map(({ heartbeat }) => heartbeat.host),
-      ];
-      const routes = view.table()?.routes ?? [];
-      const named = routes.filter(({ host }) => host === name?.toLowerCase());
-      return chooseDirectoryHosts({
-        callerRegion: region,
-        callerAddress: address,
-        readyHosts: hostsIn('ready'),
-        drainingHosts: hostsIn('draining'),
-        ownRegion: own.region,
-        homeRegions: (named.length > 0 ? named : routes)
-          .map(({ homeRegions }) => homeRegions)
-          .filter((homes) => homes.length > 0),
-      });
-    },
+    directoryHosts,
     close() {
       closing ??= drainAndStop();
       return closing;
--- a/packages/gateway/tests/peers/createPeerRegistry.test.ts
+++ b/packages/gateway/tests/peers/createPeerRegistry.test.ts
@@ -2,23 +2,13 @@
 import { asId, createManualClock } from '@camphorbarrow/core';
 import { HEARTBEAT_INTERVAL_MS, createPeerRegistry, remoteReportRounds } from '../../src/index.js';
 import type { PeerHeartbeat } from '../../src/index.js';
+import { buildHost } from '../support/builders.js';
 import { silentLog } from '../support/silentSinks.js';
 
 const REMOTE_HOSTS = 130;
 
 function buildHeartbeat(id: string, region: string, sentAtMs: number): PeerHeartbeat {
-  const endpoint = { host: id, port: 1 };
-  return {
-    host: {
-      id: asId(id),
-      region: asId(region),
-      zone: asId(`${region}-a`),
-      callers: endpoint,
-      peers: endpoint,
-    },
-    incarnation: id,
-    sentAtMs,
-  } as unknown as PeerHeartbeat;
+  return { host: buildHost(id, region), incarnation: id, sentAtMs } as unknown as PeerHeartbeat;
 }
 
 function createSubject() {
--- a/packages/gateway/tests/routing/createRegionChooser.test.ts
+++ b/packages/gateway/tests/routing/createRegionChooser.test.ts
@@ -3,7 +3,7 @@
 import type { ManualClock } from '@camphorbarrow/core';
 import { createLoadTracker, createRegionChooser, relayLoadId } from '../../src/index.js';
 import type { RoutingRequest, HostState, Peer, PeerRegistry } from '../../src/index.js';
-import { buildRoutingRequest, buildRoute, buildService } from '../support/builders.js';
+import { buildHost, buildRoutingRequest, buildRoute, buildService } from '../support/builders.js';
 
 const service = buildService();
 /** Time for which a draining host of the tests still serves requests. */
@@ -11,16 +11,9 @@
 const ROUND_TRIP_MS = 100;
 
 function buildPeer(id: string, region: string, state: HostState): Peer {
-  const endpoint = { host: id, port: 1 };
   return {
     heartbeat: {
-      host: {
-        id: asId(id),
-        region: asId(region),
-        zone: asId(`${region}-a`),
-        callers: endpoint,
-        peers: endpoint,
-      },
+      host: buildHost(id, region),
       incarnation: id,
       sentAtMs: 0,
       echo: undefined,
--- a/packages/gateway/tests/support/builders.ts
+++ b/packages/gateway/tests/support/builders.ts
@@ -1,6 +1,7 @@
 import { asId } from '@camphorbarrow/core';
 import type { RegionId } from '@camphorbarrow/core';
 import type {
+  HostRegistration,
   RoutingRequest,
   RequestMetadata,
   Route,
@@ -96,3 +97,15 @@
     ...overrides,
   };
 }
+
+/** Registration of an entry host whose address is its id. */
+export function buildHost(id: string, region: string): HostRegistration {
+  const endpoint = { host: id, port: 1 };
+  return {
+    id: asId(id),
+    region: asId(region),
+    zone: asId(`${region}-a`),
+    callers: endpoint,
+    peers: endpoint,
+  };
+}
