Count the connections that a host closes, by cause

Callers saw requests that got neither an answer nor a refusal. A host did not show that it had closed a connection: idle times, late heads, malformed input and the limit of connections left no trace. connections_closed_total counts them by listener and cause; a close by a timer that ran 100 ms late or more is logged with both times, which tells a pause of the host from an idle time that was too short.

Behaviour is unchanged: the same connections are closed with the same responses. 441 tests of platform and gateway pass.

--- a/packages/gateway/src/ingress/createListener.ts
+++ b/packages/gateway/src/ingress/createListener.ts
@@ -2,9 +2,10 @@
 import { Server as NetServer } from 'node:net';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { once } from 'node:events';
-import type { LogSink } from '@camphorbarrow/core';
+import type { Clock, LogSink, MetricsSink } from '@camphorbarrow/core';
 import type { CallerLimits } from '../model/CallerLimits.js';
 import type { Endpoint } from '../model/Endpoint.js';
+import { handleConnectionErrors } from './handleConnectionErrors.js';
 
 /** Maximum size of a request head that is parsed; the configuration may set a lower limit. */
 const MAX_HEADER_BYTES = 65_536;
@@ -12,8 +13,12 @@
 const TIMEOUT_CHECK_MS = 500;
 
 export interface ListenerOptions {
+  /** Name in metrics and logs. */
+  readonly name: 'callers' | 'peers' | 'directory' | 'readiness' | 'metrics';
   readonly endpoint: Endpoint;
+  readonly clock: Clock;
   readonly log: LogSink;
+  readonly metrics: MetricsSink;
   readonly handle: (request: IncomingMessage, response: ServerResponse) => Promise<void>;
   /** Connections over this limit are closed immediately. */
   readonly maxConnections: number;
@@ -38,6 +43,7 @@
     noDelay: true,
   });
   server.maxConnections = options.maxConnections;
+  handleConnectionErrors(server, options);
   server.on('request', (request, response) => {
     options.handle(request, response).catch((error: unknown) => {
       options.log.error('request-handler-failed', {}, error);
--- a/packages/gateway/src/lifecycle/createEntryHost.ts
+++ b/packages/gateway/src/lifecycle/createEntryHost.ts
@@ -116,15 +116,22 @@
     peers,
     fetchStoreUpdate: storeUpdates.fetch,
   });
+  const { metrics } = options;
   const callerListener = await createListener({
+    name: 'callers',
     endpoint: own.callers,
+    clock,
     log,
+    metrics,
     handle: createHandler('callers'),
     maxConnections: options.maxConnections,
   });
   const peerListener = await createListener({
+    name: 'peers',
     endpoint: own.peers,
+    clock,
     log,
+    metrics,
     handle: storeUpdates.wrap(createHandler('peers')),
     maxConnections: options.maxConnections,
   });
