Add a timeout for input that elapses after the sockets were read

Timers run before the sockets are read after a pause of the process. Not used yet; the next commits use it, each with the failure that it ends.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -237,3 +237,4 @@
 export * from './time/createManualClock.js';
 export * from './time/createSeededRandom.js';
 export * from './time/createSystemClock.js';
+export * from './time/startInputTimeout.js';
--- /dev/null
+++ b/packages/core/src/time/startInputTimeout.ts
@@ -0,0 +1,38 @@
+/** A running timeout. */
+export interface InputTimeout {
+  /** Ends the timeout; it does not elapse any more. */
+  close(): void;
+}
+
+/**
+ * Calls back in a later turn of the event loop, after the sockets have been read.
+ *
+ * @returns a function that cancels the call
+ */
+export function runAfterPoll(callback: () => void): () => void {
+  // The first one may run before the sockets are polled, and a signal can cut a poll short.
+  let immediate = setImmediate(() => {
+    immediate = setImmediate(callback);
+  });
+  return () => clearImmediate(immediate);
+}
+
+/**
+ * Starts a timeout for input from a connection. After a pause of the process, its timers run before
+ * its sockets are read. This timeout elapses only when the sockets have been read since its end, so
+ * that input which arrived in time can still close it.
+ *
+ * @param durationMs time until the timeout ends
+ */
+export function startInputTimeout(durationMs: number, onElapsed: () => void): InputTimeout {
+  let cancelCall = (): void => undefined;
+  const timer = setTimeout(() => {
+    cancelCall = runAfterPoll(onElapsed);
+  }, durationMs);
+  return {
+    close() {
+      clearTimeout(timer);
+      cancelCall();
+    },
+  };
+}
