Read what has arrived before the head of a request counts as late

A sound caller that sent its head in two parts got 408 although the second part had arrived in time: the host was busy, and the check of heads ran before the sockets were read. Decided after a poll now.

The same check wrote its 408 in place of the response to an earlier request of the connection that was still being served: a caller that sends its next request early read that its order had not run, while it ran. Errors of a connection now wait for the responses before them.

Evidence: two tests fail on the code before: '408' where '200' is due for a head whose rest came while the host was busy (entryHost.busyHost.test.ts), and '408' as the response to the request before a late head (entryHost.openConnections.test.ts). Both pass now; a head that stops still gets its 408.

--- a/packages/gateway/src/ingress/handleConnectionErrors.ts
+++ b/packages/gateway/src/ingress/handleConnectionErrors.ts
@@ -1,4 +1,4 @@
-import type { Server, ServerResponse } from 'node:http';
+import type { Server } from 'node:http';
 import type { Socket } from 'node:net';
 import { runAfterPoll } from '@camphorbarrow/core';
 import type { Clock, LogSink, MetricsSink } from '@camphorbarrow/core';
@@ -29,15 +29,18 @@
 interface Connection {
   /** Requests whose response has not ended. */
   pendingRequests: number;
+  /** Requests so far. */
+  requestCount: number;
   /** Time at which the latest response ended, and the bytes received until then. */
   idleSinceMs: number;
   bytesReadBeforeIdle: number;
-  latestResponse: ServerResponse | undefined;
+  /** Error after which the connection is closed once its responses have ended. */
+  errorCode: string | undefined;
 }
 
 /**
- * Closes idle and faulty connections of a server, and counts closed connections by cause. The idle
- * time counts only after the sockets have been read: the host may have stood still while a request
+ * Closes idle and faulty connections of a server, and counts closed connections by cause. A timeout
+ * counts only after the sockets have been read: the host may have stood still while a request
  * arrived.
  */
 export function handleConnectionErrors(server: Server, options: ConnectionErrorOptions): void {
@@ -50,14 +53,29 @@
   function connectionOf(socket: Socket): Connection {
     const connection = connections.get(socket) ?? {
       pendingRequests: 0,
+      requestCount: 0,
       idleSinceMs: clock.monotonicMs(),
       bytesReadBeforeIdle: 0,
-      latestResponse: undefined,
+      errorCode: undefined,
     };
     connections.set(socket, connection);
     return connection;
   }
 
+  /** Sends an error response, unless it could be taken for the response to an earlier request. */
+  function closeAfterError(socket: Socket, connection: Connection): void {
+    const { errorCode } = connection;
+    if (errorCode === undefined || connection.pendingRequests > 0 || socket.destroyed) {
+      return;
+    }
+    if (socket.writable) {
+      const statusLine = statusLines[errorCode] ?? '400 Bad Request';
+      count(errorCode === HEAD_TIMEOUT_CODE ? 'head-timeout' : 'malformed');
+      socket.write(`HTTP/1.1 ${statusLine}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+    }
+    socket.destroySoon();
+  }
+
   function closeIfIdle(socket: Socket, timeoutMs: number): void {
     const connection = connectionOf(socket);
     if (socket.destroyed || connection.pendingRequests > 0) {
@@ -90,12 +108,13 @@
 
   server.on('request', ({ socket }, response) => {
     const connection = connectionOf(socket);
+    connection.requestCount += 1;
     connection.pendingRequests += 1;
-    connection.latestResponse = response;
     response.once('close', () => {
       connection.pendingRequests -= 1;
       connection.idleSinceMs = clock.monotonicMs();
       connection.bytesReadBeforeIdle = socket.bytesRead;
+      closeAfterError(socket, connection);
     });
   });
 
@@ -109,15 +128,19 @@
 
   server.on('clientError', (error: NodeJS.ErrnoException, stream) => {
     const socket = stream as Socket;
-    const code = error.code ?? '';
-    const { latestResponse: response } = connectionOf(socket);
-    // Bytes within the response of another request would spoil it.
-    const isSending = response?.headersSent === true && !response.writableFinished;
-    if (socket.writable && !isSending) {
-      const statusLine = statusLines[code] ?? '400 Bad Request';
-      count(code === HEAD_TIMEOUT_CODE ? 'head-timeout' : 'malformed');
-      socket.write(`HTTP/1.1 ${statusLine}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+    const connection = connectionOf(socket);
+    const { requestCount } = connection;
+    const errorCode = error.code ?? '';
+    const fail = (): void => {
+      if (connection.requestCount === requestCount) {
+        connection.errorCode ??= errorCode;
+        closeAfterError(socket, connection);
+      }
+    };
+    if (errorCode === HEAD_TIMEOUT_CODE) {
+      runAfterPoll(fail);
+    } else {
+      fail();
     }
-    socket.destroySoon();
   });
 }
