Apply new idle and header times to open connections at once

An operator raised the idle time; callers kept their connections for longer, and hosts closed them by the old value, with requests on their way. Limits reached the listener only with the housekeeping, up to a second after the routes of the same configuration, and connections that were idle kept their timer.

A configuration now sets the limits when it comes into force. A lower time limit for heads holds once the previous one has passed: a head that began before was rejected as late. An idle connection keeps the time by which its idle time began, or the longer one.

--- a/packages/gateway/src/fleet/createFleetState.ts
+++ b/packages/gateway/src/fleet/createFleetState.ts
@@ -20,6 +20,8 @@
   readonly decode: (event: WatchEvent) => FleetChange;
   readonly regionOfZone: (zone: AvailabilityZoneId) => RegionId | undefined;
   readonly coldAfterEvacuationMs: () => number;
+  /** Called with each configuration that comes into force. */
+  readonly onConfiguration: (table: RoutingTable) => void;
   /** Monotonic time at which the store was last seen unavailable; -Infinity if never. */
   readonly storeLastUnavailableAtMs: () => number;
 }
@@ -71,6 +73,7 @@
     });
     table = next;
     tableItem = item;
+    options.onConfiguration(next);
   }
 
   function applyEvacuation(zone: AvailabilityZoneId, active: boolean): void {
--- a/packages/gateway/src/fleet/createFleetView.ts
+++ b/packages/gateway/src/fleet/createFleetView.ts
@@ -15,7 +15,10 @@
 /** Maximum age of server heartbeats sent to peers; longer than their polling interval. */
 const RECENT_HEARTBEAT_MAX_AGE_MS = 1_000;
 
-export type FleetViewOptions = Omit<FleetStateOptions, 'storeLastUnavailableAtMs'>;
+export type FleetViewOptions = Omit<
+  FleetStateOptions,
+  'storeLastUnavailableAtMs' | 'onConfiguration'
+>;
 
 /** This host's view of the fleet, from the store or from peers. */
 export interface FleetView {
@@ -34,6 +37,8 @@
   applyPeerUpdate(update: StoreUpdate): void;
   /** Returns the changes after a position, for a peer that is at this position. */
   updateSince(position: StorePosition): StoreUpdate;
+  /** Calls the listener with each configuration that comes into force. */
+  onConfiguration(listener: (table: RoutingTable) => void): void;
   /** Calls the listener whenever this host learns that the store was restored from an older copy. */
   onRestored(listener: () => void): void;
   /** Records that the store did not respond; removals may then be expired leases. */
@@ -47,10 +52,12 @@
   const changes = createChangeLog();
   const deferred = createDeferredChanges(clock);
   const restoreListeners: (() => void)[] = [];
+  const configurationListeners: ((table: RoutingTable) => void)[] = [];
   let storeLastUnavailableAtMs = -Infinity;
   let confirmedAtMs = -Infinity;
   const state = createFleetState({
     ...options,
+    onConfiguration: (table) => configurationListeners.forEach((listener) => listener(table)),
     storeLastUnavailableAtMs: () => storeLastUnavailableAtMs,
   });
   const { servers } = state;
@@ -202,6 +209,9 @@
         storeAwayMs: ageMs(storeLastUnavailableAtMs),
       };
     },
+    onConfiguration(listener) {
+      configurationListeners.push(listener);
+    },
     onRestored(listener) {
       restoreListeners.push(listener);
     },
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -41,6 +41,7 @@
 export * from './fleet/runStoreFollower.js';
 export * from './ingress/createConnectionDrain.js';
 export * from './ingress/createFingerprint.js';
+export * from './ingress/createHeldLimit.js';
 export * from './ingress/createInFlightTracker.js';
 export * from './ingress/createListener.js';
 export * from './ingress/createRequestHandler.js';
--- a/packages/gateway/src/ingress/createListener.ts
+++ b/packages/gateway/src/ingress/createListener.ts
@@ -5,12 +5,14 @@
 import type { Clock, LogSink, MetricsSink } from '@camphorbarrow/core';
 import type { CallerLimits } from '../model/CallerLimits.js';
 import type { Endpoint } from '../model/Endpoint.js';
+import { createHeldLimit } from './createHeldLimit.js';
 import { handleConnectionErrors } from './handleConnectionErrors.js';
 
 /** Maximum size of a request head that is parsed; the configuration may set a lower limit. */
 const MAX_HEADER_BYTES = 65_536;
-/** Interval at which connections are checked for timeouts. */
+/** Interval at which connections are checked for late heads of requests. */
 const TIMEOUT_CHECK_MS = 500;
+const DEFAULT_IDLE_TIMEOUT_MS = 5_000;
 
 export interface ListenerOptions {
   /** Name in metrics and logs. */
@@ -22,10 +24,16 @@
   readonly handle: (request: IncomingMessage, response: ServerResponse) => Promise<void>;
   /** Connections over this limit are closed immediately. */
   readonly maxConnections: number;
+  /** Idle time of connections until the limits of a configuration are applied. @default 5,000 */
+  readonly idleTimeoutMs?: number;
 }
 
 export interface Listener {
-  /** Applies the limits of a new configuration. */
+  /**
+   * Applies the limits of the configuration in force, also to open connections. Callers may not know
+   * of a lower limit yet: an idle connection stays open for the time that was announced on it, and a
+   * lower time limit for heads holds once the previous one has passed.
+   */
   applyLimits(limits: CallerLimits): void;
   readonly server: Server;
   /** Accepts no further connections. Requests on open ones are still handled. */
@@ -40,8 +48,10 @@
     maxHeaderSize: MAX_HEADER_BYTES,
     connectionsCheckingInterval: TIMEOUT_CHECK_MS,
     requestTimeout: 0,
+    keepAliveTimeout: options.idleTimeoutMs ?? DEFAULT_IDLE_TIMEOUT_MS,
     noDelay: true,
   });
+  const headerTimeout = createHeldLimit(options.clock);
   server.maxConnections = options.maxConnections;
   handleConnectionErrors(server, options);
   server.on('request', (request, response) => {
@@ -54,9 +64,9 @@
   await once(server, 'listening');
   return {
     server,
-    applyLimits(limits) {
-      server.headersTimeout = limits.headerTimeoutMs;
-      server.keepAliveTimeout = limits.idleTimeoutMs;
+    applyLimits({ headerTimeoutMs, idleTimeoutMs }) {
+      server.headersTimeout = headerTimeout.apply(headerTimeoutMs);
+      server.keepAliveTimeout = idleTimeoutMs;
     },
     stopListening() {
       // The method of the HTTP server would also close idle connections, on which a request may be
--- a/packages/gateway/src/lifecycle/createEntryHost.ts
+++ b/packages/gateway/src/lifecycle/createEntryHost.ts
@@ -134,10 +134,11 @@
     metrics,
     handle: storeUpdates.wrap(createHandler('peers')),
     maxConnections: options.maxConnections,
+    idleTimeoutMs: PEER_LISTENER_IDLE_TIMEOUT_MS,
   });
 
   const listeners = [callerListener, peerListener];
-  peerListener.server.keepAliveTimeout = PEER_LISTENER_IDLE_TIMEOUT_MS;
+  view.onConfiguration(({ limits }) => callerListener.applyLimits(limits));
 
   const heartbeats = createHeartbeats({
     clock,
