Announce idle times under a second as one second

With an idle time under a second a host announced Keep-Alive: timeout=0, and 1.9 s was announced as 1: callers that heed it opened a new connection for each request, or closed theirs early. The idle time is rounded up to whole seconds, and connections stay open for as long as announced.

--- a/packages/gateway/src/ingress/createListener.ts
+++ b/packages/gateway/src/ingress/createListener.ts
@@ -13,6 +13,7 @@
 /** Interval at which connections are checked for late heads of requests. */
 const TIMEOUT_CHECK_MS = 500;
 const DEFAULT_IDLE_TIMEOUT_MS = 5_000;
+const MS_PER_S = 1_000;
 
 export interface ListenerOptions {
   /** Name in metrics and logs. */
@@ -28,6 +29,10 @@
   readonly idleTimeoutMs?: number;
 }
 
+/** The idle time is announced to clients in whole seconds. */
+const toAnnouncedMs = (idleTimeoutMs: number): number =>
+  Math.max(1, Math.ceil(idleTimeoutMs / MS_PER_S)) * MS_PER_S;
+
 export interface Listener {
   /**
    * Applies the limits of the configuration in force, also to open connections. Callers may not know
@@ -48,7 +53,7 @@
     maxHeaderSize: MAX_HEADER_BYTES,
     connectionsCheckingInterval: TIMEOUT_CHECK_MS,
     requestTimeout: 0,
-    keepAliveTimeout: options.idleTimeoutMs ?? DEFAULT_IDLE_TIMEOUT_MS,
+    keepAliveTimeout: toAnnouncedMs(options.idleTimeoutMs ?? DEFAULT_IDLE_TIMEOUT_MS),
     noDelay: true,
   });
   const headerTimeout = createHeldLimit(options.clock);
@@ -66,7 +71,7 @@
     server,
     applyLimits({ headerTimeoutMs, idleTimeoutMs }) {
       server.headersTimeout = headerTimeout.apply(headerTimeoutMs);
-      server.keepAliveTimeout = idleTimeoutMs;
+      server.keepAliveTimeout = toAnnouncedMs(idleTimeoutMs);
     },
     stopListening() {
       // The method of the HTTP server would also close idle connections, on which a request may be
