Bound the pauses in a body, and read what has arrived before it counts as late

A sound caller got 408 for a body that had arrived in time: the host was busy, and its timer ran before the body was read. A caller on a slow link got 408 for a body of which a part came all the time, because the idle time bounded the whole body; so did one that was held up because the host stood still and did not read.

The idle time now bounds the pauses within a body, counted to the last part that was read after a poll; the request's own time limit bounds the whole.

--- a/packages/gateway/src/ingress/createRequestHandler.ts
+++ b/packages/gateway/src/ingress/createRequestHandler.ts
@@ -140,7 +140,12 @@
         ? Math.min(route.timeoutMs, metadata.deadlineMs ?? route.timeoutMs)
         : (metadata.deadlineMs ?? route.timeoutMs);
     requireAccepting(arrivedAtMs + timeoutMs);
-    const body = await readBody(request, table.limits, context.closing);
+    const body = await readBody(request, {
+      clock: context.clock,
+      limits: table.limits,
+      deadlineAtMs: arrivedAtMs + timeoutMs,
+      closing: context.closing,
+    });
     const method = request.method ?? 'GET';
     const target = request.url ?? '/';
     const excessTransitMs =
