Send no 408 after a late head that was completed and served

If the rest of the head came meanwhile, its request was served, and the 408 followed on the idle connection, where a caller takes it for the response to its next request. A request that begins drops the error.

--- a/packages/gateway/src/ingress/handleConnectionErrors.ts
+++ b/packages/gateway/src/ingress/handleConnectionErrors.ts
@@ -109,6 +109,8 @@
   server.on('request', ({ socket }, response) => {
     const connection = connectionOf(socket);
     connection.requestCount += 1;
+    // A late head can still be completed while an earlier response is in progress.
+    connection.errorCode = undefined;
     connection.pendingRequests += 1;
     response.once('close', () => {
       connection.pendingRequests -= 1;
