Read the rest of a rejected body before its connection closes

Callers lost the response to a request that was rejected before its body had arrived (503 of a draining host or without configuration, 404, 413): a caller that reads after it has sent its body saw EPIPE or ECONNRESET and no response.

Cause: the end of a response with "Connection: close" closes the connection whatever is unread, and on other connections at most 1 MiB and 1 s of the rest were read. Unread input makes the operating system reset the connection.

Now the response is sent at once and ends after the rest of the body was read.

--- a/packages/gateway/src/exchange/createResponseWriter.ts
+++ b/packages/gateway/src/exchange/createResponseWriter.ts
@@ -6,10 +6,13 @@
  * Creates the writer of one HTTP response.
  *
  * @param shouldCloseConnection whether to ask the client to close the connection after the response
+ * @param readRemainingInput reads the rest of the request; undefined if it was read. A response that
+ *   is sent at once ends after it, because its end may close the connection
  */
 export function createResponseWriter(
   response: ServerResponse,
   shouldCloseConnection: () => boolean,
+  readRemainingInput: () => Promise<void> | undefined = () => undefined,
 ): ResponseWriter {
   const disconnected = createDisconnectSignal(response);
   // The disconnect signal handles the close event that follows.
@@ -23,14 +26,23 @@
     disconnected,
     isStarted: () => response.headersSent,
     send(status, headers, body) {
-      if (isOpen()) {
-        response.writeHead(status, [
-          ...withConnectionHeader(headers),
-          'Content-Length',
-          String(body.length),
-        ]);
+      if (!isOpen()) {
+        return;
+      }
+      response.writeHead(status, [
+        ...withConnectionHeader(headers),
+        'Content-Length',
+        String(body.length),
+      ]);
+      const inputRead = readRemainingInput();
+      if (inputRead === undefined) {
         response.end(body);
+        return;
       }
+      // Otherwise the head of a response without a body would wait for the end.
+      response.flushHeaders();
+      response.write(body);
+      void inputRead.then(() => response.end());
     },
     writeHead(status, headers) {
       if (isOpen()) {
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -46,6 +46,7 @@
 export * from './ingress/createListener.js';
 export * from './ingress/createRequestHandler.js';
 export * from './ingress/createSharedPartKeys.js';
+export * from './ingress/discardRequestBody.js';
 export * from './ingress/handleConnectionErrors.js';
 export * from './ingress/readBody.js';
 export * from './lifecycle/EntryHostOptions.js';
--- a/packages/gateway/src/ingress/createRequestHandler.ts
+++ b/packages/gateway/src/ingress/createRequestHandler.ts
@@ -21,14 +21,16 @@
 import type { ServiceSpec } from '../model/ServiceSpec.js';
 import { findRoute } from '../routing/findRoute.js';
 import { pickTarget } from '../routing/pickTarget.js';
-import { discardBody } from '../upstream/discardBody.js';
 import { createConnectionDrain } from './createConnectionDrain.js';
 import { createFingerprint } from './createFingerprint.js';
 import { createSharedPartKeys } from './createSharedPartKeys.js';
+import { discardRequestBody } from './discardRequestBody.js';
 import { readBody } from './readBody.js';
 
 /** Retry delay sent to callers while the host has no configuration or the service is unknown. */
 const NO_CONFIGURATION_RETRY_MS = 500;
+/** Limits on the rest of a rejected body while the host has no configuration. */
+const NO_CONFIGURATION_LIMITS = { maxBodyBytes: 16_777_216, idleTimeoutMs: 5_000 };
 
 export interface RequestHandlerOptions {
   readonly context: GatewayContext;
@@ -184,7 +186,14 @@
       context.log.info('request-not-read', { reason: 'connection-closes' });
       return;
     }
-    const responseWriter = createResponseWriter(response, () => connections.closesAfter(request));
+    const responseWriter = createResponseWriter(
+      response,
+      () => connections.closesAfter(request),
+      () =>
+        request.complete
+          ? undefined
+          : discardRequestBody(request, view.table()?.limits ?? NO_CONFIGURATION_LIMITS),
+    );
     try {
       await serveExchange(context, await createExchange(request, responseWriter, arrivedAtMs));
     } catch (error) {
@@ -215,9 +224,6 @@
         const relayed = isRelayed ? { hasArrived } : undefined;
         sendErrorResponse(responseWriter, context.codec, requestError, relayed);
       }
-      if (!request.complete) {
-        discardBody(request);
-      }
     }
   }
 
