Keep the connection of a response that arrived during a pause

The rest of a server's or a peer's response that is not needed is read for 1 s, so that its connection can be used again. After a pause of the process the timer ran before the sockets were read, and closed connections whose rest had arrived: each cost a new connection.

Before: "a response that arrived while the process was blocked leaves its connection open" failed, "Value is not `true`: false" for response.complete. The timeout elapses now only after the sockets were polled.

--- a/packages/gateway/src/upstream/discardBody.ts
+++ b/packages/gateway/src/upstream/discardBody.ts
@@ -1,22 +1,23 @@
 import type { IncomingMessage } from 'node:http';
+import { startInputTimeout } from '@camphorbarrow/core';
 
 const MAX_DISCARDED_BYTES = 1_048_576;
 const MAX_DISCARD_MS = 1_000;
 
 /**
- * Reads and drops the rest of a body, so that its connection can be used again. A body that is too
- * long or takes too long is not worth it: its connection is closed.
+ * Reads and drops the rest of a response, so that its connection can be used again. A body that is
+ * too long or takes too long is not worth it: its connection is closed.
  */
-export function discardBody(message: IncomingMessage): void {
+export function discardBody(response: IncomingMessage): void {
   let sizeBytes = 0;
-  const timer = setTimeout(() => message.destroy(), MAX_DISCARD_MS);
-  message.on('data', (chunk: Buffer) => {
+  const timeout = startInputTimeout(MAX_DISCARD_MS, () => response.destroy());
+  response.on('data', (chunk: Buffer) => {
     sizeBytes += chunk.length;
     if (sizeBytes > MAX_DISCARDED_BYTES) {
-      message.destroy();
+      response.destroy();
     }
   });
-  message.on('close', () => clearTimeout(timer));
+  response.on('close', () => timeout.close());
   // Nobody waits for this body; the close event follows.
-  message.on('error', () => undefined);
+  response.on('error', () => undefined);
 }
