Read what has arrived before a draining host closes

A request that arrived while the process of a draining host was paused got neither an answer nor a refusal if the pause lasted over the end of the drain, and a connection that was opened meanwhile was reset.

Cause: after a pause, timers run before the sockets are read. The timer that ended a stage of the drain closed the listening sockets, or all connections, with input in the kernel that nobody had looked at.

Both waits now end with a poll of the sockets. The one for connections to be accepted comes before the listening sockets close; the one for requests comes before the connections close, and the wait goes on if it finds one and time is left. A poll waits for nothing, so the grace period still holds.

--- a/packages/gateway/src/lifecycle/createDrainState.ts
+++ b/packages/gateway/src/lifecycle/createDrainState.ts
@@ -1,4 +1,5 @@
 import { setMaxListeners } from 'node:events';
+import { runAfterPoll } from '@camphorbarrow/core';
 import type { Clock } from '@camphorbarrow/core';
 
 /**
@@ -40,13 +41,22 @@
   startClosing(): void;
   /**
    * Resolves when no request is in flight after the serving time, but at the latest shortly before
-   * the grace period ends.
+   * the grace period ends. Connections that callers have opened by then have been accepted.
    */
   waitUntilDrained(inFlight: () => number): Promise<void>;
-  /** Resolves when no request is in flight, but in time before the grace period ends. */
+  /**
+   * Resolves when no request is in flight, but in time before the grace period ends. Requests that
+   * have arrived by then have been read.
+   */
   waitUntilFlushed(inFlight: () => number): Promise<void>;
 }
 
+/** Resolves when the sockets have been read; timers may run before after a pause of the process. */
+const pollSockets = (): Promise<void> =>
+  new Promise((resolve) => {
+    runAfterPoll(resolve);
+  });
+
 /**
  * Creates the state of a graceful shutdown.
  *
@@ -89,11 +99,16 @@
       while (clock.monotonicMs() < closeAtMs && (!isRejectingRequests() || inFlight() > 0)) {
         await clock.sleep(POLL_MS);
       }
+      await pollSockets();
     },
     async waitUntilFlushed(inFlight) {
-      while (clock.monotonicMs() < closeAtMs + FLUSH_MS && inFlight() > 0) {
-        await clock.sleep(FLUSH_POLL_MS);
-      }
+      const mayWait = (): boolean => clock.monotonicMs() < closeAtMs + FLUSH_MS && inFlight() > 0;
+      do {
+        while (mayWait()) {
+          await clock.sleep(FLUSH_POLL_MS);
+        }
+        await pollSockets();
+      } while (mayWait());
     },
   };
 }
