Count the grace period of a paused host from before the pause

The platform kills a process when the grace period is over, counted from its SIGTERM. A host that was paused at that time counted the whole period from the end of the pause on, and was killed with requests in flight: they got neither an answer nor a refusal.

A process does not learn when a signal was sent. The event loop monitor knows when the loop turned last before a delay of 250 ms or more that has just ended; the signal is taken to have come then. If it came later, the drain is shorter than necessary by the pause at most. The 3 s in which a draining host still takes requests count from when it begins to tell of the drain, as before.

--- a/packages/gateway/src/lifecycle/createDrainState.ts
+++ b/packages/gateway/src/lifecycle/createDrainState.ts
@@ -34,7 +34,12 @@
   /** Time until connections are closed; undefined before a drain. */
   closesInMs(): number | undefined;
   describe(inFlight: number): DrainProgress;
-  start(): void;
+  /**
+   * Starts the drain; further calls are ignored.
+   *
+   * @param signalledAtMs earliest time at which the process was told to stop; it may have been paused
+   */
+  start(signalledAtMs: number): void;
   /** Aborts when requests that are still in flight have to end. */
   readonly closing: AbortSignal;
   /** Rejects all further requests and ends those in flight. */
@@ -60,7 +65,7 @@
 /**
  * Creates the state of a graceful shutdown.
  *
- * @param graceMs time between the start of a drain and the end of the process, read at the start
+ * @param graceMs time between the signal to stop and the end of the process, read at the start
  */
 export function createDrainState(clock: Clock, graceMs: () => number): DrainState {
   let startAtMs = Infinity;
@@ -86,10 +91,10 @@
       elapsedMs: Math.round(clock.monotonicMs() - startAtMs),
       graceMs: Math.round(closeAtMs + CLOSE_MARGIN_MS - startAtMs),
     }),
-    start() {
+    start(signalledAtMs) {
       if (!isDraining()) {
         startAtMs = clock.monotonicMs();
-        closeAtMs = startAtMs + graceMs() - CLOSE_MARGIN_MS;
+        closeAtMs = signalledAtMs + graceMs() - CLOSE_MARGIN_MS;
       }
     },
     startClosing() {
--- a/packages/gateway/src/lifecycle/createEntryHost.ts
+++ b/packages/gateway/src/lifecycle/createEntryHost.ts
@@ -248,7 +248,7 @@
   let closing: Promise<void> | undefined;
 
   async function drainAndStop(): Promise<void> {
-    drain.start();
+    drain.start(eventLoopMonitor.pendingSinceMs());
     heartbeats.sendToAll();
     const describeDrain = (): DrainProgress => drain.describe(inFlight.count());
     log.info('drain-began', { ...describeDrain() });
--- a/packages/gateway/src/lifecycle/createEventLoopMonitor.ts
+++ b/packages/gateway/src/lifecycle/createEventLoopMonitor.ts
@@ -5,6 +5,11 @@
 const LOGGED_DELAY_MS = 250;
 
 export interface EventLoopMonitor {
+  /**
+   * Earliest time since which input or a signal that is processed now may have waited: the start of
+   * a delay that has just ended, or now.
+   */
+  pendingSinceMs(): number;
   close(): void;
 }
 
@@ -17,15 +22,26 @@
   log: LogSink,
   metrics: MetricsSink,
 ): EventLoopMonitor {
-  let expectedAtMs = clock.monotonicMs() + SAMPLE_INTERVAL_MS;
+  let sampledAtMs = clock.monotonicMs();
+  let previousSampleAtMs = sampledAtMs;
   const timer = setInterval(() => {
     const nowMs = clock.monotonicMs();
-    const delayMs = Math.max(0, nowMs - expectedAtMs);
-    expectedAtMs = nowMs + SAMPLE_INTERVAL_MS;
+    const delayMs = Math.max(0, nowMs - sampledAtMs - SAMPLE_INTERVAL_MS);
+    previousSampleAtMs = sampledAtMs;
+    sampledAtMs = nowMs;
     metrics.timingMs('event_loop_delay', delayMs);
     if (delayMs >= LOGGED_DELAY_MS) {
       log.warn('event-loop-delayed', { delayMs: Math.round(delayMs) });
     }
   }, SAMPLE_INTERVAL_MS);
-  return { close: () => clearInterval(timer) };
+  return {
+    pendingSinceMs() {
+      const nowMs = clock.monotonicMs();
+      // After a pause, the timer may run before or after what has waited.
+      const sinceMs =
+        nowMs - sampledAtMs < SAMPLE_INTERVAL_MS / 2 ? previousSampleAtMs : sampledAtMs;
+      return nowMs - sinceMs >= SAMPLE_INTERVAL_MS + LOGGED_DELAY_MS ? sinceMs : nowMs;
+    },
+    close: () => clearInterval(timer),
+  };
 }
--- a/packages/gateway/tests/lifecycle/createEventLoopMonitor.test.ts
+++ b/packages/gateway/tests/lifecycle/createEventLoopMonitor.test.ts
@@ -32,3 +32,28 @@
   t.true(logged.some(({ event }) => event === 'event-loop-delayed'));
   t.true(Math.max(...delaysMs) >= BUSY_MS - 150, `${Math.max(...delaysMs)} ms`);
 });
+
+const silentLog = { info() {}, warn() {}, error() {} };
+const silentMetrics = {
+  increment() {},
+  gauge() {},
+  timingMs() {},
+  close: async () => undefined,
+};
+
+test.serial('what is processed after a pause may have waited since its start', async (t) => {
+  const clock = createSystemClock();
+  const monitor = createEventLoopMonitor(clock, silentLog, silentMetrics);
+  t.teardown(monitor.close);
+  await clock.sleep(250);
+  t.true(clock.monotonicMs() - monitor.pendingSinceMs() < BUSY_MS / 2);
+  const pausedAtMs = clock.monotonicMs();
+  while (clock.monotonicMs() < pausedAtMs + BUSY_MS) {
+    // Blocks the event loop.
+  }
+  t.true(monitor.pendingSinceMs() <= pausedAtMs, 'before the timers');
+  await clock.sleep(1);
+  t.true(monitor.pendingSinceMs() <= pausedAtMs, 'after the timers');
+  await clock.sleep(250);
+  t.true(monitor.pendingSinceMs() > pausedAtMs + BUSY_MS, 'later');
+});
