Reject requests on connections over the limit in place of closing them

A caller whose connection was over the limit got neither an answer nor a refusal: Node.js closes such a connection as soon as it accepts it, but the kernel had accepted it before, and the request may be on it. The caller can't know that the request has not run.

Connections of callers and of peers now have a reserve of a tenth above the limit. A request on one of them gets 503, Retry-After and "Connection: close", or is served if another connection has closed meanwhile. Beyond the reserve connections are closed as before.

Before, two tests of entryHost.connectionLimit.test.ts failed: "socket hang up", and "The condition was not met in time." for an order on an accepted connection. The third and createConnectionLimit.test.ts are guards of the bounds.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -40,6 +40,7 @@
 export * from './fleet/runHostRegistration.js';
 export * from './fleet/runStoreFollower.js';
 export * from './ingress/createConnectionDrain.js';
+export * from './ingress/createConnectionLimit.js';
 export * from './ingress/createFingerprint.js';
 export * from './ingress/createHeldLimit.js';
 export * from './ingress/createInFlightTracker.js';
--- a/packages/gateway/src/ingress/createConnectionDrain.ts
+++ b/packages/gateway/src/ingress/createConnectionDrain.ts
@@ -9,10 +9,12 @@
 }
 
 /**
- * Decides which response closes a connection during a drain. Callers may send a request before they
- * have the response to the previous one; only the response to the last one may close the connection.
+ * Decides which response closes a connection. Callers may send a request before they have the
+ * response to the previous one; only the response to the last one may close the connection.
+ *
+ * @param shouldClose whether to close a connection, for example during a drain
  */
-export function createConnectionDrain(isDraining: () => boolean): ConnectionDrain {
+export function createConnectionDrain(shouldClose: (socket: Socket) => boolean): ConnectionDrain {
   const latestRequests = new WeakMap<Socket, IncomingMessage>();
   const closingSockets = new WeakSet<Socket>();
 
@@ -22,7 +24,7 @@
       return !closingSockets.has(request.socket);
     },
     closesAfter(request) {
-      const closes = isDraining() && latestRequests.get(request.socket) === request;
+      const closes = latestRequests.get(request.socket) === request && shouldClose(request.socket);
       if (closes) {
         closingSockets.add(request.socket);
       }
--- a/packages/gateway/src/ingress/createListener.ts
+++ b/packages/gateway/src/ingress/createListener.ts
@@ -23,7 +23,7 @@
   readonly log: LogSink;
   readonly metrics: MetricsSink;
   readonly handle: (request: IncomingMessage, response: ServerResponse) => Promise<void>;
-  /** Connections over this limit are closed immediately. */
+  /** Connections over this limit are closed immediately, unless a `ConnectionLimit` is applied. */
   readonly maxConnections: number;
   /** Idle time of connections until the limits of a configuration are applied. @default 5,000 */
   readonly idleTimeoutMs?: number;
--- a/packages/gateway/src/ingress/createRequestHandler.ts
+++ b/packages/gateway/src/ingress/createRequestHandler.ts
@@ -2,6 +2,7 @@
 import {
   NoConfigurationError,
   NotFoundError,
+  OverloadedError,
   RequestError,
   UnknownServiceError,
   asId,
@@ -22,6 +23,7 @@
 import { findRoute } from '../routing/findRoute.js';
 import { pickTarget } from '../routing/pickTarget.js';
 import { createConnectionDrain } from './createConnectionDrain.js';
+import type { ConnectionLimit } from './createConnectionLimit.js';
 import { createFingerprint } from './createFingerprint.js';
 import { createSharedPartKeys } from './createSharedPartKeys.js';
 import { discardRequestBody } from './discardRequestBody.js';
@@ -29,12 +31,15 @@
 
 /** Retry delay sent to callers while the host has no configuration or the service is unknown. */
 const NO_CONFIGURATION_RETRY_MS = 500;
+/** Retry delay sent to callers on a connection over the limit. */
+const CONNECTION_LIMIT_RETRY_MS = 500;
 /** Limits on the rest of a rejected body while the host has no configuration. */
 const NO_CONFIGURATION_LIMITS = { maxBodyBytes: 16_777_216, idleTimeoutMs: 5_000 };
 
 export interface RequestHandlerOptions {
   readonly context: GatewayContext;
   readonly view: FleetView;
+  readonly connectionLimit: ConnectionLimit;
   /** Whether connections are closed after their next response. */
   readonly isDraining: () => boolean;
   /** Whether a request with this deadline on the monotonic clock is served. */
@@ -94,9 +99,11 @@
 
 /** Creates the request handler of a listener, which sends a response to every request. */
 export function createRequestHandler(options: RequestHandlerOptions): RequestHandler {
-  const { context, view } = options;
+  const { context, view, connectionLimit } = options;
   const isRelayed = options.source === 'peers';
-  const connections = createConnectionDrain(options.isDraining);
+  const connections = createConnectionDrain(
+    (socket) => options.isDraining() || connectionLimit.isExceededBy(socket),
+  );
 
   function chooseService(table: RoutingTable, route: Route, request: IncomingMessage): ServiceSpec {
     const requestedName = isRelayed ? firstHeaderValue(request, relayHeaders.service) : undefined;
@@ -121,12 +128,25 @@
     }
   }
 
+  function requireWithinConnectionLimit({ socket }: IncomingMessage): void {
+    if (connectionLimit.isExceededBy(socket)) {
+      throw new OverloadedError('This entry host has too many connections.', {
+        props: {
+          code: 'connection-limit',
+          statusCode: 503,
+          retryAfterMs: CONNECTION_LIMIT_RETRY_MS,
+        },
+      });
+    }
+  }
+
   async function createExchange(
     request: IncomingMessage,
     responseWriter: Exchange['responseWriter'],
     arrivedAtMs: number,
   ): Promise<Exchange> {
     requireAccepting(arrivedAtMs);
+    requireWithinConnectionLimit(request);
     const table = requireTable(view);
     requireHeadWithinLimit(table, request);
     const route = requireRoute(table, request);
--- a/packages/gateway/src/lifecycle/EntryHostOptions.ts
+++ b/packages/gateway/src/lifecycle/EntryHostOptions.ts
@@ -39,6 +39,7 @@
   readonly seeds: () => readonly Endpoint[];
   /** Bounds in the current settings. */
   readonly bounds: () => FleetBounds;
+  /** Connections of callers, and of peers, whose requests are served. */
   readonly maxConnections: number;
   readonly regionOfZone: (zone: AvailabilityZoneId) => RegionId | undefined;
   readonly store: MetadataStore;
--- a/packages/gateway/src/lifecycle/createEntryHost.ts
+++ b/packages/gateway/src/lifecycle/createEntryHost.ts
@@ -8,6 +8,8 @@
 import type { FleetView } from '../fleet/createFleetView.js';
 import { runHostRegistration } from '../fleet/runHostRegistration.js';
 import { runStoreFollower } from '../fleet/runStoreFollower.js';
+import { createConnectionLimit } from '../ingress/createConnectionLimit.js';
+import type { ConnectionLimit } from '../ingress/createConnectionLimit.js';
 import { createInFlightTracker } from '../ingress/createInFlightTracker.js';
 import { createListener } from '../ingress/createListener.js';
 import { createRequestHandler } from '../ingress/createRequestHandler.js';
@@ -94,11 +96,17 @@
 
   const directoryHosts = createHostDirectory({ own, peers, view, currentState });
 
-  const createHandler = (source: 'callers' | 'peers'): RequestHandler =>
+  const callerLimit = createConnectionLimit(options.maxConnections);
+  const peerLimit = createConnectionLimit(options.maxConnections);
+  const createHandler = (
+    source: 'callers' | 'peers',
+    connectionLimit: ConnectionLimit,
+  ): RequestHandler =>
     inFlight.wrap(
       createRequestHandler({
         context,
         view,
+        connectionLimit,
         isDraining: drain.isDraining,
         acceptsRequest: drain.acceptsRequest,
         source,
@@ -123,7 +131,7 @@
     clock,
     log,
     metrics,
-    handle: createHandler('callers'),
+    handle: createHandler('callers', callerLimit),
     maxConnections: options.maxConnections,
   });
   const peerListener = await createListener({
@@ -132,12 +140,14 @@
     clock,
     log,
     metrics,
-    handle: storeUpdates.wrap(createHandler('peers')),
+    handle: storeUpdates.wrap(createHandler('peers', peerLimit)),
     maxConnections: options.maxConnections,
     idleTimeoutMs: PEER_LISTENER_IDLE_TIMEOUT_MS,
   });
 
   const listeners = [callerListener, peerListener];
+  callerLimit.apply(callerListener.server);
+  peerLimit.apply(peerListener.server);
   view.onConfiguration(({ limits }) => callerListener.applyLimits(limits));
 
   const heartbeats = createHeartbeats({
