Let callers close connections after their last response

A caller that sent something when the host had closed its connection lost the response that it had not read yet: the head that was too long to be read to its end (431), or a next request behind a response with "Connection: close".

Cause: the host closed a connection as soon as its last response was with the operating system. Input on a closed connection, or unread input, makes the operating system reset it and drop what it has not sent.

A connection is now closed in two steps: its sending side at once, the rest when the caller has closed its side, at the latest after 1 s. What arrives meanwhile is read and dropped; requests on it were not run before and are not now. A host that stops waits for such connections, within the time that it has for sending its last responses.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -49,6 +49,7 @@
 export * from './ingress/createSharedPartKeys.js';
 export * from './ingress/discardRequestBody.js';
 export * from './ingress/handleConnectionErrors.js';
+export * from './ingress/lingerOnClose.js';
 export * from './ingress/readBody.js';
 export * from './lifecycle/EntryHostOptions.js';
 export * from './lifecycle/chooseDirectoryHosts.js';
--- a/packages/gateway/src/ingress/createListener.ts
+++ b/packages/gateway/src/ingress/createListener.ts
@@ -7,6 +7,7 @@
 import type { Endpoint } from '../model/Endpoint.js';
 import { createHeldLimit } from './createHeldLimit.js';
 import { handleConnectionErrors } from './handleConnectionErrors.js';
+import { lingerOnClose } from './lingerOnClose.js';
 
 /** Maximum size of a request head that is parsed; the configuration may set a lower limit. */
 const MAX_HEADER_BYTES = 65_536;
@@ -43,6 +44,8 @@
   readonly server: Server;
   /** Accepts no further connections. Requests on open ones are still handled. */
   stopListening(): void;
+  /** Connections whose last response was sent and whose callers have not closed them. */
+  lingeringCount(): number;
   /** Stops listening and closes every connection immediately. */
   close(): void;
 }
@@ -58,6 +61,7 @@
   });
   const headerTimeout = createHeldLimit(options.clock);
   server.maxConnections = options.maxConnections;
+  const lingering = lingerOnClose(server);
   handleConnectionErrors(server, options);
   server.on('request', (request, response) => {
     options.handle(request, response).catch((error: unknown) => {
@@ -78,6 +82,7 @@
       // on its way that the handler can still reject.
       NetServer.prototype.close.call(server);
     },
+    lingeringCount: lingering.count,
     close() {
       server.close();
       server.closeAllConnections();
--- a/packages/gateway/src/ingress/createRequestHandler.ts
+++ b/packages/gateway/src/ingress/createRequestHandler.ts
@@ -204,6 +204,7 @@
     if (!connections.recordRequest(request)) {
       // It must not run. The connection closes when the response before it has been sent.
       context.log.info('request-not-read', { reason: 'connection-closes' });
+      request.resume();
       return;
     }
     const responseWriter = createResponseWriter(
--- a/packages/gateway/src/lifecycle/createDrainState.ts
+++ b/packages/gateway/src/lifecycle/createDrainState.ts
@@ -50,10 +50,12 @@
    */
   waitUntilDrained(inFlight: () => number): Promise<void>;
   /**
-   * Resolves when no request is in flight, but in time before the grace period ends. Requests that
-   * have arrived by then have been read.
+   * Resolves when no connection has to be waited for, but in time before the grace period ends.
+   * Requests that have arrived by then have been read.
+   *
+   * @param pending requests in flight and connections that callers are about to close
    */
-  waitUntilFlushed(inFlight: () => number): Promise<void>;
+  waitUntilFlushed(pending: () => number): Promise<void>;
 }
 
 /** Resolves when the sockets have been read; timers may run before after a pause of the process. */
@@ -106,8 +108,8 @@
       }
       await pollSockets();
     },
-    async waitUntilFlushed(inFlight) {
-      const mayWait = (): boolean => clock.monotonicMs() < closeAtMs + FLUSH_MS && inFlight() > 0;
+    async waitUntilFlushed(pending) {
+      const mayWait = (): boolean => clock.monotonicMs() < closeAtMs + FLUSH_MS && pending() > 0;
       do {
         while (mayWait()) {
           await clock.sleep(FLUSH_POLL_MS);
--- a/packages/gateway/src/lifecycle/createEntryHost.ts
+++ b/packages/gateway/src/lifecycle/createEntryHost.ts
@@ -269,7 +269,9 @@
     heartbeats.sendToAll();
     stop.abort();
     await Promise.race([Promise.all(tasks), clock.sleep(UNREGISTER_TIMEOUT_MS)]);
-    await drain.waitUntilFlushed(inFlight.count);
+    await drain.waitUntilFlushed(() =>
+      listeners.reduce((sum, { lingeringCount }) => sum + lingeringCount(), inFlight.count()),
+    );
     log.info('connections-closed', { ...describeDrain() });
     options.metrics.increment(
       'incomplete_responses',
