Read connections and responses of servers before timing them out

What callers saw: after a pause of this host, 503 although the server was sound, or a safe request that ran a second time while its first response was thrown away. The server then counted as unreachable and got no requests for seconds.

Cause: the connect and the response timeout of a request were plain timers, which run before the sockets are read. A connection that the kernel had established and a response that had arrived in time were discarded. The response timeout also ran while the request waited for its connection, so that it could end before the request was written, which counts as unreachable.

Why it works: both are input timeouts, which elapse only after the sockets were read. The response timeout starts when the request is written; until then, the connect timeout bounds the wait.

--- a/packages/gateway/src/upstream/sendUpstream.ts
+++ b/packages/gateway/src/upstream/sendUpstream.ts
@@ -1,6 +1,7 @@
 import { request as httpRequest } from 'node:http';
 import type { Agent, ClientRequest, IncomingMessage } from 'node:http';
-import { PlatformError } from '@camphorbarrow/core';
+import { PlatformError, startInputTimeout } from '@camphorbarrow/core';
+import type { InputTimeout } from '@camphorbarrow/core';
 import type { Endpoint } from '../model/Endpoint.js';
 
 /** Interim responses (status 1xx) to one request after which its connection is closed. */
@@ -31,7 +32,7 @@
   readonly headers: readonly string[];
   readonly body: Buffer;
   readonly connectTimeoutMs: number;
-  /** Timeout for the response head; undefined for none. */
+  /** Timeout for the response head, from the write of the request; undefined for none. */
   readonly responseTimeoutMs: number | undefined;
   /** Checked when the response timeout elapses; while it returns true, the timeout is restarted. */
   readonly keepWaiting?: () => boolean;
@@ -81,7 +82,8 @@
     /** Whether bytes of the request may have been sent. */
     let written = false;
     let failure: SendFailure = 'broken';
-    const timers: NodeJS.Timeout[] = [];
+    let connectTimeout: InputTimeout | undefined;
+    let responseTimeout: InputTimeout | undefined;
 
     let outgoing: ClientRequest;
     try {
@@ -105,16 +107,30 @@
     };
 
     function settle(result: SendResult): void {
-      timers.forEach(clearTimeout);
+      connectTimeout?.close();
+      responseTimeout?.close();
       options.signal.removeEventListener('abort', onAbort);
       startSignal.removeEventListener('abort', onStartAbort);
       resolve(result);
     }
 
+    function startResponseTimeout(timeoutMs: number): void {
+      responseTimeout = startInputTimeout(timeoutMs, () => {
+        if (options.keepWaiting?.() === true) {
+          startResponseTimeout(timeoutMs);
+        } else {
+          cancel('silent');
+        }
+      });
+    }
+
     function write(): void {
       if (!outgoing.destroyed) {
         written = true;
         outgoing.end(options.body);
+        if (options.responseTimeoutMs !== undefined) {
+          startResponseTimeout(options.responseTimeoutMs);
+        }
       }
     }
 
@@ -123,26 +139,12 @@
         write();
         return;
       }
-      const timer = setTimeout(() => cancel('unreachable'), options.connectTimeoutMs);
-      timers.push(timer);
+      connectTimeout = startInputTimeout(options.connectTimeoutMs, () => cancel('unreachable'));
       socket.once('connect', () => {
-        clearTimeout(timer);
+        connectTimeout?.close();
         void Promise.resolve(options.beforeWrite?.()).then(write);
       });
     });
-    function startResponseTimer(timeoutMs: number): void {
-      const timer = setTimeout(() => {
-        if (options.keepWaiting?.() === true) {
-          startResponseTimer(timeoutMs);
-        } else {
-          cancel('silent');
-        }
-      }, timeoutMs);
-      timers.push(timer);
-    }
-    if (options.responseTimeoutMs !== undefined) {
-      startResponseTimer(options.responseTimeoutMs);
-    }
     let interimResponses = 0;
     outgoing.on('information', () => {
       interimResponses += 1;
--- a/packages/gateway/tests/upstream/sendUpstream.test.ts
+++ b/packages/gateway/tests/upstream/sendUpstream.test.ts
@@ -1,9 +1,11 @@
 import { createServer } from 'node:net';
 import type { AddressInfo, Socket } from 'node:net';
 import { once } from 'node:events';
+import { setTimeout as sleep } from 'node:timers/promises';
 import test from 'ava';
 import { createConnectionPools, readFullBody, sendUpstream } from '../../src/index.js';
 import type { UpstreamRequest } from '../../src/index.js';
+import { blockEventLoop } from '../support/blockEventLoop.js';
 
 interface TestServer {
   readonly port: number;
@@ -134,6 +136,42 @@
   t.is(sent.kind, 'response');
 });
 
+// A sound server counted as unreachable, and then got no requests for seconds.
+test('a connection that is established while the process stands still is used', async (t) => {
+  const server = await startTestServer((socket) =>
+    socket.end('HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'),
+  );
+  t.teardown(server.close);
+  const pending = sendUpstream({ ...upstreamRequest(server.port), connectTimeoutMs: 50 });
+  // The socket starts to connect in the next tick.
+  await Promise.resolve();
+  setImmediate(() => blockEventLoop(150));
+  t.like(await pending, { kind: 'response' });
+});
+
+// The response was discarded, and the request ran a second time elsewhere.
+test('a response that arrives while the process stands still is used', async (t) => {
+  const server = await startTestServer((socket) => {
+    socket.end('HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok');
+    blockEventLoop(150);
+  });
+  t.teardown(server.close);
+  t.like(await send(server.port, 100), { kind: 'response' });
+});
+
+test('the time for a response does not end while its request waits to be written', async (t) => {
+  const server = await startTestServer((socket) =>
+    socket.end('HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'),
+  );
+  t.teardown(server.close);
+  const sent = await sendUpstream({
+    ...upstreamRequest(server.port),
+    responseTimeoutMs: 100,
+    beforeWrite: () => sleep(200),
+  });
+  t.like(sent, { kind: 'response' });
+});
+
 // Otherwise the exception ends the exchange with status 500, although nothing was sent.
 const unsendable: Record<string, Partial<UpstreamRequest>> = {
   'a line end in a header': { headers: ['Host', 'a.example', 'Id', 'i-\n2'] },
