Read the events of a stream before ending a pause of it

What callers saw: after a pause of this host, a stream was cut or moved to another server, and its server counted as silent, although its events lay in the kernel.

Cause: the timer for the pause between events was a plain one, which runs before the sockets are read. It is an input timeout now, which elapses only after they were read, so that an event that came in time restarts it.

Seen to fail before, in forwardEvents.test.ts, "events that arrive while the process stands still end a pause": - cause: 'silent', complete: false, lastEventId: '1' + cause: 'end', complete: true, lastEventId: '3' After: 3 tests passed.

--- a/packages/gateway/src/exchange/forwardEvents.ts
+++ b/packages/gateway/src/exchange/forwardEvents.ts
@@ -1,4 +1,6 @@
 import type { IncomingMessage } from 'node:http';
+import { startInputTimeout } from '@camphorbarrow/core';
+import type { InputTimeout } from '@camphorbarrow/core';
 import type { ResponseWriter } from './ResponseWriter.js';
 import { hasFields, splitEvents } from './splitEvents.js';
 
@@ -45,7 +47,7 @@
   let lastEventId: string | undefined;
   let hasForwardedEvents = false;
   let cause: ForwardEventsResult['cause'] = 'broken';
-  let gapTimer: NodeJS.Timeout | undefined;
+  let gapTimeout: InputTimeout | undefined;
 
   const stop = (reason: ForwardEventsResult['cause']): void => {
     cause = reason;
@@ -53,16 +55,16 @@
   };
   const onAbort = (): void => stop('cancelled');
 
-  function restartGapTimer(): void {
-    clearTimeout(gapTimer);
+  function restartGapTimeout(): void {
+    gapTimeout?.close();
     if (options.maxEventGapMs !== undefined) {
-      gapTimer = setTimeout(() => {
+      gapTimeout = startInputTimeout(options.maxEventGapMs, () => {
         if (options.keepWaiting?.() === true) {
-          restartGapTimer();
+          restartGapTimeout();
         } else {
           stop('silent');
         }
-      }, options.maxEventGapMs);
+      });
     }
   }
 
@@ -71,10 +73,10 @@
       options.onFirstEvent();
       hasForwardedEvents = true;
     }
-    clearTimeout(gapTimer);
+    gapTimeout?.close();
     await responseWriter.write(Buffer.concat([...heldComments, bytes]), signal);
     heldComments = [];
-    restartGapTimer();
+    restartGapTimeout();
   }
 
   async function forwardComment(bytes: Buffer): Promise<void> {
@@ -95,7 +97,7 @@
     };
   }
   signal.addEventListener('abort', onAbort, { once: true });
-  restartGapTimer();
+  restartGapTimeout();
   try {
     for await (const chunk of response as AsyncIterable<Buffer>) {
       bytesSinceEvent += chunk.length;
@@ -127,7 +129,7 @@
   } catch {
     // The connection broke or was destroyed above; `cause` holds the reason.
   } finally {
-    clearTimeout(gapTimer);
+    gapTimeout?.close();
     signal.removeEventListener('abort', onAbort);
   }
   return { complete: cause === 'end', cause, hasForwardedEvents, lastEventId };
