Pass on responses that arrive before the deadline of a paused host

What callers saw: 504 for an order that had run and may run only once, although its complete response lay in the kernel of the host; the same with 502 at the end of a drain. Safe requests, streams and error responses were lost likewise.

Cause: after a pause of the host, the timer of the deadline runs before the sockets are read, and ended the attempt. So did the end of a drain, which is decided by a timer too.

Why it works: when the time is over, nothing new is sent from that moment on, but the attempt that runs ends only after the sockets were read. That is a poll, not a time: a request without a response still ends at once. The two signals take the place of two calls of AbortSignal.any for each request.

Seen to fail before, in entryHost.hostPauses.test.ts (5 of 6): a response of /order/ (/safe/, /stream/once/) that arrives in time is passed on after a pause beyond the deadline: - status: 504 + status: 200 an error that arrives in time ...: - status: 504 + status: 500 a response that arrives before connections close ...: - status: 502 + status: 200 After: 6 tests passed. The sixth passed before, too: a request without a response ends after such a pause.

--- a/packages/gateway/src/exchange/serveExchange.ts
+++ b/packages/gateway/src/exchange/serveExchange.ts
@@ -1,3 +1,4 @@
+import { runAfterPoll } from '@camphorbarrow/core';
 import { describeChoice } from './describeChoice.js';
 import type { Exchange } from './Exchange.js';
 import type { ExchangeProgress } from './ExchangeProgress.js';
@@ -46,32 +47,50 @@
     lastAttemptMs: undefined,
     callerLeftMs: undefined,
   };
+  // A buffered request that is not idempotent, such as an order, goes on when its caller
+  // disconnects, because a cancelled one could be left half done.
+  const cancelsOnDisconnect = route.idempotent || route.delivery === 'events';
+  const start = new AbortController();
+  const end = new AbortController();
+  let cancelEnd = (): void => undefined;
+  /** Nothing new is sent from now on; a response that has arrived is still forwarded. */
+  const endExchange = (): void => {
+    start.abort();
+    cancelEnd();
+    cancelEnd = runAfterPoll(() => end.abort());
+  };
+  const endOnDisconnect = (): void => {
+    start.abort();
+    if (cancelsOnDisconnect) {
+      end.abort();
+    }
+  };
   const onDisconnect = (): void => {
     progress.callerLeftMs = clock.monotonicMs() - exchange.arrivedAtMs;
     const phase = describePhase(progress, responseWriter.isStarted());
     context.metrics.increment('caller_disconnects', { phase });
+    endOnDisconnect();
   };
+  if (responseWriter.disconnected.aborted) {
+    endOnDisconnect();
+  }
   responseWriter.disconnected.addEventListener('abort', onDisconnect);
-  const end = new AbortController();
-  const endExchange = (): void => end.abort();
-  const timer = setTimeout(endExchange, Math.max(0, exchange.deadlineAtMs - clock.monotonicMs()));
+  let isExpired = false;
+  const expire = (): void => {
+    isExpired = true;
+    endExchange();
+  };
+  const timer = setTimeout(expire, Math.max(0, exchange.deadlineAtMs - clock.monotonicMs()));
   context.closing.addEventListener('abort', endExchange);
-  // A buffered request that is not idempotent, such as an order, goes on when its caller
-  // disconnects, because a cancelled one could be left half done.
-  const cancelsOnDisconnect = route.idempotent || route.delivery === 'events';
-  const startSignal = AbortSignal.any([end.signal, responseWriter.disconnected]);
-  const signal = cancelsOnDisconnect ? startSignal : end.signal;
+  const signals = { signal: end.signal, startSignal: start.signal };
 
   context.retryBudget.recordRequest(exchange.service.name);
-  const result = await runAttempts(context, exchange, progress, { signal, startSignal }).finally(
-    () => {
-      clearTimeout(timer);
-      context.closing.removeEventListener('abort', endExchange);
-    },
-  );
-  const isExpired =
-    (end.signal.aborted && !context.closing.aborted) ||
-    clock.monotonicMs() >= exchange.deadlineAtMs;
+  const result = await runAttempts(context, exchange, progress, signals).finally(() => {
+    clearTimeout(timer);
+    cancelEnd();
+    context.closing.removeEventListener('abort', endExchange);
+  });
+  isExpired ||= clock.monotonicMs() >= exchange.deadlineAtMs;
   responseWriter.disconnected.removeEventListener('abort', onDisconnect);
   if (result?.kind === 'delivered' && progress.runs === 0) {
     context.outputLengths.recordResponse(route, progress.eventCount);
