--- a/packages/gateway/src/peers/createStoreUpdateExchange.ts
+++ b/packages/gateway/src/peers/createStoreUpdateExchange.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import { withInputTimeout } from '@camphorbarrow/core';
 import type { FleetView } from '../fleet/createFleetView.js';
 import { InvalidMessageError } from '../errors/InvalidMessageError.js';
 import type { RequestHandler } from '../ingress/createRequestHandler.js';
@@ -49,43 +50,44 @@
     response.writeHead(200, { 'content-length': body.length }).end(body);
   }
 
+  async function fetchUpdate(peer: Endpoint, signal: AbortSignal): Promise<StoreUpdate> {
+    const sent = await sendUpstream({
+      agent: connections.agentFor(formatEndpoint(peer)),
+      endpoint: peer,
+      method: 'GET',
+      path: UPDATE_PATH,
+      headers: [
+        'Host',
+        formatEndpoint(peer),
+        UPDATE_HEADER,
+        String(view.position().revision),
+        ERA_HEADER,
+        String(view.position().era),
+      ],
+      body: Buffer.alloc(0),
+      connectTimeoutMs: TIMEOUT_MS,
+      responseTimeoutMs: TIMEOUT_MS,
+      signal,
+    });
+    if (sent.kind === 'failed') {
+      throw new InvalidMessageError(`The peer sent no store update: ${sent.cause}.`);
+    }
+    const body = await readFullBody(sent.response, MAX_UPDATE_BYTES, signal);
+    const update: unknown = body === undefined ? undefined : JSON.parse(body.toString());
+    if (!isStoreUpdate(update)) {
+      throw new InvalidMessageError(
+        'The store update of the peer has missing or malformed fields.',
+      );
+    }
+    // Hosts of an earlier build send neither field.
+    return { ...update, era: update.era ?? 0, configuration: update.configuration ?? null };
+  }
+
   return {
     wrap: (handle) => (request, response) =>
       request.headers[UPDATE_HEADER] === undefined
         ? handle(request, response)
         : respond(request, response),
-    async fetch(peer) {
-      const signal = AbortSignal.timeout(TIMEOUT_MS);
-      const sent = await sendUpstream({
-        agent: connections.agentFor(formatEndpoint(peer)),
-        endpoint: peer,
-        method: 'GET',
-        path: UPDATE_PATH,
-        headers: [
-          'Host',
-          formatEndpoint(peer),
-          UPDATE_HEADER,
-          String(view.position().revision),
-          ERA_HEADER,
-          String(view.position().era),
-        ],
-        body: Buffer.alloc(0),
-        connectTimeoutMs: TIMEOUT_MS,
-        responseTimeoutMs: TIMEOUT_MS,
-        signal,
-      });
-      if (sent.kind === 'failed') {
-        throw new InvalidMessageError(`The peer sent no store update: ${sent.cause}.`);
-      }
-      const body = await readFullBody(sent.response, MAX_UPDATE_BYTES, signal);
-      const update: unknown = body === undefined ? undefined : JSON.parse(body.toString());
-      if (!isStoreUpdate(update)) {
-        throw new InvalidMessageError(
-          'The store update of the peer has missing or malformed fields.',
-        );
-      }
-      // Hosts of an earlier build send neither field.
-      return { ...update, era: update.era ?? 0, configuration: update.configuration ?? null };
-    },
+    fetch: (peer) => withInputTimeout(TIMEOUT_MS, (signal) => fetchUpdate(peer, signal)),
   };
 }
--- a/packages/gateway/tests/peers/createStoreUpdateExchange.test.ts
+++ b/packages/gateway/tests/peers/createStoreUpdateExchange.test.ts
@@ -10,6 +10,7 @@
   createFleetView,
   createStoreUpdateExchange,
 } from '../../src/index.js';
+import { blockEventLoop } from '../support/blockEventLoop.js';
 
 const silentLog: LogSink = { info() {}, warn() {}, error() {} };
 
@@ -33,8 +34,13 @@
   storeAwayMs: null,
 };
 
-async function fetchUpdate(text: string): Promise<unknown> {
-  const server = createServer((_request, response) => response.end(text));
+async function fetchUpdate(text: string, onResponse?: () => void): Promise<unknown> {
+  const server = createServer((_request, response) => {
+    response.end(text);
+    if (onResponse !== undefined) {
+      response.on('finish', onResponse);
+    }
+  });
   server.listen(0, '127.0.0.1');
   await once(server, 'listening');
   const connections = createConnectionPools(1_000);
@@ -104,3 +110,7 @@
     configuration: null,
   });
 });
+
+test.serial('a store update that arrives while the process stands still is used', async (t) => {
+  t.deepEqual(await fetchUpdate(JSON.stringify(update), () => blockEventLoop(1_500)), update);
+});
