--- /dev/null
+++ b/packages/gateway/tests/upstream/refusesConnections.test.ts
@@ -0,0 +1,26 @@
+import { once } from 'node:events';
+import { createServer } from 'node:net';
+import type { AddressInfo } from 'node:net';
+import test from 'ava';
+import { refusesConnections } from '../../src/index.js';
+import { blockEventLoop } from '../support/blockEventLoop.js';
+
+// The request that crashed the server was sent to the next one.
+test('a refusal that arrives while the process stands still is noticed', async (t) => {
+  const server = createServer().listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const { port } = server.address() as AddressInfo;
+  server.close();
+  await once(server, 'close');
+  const pending = refusesConnections({ host: '127.0.0.1', port });
+  setImmediate(() => blockEventLoop(600));
+  t.true(await pending);
+});
+
+test('a server that accepts connections does not refuse them', async (t) => {
+  const server = createServer().listen(0, '127.0.0.1');
+  t.teardown(() => server.close());
+  await once(server, 'listening');
+  const { port } = server.address() as AddressInfo;
+  t.false(await refusesConnections({ host: '127.0.0.1', port }));
+});
