--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -238,4 +238,5 @@
 export * from './time/createSeededRandom.js';
 export * from './time/createSystemClock.js';
 export * from './time/startInputTimeout.js';
+export * from './time/waitForPoll.js';
 export * from './time/withInputTimeout.js';
--- a/packages/gateway/src/peers/createStoreUpdateExchange.ts
+++ b/packages/gateway/src/peers/createStoreUpdateExchange.ts
@@ -1,5 +1,5 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import { withInputTimeout } from '@camphorbarrow/core';
+import { waitForPoll, withInputTimeout } from '@camphorbarrow/core';
 import type { FleetView } from '../fleet/createFleetView.js';
 import { InvalidMessageError } from '../errors/InvalidMessageError.js';
 import type { RequestHandler } from '../ingress/createRequestHandler.js';
@@ -51,6 +51,7 @@
   }
 
   async function fetchUpdate(peer: Endpoint, signal: AbortSignal): Promise<StoreUpdate> {
+    await waitForPoll();
     const sent = await sendUpstream({
       agent: connections.agentFor(formatEndpoint(peer)),
       endpoint: peer,
--- a/packages/gateway/tests/peers/createStoreUpdateExchange.test.ts
+++ b/packages/gateway/tests/peers/createStoreUpdateExchange.test.ts
@@ -1,6 +1,8 @@
 import { createServer } from 'node:http';
-import type { AddressInfo } from 'node:net';
+import { createServer as createTcpServer } from 'node:net';
+import type { AddressInfo, Socket } from 'node:net';
 import { once } from 'node:events';
+import { setImmediate as nextTurn, setTimeout as sleep } from 'node:timers/promises';
 import test from 'ava';
 import { createManualClock } from '@camphorbarrow/core';
 import type { LogSink } from '@camphorbarrow/core';
@@ -114,3 +116,33 @@
 test.serial('a store update that arrives while the process stands still is used', async (t) => {
   t.deepEqual(await fetchUpdate(JSON.stringify(update), () => blockEventLoop(1_500)), update);
 });
+
+test.serial(
+  'a store update is not requested on a connection that closed during a pause',
+  async (t) => {
+    const sockets: Socket[] = [];
+    const body = JSON.stringify(update);
+    const server = createTcpServer((socket) => {
+      sockets.push(socket);
+      socket.on('error', () => undefined);
+      socket.on('data', () =>
+        socket.write(`HTTP/1.1 200 OK\r\nContent-Length: ${body.length}\r\n\r\n${body}`),
+      );
+    }).listen(0, '127.0.0.1');
+    await once(server, 'listening');
+    const connections = createConnectionPools(1_000);
+    t.teardown(() => {
+      connections.close();
+      server.close();
+    });
+    const peer = { host: '127.0.0.1', port: (server.address() as AddressInfo).port };
+    const { fetch } = createStoreUpdateExchange(view, connections);
+    await fetch(peer);
+    const pending = sleep(50).then(() => fetch(peer));
+    await nextTurn();
+    sockets.forEach((socket) => socket.end());
+    blockEventLoop(100);
+    t.deepEqual(await pending, update);
+    t.is(sockets.length, 2);
+  },
+);
