Read heartbeats before hosts count as unresponsive

What users saw: a host that woke after a pause of 2.5 s or more took all other hosts for lost. It told callers to use no host but itself (503 for other regions). After 60 s it forgot them altogether.

Cause: the age of the latest heartbeat was judged before the heartbeats that lay in the kernel were read.

Why it works: a silent host is unresponsive, or forgotten, only once the sockets were read after its time was over. A heartbeat that was read by then keeps it.

--- a/packages/gateway/src/lifecycle/createEntryHost.ts
+++ b/packages/gateway/src/lifecycle/createEntryHost.ts
@@ -1,5 +1,6 @@
 import { randomUUID } from 'node:crypto';
 import { setMaxListeners } from 'node:events';
+import { runAfterPoll } from '@camphorbarrow/core';
 import type { HostId } from '@camphorbarrow/core';
 import { logFailures } from '../errors/logFailures.js';
 import { createChangeDecoder } from '../fleet/createChangeDecoder.js';
@@ -63,7 +64,7 @@
   // listeners.
   setMaxListeners(0, stop.signal);
   const drain = createDrainState(clock, () => bounds().graceMs);
-  const peers = createPeerRegistry(clock, log, own.region);
+  const peers = createPeerRegistry(clock, log, own.region, runAfterPoll);
   const view = createFleetView({
     clock,
     log,
--- a/packages/gateway/src/peers/createPeerRegistry.ts
+++ b/packages/gateway/src/peers/createPeerRegistry.ts
@@ -42,12 +42,20 @@
  * less often each is heard of, and the longer it takes until a silent one is unresponsive.
  *
  * @param ownRegion region whose hosts are heard of more often than others
+ * @param afterRead calls back once the heartbeats that have arrived were recorded; a silent peer
+ *   stays responsive until then
  */
-export function createPeerRegistry(clock: Clock, log: LogSink, ownRegion: RegionId): PeerRegistry {
+export function createPeerRegistry(
+  clock: Clock,
+  log: LogSink,
+  ownRegion: RegionId,
+  afterRead: (callback: () => void) => void = (callback) => callback(),
+): PeerRegistry {
   const peers = new Map<HostId, Peer>();
   let localTimeoutMs = MIN_PEER_TIMEOUT_MS;
   let remoteTimeoutMs = MIN_PEER_TIMEOUT_MS;
   const unresponsive = new Set<HostId>();
+  let isCheckScheduled = false;
   let listedAtMs = -Infinity;
   let aliveList: readonly Peer[] = [];
   let aliveByRegion = new Map<RegionId, readonly Peer[]>();
@@ -62,19 +70,30 @@
     remoteTimeoutMs = timeoutMs(remoteReportRounds(peers.size - locals));
   }
 
-  function isAlive(peer: Peer): boolean {
+  function isSilent(peer: Peer): boolean {
     const timeoutMs = isLocal(peer) ? localTimeoutMs : remoteTimeoutMs;
-    return clock.monotonicMs() - peer.lastHeartbeatAtMs <= timeoutMs;
+    return clock.monotonicMs() - peer.lastHeartbeatAtMs > timeoutMs;
   }
 
+  const isAlive = (peer: Peer): boolean =>
+    !(isSilent(peer) && unresponsive.has(peer.heartbeat.host.id));
+
+  const isToRemove = ({ lastHeartbeatAtMs }: Peer): boolean =>
+    clock.monotonicMs() - lastHeartbeatAtMs > PEER_RETENTION_MS;
+
+  const hasTimedOut = (peer: Peer): boolean =>
+    (isSilent(peer) && isAlive(peer)) || isToRemove(peer);
+
   function checkTimeouts(): void {
+    isCheckScheduled = false;
+    listedAtMs = -Infinity;
     const nowMs = clock.monotonicMs();
     peers.forEach((peer, id) => {
-      if (nowMs - peer.lastHeartbeatAtMs > PEER_RETENTION_MS) {
+      if (isToRemove(peer)) {
         peers.delete(id);
         unresponsive.delete(id);
         updateTimeouts();
-      } else if (!isAlive(peer) && !unresponsive.has(id)) {
+      } else if (hasTimedOut(peer)) {
         unresponsive.add(id);
         log.warn('peer-unresponsive', {
           hostId: id,
@@ -87,7 +106,10 @@
   function alive(): readonly Peer[] {
     const nowMs = clock.monotonicMs();
     if (nowMs - listedAtMs > ALIVE_LIST_MAX_AGE_MS) {
-      checkTimeouts();
+      if (!isCheckScheduled && [...peers.values()].some(hasTimedOut)) {
+        isCheckScheduled = true;
+        afterRead(checkTimeouts);
+      }
       listedAtMs = nowMs;
       aliveList = [...peers.values()].filter(isAlive);
       aliveByRegion = new Map();
--- a/packages/gateway/tests/peers/createPeerRegistry.test.ts
+++ b/packages/gateway/tests/peers/createPeerRegistry.test.ts
@@ -11,9 +11,9 @@
   return { host: buildHost(id, region), incarnation: id, sentAtMs } as unknown as PeerHeartbeat;
 }
 
-function createSubject() {
+function createSubject(afterRead?: (callback: () => void) => void) {
   const clock = createManualClock();
-  const registry = createPeerRegistry(clock, silentLog, asId('north'));
+  const registry = createPeerRegistry(clock, silentLog, asId('north'), afterRead);
   const hear = (id: string, region: string): void =>
     registry.recordHeartbeat(buildHeartbeat(id, region, clock.monotonicMs()));
   return { clock, registry, hear };
@@ -54,3 +54,25 @@
   t.deepEqual(registry.aliveIn(asId('north')), []);
   t.is(registry.aliveIn(asId('south')).length, REMOTE_HOSTS);
 });
+
+// A host that woke after a pause took all others for lost, and told callers to use none of them.
+test('a host whose heartbeats have not been read yet stays responsive', (t) => {
+  let read = (): void => undefined;
+  const { clock, registry, hear } = createSubject((callback) => {
+    read = callback;
+  });
+  hear('north-1', 'north');
+  hear('north-2', 'north');
+  const aliveIds = () => registry.alive().map(({ heartbeat }) => String(heartbeat.host.id));
+  clock.advance(61_000);
+  t.deepEqual(aliveIds(), ['north-1', 'north-2']);
+  t.is(registry.known().length, 2);
+  hear('north-2', 'north');
+  read();
+  t.deepEqual(aliveIds(), ['north-2']);
+  t.is(registry.known().length, 1);
+  clock.advance(2_600);
+  aliveIds();
+  read();
+  t.deepEqual(aliveIds(), []);
+});
