Read the outcome of a trial before rejecting the requests that wait for it

What callers saw: 503 for a request with a suspected prompt part after a pause of the host, although the response that ends the suspicion had arrived in time.

Cause: such a request looks for its turn at intervals of a timer. After a pause, the timer runs before the sockets are read, and the wait was over by then. The sockets are read before each look now.

Seen to fail before, in admitPromptParts.test.ts, "the outcome of a trial that arrives while the process stands still admits its part": - kind: 'rejected' + kind: 'admitted' After: 71 tests of exchange, limits and entryHost.crashingParts passed.

--- a/packages/gateway/src/exchange/admitPromptParts.ts
+++ b/packages/gateway/src/exchange/admitPromptParts.ts
@@ -1,3 +1,4 @@
+import { waitForPoll } from '@camphorbarrow/core';
 import type { PartTrial } from '../limits/createPartTrials.js';
 import type { Exchange } from './Exchange.js';
 import type { GatewayContext } from './GatewayContext.js';
@@ -62,5 +63,6 @@
       };
     }
     await clock.sleep(POLL_INTERVAL_MS, signal).catch(() => undefined);
+    await waitForPoll();
   }
 }
