Leave a pause of this host out of the round trips to its peers

What users saw: after a pause of a host, the hosts of other regions seemed to be as far away as the pause was long, so that it relayed too little to them, for as long as the average needs to follow (up to 4.4 s for each further sample in a large fleet).

Cause: the round-trip time is taken when the echo in a heartbeat is read, and the heartbeats had waited in the kernel.

Why it works: a round that begins late shows the pause. From then on, echoes are not used until a poll of the sockets brings no more heartbeats. The transit tracker takes a heartbeat without an echo as before.

--- a/packages/gateway/src/peers/createHeartbeats.ts
+++ b/packages/gateway/src/peers/createHeartbeats.ts
@@ -1,4 +1,5 @@
 import { createSocket } from 'node:dgram';
+import { runAfterPoll } from '@camphorbarrow/core';
 import type { Clock, LogSink, PartEvidence } from '@camphorbarrow/core';
 import { logFailures } from '../errors/logFailures.js';
 import type { Endpoint } from '../model/Endpoint.js';
@@ -8,6 +9,9 @@
 import type { PeerHeartbeat } from './PeerHeartbeat.js';
 import { localReportRounds, remoteReportRounds } from './reportRounds.js';
 
+/** A round that begins later than this shows that the process stood still. */
+const MAX_ROUND_DELAY_MS = 200;
+
 export interface HeartbeatOptions {
   readonly clock: Clock;
   readonly log: LogSink;
@@ -42,9 +46,13 @@
 
 /** Starts sending and receiving heartbeats over UDP on the peer endpoint of this host. */
 export function createHeartbeats(options: HeartbeatOptions): Heartbeats {
-  const { log, own, peers } = options;
+  const { clock, log, own, peers } = options;
   const socket = createSocket('udp4');
   let round = 0;
+  let lastRoundAtMs = clock.monotonicMs();
+  /** Whether heartbeats may be unread that arrived while the process stood still. */
+  let isCatchingUp = false;
+  let receivedCount = 0;
 
   const isLocal = ({ host }: Target): boolean => host === undefined || host.region === own.region;
 
@@ -104,7 +112,27 @@
     return hosts.filter((_, index) => index % rounds === round % rounds);
   }
 
+  const hasStoodStill = (): boolean =>
+    clock.monotonicMs() - lastRoundAtMs > options.intervalMs + MAX_ROUND_DELAY_MS;
+
+  /** A poll reads a limited number of datagrams, so this goes on until one reads none. */
+  function catchUp(): void {
+    isCatchingUp = true;
+    const countBefore = receivedCount;
+    runAfterPoll(() => {
+      if (receivedCount > countBefore) {
+        catchUp();
+      } else {
+        isCatchingUp = false;
+      }
+    });
+  }
+
   function sendRound(): void {
+    if (hasStoodStill() && !isCatchingUp) {
+      catchUp();
+    }
+    lastRoundAtMs = clock.monotonicMs();
     const all = targets();
     const local = all.filter(isLocal);
     const remote = all.filter((target) => !isLocal(target));
@@ -116,10 +144,13 @@
   }
 
   socket.on('message', (datagram) => {
+    receivedCount += 1;
     try {
       const heartbeat = decodeHeartbeat(datagram);
       if (heartbeat.host.id !== own.id) {
-        options.onHeartbeat(heartbeat);
+        // The time for which a heartbeat was not read is no part of the round trip.
+        const mayHaveWaited = isCatchingUp || hasStoodStill();
+        options.onHeartbeat(mayHaveWaited ? { ...heartbeat, echo: undefined } : heartbeat);
       }
     } catch (error) {
       log.warn('heartbeat-unreadable', { reason: (error as Error).message });
--- a/packages/gateway/tests/peers/createHeartbeats.test.ts
+++ b/packages/gateway/tests/peers/createHeartbeats.test.ts
@@ -1,10 +1,12 @@
 import { createSocket } from 'node:dgram';
 import { once } from 'node:events';
+import { setTimeout as sleep } from 'node:timers/promises';
 import test from 'ava';
 import { asId, createSystemClock } from '@camphorbarrow/core';
 import type { LogSink } from '@camphorbarrow/core';
-import { createHeartbeats, createPeerRegistry } from '../../src/index.js';
-import type { Endpoint, HostRegistration } from '../../src/index.js';
+import { createHeartbeatEncoder, createHeartbeats, createPeerRegistry } from '../../src/index.js';
+import type { Endpoint, HostRegistration, PeerHeartbeat } from '../../src/index.js';
+import { blockEventLoop } from '../support/blockEventLoop.js';
 
 const silentLog: LogSink = { info() {}, warn() {}, error() {} };
 
@@ -16,6 +18,22 @@
   peers,
 });
 
+const buildHeartbeat = (host: HostRegistration, sentAtMs: number): Omit<PeerHeartbeat, 'echo'> => ({
+  host,
+  incarnation: 'x',
+  sentAtMs,
+  state: 'ready',
+  storePosition: { era: 0, revision: 0 },
+  configurationVersion: 0,
+  loads: new Map(),
+  paces: new Map(),
+  capacity: new Map(),
+  crashes: [],
+  partEvidence: { crashes: [], served: [] },
+  partTrials: [],
+  serverLimits: [],
+});
+
 async function startReceiver() {
   const socket = createSocket('udp4').bind(0, '127.0.0.1');
   await once(socket, 'listening');
@@ -40,21 +58,7 @@
     registeredHosts: () =>
       [...odd, receiver.endpoint].map((endpoint, index) => hostAt(`host-${index}`, endpoint)),
     seeds: () => [],
-    buildHeartbeat: () => ({
-      host: own,
-      incarnation: 'x',
-      sentAtMs: 0,
-      state: 'ready',
-      storePosition: { era: 0, revision: 0 },
-      configurationVersion: 0,
-      loads: new Map(),
-      paces: new Map(),
-      capacity: new Map(),
-      crashes: [],
-      partEvidence: { crashes: [], served: [] },
-      partTrials: [],
-      serverLimits: [],
-    }),
+    buildHeartbeat: () => buildHeartbeat(own, 0),
     ownPartEvidence: () => ({ crashes: [], served: [] }),
     onHeartbeat: () => undefined,
     intervalMs: 10,
@@ -65,3 +69,52 @@
   t.notThrows(heartbeats.sendToAll, 'a crash is reported while the host stops');
   receiver.socket.close();
 });
+
+// The other regions seemed to be as far away as the pause was long, so that no request went there.
+test('a pause of this host is no part of the round-trip time to its peers', async (t) => {
+  const peer = await startReceiver();
+  const { socket, endpoint } = await startReceiver();
+  socket.close();
+  const clock = createSystemClock();
+  const own = hostAt('own', endpoint);
+  const other = hostAt('other', peer.endpoint);
+  const peers = createPeerRegistry(clock, silentLog, asId('north'));
+  const heartbeats = createHeartbeats({
+    clock,
+    log: silentLog,
+    own,
+    peers,
+    registeredHosts: () => [],
+    seeds: () => [],
+    buildHeartbeat: () => buildHeartbeat(own, clock.monotonicMs()),
+    ownPartEvidence: () => ({ crashes: [], served: [] }),
+    onHeartbeat: peers.recordHeartbeat,
+    intervalMs: 20,
+  });
+  t.teardown(() => {
+    heartbeats.close();
+    peer.socket.close();
+  });
+  const reply = (): Promise<void> =>
+    new Promise((resolve) => {
+      const nowMs = clock.monotonicMs();
+      const encode = createHeartbeatEncoder(buildHeartbeat(other, nowMs));
+      const datagram = encode({ sentAtMs: nowMs, heldMs: 0 });
+      peer.socket.send(datagram, endpoint.port, endpoint.host, () => resolve());
+    });
+  const roundTripMs = () => peers.known()[0]?.roundTripMs ?? Infinity;
+  while (roundTripMs() === Infinity) {
+    await reply();
+    await sleep(20);
+  }
+  const before = peers.known()[0]?.heartbeat.sentAtMs ?? 0;
+  for (let count = 0; count < 100; count += 1) {
+    await reply();
+  }
+  blockEventLoop(2_000);
+  while ((peers.known()[0]?.heartbeat.sentAtMs ?? 0) <= before) {
+    await sleep(20);
+  }
+  await sleep(100);
+  t.true(roundTripMs() < 200, String(roundTripMs()));
+});
