Read what an engine asks for before asking it for cache events

What servers saw: a call for cache events after they had said that they leave or want a pause, or had named a rate, if the host stood still meanwhile.

Cause: the calls start from timers, and whether an engine may be called was decided before the responses in the kernel were read. The sockets are read first now.

The set-up of the other test moved to a function; the test asserts the same.

--- a/packages/gateway/src/routing/runCacheFollower.ts
+++ b/packages/gateway/src/routing/runCacheFollower.ts
@@ -1,3 +1,4 @@
+import { waitForPoll } from '@camphorbarrow/core';
 import type { Clock, HostId, LogSink, RegionId } from '@camphorbarrow/core';
 import type { FleetView } from '../fleet/createFleetView.js';
 import type { ServerState } from '../model/ServerState.js';
@@ -57,6 +58,11 @@
     let since = 0;
     let epoch: string | undefined;
     while (!signal.aborted && isCurrent(server)) {
+      // What an engine asks for in a response has been read then.
+      await waitForPoll();
+      if (signal.aborted) {
+        return;
+      }
       if (!options.mayCall(server)) {
         await clock.sleep(RETRY_DELAY_MS, signal).catch(() => undefined);
         continue;
--- a/packages/gateway/tests/routing/runCacheFollower.test.ts
+++ b/packages/gateway/tests/routing/runCacheFollower.test.ts
@@ -1,15 +1,23 @@
+import { once } from 'node:events';
+import { connect, createServer } from 'node:net';
+import type { AddressInfo, Socket } from 'node:net';
+import { setImmediate as nextTurn, setTimeout as sleep } from 'node:timers/promises';
 import test from 'ava';
+import type { ExecutionContext } from 'ava';
 import { asId, createSystemClock } from '@camphorbarrow/core';
 import { createPrefixCacheTracker, runCacheFollower } from '../../src/index.js';
 import type { FleetView, ServerState } from '../../src/index.js';
 import { buildServer, buildService } from '../support/builders.js';
+import { blockEventLoop } from '../support/blockEventLoop.js';
 import { silentLog } from '../support/silentSinks.js';
 
-// Calls for cache events went to an engine until its entry was removed from the store.
-test('no cache calls go to an engine that may not be called', async (t) => {
+function startFollower(
+  t: ExecutionContext,
+  engines: readonly ServerState[],
+  mayCall: (server: ServerState) => boolean,
+) {
   const clock = createSystemClock();
   const stop = new AbortController();
-  const engines = [buildServer(), buildServer({ id: asId('server-2') })];
   const service = buildService();
   const called: ServerState[] = [];
   const following = runCacheFollower({
@@ -32,11 +40,48 @@
       },
     },
     prefixes: createPrefixCacheTracker(clock),
-    mayCall: (server) => server !== engines[0],
+    mayCall,
     signal: stop.signal,
   });
-  await clock.sleep(200);
-  stop.abort();
-  await following;
+  t.teardown(async () => {
+    stop.abort();
+    await following;
+  });
+  return called;
+}
+
+// Calls for cache events went to an engine until its entry was removed from the store.
+test('no cache calls go to an engine that may not be called', async (t) => {
+  const engines = [buildServer(), buildServer({ id: asId('server-2') })];
+  const called = startFollower(t, engines, (server) => server !== engines[0]);
+  await sleep(200);
   t.deepEqual(called, [engines[1]]);
 });
+
+test.serial(
+  'no cache call goes to an engine that has asked for a pause while the process stood still',
+  async (t) => {
+    const server = createServer().listen(0, '127.0.0.1');
+    await once(server, 'listening');
+    const sender = connect((server.address() as AddressInfo).port, '127.0.0.1');
+    const [receiver] = (await once(server, 'connection')) as [Socket];
+    t.teardown(() => {
+      sender.destroy();
+      receiver.destroy();
+      server.close();
+    });
+    let isPaused = false;
+    receiver.once('data', () => {
+      isPaused = true;
+    });
+    const called = startFollower(t, [buildServer()], () => !isPaused);
+    await sleep(100);
+    t.is(called.length, 1);
+    await nextTurn();
+    sender.write('x');
+    // The next call is due meanwhile.
+    blockEventLoop(1_000);
+    await sleep(100);
+    t.is(called.length, 1);
+  },
+);
