--- a/packages/adapters/src/callers/readBody.ts
+++ b/packages/adapters/src/callers/readBody.ts
@@ -1,5 +1,10 @@
 import type { Readable } from 'node:stream';
-import { BodyTimeoutError, BodyTooLargeError, InvalidBodyError } from '@camphorbarrow/core';
+import {
+  BodyTimeoutError,
+  BodyTooLargeError,
+  InvalidBodyError,
+  startInputTimeout,
+} from '@camphorbarrow/core';
 
 export interface BodyLimits {
   readonly maxBodyBytes: number;
@@ -28,13 +33,12 @@
   return new Promise((resolve, reject) => {
     let chunks: Buffer[] = [];
     let sizeBytes = 0;
-    const timer = setTimeout(
+    const timeout = startInputTimeout(bodyTimeoutMs, () =>
       // eslint-disable-next-line @typescript-eslint/no-use-before-define -- mutual reference
-      () => finish(new BodyTimeoutError(`The request body took longer than ${bodyTimeoutMs} ms.`)),
-      bodyTimeoutMs,
+      finish(new BodyTimeoutError(`The request body took longer than ${bodyTimeoutMs} ms.`)),
     );
     function finish(error?: Error): void {
-      clearTimeout(timer);
+      timeout.close();
       if (error === undefined) {
         resolve(Buffer.concat(chunks).toString('utf8'));
       } else {
