--- a/packages/adapters/src/callers/createCallerListener.ts
+++ b/packages/adapters/src/callers/createCallerListener.ts
@@ -2,7 +2,7 @@
 import fastify from 'fastify';
 import type { FastifyInstance, FastifyRequest } from 'fastify';
 import { NotFoundError, createDisconnectSignal } from '@camphorbarrow/core';
-import type { RequestContext, InferenceRoute } from '@camphorbarrow/core';
+import type { Clock, RequestContext, InferenceRoute } from '@camphorbarrow/core';
 import type { CallerApi } from './CallerApi.js';
 import { rawHeaders } from './rawHeaders.js';
 import { readBody } from './readBody.js';
@@ -13,6 +13,7 @@
 import { trackInFlight } from '../http/trackInFlight.js';
 
 export interface CallerListenerOptions {
+  readonly clock: Clock;
   /** IP address to bind. */
   readonly address: string;
   readonly port: number;
@@ -105,10 +106,11 @@
     const { admission, timeouts } = (
       contextOf.get(request) ?? api.readCallerRequest(rawHeaders(request))
     ).settings;
-    return readBody(payload, request.headers['content-length'], {
+    const limits = {
       maxBodyBytes: Math.min(admission.maxBodyBytes, options.maxBodyBytes),
       bodyTimeoutMs: timeouts.bodyTimeoutMs,
-    });
+    };
+    return readBody(payload, request.headers['content-length'], limits, options.clock);
   });
   app.setErrorHandler((error, _request, reply) => sendError(reply, error));
   app.setNotFoundHandler((_request, reply) =>
--- a/packages/adapters/src/callers/readBody.ts
+++ b/packages/adapters/src/callers/readBody.ts
@@ -5,6 +5,10 @@
   InvalidBodyError,
   startInputTimeout,
 } from '@camphorbarrow/core';
+import type { Clock, InputTimeout } from '@camphorbarrow/core';
+
+/** Delay of a timer from which the process counts as having been paused. */
+const MIN_PAUSE_MS = 50;
 
 export interface BodyLimits {
   readonly maxBodyBytes: number;
@@ -14,7 +18,9 @@
 
 /**
  * Reads a request body of at most `maxBodyBytes` as text. After an error the rest of the body is
- * read and discarded, so that a caller that is still sending can receive the error response.
+ * read and discarded, so that a caller that is still sending can receive the error response. When
+ * the process was paused at the end of the time limit, the delay is added to the limit: its sender
+ * could not go on.
  *
  * @throws BodyTooLargeError, BodyTimeoutError, or InvalidBodyError when the body is incomplete
  */
@@ -22,6 +28,7 @@
   payload: Readable,
   contentLength: string | undefined,
   limits: BodyLimits,
+  clock: Clock,
 ): Promise<string> {
   const { maxBodyBytes, bodyTimeoutMs } = limits;
   const tooLarge = (): Error =>
@@ -33,12 +40,22 @@
   return new Promise((resolve, reject) => {
     let chunks: Buffer[] = [];
     let sizeBytes = 0;
-    const timeout = startInputTimeout(bodyTimeoutMs, () =>
-      // eslint-disable-next-line @typescript-eslint/no-use-before-define -- mutual reference
-      finish(new BodyTimeoutError(`The request body took longer than ${bodyTimeoutMs} ms.`)),
-    );
+    let timeout: InputTimeout | undefined;
+    function startTimeout(durationMs: number): InputTimeout {
+      const endMs = clock.monotonicMs() + durationMs;
+      return startInputTimeout(durationMs, () => {
+        const delayMs = clock.monotonicMs() - endMs;
+        if (delayMs >= MIN_PAUSE_MS) {
+          timeout = startTimeout(delayMs);
+        } else {
+          // eslint-disable-next-line @typescript-eslint/no-use-before-define -- mutual reference
+          finish(new BodyTimeoutError(`The request body took longer than ${bodyTimeoutMs} ms.`));
+        }
+      });
+    }
+    timeout = startTimeout(bodyTimeoutMs);
     function finish(error?: Error): void {
-      timeout.close();
+      timeout?.close();
       if (error === undefined) {
         resolve(Buffer.concat(chunks).toString('utf8'));
       } else {
--- a/packages/adapters/tests/callers/startStrictListener.ts
+++ b/packages/adapters/tests/callers/startStrictListener.ts
@@ -3,6 +3,7 @@
   createRequestContextReader,
   createFleetDocument,
   createInferenceRequest,
+  createSystemClock,
   fleetDocumentSchema,
 } from '@camphorbarrow/core';
 import { createHash } from 'node:crypto';
@@ -49,6 +50,7 @@
 /** Starts a caller listener that rejects prompts and bodies of more than a few bytes. */
 export function startStrictListener(port: number): Promise<CallerListener> {
   return createCallerListener({
+    clock: createSystemClock(),
     address: '127.0.0.1',
     port,
     api,
--- a/packages/daemon/src/entryHost/createEntryHost.ts
+++ b/packages/daemon/src/entryHost/createEntryHost.ts
@@ -150,6 +150,7 @@
     },
   });
   const callerListener = await createCallerListener({
+    clock,
     ...settings.callerListener,
     maxBodyBytes: MAX_BODY_BYTES,
     requestTimeoutMs: REQUEST_TIMEOUT_MS,
