Answer a request that arrived on an idle connection in time (LOST)

Callers and peers of the product's own interface lost a whole request, without an answer or a refusal, when the host stood still beyond the idle time of the connection that held it (72 s, and 1 s more on Node.js 24): the timer of the connection runs before the socket is read, and Node.js closes the connection.

`handleConnectionErrors` listens to the `timeout` event, which keeps Node.js from closing, and closes the connection only if nothing was read in the turn after. Both listeners use it.

--- a/packages/adapters/src/callers/createCallerListener.ts
+++ b/packages/adapters/src/callers/createCallerListener.ts
@@ -10,6 +10,7 @@
 import { addOrderPermitRoute } from './addOrderPermitRoute.js';
 import { servicePathOf } from './servicePathOf.js';
 import { streamEvents } from './streamEvents.js';
+import { handleConnectionErrors } from '../http/handleConnectionErrors.js';
 import { trackInFlight } from '../http/trackInFlight.js';
 
 export interface CallerListenerOptions {
@@ -100,6 +101,7 @@
     },
     return503OnClosing: false,
   });
+  handleConnectionErrors(app.server);
   const requests = trackInFlight(app);
   app.removeAllContentTypeParsers();
   app.addContentTypeParser('*', async (request: FastifyRequest, payload: IncomingMessage) => {
--- a/packages/adapters/src/index.ts
+++ b/packages/adapters/src/index.ts
@@ -15,6 +15,7 @@
 export * from './http/classifyHttpError.js';
 export * from './http/createGracefulClose.js';
 export * from './http/createServerPools.js';
+export * from './http/handleConnectionErrors.js';
 export * from './http/limitInterimResponses.js';
 export * from './http/localAddressOptions.js';
 export * from './http/notifyBeforeSend.js';
--- a/packages/adapters/src/peers/createPeerListener.ts
+++ b/packages/adapters/src/peers/createPeerListener.ts
@@ -3,6 +3,7 @@
 import { fastifyTRPCPlugin } from '@trpc/server/adapters/fastify';
 import type { FastifyTRPCPluginOptions } from '@trpc/server/adapters/fastify';
 import { UnauthenticatedError, headerNames } from '@camphorbarrow/core';
+import { handleConnectionErrors } from '../http/handleConnectionErrors.js';
 import { createGracefulClose } from '../http/createGracefulClose.js';
 import { sendError } from '../callers/sendError.js';
 import { operatorPrefix } from '../operators/operatorPrefix.js';
@@ -40,6 +41,7 @@
  */
 export async function createPeerListener(options: PeerListenerOptions): Promise<PeerListener> {
   const app = fastify({ bodyLimit: MAX_BODY_BYTES, forceCloseConnections: true });
+  handleConnectionErrors(app.server);
   const close = createGracefulClose(app);
   const expected = sha256(`Bearer ${options.peerKey}`);
   app.addHook('onRequest', async (request) => {
