--- a/packages/adapters/tests/http/handleConnectionErrors.test.ts
+++ b/packages/adapters/tests/http/handleConnectionErrors.test.ts
@@ -23,11 +23,17 @@
 async function openConnection(t: ExecutionContext): Promise<Caller> {
   const app = fastify({
     keepAliveTimeout: TIMEOUT_MS,
+    requestTimeout: 2 * TIMEOUT_MS,
     forceCloseConnections: true,
     http: { headersTimeout: TIMEOUT_MS, connectionsCheckingInterval: CHECK_INTERVAL_MS },
   });
   handleConnectionErrors(app.server);
   app.get('/', async () => 'ok');
+  app.post('/', async () => 'ok');
+  app.get('/slow', async () => {
+    await sleep(4 * TIMEOUT_MS);
+    return 'slow';
+  });
   await app.listen({ host: '127.0.0.1', port: 0 });
   const socket = connect((app.server.address() as AddressInfo).port, '127.0.0.1');
   let text = '';
@@ -61,6 +67,15 @@
   t.is(responseCount(text()), 2);
 });
 
+test.serial('a request whose head arrived in time in two parts is answered', async (t) => {
+  const { socket, text } = await openConnection(t);
+  socket.write('GET / HTTP/1.1\r\n');
+  await sleep(TIMEOUT_MS / 2);
+  await sendBeforePause(socket, 'host: x\r\n\r\n');
+  await sleep(TIMEOUT_MS);
+  t.regex(text(), /^HTTP\/1.1 200 OK/);
+});
+
 test.serial('an idle connection is closed', async (t) => {
   const { socket, text } = await openConnection(t);
   socket.write(REQUEST);
@@ -83,3 +98,28 @@
   await once(socket, 'close');
   t.regex(text(), /^HTTP\/1.1 408 Request Timeout/);
 });
+
+test.serial('a late head does not spoil the response to the request before it', async (t) => {
+  const { socket, text } = await openConnection(t);
+  socket.write('GET /slow HTTP/1.1\r\nhost: x\r\n\r\nGET / HTTP/1.1\r\n');
+  await once(socket, 'close');
+  t.regex(text(), /^HTTP\/1.1 200 OK[^]*slowHTTP\/1.1 408 /);
+});
+
+test.serial('a late body is rejected', async (t) => {
+  const { socket, text } = await openConnection(t);
+  socket.write('POST / HTTP/1.1\r\nhost: x\r\ncontent-type: text/plain\r\n');
+  socket.write('content-length: 2\r\n\r\no');
+  await once(socket, 'close');
+  t.regex(text(), /^HTTP\/1.1 408 Request Timeout/);
+});
+
+test.serial('a body that arrived in time in two parts is answered', async (t) => {
+  const { socket, text } = await openConnection(t);
+  socket.write('POST / HTTP/1.1\r\nhost: x\r\ncontent-type: text/plain\r\n');
+  socket.write('content-length: 2\r\n\r\no');
+  await sleep(TIMEOUT_MS / 2);
+  await sendBeforePause(socket, 'k');
+  await sleep(TIMEOUT_MS);
+  t.regex(text(), /^HTTP\/1.1 200 OK/);
+});
