--- a/packages/adapters/src/backends/createHttpEngineOrderClient.ts
+++ b/packages/adapters/src/backends/createHttpEngineOrderClient.ts
@@ -6,6 +6,7 @@
 import { localAddressOptions } from '../http/localAddressOptions.js';
 import { notifyBeforeSend } from '../http/notifyBeforeSend.js';
 import { requestJson } from '../http/requestJson.js';
+import { withInputTimeout } from '../http/withInputTimeout.js';
 
 export interface HttpEngineOrderClientOptions {
   /** Timeout for establishing a connection. */
@@ -20,11 +21,11 @@
   maxModels: z.int().min(0),
 });
 
-async function post(call: EngineOrderCall, client: Client): Promise<void> {
+async function post(call: EngineOrderCall, client: Client, signal: AbortSignal): Promise<void> {
   const response = await request(`${call.baseUrl}/engine-orders`, {
     method: 'POST',
     dispatcher: notifyBeforeSend(client, call.onBeforeSend),
-    signal: AbortSignal.timeout(call.timeoutMs),
+    signal,
     headers: { 'content-type': 'application/json' },
     body: JSON.stringify({ ...call.order, fencingToken: call.fencingToken }),
   });
@@ -57,7 +58,7 @@
         ...localAddressOptions(options.localAddress),
       });
       try {
-        await post(call, client);
+        await withInputTimeout(call.timeoutMs, (signal) => post(call, client, signal));
       } catch (cause) {
         throw classifyHttpError(cause);
       } finally {
--- a/packages/adapters/src/http/requestJson.ts
+++ b/packages/adapters/src/http/requestJson.ts
@@ -4,6 +4,7 @@
 import { classifyHttpError } from './classifyHttpError.js';
 import { limitInterimResponses } from './limitInterimResponses.js';
 import { readText } from './readText.js';
+import { withInputTimeout } from './withInputTimeout.js';
 
 export interface JsonRequest {
   readonly url: string;
@@ -14,6 +15,26 @@
   readonly headers?: Readonly<Record<string, string>>;
 }
 
+async function exchange(options: JsonRequest, signal: AbortSignal): Promise<unknown> {
+  const response = await request(options.url, {
+    method: options.method,
+    dispatcher: limitInterimResponses(options.dispatcher),
+    signal,
+    headers: {
+      ...options.headers,
+      ...(options.body === undefined ? {} : { 'content-type': 'application/json' }),
+    },
+    body: options.body === undefined ? null : JSON.stringify(options.body),
+  });
+  const text = await readText(response.body);
+  if (response.statusCode < 200 || response.statusCode > 299) {
+    throw new PlatformError(
+      `The ${options.method} request failed with status ${response.statusCode}.`,
+    );
+  }
+  return text === '' ? undefined : JSON.parse(text);
+}
+
 /**
  * Exchanges JSON with a platform service or a backend server.
  *
@@ -22,23 +43,7 @@
  */
 export async function requestJson(options: JsonRequest): Promise<unknown> {
   try {
-    const response = await request(options.url, {
-      method: options.method,
-      dispatcher: limitInterimResponses(options.dispatcher),
-      signal: AbortSignal.timeout(options.timeoutMs),
-      headers: {
-        ...options.headers,
-        ...(options.body === undefined ? {} : { 'content-type': 'application/json' }),
-      },
-      body: options.body === undefined ? null : JSON.stringify(options.body),
-    });
-    const text = await readText(response.body);
-    if (response.statusCode < 200 || response.statusCode > 299) {
-      throw new PlatformError(
-        `The ${options.method} request failed with status ${response.statusCode}.`,
-      );
-    }
-    return text === '' ? undefined : JSON.parse(text);
+    return await withInputTimeout(options.timeoutMs, (signal) => exchange(options, signal));
   } catch (cause) {
     throw classifyHttpError(cause);
   }
--- a/packages/adapters/src/index.ts
+++ b/packages/adapters/src/index.ts
@@ -23,6 +23,7 @@
 export * from './http/readText.js';
 export * from './http/requestJson.js';
 export * from './http/trackInFlight.js';
+export * from './http/withInputTimeout.js';
 export * from './log/createPinoLog.js';
 export * from './metrics/createHotShotsMetrics.js';
 export * from './metrics/createNoMetrics.js';
--- a/packages/adapters/src/operators/createOperatorClient.ts
+++ b/packages/adapters/src/operators/createOperatorClient.ts
@@ -2,6 +2,7 @@
 import { Agent, fetch } from 'undici';
 import { OperatorCallError } from '@camphorbarrow/core';
 import type { BurnReport, StoredFleetDocument } from '@camphorbarrow/core';
+import { withInputTimeout } from '../http/withInputTimeout.js';
 import type { ChangeResponse } from './ChangeResponse.js';
 import type { ChangeRequest } from './ChangeRequest.js';
 import type { FleetStatus } from './FleetStatus.js';
@@ -78,13 +79,12 @@
       }),
     ],
   });
-  const timeoutOptions = (): { signal: AbortSignal } => ({
-    signal: AbortSignal.timeout(options.timeoutMs),
-  });
 
-  async function translate<Result>(call: Promise<Result>): Promise<Result> {
+  async function call<Result>(
+    run: (callOptions: { signal: AbortSignal }) => Promise<Result>,
+  ): Promise<Result> {
     try {
-      return await call;
+      return await withInputTimeout(options.timeoutMs, (signal) => run({ signal }));
     } catch (cause) {
       throw toCallError(cause, options.url);
     }
@@ -92,14 +92,14 @@
 
   return {
     async show() {
-      return (await translate(client.show.query(undefined, timeoutOptions()))) ?? undefined;
+      return (await call((callOptions) => client.show.query(undefined, callOptions))) ?? undefined;
     },
     status: () =>
-      translate(client.status.query(undefined, timeoutOptions())) as Promise<FleetStatus>,
+      call((callOptions) => client.status.query(undefined, callOptions)) as Promise<FleetStatus>,
     burnReport: () =>
-      translate(client.burnReport.query(undefined, timeoutOptions())) as Promise<BurnReport>,
+      call((callOptions) => client.burnReport.query(undefined, callOptions)) as Promise<BurnReport>,
     propose: (change) =>
-      translate(client.propose.mutate(change, timeoutOptions())) as Promise<ChangeResponse>,
+      call((callOptions) => client.propose.mutate(change, callOptions)) as Promise<ChangeResponse>,
     close: () => agent.destroy(),
   };
 }
--- a/packages/adapters/src/peers/createTrpcPeerClient.ts
+++ b/packages/adapters/src/peers/createTrpcPeerClient.ts
@@ -7,6 +7,7 @@
 import { hostListEntrySchema } from '../platform/hostListEntrySchema.js';
 import { crashReportSchema } from './crashReportSchema.js';
 import { localAddressOptions } from '../http/localAddressOptions.js';
+import { withInputTimeout } from '../http/withInputTimeout.js';
 import { claimStatusSchema } from './claimStatusSchema.js';
 import { hostBurnSchema } from './hostBurnSchema.js';
 import { heartbeatSchema } from './heartbeatSchema.js';
@@ -65,46 +66,70 @@
     return client;
   }
 
-  const timeoutOptions = (timeoutMs = options.timeoutMs): { signal: AbortSignal } => ({
-    signal: AbortSignal.timeout(timeoutMs),
-  });
-  const documentTimeoutOptions = (): { signal: AbortSignal } => ({
-    signal: AbortSignal.timeout(options.documentTimeoutMs ?? DEFAULT_DOCUMENT_TIMEOUT_MS),
-  });
+  const documentTimeoutMs = options.documentTimeoutMs ?? DEFAULT_DOCUMENT_TIMEOUT_MS;
+
+  /** Calls a peer, by default with the timeout of calls that carry no large document. */
+  const call = <Result>(
+    peerUrl: string,
+    run: (client: TRPCClient<PeerRouter>, callOptions: { signal: AbortSignal }) => Promise<Result>,
+    timeoutMs = options.timeoutMs,
+  ): Promise<Result> =>
+    translate(withInputTimeout(timeoutMs, (signal) => run(clientOf(peerUrl), { signal })));
 
   return {
     heartbeat: async (peerUrl, message) =>
       heartbeatSchema.parse(
-        await translate(clientOf(peerUrl).heartbeat.mutate(message as never, timeoutOptions())),
+        await call(peerUrl, (client, callOptions) =>
+          client.heartbeat.mutate(message as never, callOptions),
+        ),
       ),
-    async fetchConfig(peerUrl) {
-      return (
-        (await translate(
-          clientOf(peerUrl).fetchConfig.query(undefined, documentTimeoutOptions()),
-        )) ?? undefined
-      );
-    },
+    fetchConfig: async (peerUrl) =>
+      (await call(
+        peerUrl,
+        (client, callOptions) => client.fetchConfig.query(undefined, callOptions),
+        documentTimeoutMs,
+      )) ?? undefined,
     pushConfig: (peerUrl, document) =>
-      translate(clientOf(peerUrl).pushConfig.mutate(document, documentTimeoutOptions())),
+      call(
+        peerUrl,
+        (client, callOptions) => client.pushConfig.mutate(document, callOptions),
+        documentTimeoutMs,
+      ),
     reportCrash: async (peerUrl, report) =>
       crashReportSchema.parse(
-        await translate(clientOf(peerUrl).reportCrash.mutate(report as never, timeoutOptions())),
+        await call(peerUrl, (client, callOptions) =>
+          client.reportCrash.mutate(report as never, callOptions),
+        ),
       ),
     fetchServers: async (peerUrl) =>
       serversSchema.parse(
-        await translate(clientOf(peerUrl).fetchServers.query(undefined, timeoutOptions())),
+        await call(peerUrl, (client, callOptions) =>
+          client.fetchServers.query(undefined, callOptions),
+        ),
+      ),
+    relayOrder: async (peerUrl, order, timeoutMs) =>
+      relayResultSchema.parse(
+        await call(
+          peerUrl,
+          (client, callOptions) => client.relayOrder.mutate(order, callOptions),
+          timeoutMs,
+        ),
+      ),
+    orderOutcome: async (peerUrl, query, timeoutMs) =>
+      claimStatusSchema.parse(
+        await call(
+          peerUrl,
+          (client, callOptions) => client.orderOutcome.query(query, callOptions),
+          timeoutMs,
+        ),
       ),
-    async relayOrder(peerUrl, order, timeoutMs) {
-      const call = clientOf(peerUrl).relayOrder.mutate(order, timeoutOptions(timeoutMs));
-      return relayResultSchema.parse(await translate(call));
-    },
-    async orderOutcome(peerUrl, query, timeoutMs) {
-      const call = clientOf(peerUrl).orderOutcome.query(query, timeoutOptions(timeoutMs));
-      return claimStatusSchema.parse(await translate(call));
-    },
     burnCounters: async (peerUrl) =>
       hostBurnSchema.parse(
-        await translate(clientOf(peerUrl).burnCounters.query(undefined, documentTimeoutOptions())),
+        await call(
+          peerUrl,
+          (client, callOptions) => client.burnCounters.query(undefined, callOptions),
+          documentTimeoutMs,
+        ),
       ),
     close: () => agent.destroy(),
   };
--- a/packages/adapters/src/platform/createHttpWeightStore.ts
+++ b/packages/adapters/src/platform/createHttpWeightStore.ts
@@ -3,6 +3,7 @@
 import type { WeightStore } from '@camphorbarrow/core';
 import { classifyHttpError } from '../http/classifyHttpError.js';
 import { localAddressOptions } from '../http/localAddressOptions.js';
+import { withInputTimeout } from '../http/withInputTimeout.js';
 
 export interface HttpWeightStoreOptions {
   readonly url: string;
@@ -21,22 +22,25 @@
     connectTimeout: options.timeoutMs,
     ...localAddressOptions(options.localAddress),
   });
+
+  async function reserve(weights: string, signal: AbortSignal): Promise<number> {
+    const url = `${options.url}/v1/weights/${encodeURIComponent(weights)}`;
+    const response = await request(url, { dispatcher: agent, signal });
+    await response.body.dump();
+    if (response.statusCode === HTTP_TOO_MANY_REQUESTS) {
+      const seconds = Number(response.headers['retry-after']);
+      return Number.isFinite(seconds) ? seconds * MS_PER_SECOND : DEFAULT_WAIT_MS;
+    }
+    if (response.statusCode !== 200) {
+      throw new PlatformError(`The weight store responded with status ${response.statusCode}.`);
+    }
+    return 0;
+  }
+
   return {
     async reserveDownload(weights) {
       try {
-        const response = await request(`${options.url}/v1/weights/${encodeURIComponent(weights)}`, {
-          dispatcher: agent,
-          signal: AbortSignal.timeout(options.timeoutMs),
-        });
-        await response.body.dump();
-        if (response.statusCode === HTTP_TOO_MANY_REQUESTS) {
-          const seconds = Number(response.headers['retry-after']);
-          return Number.isFinite(seconds) ? seconds * MS_PER_SECOND : DEFAULT_WAIT_MS;
-        }
-        if (response.statusCode !== 200) {
-          throw new PlatformError(`The weight store responded with status ${response.statusCode}.`);
-        }
-        return 0;
+        return await withInputTimeout(options.timeoutMs, (signal) => reserve(weights, signal));
       } catch (cause) {
         throw classifyHttpError(cause);
       }
