--- a/packages/adapters/src/backends/createHttpServiceClient.ts
+++ b/packages/adapters/src/backends/createHttpServiceClient.ts
@@ -3,9 +3,11 @@
 import type { ServiceAnswer, ServiceCall, ServiceClient } from '@camphorbarrow/core';
 import { classifyHttpError } from '../http/classifyHttpError.js';
 import { limitInterimResponses } from '../http/limitInterimResponses.js';
+import { NO_UNDICI_TIMEOUTS, limitResponsePauses } from '../http/limitResponsePauses.js';
 import { notifyBeforeSend } from '../http/notifyBeforeSend.js';
 import { localAddressOptions } from '../http/localAddressOptions.js';
 import { readText } from '../http/readText.js';
+import { withInputTimeout } from '../http/withInputTimeout.js';
 
 export interface HttpServiceClientOptions {
   /** Timeout for establishing a connection. */
@@ -19,17 +21,14 @@
   dispatcher: Dispatcher,
   signal: AbortSignal,
 ): Promise<ServiceAnswer> {
+  const limited = limitResponsePauses(limitInterimResponses(dispatcher), {
+    firstByteTimeoutMs: call.answerTimeoutMs,
+  });
   const response = await request(`${call.baseUrl}${call.path}`, {
     method: call.method,
-    dispatcher: notifyBeforeSend(limitInterimResponses(dispatcher), call.onBeforeSend),
-    // undici's body timeout restarts with every chunk, so without this one a slow response could
-    // last forever.
-    signal: AbortSignal.any([
-      signal,
-      AbortSignal.timeout(call.connectTimeoutMs + call.answerTimeoutMs),
-    ]),
-    headersTimeout: call.answerTimeoutMs,
-    bodyTimeout: call.answerTimeoutMs,
+    dispatcher: notifyBeforeSend(limited, call.onBeforeSend),
+    signal,
+    ...NO_UNDICI_TIMEOUTS,
     headers: {
       'x-request-id': call.requestId,
       ...(call.contentType === undefined ? {} : { 'content-type': call.contentType }),
@@ -44,6 +43,17 @@
   };
 }
 
+/** Sends a call whose complete response has to arrive in time, not only its head. */
+function sendInTime(
+  call: ServiceCall,
+  dispatcher: Dispatcher,
+  signal: AbortSignal,
+): Promise<ServiceAnswer> {
+  return withInputTimeout(call.connectTimeoutMs + call.answerTimeoutMs, (timeoutSignal) =>
+    sendCall(call, dispatcher, AbortSignal.any([signal, timeoutSignal])),
+  );
+}
+
 /** Creates a client that calls plain services over HTTP. */
 export function createHttpServiceClient(options: HttpServiceClientOptions): ServiceClient {
   const addressOptions = localAddressOptions(options.localAddress);
@@ -51,7 +61,7 @@
   return {
     async call(call, signal) {
       if (!call.freshConnection) {
-        return sendCall(call, agent, signal).catch((cause: unknown) => {
+        return sendInTime(call, agent, signal).catch((cause: unknown) => {
           throw classifyHttpError(cause);
         });
       }
@@ -60,7 +70,7 @@
         ...addressOptions,
       });
       try {
-        return await sendCall(call, client, signal);
+        return await sendInTime(call, client, signal);
       } catch (cause) {
         throw classifyHttpError(cause);
       } finally {
--- a/packages/adapters/src/backends/createOpenAiEngineClient.ts
+++ b/packages/adapters/src/backends/createOpenAiEngineClient.ts
@@ -1,11 +1,12 @@
 import { request } from 'undici';
 import type { Dispatcher } from 'undici';
 import { z } from 'zod';
-import { ProgressTimeoutError, asId } from '@camphorbarrow/core';
-import type { EngineAnswer, EngineClient } from '@camphorbarrow/core';
+import { ProgressTimeoutError, asId, startInputTimeout } from '@camphorbarrow/core';
+import type { EngineAnswer, EngineClient, InputTimeout } from '@camphorbarrow/core';
 import { classifyHttpError } from '../http/classifyHttpError.js';
 import { createServerPools } from '../http/createServerPools.js';
 import { limitInterimResponses } from '../http/limitInterimResponses.js';
+import { NO_UNDICI_TIMEOUTS, limitResponsePauses } from '../http/limitResponsePauses.js';
 import { notifyBeforeSend } from '../http/notifyBeforeSend.js';
 import { localAddressOptions } from '../http/localAddressOptions.js';
 import { readServerSentEvents } from '../http/readServerSentEvents.js';
@@ -32,18 +33,17 @@
   body: Dispatcher.ResponseData['body'],
   progressTimeoutMs: number,
 ): AsyncGenerator<string, void> {
-  let timer: NodeJS.Timeout | undefined;
+  let timeout: InputTimeout | undefined;
   try {
     for await (const event of readServerSentEvents(body)) {
-      clearTimeout(timer);
+      timeout?.close();
       yield event.data;
-      timer = setTimeout(
-        () => body.destroy(new ProgressTimeoutError('No event arrived in time.')),
-        progressTimeoutMs,
+      timeout = startInputTimeout(progressTimeoutMs, () =>
+        body.destroy(new ProgressTimeoutError('No event arrived in time.')),
       );
     }
   } finally {
-    clearTimeout(timer);
+    timeout?.close();
   }
 }
 
@@ -105,13 +105,13 @@
   return {
     async start(attempt, signal) {
       const pool = pools.poolOf(attempt.baseUrl);
+      const limited = limitResponsePauses(limitInterimResponses(pool), attempt);
       try {
         const response = await request(`${attempt.baseUrl}/v1/${attempt.route}`, {
           method: 'POST',
-          dispatcher: notifyBeforeSend(limitInterimResponses(pool), attempt.onBeforeSend),
+          dispatcher: notifyBeforeSend(limited, attempt.onBeforeSend),
           signal,
-          headersTimeout: attempt.firstByteTimeoutMs,
-          bodyTimeout: attempt.progressTimeoutMs,
+          ...NO_UNDICI_TIMEOUTS,
           headers: { 'content-type': 'application/json', 'x-request-id': attempt.requestId },
           body: attempt.body,
         });
--- a/packages/adapters/src/index.ts
+++ b/packages/adapters/src/index.ts
@@ -17,6 +17,7 @@
 export * from './http/createServerPools.js';
 export * from './http/handleConnectionErrors.js';
 export * from './http/limitInterimResponses.js';
+export * from './http/limitResponsePauses.js';
 export * from './http/localAddressOptions.js';
 export * from './http/notifyBeforeSend.js';
 export * from './http/readServerSentEvents.js';
--- a/packages/adapters/src/peers/createHttpForwardClient.ts
+++ b/packages/adapters/src/peers/createHttpForwardClient.ts
@@ -4,6 +4,7 @@
 import { AttemptBrokenError, RequestError, headerNames } from '@camphorbarrow/core';
 import type { ForwardAnswer, ForwardAttempt, ForwardClient } from '@camphorbarrow/core';
 import { classifyHttpError } from '../http/classifyHttpError.js';
+import { NO_UNDICI_TIMEOUTS, limitResponsePauses } from '../http/limitResponsePauses.js';
 import { localAddressOptions } from '../http/localAddressOptions.js';
 import { parseErrorResponse } from './parseErrorResponse.js';
 import { readText } from '../http/readText.js';
@@ -41,12 +42,12 @@
   const { remainingMs, progressTimeoutMs, streamed } = attempt;
   // Without a stream the peer sends nothing until the response is complete.
   const timeoutMs = streamed ? Math.min(progressTimeoutMs, remainingMs) : remainingMs;
-  return client.request({
+  const limits = { firstByteTimeoutMs: timeoutMs, progressTimeoutMs: timeoutMs };
+  return limitResponsePauses(client, limits).request({
     path: `/forward/${attempt.route}`,
     method: 'POST',
     signal,
-    headersTimeout: timeoutMs,
-    bodyTimeout: timeoutMs,
+    ...NO_UNDICI_TIMEOUTS,
     headers: headersOf(attempt, peerKey),
     body: attempt.body,
   });
--- a/packages/adapters/src/platform/createEtcdKeyValueStore.ts
+++ b/packages/adapters/src/platform/createEtcdKeyValueStore.ts
@@ -2,6 +2,7 @@
 import { z } from 'zod';
 import { ProgressTimeoutError, StoreUnavailableError, asId } from '@camphorbarrow/core';
 import type { KeyValue, KeyValueStore, LeaseId, WatchEvent } from '@camphorbarrow/core';
+import { limitResponsePauses } from '../http/limitResponsePauses.js';
 import { localAddressOptions } from '../http/localAddressOptions.js';
 import { requestJson } from '../http/requestJson.js';
 import { readJsonLines } from './readJsonLines.js';
@@ -108,12 +109,11 @@
     try {
       const response = await request(`${options.url}/v3/watch`, {
         method: 'POST',
-        dispatcher: usedAgent,
-        signal,
-        headers: { 'content-type': 'application/json' },
         // The service confirms a watch immediately, so a missing confirmation means that the
         // connection is unresponsive.
-        headersTimeout: options.timeoutMs,
+        dispatcher: limitResponsePauses(usedAgent, { firstByteTimeoutMs: options.timeoutMs }),
+        signal,
+        headers: { 'content-type': 'application/json' },
         body: JSON.stringify({
           create_request: {
             key: base64(prefix),
