Answer a request that arrived before a listener closes (LOST)

Callers and peers of the product's own interface lost a whole request on an open connection when a stopping host had not read it yet: without requests in flight the listener closed all its connections at once.

A listener is idle only if no request is in flight once the sockets have been read. The drain of the callers' listener and the close of the peers' use it; the late request gets the answer or the refusal that the state of the host calls for.

Not covered: a request that is on its way while connections are closed.

--- a/packages/adapters/src/http/trackInFlight.ts
+++ b/packages/adapters/src/http/trackInFlight.ts
@@ -1,8 +1,9 @@
 import type { FastifyInstance } from 'fastify';
+import { runAfterPoll } from '@camphorbarrow/core';
 
 export interface InFlightRequests {
   inFlight(): number;
-  /** Resolves when no request is in flight. */
+  /** Resolves when no request is in flight, after the sockets have been read. */
   idle(): Promise<void>;
 }
 
@@ -19,6 +20,11 @@
     }
   }
 
+  const waitForEnd = (): Promise<void> =>
+    new Promise((resolve) => {
+      waiters.push(resolve);
+    });
+
   app.addHook('onRequest', async (_request, reply) => {
     count += 1;
     // Also emitted after a broken connection, and for streams that bypass the framework.
@@ -26,11 +32,16 @@
   });
   return {
     inFlight: () => count,
-    idle: () =>
-      count === 0
-        ? Promise.resolve()
-        : new Promise((resolve) => {
-            waiters.push(resolve);
-          }),
+    async idle() {
+      do {
+        if (count > 0) {
+          await waitForEnd();
+        }
+        // A request that has arrived may not have been read yet.
+        await new Promise<void>((resolve) => {
+          runAfterPoll(resolve);
+        });
+      } while (count > 0);
+    },
   };
 }
