--- a/packages/core/src/ports/Clock.ts
+++ b/packages/core/src/ports/Clock.ts
@@ -4,6 +4,9 @@
   nowMs(): number;
   /** Monotonic time in milliseconds from an arbitrary origin. */
   monotonicMs(): number;
-  /** Resolves after `durationMs`, or rejects with the signal's reason when it aborts first. */
+  /**
+   * Resolves after `durationMs`, once input that had arrived by then was read, or rejects when the
+   * signal aborts first.
+   */
   sleep(durationMs: number, signal?: AbortSignal): Promise<void>;
 }
