Give up a silent engine only when another one can take the request (LOST)

Callers of the product's own interface whose stream did not begin within half of its remaining time lost it although its server would have gone on: the dispatcher ended the attempt, and only then the gateway looked for another server and a retry in the budget.

The engine client asks `mayTimeOut` once the time for the first byte has passed. The gateway answers yes only if another server takes requests and the retry was withdrawn from the budget, which is not charged again. Otherwise the attempt goes on until the deadline, and the question is repeated every 500 ms. Connections of the silent pool are retired as before.

New tests in `createInferenceGateway.test.ts`. Before: 2 of 3 failed, no response in place of a stream with one server and with an empty budget. After: 3 of 3 pass, with one retry paid for on the way to another server. `limitResponsePauses.test.ts` has a new one for the repeated question.

Not covered: a retry that admission refuses after an attempt was given up; a stream that pauses after its start ends after `timeouts.progressTimeoutMs`, as documented.

--- a/packages/adapters/src/backends/createOpenAiEngineClient.ts
+++ b/packages/adapters/src/backends/createOpenAiEngineClient.ts
@@ -105,7 +105,13 @@
   return {
     async start(attempt, signal) {
       const pool = pools.poolOf(attempt.baseUrl);
-      const limited = limitResponsePauses(limitInterimResponses(pool), attempt);
+      const limited = limitResponsePauses(limitInterimResponses(pool), {
+        ...attempt,
+        mayTimeOut() {
+          pools.retirePool(attempt.baseUrl, pool);
+          return attempt.mayTimeOut?.() ?? true;
+        },
+      });
       try {
         const response = await request(`${attempt.baseUrl}/v1/${attempt.route}`, {
           method: 'POST',
--- a/packages/adapters/tests/http/limitResponsePauses.test.ts
+++ b/packages/adapters/tests/http/limitResponsePauses.test.ts
@@ -58,7 +58,11 @@
   t.like(await client.call(call, never), { statusCode: 200, body: 'ok' });
 });
 
-function callEngine(t: ExecutionContext, baseUrl: string): Promise<EngineAnswer> {
+function callEngine(
+  t: ExecutionContext,
+  baseUrl: string,
+  mayTimeOut?: () => boolean,
+): Promise<EngineAnswer> {
   const client = createOpenAiEngineClient({ connectTimeoutMs: TIMEOUT_MS });
   t.teardown(() => client.close());
   return client.start(
@@ -70,6 +74,7 @@
       connectTimeoutMs: TIMEOUT_MS,
       firstByteTimeoutMs: TIMEOUT_MS,
       progressTimeoutMs: TIMEOUT_MS,
+      mayTimeOut,
       onBeforeSend() {},
     },
     never,
@@ -142,3 +147,19 @@
   const url = await startPausingServer(t, { start, rest: '', delayMs: 0, pauseMs: 0 });
   await t.throwsAsync(callEngine(t, url), { name: 'ProgressTimeoutError' });
 });
+
+test.serial('a late head is awaited until the request may time out', async (t) => {
+  const url = await startPausingServer(t, {
+    rest: toResponse('{}'),
+    delayMs: 2 * TIMEOUT_MS,
+    pauseMs: 0,
+  });
+  t.like(await callEngine(t, url, () => false), { kind: 'plain', body: '{}' });
+  let questions = 0;
+  const response = callEngine(t, url, () => {
+    questions += 1;
+    return questions === 2;
+  });
+  await t.throwsAsync(response, { name: 'ProgressTimeoutError' });
+  t.is(questions, 2);
+});
--- a/packages/bench/src/fakes/createFakeEngineClient.ts
+++ b/packages/bench/src/fakes/createFakeEngineClient.ts
@@ -5,6 +5,8 @@
 import { createEventStream } from './createEventStream.js';
 import type { FakeEngine } from './createFakeEngine.js';
 
+/** Interval at which a silent attempt that goes on is checked again. */
+const RECHECK_INTERVAL_MS = 500;
 /** Tokens per event after the first token. Fewer events shorten the runs. */
 const TOKENS_PER_EVENT = 8;
 const TOKEN_EVENT = '{"choices":[{"finish_reason":null}]}';
@@ -91,6 +93,11 @@
         lastProgressAtMs === startedAtMs ? attempt.firstByteTimeoutMs : attempt.progressTimeoutMs;
       const timeoutAtMs = lastProgressAtMs + timeoutMs;
       if (clock.monotonicMs() >= timeoutAtMs) {
+        const isStarted = lastProgressAtMs !== startedAtMs;
+        if (!isStarted && attempt.mayTimeOut?.() === false) {
+          clock.schedule(clock.monotonicMs() + RECHECK_INTERVAL_MS, checkProgress);
+          return;
+        }
         stop(new ProgressTimeoutError('The engine made no progress.'));
       } else {
         clock.schedule(timeoutAtMs, checkProgress);
--- a/packages/core/src/dispatch/createEngineDispatcher.ts
+++ b/packages/core/src/dispatch/createEngineDispatcher.ts
@@ -21,6 +21,8 @@
   readonly signal: AbortSignal;
   /** Called immediately before the first byte is written to the connection. */
   readonly onBeforeSend: () => void;
+  /** Whether the attempt is given up when no first byte arrives in time. @default always */
+  readonly mayTimeOut?: () => boolean;
   /**
    * Called once when the attempt ends. `completeEvents` is the number of events of a complete
    * response (zero when it was not streamed) and undefined when there was no complete response.
@@ -153,6 +155,7 @@
     server,
     signal,
     onBeforeSend,
+    mayTimeOut,
   }: DispatchedAttempt): Promise<EngineAnswer> {
     const { connectTimeoutMs, progressTimeoutMs } = request.settings.timeouts;
     return engineClient.start(
@@ -164,6 +167,7 @@
         connectTimeoutMs,
         firstByteTimeoutMs: firstByteTimeoutMs(request),
         progressTimeoutMs,
+        mayTimeOut,
         onBeforeSend,
       },
       signal,
--- a/packages/core/src/gateway/createInferenceGateway.ts
+++ b/packages/core/src/gateway/createInferenceGateway.ts
@@ -54,6 +54,8 @@
   outcome: Outcome;
   /** Whether the last attempt may have caused work at a server. */
   lastPossiblyRan: boolean;
+  /** Whether the next retry was charged to the budget when the last attempt was given up. */
+  isRetryGranted: boolean;
 }
 
 /** Creates the gateway for inference requests: admission, route choice, dispatch and retries. */
@@ -113,6 +115,24 @@
     return { server, release };
   }
 
+  /** A retry is charged to the budget only if the last attempt may have caused work at a server. */
+  function mayRetry(request: InferenceRequest, attempts: AttemptState): boolean {
+    if (attempts.isRetryGranted) {
+      return true;
+    }
+    if (attempts.tried.size >= request.settings.retry.maxAttempts) {
+      return false;
+    }
+    return !attempts.lastPossiblyRan || retryBudget.tryWithdraw(request);
+  }
+
+  /** Whether to end an attempt at a silent server, which may still go on: not without a retry. */
+  function mayGiveUp(request: InferenceRequest, attempts: AttemptState): boolean {
+    attempts.isRetryGranted =
+      candidatesFor(request, attempts.tried).length > 0 && mayRetry(request, attempts);
+    return attempts.isRetryGranted;
+  }
+
   async function attempt(
     request: InferenceRequest,
     { server, release }: ServerSlot,
@@ -128,6 +148,7 @@
       onBeforeSend() {
         attempts.lastPossiblyRan = true;
       },
+      mayTimeOut: () => mayGiveUp(request, attempts),
       onEnd(outputEvents) {
         release();
         if (outputEvents !== undefined && outputEvents > 0) {
@@ -206,14 +227,6 @@
     }
   }
 
-  /** A retry is charged to the budget only if the last attempt may have caused work at a server. */
-  function mayRetry(request: InferenceRequest, { tried, lastPossiblyRan }: AttemptState): boolean {
-    if (tried.size >= request.settings.retry.maxAttempts) {
-      return false;
-    }
-    return !lastPossiblyRan || retryBudget.tryWithdraw(request);
-  }
-
   async function waitBeforeRetry(
     request: InferenceRequest,
     attempts: AttemptState,
@@ -240,6 +253,7 @@
         tried: new Set(),
         outcome: 'not-run',
         lastPossiblyRan: false,
+        isRetryGranted: false,
       };
       retryBudget.deposit(request);
       for (;;) {
@@ -255,6 +269,7 @@
         }
         attempts.tried.add(slot.server.entry.serverId);
         attempts.lastPossiblyRan = false;
+        attempts.isRetryGranted = false;
         const response = await tryOnce(request, slot, attempts, signal);
         if (response !== undefined) {
           return response;
--- a/packages/core/src/ports/EngineClient.ts
+++ b/packages/core/src/ports/EngineClient.ts
@@ -15,6 +15,11 @@
   readonly connectTimeoutMs: number;
   /** Maximum wait for the first byte of the response. */
   readonly firstByteTimeoutMs: number;
+  /**
+   * Asked once `firstByteTimeoutMs` has passed: whether the attempt ends. If not, it goes on until
+   * its signal aborts, and the question is repeated. @default it ends
+   */
+  readonly mayTimeOut?: (() => boolean) | undefined;
   /** Maximum time without data within the response before the attempt is aborted. */
   readonly progressTimeoutMs: number;
   /** Called immediately before the first byte is written; from then on the request may run. */
--- a/packages/core/tests/gateway/createInferenceGateway.test.ts
+++ b/packages/core/tests/gateway/createInferenceGateway.test.ts
@@ -7,6 +7,7 @@
 import { ConnectFailedError } from '../../src/errors/ConnectFailedError.js';
 import { DeadlineExceededError } from '../../src/errors/DeadlineExceededError.js';
 import { OverloadedError } from '../../src/errors/OverloadedError.js';
+import { ProgressTimeoutError } from '../../src/errors/ProgressTimeoutError.js';
 import type { RequestError } from '../../src/errors/RequestError.js';
 import { createDispatchQueue } from '../../src/dispatch/createDispatchQueue.js';
 import { createPassThroughDispatchQueue } from '../../src/dispatch/createPassThroughDispatchQueue.js';
@@ -58,6 +59,14 @@
 const failToConnect: EngineBehaviour = async () => {
   throw new ConnectFailedError('refused');
 };
+/** Sends its response only after the time limit for the first byte. */
+const pause: EngineBehaviour = async (attempt, stop) => {
+  attempt.onBeforeSend();
+  if (attempt.mayTimeOut?.() ?? true) {
+    throw new ProgressTimeoutError('No response arrived in time.');
+  }
+  return respond(attempt, stop);
+};
 const hang: EngineBehaviour = (attempt, stop) =>
   new Promise((_resolve, reject) => {
     attempt.onBeforeSend();
@@ -242,3 +251,34 @@
   t.deepEqual(attempts, []);
   t.is(reserved(), 0);
 });
+
+// Guards against the loss of a request whose server would have gone on.
+test('a silent server that is the only one is not given up', async (t) => {
+  const subject = createTestGateway([pause]);
+  t.like(await outcomeOf(subject), { kind: 'stream' });
+  t.deepEqual(subject.attempts, ['0']);
+});
+
+test('a silent server is not given up without a retry left for the request', async (t) => {
+  const subject = createTestGateway([pause, respond], {
+    retryBudget: { deposit: noop, tryWithdraw: () => false },
+  });
+  t.like(await outcomeOf(subject), { kind: 'stream' });
+  t.deepEqual(subject.attempts, ['0']);
+});
+
+test('a request leaves a silent server for another one and pays for one retry', async (t) => {
+  let withdrawals = 0;
+  const subject = createTestGateway([pause, respond], {
+    retryBudget: {
+      deposit: noop,
+      tryWithdraw() {
+        withdrawals += 1;
+        return true;
+      },
+    },
+  });
+  t.like(await outcomeOf(subject), { kind: 'stream' });
+  t.deepEqual(subject.attempts, ['0', '1']);
+  t.is(withdrawals, 1);
+});
