--- a/packages/daemon/src/entryHost/createDrain.ts
+++ b/packages/daemon/src/entryHost/createDrain.ts
@@ -15,8 +15,11 @@
 
 export interface Drain {
   state(): PeerDescription['state'];
-  /** @throws DrainingError when new requests are rejected */
-  requireAccepting(): void;
+  /**
+   * @param deadlineAtMs monotonic time by which the request ends, when it is known
+   * @throws DrainingError when new requests are rejected, or this one may end after the drain
+   */
+  requireAccepting(deadlineAtMs?: number): void;
   /**
    * Announces the shutdown, serves new requests while callers are steered to other entry hosts,
    * then rejects new ones and waits for those in flight.
@@ -29,6 +32,8 @@
   const { clock, log, settings } = options;
   let state: PeerDescription['state'] = 'live';
   let isRejecting = false;
+  /** Monotonic time at which connections are closed, with requests in flight if need be. */
+  let closesAtMs = Infinity;
 
   /** Resolves after `maxDrainMs`; never when it is not set. */
   async function waitForMaxDrain(signal: AbortSignal): Promise<void> {
@@ -41,13 +46,14 @@
 
   return {
     state: () => state,
-    requireAccepting() {
-      if (isRejecting) {
+    requireAccepting(deadlineAtMs) {
+      if (isRejecting || (deadlineAtMs !== undefined && deadlineAtMs > closesAtMs)) {
         throw new DrainingError('This entry host is shutting down; use another one.');
       }
     },
     async run(listener, announce) {
       state = 'draining';
+      closesAtMs = clock.monotonicMs() + settings.steerMs + (settings.maxDrainMs ?? Infinity);
       log.info('draining', { inFlight: listener.inFlight() });
       await announce();
       await clock.sleep(settings.steerMs);
--- a/packages/daemon/src/entryHost/createEntryHost.ts
+++ b/packages/daemon/src/entryHost/createEntryHost.ts
@@ -88,11 +88,12 @@
       route: InferenceRoute,
       body: string,
       signal: AbortSignal,
-    ): Promise<InferenceAnswer> =>
-      gateway.handle(
-        createInferenceRequest(requestContext, route, body, settings.secrets.recordKey),
-        signal,
-      );
+    ): Promise<InferenceAnswer> => {
+      const { recordKey } = settings.secrets;
+      const request = createInferenceRequest(requestContext, route, body, recordKey);
+      drain.requireAccepting(request.deadlineAtMs);
+      return gateway.handle(request, signal);
+    };
   const callerReader = createRequestContextReader({
     clock,
     hostId,
@@ -161,7 +162,7 @@
       issueOrderPermits: orderApi.issueOrderPermits,
       models: () => Object.keys(config.current().defaults.models),
       entryHosts: ranking.list,
-      requireAccepting: drain.requireAccepting,
+      requireAccepting: () => drain.requireAccepting(),
       readiness: () =>
         describeReadiness({
           drainState: drain.state(),
