Start no relayed order after a host has closed its orders (LOST)

A stopping host of the product's own interface took orders that peers relay until its peers' listener closed, which is after it had waited for its orders. Such an order could be cut with its server's connection, and its outcome was unknown for good, as the host that could tell it was gone.

The executor of permits starts no order after its close; it answers `draining`, `not-run` and final for the permit, which is certain as no other process can run it. Outcomes that it has are still given.

New test in `createPermitOrderExecutor.test.ts`. Before: failed, the order ran ("Promise resolved with: { body: 'confirmed' }"). After: passes, and the 46 tests of core/tests/orders and adapters/tests/peers.

--- a/packages/core/src/orders/createPermitOrderExecutor.ts
+++ b/packages/core/src/orders/createPermitOrderExecutor.ts
@@ -1,4 +1,5 @@
 import { OutcomeUnknownError } from '../errors/OutcomeUnknownError.js';
+import { DrainingError } from '../errors/DrainingError.js';
 import { IdempotencyKeyReusedError } from '../errors/IdempotencyKeyReusedError.js';
 import { InvalidPermitError } from '../errors/InvalidPermitError.js';
 import { OverloadedError } from '../errors/OverloadedError.js';
@@ -49,6 +50,7 @@
    * @param relayed whether a peer relayed the order; a relayed order is never relayed again
    */
   execute(request: ServiceRequest, key: string, relayed: boolean): Promise<ServiceAnswer>;
+  /** Starts no further order, and waits for those that run. Known outcomes are still given. */
   close(): Promise<void>;
 }
 
@@ -87,6 +89,7 @@
     retentionMs: OUTCOME_RETENTION_MS,
     evictWhenFull: false,
   });
+  let isClosed = false;
 
   async function executeLocally(
     request: ServiceRequest,
@@ -100,6 +103,11 @@
         'The order permit has expired; an earlier request with it may have run.',
       );
     }
+    if (existing === undefined && isClosed) {
+      throw new DrainingError('The entry host that issued the permit is shutting down.', {
+        props: { details: { finalForKey: true } },
+      });
+    }
     const entry =
       existing ??
       table.start(key, fingerprint, permit.expiresAtMs, (gate) =>
@@ -150,6 +158,9 @@
       }
       return options.relayOrder(request, key, permit.hostId);
     },
-    close: () => table.close(),
+    close() {
+      isClosed = true;
+      return table.close();
+    },
   };
 }
--- a/packages/core/tests/orders/createPermitOrderExecutor.test.ts
+++ b/packages/core/tests/orders/createPermitOrderExecutor.test.ts
@@ -205,3 +205,18 @@
   finish();
   t.deepEqual(await executor.execute(request, permit, false), answer);
 });
+
+// Guards against an order whose connection is cut, because the host stops when its orders ended.
+test('an order that arrives after the close does not run, and outcomes are still given', async (t) => {
+  const executor = createTestExecutor();
+  const permit = issuePermit(executor);
+  const unusedPermit = issuePermit(executor);
+  await executor.execute(request, permit, true);
+  await executor.close();
+  const error = await t.throwsAsync(executor.execute(request, unusedPermit, true), {
+    name: 'DrainingError',
+  });
+  t.like(error, { outcome: 'not-run', details: { finalForKey: true } });
+  t.deepEqual(await executor.execute(request, permit, true), answer);
+  t.is(executor.runs(), 1);
+});
