Reject an aborted sleep with one error on all versions of Node.js

A sleep that was aborted when its time was over rejected with a DOMException, an aborted earlier one with an AbortError of Node.js. Both reject with the latter now.

--- a/packages/core/src/time/createSystemClock.ts
+++ b/packages/core/src/time/createSystemClock.ts
@@ -1,7 +1,6 @@
 import { performance } from 'node:perf_hooks';
-import { setTimeout as delay } from 'node:timers/promises';
+import { setImmediate as nextTurn, setTimeout as delay } from 'node:timers/promises';
 import type { Clock } from '../ports/Clock.js';
-import { runAfterPoll } from './startInputTimeout.js';
 
 /** Creates the clock of the operating system. */
 export function createSystemClock(): Clock {
@@ -9,14 +8,12 @@
     nowMs: () => Date.now(),
     monotonicMs: () => performance.now(),
     async sleep(durationMs, signal) {
-      await delay(durationMs, undefined, signal === undefined ? {} : { signal });
-      // After a pause of the process, its timers run before its sockets are read.
-      await new Promise<void>((resolve) => {
-        runAfterPoll(resolve);
-      });
-      if (signal?.aborted === true) {
-        throw new DOMException('The operation was aborted.', 'AbortError');
-      }
+      const options = signal === undefined ? {} : { signal };
+      await delay(durationMs, undefined, options);
+      // After a pause of the process, its timers run before its sockets are read. The second turn
+      // is for the same reasons as in `runAfterPoll`.
+      await nextTurn(undefined, options);
+      await nextTurn(undefined, options);
     },
   };
 }
