--- a/packages/adapters/src/backends/createHttpEngineOrderClient.ts
+++ b/packages/adapters/src/backends/createHttpEngineOrderClient.ts
@@ -1,12 +1,11 @@
 import { Agent, Client, request } from 'undici';
 import { z } from 'zod';
-import { FencedOffError, PlatformError } from '@camphorbarrow/core';
+import { FencedOffError, PlatformError, withInputTimeout } from '@camphorbarrow/core';
 import type { EngineOrderCall, EngineOrderClient } from '@camphorbarrow/core';
 import { classifyHttpError } from '../http/classifyHttpError.js';
 import { localAddressOptions } from '../http/localAddressOptions.js';
 import { notifyBeforeSend } from '../http/notifyBeforeSend.js';
 import { requestJson } from '../http/requestJson.js';
-import { withInputTimeout } from '../http/withInputTimeout.js';
 
 export interface HttpEngineOrderClientOptions {
   /** Timeout for establishing a connection. */
--- a/packages/adapters/src/backends/createHttpServiceClient.ts
+++ b/packages/adapters/src/backends/createHttpServiceClient.ts
@@ -1,3 +1,4 @@
+import { withInputTimeout } from '@camphorbarrow/core';
 import { Agent, Client, request } from 'undici';
 import type { Dispatcher } from 'undici';
 import type { ServiceAnswer, ServiceCall, ServiceClient } from '@camphorbarrow/core';
@@ -7,7 +8,6 @@
 import { notifyBeforeSend } from '../http/notifyBeforeSend.js';
 import { localAddressOptions } from '../http/localAddressOptions.js';
 import { readText } from '../http/readText.js';
-import { withInputTimeout } from '../http/withInputTimeout.js';
 
 export interface HttpServiceClientOptions {
   /** Timeout for establishing a connection. */
--- a/packages/adapters/src/callers/createCallerListener.ts
+++ b/packages/adapters/src/callers/createCallerListener.ts
@@ -10,7 +10,7 @@
 import { addOrderPermitRoute } from './addOrderPermitRoute.js';
 import { servicePathOf } from './servicePathOf.js';
 import { streamEvents } from './streamEvents.js';
-import { handleConnectionErrors } from '../http/handleConnectionErrors.js';
+import { replaceConnectionErrorHandling } from '../http/replaceConnectionErrorHandling.js';
 import { trackInFlight } from '../http/trackInFlight.js';
 
 export interface CallerListenerOptions {
@@ -101,7 +101,7 @@
     },
     return503OnClosing: false,
   });
-  handleConnectionErrors(app.server);
+  replaceConnectionErrorHandling(app, options.clock);
   const requests = trackInFlight(app);
   app.removeAllContentTypeParsers();
   app.addContentTypeParser('*', async (request: FastifyRequest, payload: IncomingMessage) => {
--- /dev/null
+++ b/packages/adapters/src/http/replaceConnectionErrorHandling.ts
@@ -0,0 +1,12 @@
+import type { FastifyInstance } from 'fastify';
+import { handleConnectionErrors } from '@camphorbarrow/core';
+import type { Clock } from '@camphorbarrow/core';
+
+/** Handles connection errors in place of fastify, which closes connections at once. */
+export function replaceConnectionErrorHandling(
+  { server }: Pick<FastifyInstance, 'server'>,
+  clock: Clock,
+): void {
+  server.removeAllListeners('clientError');
+  handleConnectionErrors(server, { clock });
+}
--- a/packages/adapters/src/http/requestJson.ts
+++ b/packages/adapters/src/http/requestJson.ts
@@ -1,10 +1,9 @@
 import { request } from 'undici';
 import type { Dispatcher } from 'undici';
-import { PlatformError } from '@camphorbarrow/core';
+import { PlatformError, withInputTimeout } from '@camphorbarrow/core';
 import { classifyHttpError } from './classifyHttpError.js';
 import { limitInterimResponses } from './limitInterimResponses.js';
 import { readText } from './readText.js';
-import { withInputTimeout } from './withInputTimeout.js';
 
 export interface JsonRequest {
   readonly url: string;
--- a/packages/adapters/src/operators/createOperatorClient.ts
+++ b/packages/adapters/src/operators/createOperatorClient.ts
@@ -1,8 +1,7 @@
 import { TRPCClientError, createTRPCClient, httpLink } from '@trpc/client';
 import { Agent, fetch } from 'undici';
-import { OperatorCallError } from '@camphorbarrow/core';
+import { OperatorCallError, withInputTimeout } from '@camphorbarrow/core';
 import type { BurnReport, StoredFleetDocument } from '@camphorbarrow/core';
-import { withInputTimeout } from '../http/withInputTimeout.js';
 import type { ChangeResponse } from './ChangeResponse.js';
 import type { ChangeRequest } from './ChangeRequest.js';
 import type { FleetStatus } from './FleetStatus.js';
--- a/packages/adapters/src/peers/createPeerListener.ts
+++ b/packages/adapters/src/peers/createPeerListener.ts
@@ -3,7 +3,8 @@
 import { fastifyTRPCPlugin } from '@trpc/server/adapters/fastify';
 import type { FastifyTRPCPluginOptions } from '@trpc/server/adapters/fastify';
 import { UnauthenticatedError, headerNames } from '@camphorbarrow/core';
-import { handleConnectionErrors } from '../http/handleConnectionErrors.js';
+import type { Clock } from '@camphorbarrow/core';
+import { replaceConnectionErrorHandling } from '../http/replaceConnectionErrorHandling.js';
 import { createGracefulClose } from '../http/createGracefulClose.js';
 import { sendError } from '../callers/sendError.js';
 import { operatorPrefix } from '../operators/operatorPrefix.js';
@@ -16,6 +17,7 @@
 import type { PeerRouter } from './peerRouter.js';
 
 export interface PeerListenerOptions {
+  readonly clock: Clock;
   /** IP address to bind. */
   readonly address: string;
   readonly port: number;
@@ -41,7 +43,7 @@
  */
 export async function createPeerListener(options: PeerListenerOptions): Promise<PeerListener> {
   const app = fastify({ bodyLimit: MAX_BODY_BYTES, forceCloseConnections: true });
-  handleConnectionErrors(app.server);
+  replaceConnectionErrorHandling(app, options.clock);
   const close = createGracefulClose(app);
   const expected = sha256(`Bearer ${options.peerKey}`);
   app.addHook('onRequest', async (request) => {
--- a/packages/adapters/src/platform/createHttpWeightStore.ts
+++ b/packages/adapters/src/platform/createHttpWeightStore.ts
@@ -1,9 +1,8 @@
 import { Agent, request } from 'undici';
-import { PlatformError } from '@camphorbarrow/core';
+import { PlatformError, withInputTimeout } from '@camphorbarrow/core';
 import type { WeightStore } from '@camphorbarrow/core';
 import { classifyHttpError } from '../http/classifyHttpError.js';
 import { localAddressOptions } from '../http/localAddressOptions.js';
-import { withInputTimeout } from '../http/withInputTimeout.js';
 
 export interface HttpWeightStoreOptions {
   readonly url: string;
--- a/packages/adapters/tests/http/handleConnectionErrors.test.ts
+++ b/packages/adapters/tests/http/replaceConnectionErrorHandling.test.ts
@@ -5,7 +5,8 @@
 import test from 'ava';
 import type { ExecutionContext } from 'ava';
 import fastify from 'fastify';
-import { handleConnectionErrors } from '../../src/http/handleConnectionErrors.js';
+import { createSystemClock } from '@camphorbarrow/core';
+import { replaceConnectionErrorHandling } from '../../src/http/replaceConnectionErrorHandling.js';
 import { blockFor } from '../support/blockFor.js';
 
 const TIMEOUT_MS = 200;
@@ -29,7 +30,7 @@
     forceCloseConnections: true,
     http: { headersTimeout: TIMEOUT_MS, connectionsCheckingInterval: CHECK_INTERVAL_MS },
   });
-  handleConnectionErrors(app.server);
+  replaceConnectionErrorHandling(app, createSystemClock());
   app.get('/', async () => 'ok');
   app.post('/', async () => 'ok');
   app.get('/slow', async () => {
--- a/packages/adapters/tests/operators/operatorApi.test.ts
+++ b/packages/adapters/tests/operators/operatorApi.test.ts
@@ -4,6 +4,7 @@
 import type { TestFn } from 'ava';
 import { request } from 'undici';
 import {
+  createSystemClock,
   InvalidChangeError,
   OperatorCallError,
   PlatformError,
@@ -45,6 +46,7 @@
 test.before(async (t) => {
   const proposed: ConfigChange[] = [];
   const listener = await createPeerListener({
+    clock: createSystemClock(),
     address: ADDRESS,
     port: PORT,
     peerKey: PEER_KEY,
--- a/packages/adapters/tests/peers/createHttpForwardClient.test.ts
+++ b/packages/adapters/tests/peers/createHttpForwardClient.test.ts
@@ -5,6 +5,7 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import test from 'ava';
 import {
+  createSystemClock,
   AttemptBrokenError,
   ConnectFailedError,
   OverloadedError,
@@ -70,6 +71,7 @@
     throw new RequestError('not used');
   };
   const listener = await createPeerListener({
+    clock: createSystemClock(),
     address,
     port: PORT,
     peerKey: PEER_KEY,
--- a/packages/adapters/tests/peers/orderProcedures.test.ts
+++ b/packages/adapters/tests/peers/orderProcedures.test.ts
@@ -3,7 +3,7 @@
 import { randomInt, randomUUID } from 'node:crypto';
 import { once } from 'node:events';
 import test from 'ava';
-import { PeerUnavailableError, asId } from '@camphorbarrow/core';
+import { createSystemClock, PeerUnavailableError, asId } from '@camphorbarrow/core';
 import type {
   ClaimQuery,
   CustomerId,
@@ -69,6 +69,7 @@
     },
   } as Partial<PeerApi> as PeerApi;
   const listener = await createPeerListener({
+    clock: createSystemClock(),
     address,
     port: 9_080,
     peerKey,
--- a/packages/gateway/src/ingress/handleConnectionErrors.ts
+++ b/packages/core/src/connections/handleConnectionErrors.ts
@@ -1,36 +1,46 @@
-import type { Server } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
-import { runAfterPoll } from '@camphorbarrow/core';
-import type { Clock, LogSink, MetricsSink } from '@camphorbarrow/core';
+import type { Clock } from '../ports/Clock.js';
+import { runAfterPoll } from '../time/runAfterPoll.js';
 
 /**
  * Time for which an idle connection stays open beyond the announced idle time, for requests that
  * were sent in time.
  */
 const TRANSIT_MARGIN_MS = 500;
-/** Delay of a timer from which the close that it causes is logged. */
-const LOGGED_DELAY_MS = 100;
-const HEAD_TIMEOUT_CODE = 'ERR_HTTP_REQUEST_TIMEOUT';
+const REQUEST_TIMEOUT_CODE = 'ERR_HTTP_REQUEST_TIMEOUT';
 
 const statusLines: Readonly<Record<string, string>> = {
-  [HEAD_TIMEOUT_CODE]: '408 Request Timeout',
+  [REQUEST_TIMEOUT_CODE]: '408 Request Timeout',
   HPE_CHUNK_EXTENSIONS_OVERFLOW: '413 Payload Too Large',
   HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
 };
 
+/** Why a server closed a connection, other than after a response. */
+export type ConnectionClose =
+  | {
+      readonly cause: 'idle';
+      readonly idleMs: number;
+      /** How late the timer of the connection ran. */
+      readonly delayMs: number;
+    }
+  | { readonly cause: 'late-request' | 'malformed' | 'limit' };
+
 export interface ConnectionErrorOptions {
   readonly clock: Clock;
-  readonly log: LogSink;
-  readonly metrics: MetricsSink;
-  /** Name of the listener in metrics. */
-  readonly name: string;
+  readonly onClose?: (close: ConnectionClose) => void;
+}
+
+/** A request and its response. */
+interface Exchange {
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
 }
 
 interface Connection {
   /** Requests whose response has not ended. */
   pendingRequests: number;
-  /** Requests so far. */
-  requestCount: number;
+  latest: Exchange | undefined;
   /** Time at which the latest response ended, and the bytes received until then. */
   idleSinceMs: number;
   bytesReadBeforeIdle: number;
@@ -38,22 +48,22 @@
   errorCode: string | undefined;
 }
 
+const isComplete = (exchange: Exchange | undefined): boolean => exchange?.request.complete ?? true;
+
 /**
- * Closes idle and faulty connections of a server, and counts closed connections by cause. A timeout
- * counts only after the sockets have been read: the host may have stood still while a request
- * arrived.
+ * Closes idle and faulty connections of a server. A timeout counts only after the sockets have been
+ * read: the process may have stood still while a request arrived.
  */
-export function handleConnectionErrors(server: Server, options: ConnectionErrorOptions): void {
-  const { clock, log, metrics, name } = options;
+export function handleConnectionErrors(
+  server: Server,
+  { clock, onClose = () => undefined }: ConnectionErrorOptions,
+): void {
   const connections = new WeakMap<Socket, Connection>();
 
-  const count = (cause: string): void =>
-    metrics.increment('connections_closed', { listener: name, cause });
-
   function connectionOf(socket: Socket): Connection {
     const connection = connections.get(socket) ?? {
       pendingRequests: 0,
-      requestCount: 0,
+      latest: undefined,
       idleSinceMs: clock.monotonicMs(),
       bytesReadBeforeIdle: 0,
       errorCode: undefined,
@@ -64,13 +74,15 @@
 
   /** Sends an error response, unless it could be taken for the response to an earlier request. */
   function closeAfterError(socket: Socket, connection: Connection): void {
-    const { errorCode } = connection;
-    if (errorCode === undefined || connection.pendingRequests > 0 || socket.destroyed) {
+    const { errorCode, latest, pendingRequests } = connection;
+    const unfinishedRequests = isComplete(latest) ? 0 : 1;
+    if (errorCode === undefined || pendingRequests > unfinishedRequests || socket.destroyed) {
       return;
     }
-    if (socket.writable) {
+    const isSending = pendingRequests > 0 && latest?.response.headersSent === true;
+    if (socket.writable && !isSending) {
       const statusLine = statusLines[errorCode] ?? '400 Bad Request';
-      count(errorCode === HEAD_TIMEOUT_CODE ? 'head-timeout' : 'malformed');
+      onClose({ cause: errorCode === REQUEST_TIMEOUT_CODE ? 'late-request' : 'malformed' });
       socket.write(`HTTP/1.1 ${statusLine}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
     }
     socket.destroySoon();
@@ -93,25 +105,17 @@
       socket.setTimeout(remainingMs);
       return;
     }
-    const delayMs = idleMs - timeoutMs;
-    const isDelayed = delayMs >= LOGGED_DELAY_MS;
-    count(isDelayed ? 'idle-delayed' : 'idle');
-    if (isDelayed) {
-      log.info('idle-connection-closed', {
-        listener: name,
-        idleMs: Math.round(idleMs),
-        delayMs: Math.round(delayMs),
-      });
-    }
+    onClose({ cause: 'idle', idleMs, delayMs: idleMs - timeoutMs });
     socket.destroy();
   }
 
-  server.on('request', ({ socket }, response) => {
+  server.on('request', (request, response) => {
+    const { socket } = request;
     const connection = connectionOf(socket);
-    connection.requestCount += 1;
+    connection.latest = { request, response };
+    connection.pendingRequests += 1;
     // A late head can still be completed while an earlier response is in progress.
     connection.errorCode = undefined;
-    connection.pendingRequests += 1;
     response.once('close', () => {
       connection.pendingRequests -= 1;
       connection.idleSinceMs = clock.monotonicMs();
@@ -126,20 +130,21 @@
     runAfterPoll(() => closeIfIdle(socket, timeoutMs));
   });
 
-  server.on('drop', () => count('limit'));
+  server.on('drop', () => onClose({ cause: 'limit' }));
 
   server.on('clientError', (error: NodeJS.ErrnoException, stream) => {
     const socket = stream as Socket;
     const connection = connectionOf(socket);
-    const { requestCount } = connection;
+    const { latest } = connection;
+    const wasComplete = isComplete(latest);
     const errorCode = error.code ?? '';
     const fail = (): void => {
-      if (connection.requestCount === requestCount) {
+      if (connection.latest === latest && isComplete(latest) === wasComplete) {
         connection.errorCode ??= errorCode;
         closeAfterError(socket, connection);
       }
     };
-    if (errorCode === HEAD_TIMEOUT_CODE) {
+    if (errorCode === REQUEST_TIMEOUT_CODE) {
       runAfterPoll(fail);
     } else {
       fail();
--- a/packages/core/src/time/startInputTimeout.ts
+++ b/packages/core/src/time/startInputTimeout.ts
@@ -1,22 +1,11 @@
+import { runAfterPoll } from './runAfterPoll.js';
+
 /** A running timeout. */
 export interface InputTimeout {
   /** Ends the timeout; it does not elapse any more. */
   close(): void;
 }
 
-/**
- * Calls back in a later turn of the event loop, after the sockets have been read.
- *
- * @returns a function that cancels the call
- */
-export function runAfterPoll(callback: () => void): () => void {
-  // The first one may run before the sockets are polled, and a signal can cut a poll short.
-  let immediate = setImmediate(() => {
-    immediate = setImmediate(callback);
-  });
-  return () => clearImmediate(immediate);
-}
-
 /**
  * Starts a timeout for input from a connection. After a pause of the process, its timers run before
  * its sockets are read. This timeout elapses only when the sockets have been read since its end, so
--- a/packages/core/src/time/waitForPoll.ts
+++ b/packages/core/src/time/waitForPoll.ts
@@ -1,4 +1,4 @@
-import { runAfterPoll } from './startInputTimeout.js';
+import { runAfterPoll } from './runAfterPoll.js';
 
 /**
  * Resolves after the sockets have been read. A kept connection whose end has arrived before the call
--- a/packages/core/src/time/withInputTimeout.ts
+++ b/packages/core/src/time/withInputTimeout.ts
@@ -1,15 +1,20 @@
+import { ProgressTimeoutError } from '../errors/ProgressTimeoutError.js';
 import { startInputTimeout } from './startInputTimeout.js';
 
 /**
- * Runs a task that waits for input, with a signal that aborts at the end of an input timeout. The
- * signal aborts only after the sockets have been read, unlike that of `AbortSignal.timeout`.
+ * Runs a call with a time limit. Unlike that of `AbortSignal.timeout`, this one ends only after the
+ * sockets were read, so that a response which arrived in time is not lost to a pause of the process.
+ *
+ * @param run gets a signal that aborts at the time limit, with a `ProgressTimeoutError`
  */
 export async function withInputTimeout<Result>(
-  durationMs: number,
+  timeoutMs: number,
   run: (signal: AbortSignal) => Promise<Result>,
 ): Promise<Result> {
   const controller = new AbortController();
-  const timeout = startInputTimeout(durationMs, () => controller.abort());
+  const timeout = startInputTimeout(timeoutMs, () =>
+    controller.abort(new ProgressTimeoutError('No response arrived in time.')),
+  );
   try {
     return await run(controller.signal);
   } finally {
--- a/packages/core/tests/time/startInputTimeout.test.ts
+++ b/packages/core/tests/time/startInputTimeout.test.ts
@@ -46,8 +46,12 @@
 
 test('a timeout without input elapses once', async (t) => {
   let count = 0;
-  startInputTimeout(TIMEOUT_MS, () => {
-    count += 1;
+  // A sleep of fixed length can end in the same turn of the event loop as the timer.
+  await new Promise<void>((resolve) => {
+    startInputTimeout(TIMEOUT_MS, () => {
+      count += 1;
+      resolve();
+    });
   });
   await sleep(4 * TIMEOUT_MS);
   t.is(count, 1);
--- a/packages/daemon/src/entryHost/createEntryHost.ts
+++ b/packages/daemon/src/entryHost/createEntryHost.ts
@@ -109,6 +109,7 @@
     isDraining: () => drain.state() === 'draining',
   });
   const peerListener = await createPeerListener({
+    clock,
     ...settings.peerListener,
     peerKey: settings.secrets.peerKey,
     api: {
--- a/packages/gateway/src/ingress/createListener.ts
+++ b/packages/gateway/src/ingress/createListener.ts
@@ -2,11 +2,12 @@
 import { Server as NetServer } from 'node:net';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { once } from 'node:events';
+import { handleConnectionErrors } from '@camphorbarrow/core';
 import type { Clock, LogSink, MetricsSink } from '@camphorbarrow/core';
 import type { CallerLimits } from '../model/CallerLimits.js';
 import type { Endpoint } from '../model/Endpoint.js';
 import { createHeldLimit } from './createHeldLimit.js';
-import { handleConnectionErrors } from './handleConnectionErrors.js';
+import { reportConnectionClose } from './reportConnectionClose.js';
 import { lingerOnClose } from './lingerOnClose.js';
 
 /** Maximum size of a request head that is parsed; the configuration may set a lower limit. */
@@ -62,7 +63,10 @@
   const headerTimeout = createHeldLimit(options.clock);
   server.maxConnections = options.maxConnections;
   const lingering = lingerOnClose(server);
-  handleConnectionErrors(server, options);
+  handleConnectionErrors(server, {
+    clock: options.clock,
+    onClose: (close) => reportConnectionClose(options, close),
+  });
   server.on('request', (request, response) => {
     options.handle(request, response).catch((error: unknown) => {
       options.log.error('request-handler-failed', {}, error);
--- a/packages/gateway/src/lifecycle/createDrainState.ts
+++ b/packages/gateway/src/lifecycle/createDrainState.ts
@@ -1,5 +1,5 @@
 import { setMaxListeners } from 'node:events';
-import { runAfterPoll } from '@camphorbarrow/core';
+import { waitForPoll } from '@camphorbarrow/core';
 import type { Clock } from '@camphorbarrow/core';
 
 /**
@@ -58,12 +58,6 @@
   waitUntilFlushed(pending: () => number): Promise<void>;
 }
 
-/** Resolves when the sockets have been read; timers may run before after a pause of the process. */
-const pollSockets = (): Promise<void> =>
-  new Promise((resolve) => {
-    runAfterPoll(resolve);
-  });
-
 /**
  * Creates the state of a graceful shutdown.
  *
@@ -106,7 +100,7 @@
       while (clock.monotonicMs() < closeAtMs && (!isRejectingRequests() || inFlight() > 0)) {
         await clock.sleep(POLL_MS);
       }
-      await pollSockets();
+      await waitForPoll();
     },
     async waitUntilFlushed(pending) {
       const mayWait = (): boolean => clock.monotonicMs() < closeAtMs + FLUSH_MS && pending() > 0;
@@ -114,7 +108,7 @@
         while (mayWait()) {
           await clock.sleep(FLUSH_POLL_MS);
         }
-        await pollSockets();
+        await waitForPoll();
       } while (mayWait());
     },
   };
