Check in the soak that requests on kept connections are read

Callers saw whole requests on a connection that had been idle, and within its limits, end without an answer or with 408. The soak did not show it: its callers send every 60 ms, the idle timeout is 15 s, and no promise covers a request on a connection that stays open.

24 further callers keep one connection each, send after idle times of up to four fifths of the idle timeout, and send two fifths of their requests in two parts. One host a seed is paused and gets SIGHUP in series while the operator changes the idle timeout and writes large configurations; the callers and these faults are drawn apart, so that a seed keeps its others, and the changes excuse nothing in the other checks. The promise `unread` takes its bounds from the limits of the configuration; only the stop or kill of the host excuses a request without a response, a pause does not.

Idle timeout and header time-out of the soak's configuration are 3 s at first and 1.5 s (before 15 s and 3 s), so that a pause can outlast them.

--- a/packages/soak/src/PlannedFault.ts
+++ b/packages/soak/src/PlannedFault.ts
@@ -39,4 +39,7 @@
   | 'server-leaving'
   | 'server-paused'
   | 'configuration'
+  | 'configuration-large'
+  | 'idle-short'
+  | 'idle-long'
   | 'evacuation';
--- a/packages/soak/src/Violation.ts
+++ b/packages/soak/src/Violation.ts
@@ -12,6 +12,7 @@
    * - `order`: events of a stream arrive in order, and all of them in a complete response.
    * - `late`: a response arrives in time.
    * - `lost`: a planned stop of a host interrupts no request.
+   * - `unread`: a request that was sent in time on an open connection is read.
    * - `gone`: requests whose callers have left are not sent to servers.
    * - `exit`: a host process exits only when it is stopped.
    * - `recover`: the system serves requests after its start and after the last fault.
@@ -29,6 +30,7 @@
     | 'order'
     | 'late'
     | 'lost'
+    | 'unread'
     | 'gone'
     | 'exit'
     | 'recover'
--- a/packages/soak/src/commands/SoakCommand.ts
+++ b/packages/soak/src/commands/SoakCommand.ts
@@ -34,14 +34,22 @@
     description: 'Directory for the host logs of failed seeds',
   });
 
+  readonly node = Option.String('--node', process.execPath, {
+    description: 'Node.js program that runs the hosts',
+  });
+
   override async execute(): Promise<number> {
     let failed = 0;
     for (let { seed } = this; seed < this.seed + this.seeds; seed += 1) {
-      const report = await runSoak({ seed, durationMs: this.seconds * MS_PER_S });
-      const { faults, calls, served, violations } = report;
+      const report = await runSoak({
+        seed,
+        durationMs: this.seconds * MS_PER_S,
+        nodePath: this.node,
+      });
+      const { faults, calls, served, afterIdle, violations } = report;
       this.context.stdout.write(
         `seed ${seed}: ${faults.length} faults, ${served} of ${calls} calls served, ` +
-          `${violations.length} violations\n`,
+          `${afterIdle} after idle time, ${violations.length} violations\n`,
       );
       violations.forEach(({ promise, detail }) =>
         this.context.stdout.write(`  ${promise}: ${detail}\n`),
@@ -52,7 +60,7 @@
           await mkdir(this.logs, { recursive: true });
           await writeFile(
             path.join(this.logs, `seed-${seed}.log`),
-            [JSON.stringify(faults), ...report.logs].join('\n'),
+            [JSON.stringify(faults), JSON.stringify(violations), ...report.logs].join('\n'),
           );
         }
       }
--- a/packages/soak/src/createFaultInjector.ts
+++ b/packages/soak/src/createFaultInjector.ts
@@ -20,6 +20,11 @@
 const REWRITE_DELAY_MS = 500;
 /** Time after which entries of servers that left expire: three heartbeats of silence. */
 const ENTRY_EXPIRY_MS = 3_600;
+/** Idle timeouts that the operator writes in turn. */
+const SHORT_IDLE_TIMEOUTS_MS = [1_000, 600, 1_200];
+const LONG_IDLE_TIMEOUTS_MS = [3_000, 6_000];
+/** Routes of a configuration that keeps a host busy while it is decoded. */
+const LARGE_CONFIGURATION_ROUTES = 3_000;
 
 /** Injects a fault into the system and resolves when the fault has ended. */
 export type FaultInjector = (fault: PlannedFault) => Promise<void>;
@@ -29,6 +34,18 @@
   const { store, servers, hosts, storeLinks } = system;
   /** Overlapping evacuations share one key, which is removed when the last one ends. */
   let activeEvacuations = 0;
+  const idleTimeouts = {
+    'idle-short': SHORT_IDLE_TIMEOUTS_MS,
+    'idle-long': LONG_IDLE_TIMEOUTS_MS,
+  };
+  const nextIndexes = { 'idle-short': 0, 'idle-long': 0 };
+
+  function changeIdleTimeout(kind: keyof typeof idleTimeouts): void {
+    const values = idleTimeouts[kind];
+    const idleTimeoutMs = values[nextIndexes[kind] % values.length];
+    nextIndexes[kind] += 1;
+    system.putConfiguration(idleTimeoutMs === undefined ? {} : { idleTimeoutMs });
+  }
 
   async function evacuate(forMs: number): Promise<void> {
     activeEvacuations += 1;
@@ -134,6 +151,18 @@
       case 'configuration':
         system.putConfiguration();
         break;
+      case 'configuration-large':
+        system.putConfiguration({
+          routeNames: Array.from(
+            { length: LARGE_CONFIGURATION_ROUTES },
+            (_, number) => `large-${number}`,
+          ),
+        });
+        break;
+      case 'idle-short':
+      case 'idle-long':
+        changeIdleTimeout(kind);
+        break;
       case 'evacuation':
         await evacuate(forMs);
         break;
--- a/packages/soak/src/planFaults.ts
+++ b/packages/soak/src/planFaults.ts
@@ -33,7 +33,7 @@
   'evacuation',
 ];
 /** Faults that are drawn from a random source of their own, so that seeds keep their other faults. */
-export type FaultGroup = 'faults' | 'notices' | 'restores';
+export type FaultGroup = 'faults' | 'notices' | 'restores' | 'connections';
 
 interface GroupPlan {
   readonly kinds: readonly FaultKind[];
@@ -47,6 +47,18 @@
   // What servers say about themselves; not a disturbance of the system.
   notices: { kinds: ['server-leaving', 'server-paused'], meanGapMs: 2_000 },
   restores: { kinds: ['store-restored'], meanGapMs: 5_000 },
+  // What makes hosts read late while the idle timeout of connections changes.
+  connections: {
+    kinds: [
+      'host-pause',
+      'host-pause',
+      'host-reload',
+      'configuration-large',
+      'idle-short',
+      'idle-long',
+    ],
+    meanGapMs: 700,
+  },
 };
 const MIN_FAULT_MS = 200;
 const MAX_FAULT_MS = 2_500;
--- a/packages/soak/src/runSoak.ts
+++ b/packages/soak/src/runSoak.ts
@@ -4,18 +4,24 @@
 import { checkArrivals } from './checkArrivals.js';
 import { checkCalls } from './checkCalls.js';
 import { checkNotices } from './checkNotices.js';
+import { checkUnread, findPunctualCalls } from './checkUnread.js';
+import type { ConnectionCall } from './ConnectionCall.js';
 import { createFaultInjector } from './createFaultInjector.js';
 import type { FaultInterval } from './FaultInterval.js';
-import type { PlannedFault } from './PlannedFault.js';
+import { lowestIdleTimeoutMs } from './lowestIdleTimeoutMs.js';
+import type { FaultKind, PlannedFault } from './PlannedFault.js';
 import { planFaults } from './planFaults.js';
 import { runCaller } from './runCaller.js';
+import { runIdleCaller } from './runIdleCaller.js';
 import { sleep } from './sleep.js';
-import { startSoakSystem } from './startSoakSystem.js';
+import { HEADER_TIMEOUT_MS, startSoakSystem } from './startSoakSystem.js';
 import type { Violation } from './Violation.js';
 
 /** Number of hosts, and of servers, in the system under test. */
 const HOSTS = 3;
 const CALLERS = 18;
+/** Callers that keep one connection each, which is idle most of the time. */
+const IDLE_CALLERS = 24;
 const START_TIMEOUT_MS = 15_000;
 /** Time after the last fault until the system must serve again: the platform's `recovery_s`. */
 const RECOVERY_MS = 12_000;
@@ -28,14 +34,25 @@
 /** Time for which effects outlast a fault: connections are reopened, backoffs expire. */
 const FAULT_EFFECT_MS = 3_000;
 
+/** Changes by the operator which are no disturbance, so that they excuse nothing. */
+const UNEXCUSED_KINDS: ReadonlySet<FaultKind> = new Set([
+  'configuration-large',
+  'idle-short',
+  'idle-long',
+]);
+
 /** Notices are drawn apart from the faults, so that a seed keeps the faults that it is known for. */
 const NOTICE_SEED_OFFSET = 1_000_000;
 const RESTORE_SEED_OFFSET = 2_000_000;
+const CONNECTION_SEED_OFFSET = 3_000_000;
+const IDLE_CALLER_SEED_OFFSET = 4_000_000;
 
 export interface SoakOptions {
   readonly seed: number;
   /** Time during which faults are injected; the run lasts some seconds longer. */
   readonly durationMs: number;
+  /** Path of the Node.js program that runs the hosts; that of this process by default. */
+  readonly nodePath?: string;
 }
 
 export interface SoakReport {
@@ -44,6 +61,8 @@
   readonly violations: readonly Violation[];
   readonly calls: number;
   readonly served: number;
+  /** Calls on connections that had been idle, which were sent in time. */
+  readonly afterIdle: number;
   /** Logs of the hosts, for diagnosing a violation. */
   readonly logs: readonly string[];
 }
@@ -63,16 +82,28 @@
 }
 
 /** Runs host processes under the faults of a seed and checks what callers and servers observe. */
-export async function runSoak({ seed, durationMs }: SoakOptions): Promise<SoakReport> {
+export async function runSoak(options: SoakOptions): Promise<SoakReport> {
+  const { seed, durationMs, nodePath = process.execPath } = options;
   const faults = [
     ...planFaults(createSeededRandom(seed), durationMs, HOSTS),
     ...planFaults(createSeededRandom(seed + NOTICE_SEED_OFFSET), durationMs, HOSTS, 'notices'),
     ...planFaults(createSeededRandom(seed + RESTORE_SEED_OFFSET), durationMs, HOSTS, 'restores'),
+    // One host only: what its pauses excuse is still checked at the others.
+    ...planFaults(
+      createSeededRandom(seed + CONNECTION_SEED_OFFSET),
+      durationMs,
+      1,
+      'connections',
+    ).map((fault) => ({ ...fault, index: seed % HOSTS })),
   ];
   const violations: Violation[] = [];
   const calls: CallRecord[] = [];
+  const idleCalls: ConnectionCall[] = [];
   const faultIntervals: FaultInterval[] = [];
-  const system = await startSoakSystem((detail) => violations.push({ promise: 'exit', detail }));
+  const system = await startSoakSystem({
+    nodePath,
+    onUnexpectedExit: (detail) => violations.push({ promise: 'exit', detail }),
+  });
   const applyFault = createFaultInjector(system);
   const urls = system.hosts.map(({ url }) => url);
 
@@ -87,6 +118,9 @@
     const startedAtMs = performance.now();
     await applyFault(fault);
     const endedAtMs = performance.now();
+    if (UNEXCUSED_KINDS.has(fault.kind)) {
+      return;
+    }
     faultIntervals.push({
       kind: fault.kind,
       host: fault.kind.startsWith('host-') ? fault.index : undefined,
@@ -110,7 +144,23 @@
         detail: 'not all hosts serve requests after their start',
       });
     }
-    callers = Array.from({ length: CALLERS }, (_, index) =>
+    const idleTimeoutMs = (): number => {
+      const nowMs = performance.now();
+      return lowestIdleTimeoutMs(system.idleTimeouts(), { fromMs: nowMs, untilMs: nowMs });
+    };
+    const idleCallers = Array.from({ length: IDLE_CALLERS }, (_, index) =>
+      runIdleCaller({
+        name: `k${index}`,
+        random: createSeededRandom(IDLE_CALLER_SEED_OFFSET + seed * IDLE_CALLERS + index),
+        host: index % HOSTS,
+        url: urls[index % HOSTS] ?? '',
+        idleTimeoutMs,
+        headerTimeoutMs: HEADER_TIMEOUT_MS,
+        onCall: (call) => idleCalls.push(call),
+        signal: stopCallers.signal,
+      }),
+    );
+    const busyCallers = Array.from({ length: CALLERS }, (_, index) =>
       runCaller({
         name: `c${index}`,
         random: createSeededRandom(seed * CALLERS + index),
@@ -119,6 +169,7 @@
         signal: stopCallers.signal,
       }),
     );
+    callers = [...idleCallers, ...busyCallers];
     const faultsStartedAtMs = performance.now();
     await Promise.all(
       faults.map(async (fault) => {
@@ -134,7 +185,7 @@
     if (!(await waitFor(hasRecovered, RECOVERY_MS))) {
       violations.push({ promise: 'recover', detail: 'calls fail after the last fault' });
     }
-    const version = system.putConfiguration('added');
+    const version = system.putConfiguration({ routeNames: ['added'] });
     const adopted = await Promise.all(
       urls.map((url) =>
         waitFor(async () => (await fetchStatus(url, '/added/probe')) === 200, CONFIGURATION_MS),
@@ -155,17 +206,26 @@
   }
   const arrivals = system.servers.arrivals();
   const pausingRejections = system.servers.pausingRejections();
+  const allCalls = [...calls, ...idleCalls];
+  const unreadEvidence = {
+    calls: idleCalls,
+    idleTimeouts: system.idleTimeouts(),
+    headerTimeoutMs: HEADER_TIMEOUT_MS,
+    faultIntervals,
+  };
   return {
     seed,
     faults,
     violations: [
       ...violations,
-      ...checkCalls({ calls, arrivals, faultIntervals }),
+      ...checkCalls({ calls: allCalls, arrivals, faultIntervals }),
       ...checkArrivals({ arrivals, faultIntervals }),
-      ...checkNotices({ calls, arrivals, pausingRejections, faultIntervals }),
+      ...checkNotices({ calls: allCalls, arrivals, pausingRejections, faultIntervals }),
+      ...checkUnread(unreadEvidence),
     ],
-    calls: calls.length,
-    served: calls.filter(({ status, complete }) => status === 200 && complete).length,
+    calls: allCalls.length,
+    served: allCalls.filter(({ status, complete }) => status === 200 && complete).length,
+    afterIdle: findPunctualCalls(unreadEvidence).filter(({ reused }) => reused).length,
     logs: system.hosts.map((host) => host.output()),
   };
 }
--- a/packages/soak/src/startHostProcess.ts
+++ b/packages/soak/src/startHostProcess.ts
@@ -12,6 +12,8 @@
 
 export interface HostProcessOptions {
   readonly settings: SettingsOverrides;
+  /** Path of the Node.js program that runs the host. */
+  readonly nodePath: string;
   /** Called when the process exits without a stop signal or with an error code. */
   readonly onUnexpectedExit: (detail: string) => void;
 }
@@ -43,7 +45,7 @@
 
   function start(): void {
     isExitExpected = false;
-    const started = spawn(process.execPath, [PROGRAM], {
+    const started = spawn(options.nodePath, [PROGRAM], {
       env: { ...process.env, CAMPHORBARROW_NODE_FILE: settingsPath },
     });
     child = started;
--- a/packages/soak/src/startSoakSystem.ts
+++ b/packages/soak/src/startSoakSystem.ts
@@ -7,6 +7,7 @@
 import type { FakeStore } from '@camphorbarrow/platform/testing';
 import { createFaultyLink } from './createFaultyLink.js';
 import type { FaultyLink } from './createFaultyLink.js';
+import type { IdleTimeoutChange } from './IdleTimeoutChange.js';
 import { startHostProcess } from './startHostProcess.js';
 import type { HostProcess } from './startHostProcess.js';
 import { startServerFleet } from './startServerFleet.js';
@@ -21,6 +22,23 @@
   home_regions: ['south'],
 };
 
+/** Time limits for callers; the idle timeout holds until the first change of it. */
+const FIRST_IDLE_TIMEOUT_MS = 3_000;
+export const HEADER_TIMEOUT_MS = 1_500;
+
+export interface ConfigurationChanges {
+  /** Names of routes that are added to this configuration only. */
+  readonly routeNames?: readonly string[];
+  /** Idle timeout of this and later configurations. */
+  readonly idleTimeoutMs?: number;
+}
+
+export interface SoakSystemOptions {
+  /** Path of the Node.js program that runs the hosts. */
+  readonly nodePath: string;
+  readonly onUnexpectedExit: (detail: string) => void;
+}
+
 /** The system under test. Hosts are real processes; the store and the servers are fakes. */
 export interface SoakSystem {
   readonly store: FakeStore;
@@ -28,31 +46,44 @@
   readonly hosts: readonly HostProcess[];
   /** Link between each host and the store. */
   readonly storeLinks: readonly FaultyLink[];
-  /** Writes the next configuration, with an added route if a name is given; returns its version. */
-  putConfiguration(routeName?: string): number;
+  /** Writes the next configuration and returns its version. */
+  putConfiguration(changes?: ConfigurationChanges): number;
+  /** All idle timeouts that were written, in order. */
+  idleTimeouts(): readonly IdleTimeoutChange[];
   /** Writes the latest configuration once more, as after a restore of the store. */
   rewriteConfiguration(): void;
   close(): Promise<void>;
 }
 
-/** The test routes, a route bound to one region and, if a name is given, an added route. */
-function buildSoakConfiguration(version: number, routeName?: string): unknown {
-  const configuration = buildConfiguration(version) as { routes: object[] };
+/** The test routes, a route bound to one region and added routes. */
+function buildSoakConfiguration(
+  version: number,
+  { routeNames = [], idleTimeoutMs }: ConfigurationChanges,
+): unknown {
+  const configuration = buildConfiguration(version) as { routes: object[]; limits: object };
   const [first] = configuration.routes;
-  const added =
-    routeName === undefined
-      ? []
-      : [{ ...first, ...testRoutes.safe, name: routeName, path_prefix: `/${routeName}/` }];
+  const added = routeNames.map((name) => ({
+    ...first,
+    ...testRoutes.safe,
+    name,
+    path_prefix: `/${name}/`,
+  }));
   return {
     ...configuration,
     routes: [...configuration.routes, { ...first, ...BOUND_ROUTE }, ...added],
+    limits: {
+      ...configuration.limits,
+      header_timeout_ms: HEADER_TIMEOUT_MS,
+      idle_timeout_ms: idleTimeoutMs,
+    },
   };
 }
 
 /** Starts the store, servers and hosts. Does not wait until the hosts serve requests. */
-export async function startSoakSystem(
-  onUnexpectedExit: (detail: string) => void,
-): Promise<SoakSystem> {
+export async function startSoakSystem({
+  nodePath,
+  onUnexpectedExit,
+}: SoakSystemOptions): Promise<SoakSystem> {
   let version = 0;
   const store = await startFakeStore();
 
@@ -62,9 +93,14 @@
     store.put('op/config', configuration);
   }
 
-  function putConfiguration(routeName?: string): number {
+  const idleTimeouts: IdleTimeoutChange[] = [];
+
+  function putConfiguration(changes: ConfigurationChanges = {}): number {
     version += 1;
-    configuration = buildSoakConfiguration(version, routeName);
+    const idleTimeoutMs =
+      changes.idleTimeoutMs ?? idleTimeouts.at(-1)?.idleTimeoutMs ?? FIRST_IDLE_TIMEOUT_MS;
+    idleTimeouts.push({ atMs: performance.now(), idleTimeoutMs });
+    configuration = buildSoakConfiguration(version, { ...changes, idleTimeoutMs });
     rewriteConfiguration();
     return version;
   }
@@ -87,6 +123,7 @@
           region,
           seeds,
         },
+        nodePath,
         onUnexpectedExit,
       }),
     ),
@@ -98,6 +135,7 @@
     storeLinks,
     putConfiguration,
     rewriteConfiguration,
+    idleTimeouts: () => idleTimeouts,
     async close() {
       await Promise.all(hosts.map((host) => host.close()));
       storeLinks.forEach((link) => link.close());
--- a/packages/soak/tests/planFaults.test.ts
+++ b/packages/soak/tests/planFaults.test.ts
@@ -31,3 +31,20 @@
   const restores = planFaults(createSeededRandom(3), 60_000, 3, 'restores');
   t.deepEqual([...new Set(restores.map(({ kind }) => kind))], ['store-restored']);
 });
+
+test('a plan for connections changes the idle timeout while its host pauses', (t) => {
+  const faults = planFaults(createSeededRandom(3), 60_000, 1, 'connections');
+  const ofKind = (pattern: RegExp) => faults.filter(({ kind }) => pattern.test(kind));
+  t.deepEqual([...new Set(faults.map(({ kind }) => kind))].sort(), [
+    'configuration-large',
+    'host-pause',
+    'host-reload',
+    'idle-long',
+    'idle-short',
+  ]);
+  t.true(
+    ofKind(/^idle/).some(({ atMs }) =>
+      ofKind(/^host-pause/).some((pause) => pause.atMs < atMs && atMs < pause.atMs + pause.forMs),
+    ),
+  );
+});
