--- a/packages/soak/src/startHostProcess.ts
+++ b/packages/soak/src/startHostProcess.ts
@@ -49,13 +49,18 @@
       env: { ...process.env, CAMPHORBARROW_NODE_FILE: settingsPath },
     });
     child = started;
+    const earlierChunks = outputChunks.length;
     [started.stdout, started.stderr].forEach((stream) =>
       stream.setEncoding('utf8').on('data', (text: string) => outputChunks.push(text)),
     );
     exited = new Promise((resolve) => {
       started.once('exit', (code, signal) => {
         if (!isExitExpected || (code !== null && code !== 0)) {
-          options.onUnexpectedExit(`${settings.name ?? ''} exited with ${String(code ?? signal)}`);
+          // A signal may arrive before the program runs and handles it.
+          const phase = outputChunks.length === earlierChunks ? ' before its first line' : '';
+          options.onUnexpectedExit(
+            `${settings.name ?? ''} exited with ${String(code ?? signal)}${phase}`,
+          );
         }
         if (!isClosing) {
           setTimeout(start, RESTART_DELAY_MS);
