Close the connection of a caller that left within a request

A caller that left within the head behind a request that was still being served kept its connection, and its request counted as in flight, for ever: the error of the connection waited for a response that nobody was there to get. Each held a descriptor and held up a drain.

The error of a connection whose sender has ended closes it at once.

--- a/packages/core/src/connections/handleConnectionErrors.ts
+++ b/packages/core/src/connections/handleConnectionErrors.ts
@@ -134,6 +134,11 @@
 
   server.on('clientError', (error: NodeJS.ErrnoException, stream) => {
     const socket = stream as Socket;
+    if (socket.readableEnded) {
+      // The client has left within a request, and nobody reads a response.
+      socket.destroy();
+      return;
+    }
     const connection = connectionOf(socket);
     const { latest } = connection;
     const wasComplete = isComplete(latest);
