Run no request on a connection whose last response was sent

Since connections are closed in two steps, a request that arrived behind a 408, or behind the 400 for a missing host name, was read in the second step and run, with nobody to answer: an order ran that its caller was told had not run.

A request on a connection whose sending side has ended is dropped. The socket goes on reading in the second step even if much of the response was waiting, as unread input would reset it.

--- a/packages/gateway/src/ingress/createListener.ts
+++ b/packages/gateway/src/ingress/createListener.ts
@@ -68,6 +68,12 @@
     onClose: (close) => reportConnectionClose(options, close),
   });
   server.on('request', (request, response) => {
+    if (request.socket.writableEnded) {
+      // The last response of the connection was sent, and may say that no further request runs.
+      options.log.info('request-not-read', { reason: 'connection-closes' });
+      request.resume();
+      return;
+    }
     options.handle(request, response).catch((error: unknown) => {
       options.log.error('request-handler-failed', {}, error);
       response.destroy();
--- a/packages/gateway/src/ingress/lingerOnClose.ts
+++ b/packages/gateway/src/ingress/lingerOnClose.ts
@@ -30,6 +30,8 @@
     socket.once('close', () => sockets.delete(socket));
     // The time in which a caller reads the response does not count.
     socket.once('finish', () => {
+      // Node.js stops reading while much of a response waits to be sent.
+      socket.resume();
       const timeout = startInputTimeout(LINGER_MS, () => socket.destroy());
       socket.once('close', () => timeout.close());
     });
