Read the heartbeats of a large fleet before its hosts count as unresponsive

A poll reads 32 datagrams; a host that woke beside 140 others judged them after two polls, took those behind the first 64 for lost and sent callers elsewhere. The check waits while further heartbeats are read, for 20 polls at most.

The test of a host whose heartbeats have not been read makes a second read, as another heartbeat may wait behind the first; what it checks is unchanged.

--- a/packages/gateway/src/peers/createPeerRegistry.ts
+++ b/packages/gateway/src/peers/createPeerRegistry.ts
@@ -10,6 +10,8 @@
 const PEER_RETENTION_MS = 60_000;
 /** Maximum age of the cached list of alive peers. */
 const ALIVE_LIST_MAX_AGE_MS = 50;
+/** Polls after which a silent host is unresponsive although heartbeats of others keep arriving. */
+const MAX_POLLS = 20;
 /** Weight of a new sample in the moving average of the round-trip time. */
 const ROUND_TRIP_WEIGHT = 0.2;
 
@@ -42,8 +44,8 @@
  * less often each is heard of, and the longer it takes until a silent one is unresponsive.
  *
  * @param ownRegion region whose hosts are heard of more often than others
- * @param afterRead calls back once the heartbeats that have arrived were recorded; a silent peer
- *   stays responsive until then
+ * @param afterRead calls back after the sockets were read; a silent peer stays responsive until all
+ *   heartbeats that have arrived were recorded
  */
 export function createPeerRegistry(
   clock: Clock,
@@ -56,6 +58,7 @@
   let remoteTimeoutMs = MIN_PEER_TIMEOUT_MS;
   const unresponsive = new Set<HostId>();
   let isCheckScheduled = false;
+  let heartbeatCount = 0;
   let listedAtMs = -Infinity;
   let aliveList: readonly Peer[] = [];
   let aliveByRegion = new Map<RegionId, readonly Peer[]>();
@@ -103,12 +106,24 @@
     });
   }
 
+  /** Checks the timeouts once no more heartbeats are read; a poll reads only some of them. */
+  function checkAfterHeartbeats(polls = 1): void {
+    const countBefore = heartbeatCount;
+    afterRead(() => {
+      if (heartbeatCount > countBefore && polls < MAX_POLLS) {
+        checkAfterHeartbeats(polls + 1);
+      } else {
+        checkTimeouts();
+      }
+    });
+  }
+
   function alive(): readonly Peer[] {
     const nowMs = clock.monotonicMs();
     if (nowMs - listedAtMs > ALIVE_LIST_MAX_AGE_MS) {
       if (!isCheckScheduled && [...peers.values()].some(hasTimedOut)) {
         isCheckScheduled = true;
-        afterRead(checkTimeouts);
+        checkAfterHeartbeats();
       }
       listedAtMs = nowMs;
       aliveList = [...peers.values()].filter(isAlive);
@@ -127,6 +142,7 @@
 
   return {
     recordHeartbeat(heartbeat) {
+      heartbeatCount += 1;
       const { id } = heartbeat.host;
       const nowMs = clock.monotonicMs();
       const known = peers.get(id);
--- a/packages/gateway/tests/peers/createPeerRegistry.test.ts
+++ b/packages/gateway/tests/peers/createPeerRegistry.test.ts
@@ -69,6 +69,8 @@
   t.is(registry.known().length, 2);
   hear('north-2', 'north');
   read();
+  // Further heartbeats may wait behind the one that was read.
+  read();
   t.deepEqual(aliveIds(), ['north-2']);
   t.is(registry.known().length, 1);
   clock.advance(2_600);
@@ -76,3 +78,39 @@
   read();
   t.deepEqual(aliveIds(), []);
 });
+
+// A poll reads 32 datagrams; those behind them were of hosts that counted as unresponsive.
+test('no host of a large fleet is unresponsive before its heartbeat was read', (t) => {
+  const reads: (() => void)[] = [];
+  const { clock, registry, hear } = createSubject((callback) => {
+    reads.push(callback);
+  });
+  const hosts = Array.from({ length: 10 }, (_, index) => `north-${index}`);
+  hosts.forEach((id) => hear(id, 'north'));
+  clock.advance(9_000);
+  registry.alive();
+  hosts.forEach((id) => {
+    hear(id, 'north');
+    reads.shift()?.();
+    clock.advance(51);
+    t.is(registry.alive().length, hosts.length);
+  });
+});
+
+test('a silent host is unresponsive although heartbeats of others keep arriving', (t) => {
+  const reads: (() => void)[] = [];
+  const { clock, registry, hear } = createSubject((callback) => {
+    reads.push(callback);
+  });
+  hear('north-1', 'north');
+  clock.advance(2_600);
+  registry.alive();
+  for (let poll = 0; poll < 30; poll += 1) {
+    hear('north-2', 'north');
+    reads.shift()?.();
+  }
+  t.deepEqual(
+    registry.alive().map(({ heartbeat }) => String(heartbeat.host.id)),
+    ['north-2'],
+  );
+});
