Accept all connections that wait before a draining host stops listening

A poll accepts a single connection, so that one of those that callers had opened during a pause over the end of a drain got its 503, and the others were reset.

--- a/packages/gateway/src/ingress/createListener.ts
+++ b/packages/gateway/src/ingress/createListener.ts
@@ -2,7 +2,7 @@
 import { Server as NetServer } from 'node:net';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { once } from 'node:events';
-import { handleConnectionErrors } from '@camphorbarrow/core';
+import { handleConnectionErrors, waitForPoll } from '@camphorbarrow/core';
 import type { Clock, LogSink, MetricsSink } from '@camphorbarrow/core';
 import type { CallerLimits } from '../model/CallerLimits.js';
 import type { Endpoint } from '../model/Endpoint.js';
@@ -15,6 +15,8 @@
 /** Interval at which connections are checked for late heads of requests. */
 const TIMEOUT_CHECK_MS = 500;
 const DEFAULT_IDLE_TIMEOUT_MS = 5_000;
+/** Time limit for accepting the connections that wait when a listener stops. */
+const MAX_ACCEPT_MS = 200;
 const MS_PER_S = 1_000;
 
 export interface ListenerOptions {
@@ -43,8 +45,11 @@
    */
   applyLimits(limits: CallerLimits): void;
   readonly server: Server;
-  /** Accepts no further connections. Requests on open ones are still handled. */
-  stopListening(): void;
+  /**
+   * Accepts the connections that wait, and no further ones. Requests on open connections are still
+   * handled.
+   */
+  stopListening(): Promise<void>;
   /** Connections whose last response was sent and whose callers have not closed them. */
   lingeringCount(): number;
   /** Stops listening and closes every connection immediately. */
@@ -60,6 +65,10 @@
     keepAliveTimeout: toAnnouncedMs(options.idleTimeoutMs ?? DEFAULT_IDLE_TIMEOUT_MS),
     noDelay: true,
   });
+  let acceptedCount = 0;
+  server.on('connection', () => {
+    acceptedCount += 1;
+  });
   const headerTimeout = createHeldLimit(options.clock);
   server.maxConnections = options.maxConnections;
   const lingering = lingerOnClose(server);
@@ -87,7 +96,14 @@
       server.headersTimeout = headerTimeout.apply(headerTimeoutMs);
       server.keepAliveTimeout = toAnnouncedMs(idleTimeoutMs);
     },
-    stopListening() {
+    async stopListening() {
+      let acceptedBefore: number;
+      const endAtMs = options.clock.monotonicMs() + MAX_ACCEPT_MS;
+      do {
+        acceptedBefore = acceptedCount;
+        // A poll accepts a single connection.
+        await waitForPoll();
+      } while (acceptedCount > acceptedBefore && options.clock.monotonicMs() < endAtMs);
       // The method of the HTTP server would also close idle connections, on which a request may be
       // on its way that the handler can still reject.
       NetServer.prototype.close.call(server);
--- a/packages/gateway/src/lifecycle/createDrainState.ts
+++ b/packages/gateway/src/lifecycle/createDrainState.ts
@@ -46,7 +46,7 @@
   startClosing(): void;
   /**
    * Resolves when no request is in flight after the serving time, but at the latest shortly before
-   * the grace period ends. Connections that callers have opened by then have been accepted.
+   * the grace period ends.
    */
   waitUntilDrained(inFlight: () => number): Promise<void>;
   /**
@@ -100,7 +100,6 @@
       while (clock.monotonicMs() < closeAtMs && (!isRejectingRequests() || inFlight() > 0)) {
         await clock.sleep(POLL_MS);
       }
-      await waitForPoll();
     },
     async waitUntilFlushed(pending) {
       const mayWait = (): boolean => clock.monotonicMs() < closeAtMs + FLUSH_MS && pending() > 0;
--- a/packages/gateway/src/lifecycle/createEntryHost.ts
+++ b/packages/gateway/src/lifecycle/createEntryHost.ts
@@ -264,7 +264,7 @@
     const describeDrain = (): DrainProgress => drain.describe(inFlight.count());
     log.info('drain-began', { ...describeDrain() });
     await drain.waitUntilDrained(inFlight.count);
-    listeners.forEach((listener) => listener.stopListening());
+    await Promise.all(listeners.map((listener) => listener.stopListening()));
     log.info('drain-ended', { ...describeDrain() });
     drain.startClosing();
     heartbeats.sendToAll();
