--- a/packages/soak/src/runIdleCaller.ts
+++ b/packages/soak/src/runIdleCaller.ts
@@ -1,4 +1,5 @@
 import type { RandomSource } from '@camphorbarrow/core';
+import { buildRequestHead } from '@camphorbarrow/platform/testing';
 import type { CallKind } from './CallRecord.js';
 import type { ConnectionCall } from './ConnectionCall.js';
 import { createCallerConnection } from './createCallerConnection.js';
@@ -115,13 +116,11 @@
     }
 
     const attemptId = `${name}-${count}`;
-    const head = [
-      `POST ${PATHS[kind]}${attemptId} HTTP/1.1`,
-      'Host: shop.example',
-      `Content-Length: ${attemptId.length}`,
-      'Camphorbarrow-Deadline-Remaining: 3000',
-      `Camphorbarrow-Attempt-Id: ${attemptId}`,
-    ].join('\r\n');
+    const head = buildRequestHead({
+      path: `${PATHS[kind]}${attemptId}`,
+      attemptId,
+      bodyBytes: attemptId.length,
+    });
     const splitsHead = split < SPLIT_HEAD_RATIO;
     const splitsBody = !splitsHead && split < SPLIT_HEAD_RATIO + SPLIT_BODY_RATIO;
     let partGapMs = 0;
