--- a/review/lib/startRestartingServer.mjs
+++ b/review/lib/startRestartingServer.mjs
@@ -12,10 +12,13 @@
  * address. It is cold for a time after a start, and says so in its entry and its health responses.
  *
  * @param options.crashPerSecond requests in one second at which it crashes while it is cold
+ * @param options.isDeadly whether a request crashes the server that begins to run it
+ * @param options.onCrash called after such a crash
  */
 export async function startRestartingServer(options) {
   const { host, id, service, zone, store, arrivals, record } = options;
-  const { stream, coldMs, crashPerSecond, slots = 64 } = options;
+  const { stream, coldMs = 0, crashPerSecond = Infinity, slots = 64 } = options;
+  const { isDeadly = () => false, onCrash = () => undefined } = options;
   let server;
   let port = 0;
   let heartbeat;
@@ -71,6 +74,12 @@
     const isCold = coldRemainingMs() > 0;
     const atMs = performance.now();
     arrivals.push({ attempt, server: id, atMs, isCold, from: socket.remoteAddress });
+    if (isDeadly(request)) {
+      arrivals.at(-1).isDeadly = true;
+      crash(`began to run the deadly request ${attempt}`);
+      onCrash();
+      return;
+    }
     const latest = arrivals.filter((each) => each.server === id && each.atMs > atMs - WINDOW_MS);
     if (isCold && latest.length >= crashPerSecond) {
       crash(`${latest.length} requests in a second while it was cold`);
