--- a/review/lib/startServer.mjs
+++ b/review/lib/startServer.mjs
@@ -27,10 +27,12 @@
     response.end(`done ${request.headers['camphorbarrow-attempt-id']}`);
   }
 
-  async function runStream(response, headers, { events, gapMs }) {
+  async function runStream(request, response, headers) {
+    const { events, gapMs } = options.stream;
+    const firstEvent = Number(request.headers['last-event-id'] ?? 0) + 1;
     await sleep(workMs);
     response.writeHead(200, { ...headers, 'content-type': 'text/event-stream' });
-    for (let event = 1; event <= events && !response.destroyed; event += 1) {
+    for (let event = firstEvent; event <= events && !response.destroyed; event += 1) {
       response.write(`id: ${event}\ndata: piece ${event}\n\n`);
       await sleep(gapMs);
     }
@@ -81,7 +83,7 @@
       if (options.stream === undefined) {
         await runOrder(request, response, answer);
       } else {
-        await runStream(response, answer, options.stream);
+        await runStream(request, response, answer);
       }
     } finally {
       running -= 1;
