End the count of a running request with the request, however it ends

Cause: the HTTP client accepts a header name with a space (Node.js 20) and a status below 100, for which the HTTP server throws. The exception left forwardToServer between the start and the end of the request in the load tracker, so each such response kept a slot of the server busy for good, and heartbeats told the other hosts so.

Change: the load tracker counts a request only while a function runs (trackWhile) and takes the count back when that ends or throws; servers and relays use it. A head that cannot be passed on is a failure of the server where it is received (sendUpstream: servers, peers, cache calls): the request is retried if it may be, or gets 502, and the connection is closed. The same gap elsewhere: the trial of a suspected prompt part outlived an exception between its start and the attempt, in tryPrepareNextAttempt and when a heartbeat that announces it could not be built; a listener of the caller's disconnect stayed.

Conclusion: no exit of an attempt can leave its count behind, whichever exception comes next.

--- a/packages/gateway/src/exchange/forwardToPeer.ts
+++ b/packages/gateway/src/exchange/forwardToPeer.ts
@@ -82,10 +82,7 @@
   const { peer } = destination;
   const { host } = peer.heartbeat;
   const remainingMs = Math.floor(exchange.deadlineAtMs - context.clock.monotonicMs());
-  const trackedRequest = context.loads.trackRequest(relayLoadId(peer), {
-    rank: exchange.route.rank,
-    promptTokens: exchange.metadata.promptTokens,
-  });
+  const work = { rank: exchange.route.rank, promptTokens: exchange.metadata.promptTokens };
   const relayAndLengthHeaders = [
     relayHeaders.relayedBy,
     context.ownId,
@@ -100,29 +97,29 @@
     String(exchange.body.length),
   ];
   const headers = stripRelayHeaders(stripHopByHopHeaders(exchange.rawHeaders));
-  const sent = await sendUpstream({
-    agent: context.peerConnections.agentFor(formatEndpoint(host.peers)),
-    endpoint: host.peers,
-    method: exchange.method,
-    path: exchange.target,
-    headers: [
-      ...context.codec.toPeerHeaders(headers, {
-        remainingMs: Math.max(1, remainingMs),
-        lastEventId: options.lastEventId,
-      }),
-      ...relayAndLengthHeaders,
-    ],
-    body: exchange.body,
-    connectTimeoutMs: (peer.roundTripMs ?? DEFAULT_ROUND_TRIP_MS) + CONNECT_MARGIN_MS,
-    responseTimeoutMs: undefined,
-    signal,
-    startSignal: options.startSignal,
-    beforeWrite: () => context.dispatchQueue.wait(options.startSignal),
-  });
-  const result = await receiveFromPeer(options, sent, () => {
-    trackedRequest.responseStarted();
-    options.onResponseStart();
+  return context.loads.trackWhile(relayLoadId(peer), work, async ({ responseStarted }) => {
+    const sent = await sendUpstream({
+      agent: context.peerConnections.agentFor(formatEndpoint(host.peers)),
+      endpoint: host.peers,
+      method: exchange.method,
+      path: exchange.target,
+      headers: [
+        ...context.codec.toPeerHeaders(headers, {
+          remainingMs: Math.max(1, remainingMs),
+          lastEventId: options.lastEventId,
+        }),
+        ...relayAndLengthHeaders,
+      ],
+      body: exchange.body,
+      connectTimeoutMs: (peer.roundTripMs ?? DEFAULT_ROUND_TRIP_MS) + CONNECT_MARGIN_MS,
+      responseTimeoutMs: undefined,
+      signal,
+      startSignal: options.startSignal,
+      beforeWrite: () => context.dispatchQueue.wait(options.startSignal),
+    });
+    return receiveFromPeer(options, sent, () => {
+      responseStarted();
+      options.onResponseStart();
+    });
   });
-  trackedRequest.ended();
-  return result;
 }
--- a/packages/gateway/src/exchange/forwardToServer.ts
+++ b/packages/gateway/src/exchange/forwardToServer.ts
@@ -197,23 +197,11 @@
   const trialParts = context.partSuspicion.hasSuspects()
     ? context.partSuspicion.suspectsAmong(exchange.sharedPartKeys())
     : [];
-  const trackedRequest = context.loads.trackRequest(server.registration.id, {
-    rank,
-    promptTokens: uncachedTokens,
-  });
   /** Time since the request was sent, without the slowdown that the server reported. */
   const usualDurationMs = (): number =>
     (context.clock.monotonicMs() - sentAtMs) / context.loads.slowdownRatio(server.registration.id);
   const capacityTokens = exchange.service.kvCapacityTokens;
-  if (capacityTokens !== undefined) {
-    context.prefixes.recordPrompt(
-      server.incarnation,
-      exchange.metadata.promptParts,
-      capacityTokens,
-    );
-  }
   const onResponseStart = (): void => {
-    trackedRequest.responseStarted();
     context.health.recordResponseStart(server.incarnation);
     options.onResponseStart();
     if (capacityTokens !== undefined) {
@@ -230,11 +218,26 @@
     }
     lastEventAtMs = nowMs;
   };
-  const result = await sendAndReceive(options, sentAtMs, {
-    onResponseStart,
-    onEvents,
-  });
-  trackedRequest.ended();
+  const result = await context.loads.trackWhile(
+    server.registration.id,
+    { rank, promptTokens: uncachedTokens },
+    ({ responseStarted }) => {
+      if (capacityTokens !== undefined) {
+        context.prefixes.recordPrompt(
+          server.incarnation,
+          exchange.metadata.promptParts,
+          capacityTokens,
+        );
+      }
+      return sendAndReceive(options, sentAtMs, {
+        onResponseStart() {
+          responseStarted();
+          onResponseStart();
+        },
+        onEvents,
+      });
+    },
+  );
   await recordResult(options, result, { sentAtMs, trialParts });
   if (result.kind === 'delivered' && capacityTokens === undefined) {
     context.speeds.recordCall(server.incarnation, usualDurationMs());
--- a/packages/gateway/src/exchange/prepareAttempt.ts
+++ b/packages/gateway/src/exchange/prepareAttempt.ts
@@ -16,6 +16,22 @@
   readonly trial: PartTrial;
 }
 
+/** Ends the trial unless the attempt can be made, also when its preparation throws. */
+function prepareWithTrial(
+  trial: PartTrial,
+  prepare: () => PreparedAttempt['destination'] | undefined,
+): PreparedAttempt | undefined {
+  let destination: PreparedAttempt['destination'] | undefined;
+  try {
+    destination = prepare();
+    return destination && { destination, trial };
+  } finally {
+    if (destination === undefined) {
+      trial.end();
+    }
+  }
+}
+
 /** Counts a request to a server with a limited rate before any other request is routed. */
 function recordChoice(context: GatewayContext, destination: PreparedAttempt['destination']): void {
   if (destination.kind === 'server') {
@@ -58,8 +74,7 @@
   startSignal: AbortSignal,
   trial: PartTrial,
 ): PreparedAttempt | undefined {
-  let prepared: PreparedAttempt | undefined;
-  try {
+  return prepareWithTrial(trial, () => {
     const remainingMs = exchange.deadlineAtMs - context.clock.monotonicMs();
     if (startSignal.aborted || remainingMs <= 0) {
       progress.stopCause = 'ended';
@@ -79,19 +94,16 @@
           Math.max(progress.retryAfterMs, destination.rejected.waitMs),
         );
       }
-    } else if (progress.hasArrived && !context.retryBudget.tryWithdraw(exchange.service.name)) {
+      return undefined;
+    }
+    if (progress.hasArrived && !context.retryBudget.tryWithdraw(exchange.service.name)) {
       progress.causes.push('retry budget exhausted');
       progress.stopCause = 'retry-budget';
-    } else {
-      recordChoice(context, destination);
-      prepared = { destination, trial };
-    }
-    return prepared;
-  } finally {
-    if (prepared === undefined) {
-      trial.end();
+      return undefined;
     }
-  }
+    recordChoice(context, destination);
+    return destination;
+  });
 }
 
 /**
@@ -118,10 +130,11 @@
   if (admission?.kind !== 'admitted') {
     return undefined;
   }
-  if (!context.retryBudget.tryWithdraw(exchange.service.name)) {
-    admission.trial.end();
-    return undefined;
-  }
-  recordChoice(context, destination);
-  return { destination, trial: admission.trial };
+  return prepareWithTrial(admission.trial, () => {
+    if (!context.retryBudget.tryWithdraw(exchange.service.name)) {
+      return undefined;
+    }
+    recordChoice(context, destination);
+    return destination;
+  });
 }
--- a/packages/gateway/src/exchange/serveExchange.ts
+++ b/packages/gateway/src/exchange/serveExchange.ts
@@ -88,10 +88,10 @@
   const result = await runAttempts(context, exchange, progress, signals).finally(() => {
     clearTimeout(timer);
     cancelEnd();
+    responseWriter.disconnected.removeEventListener('abort', onDisconnect);
     context.closing.removeEventListener('abort', endExchange);
   });
   isExpired ||= clock.monotonicMs() >= exchange.deadlineAtMs;
-  responseWriter.disconnected.removeEventListener('abort', onDisconnect);
   if (result?.kind === 'delivered' && progress.runs === 0) {
     context.outputLengths.recordResponse(route, progress.eventCount);
   }
--- a/packages/gateway/src/lifecycle/createEntryHost.ts
+++ b/packages/gateway/src/lifecycle/createEntryHost.ts
@@ -187,8 +187,10 @@
     },
     intervalMs: HEARTBEAT_INTERVAL_MS,
   });
-  crashGuard.onCrash(heartbeats.sendToAll);
-  context.partTrials.onStart(heartbeats.sendToAll);
+  // The attempt that reports a crash or starts a trial goes on without them.
+  const reportAtOnce = logFailures(log, 'heartbeat-failed', heartbeats.sendToAll);
+  crashGuard.onCrash(reportAtOnce);
+  context.partTrials.onStart(reportAtOnce);
 
   const runHousekeeping = createHousekeeping({
     clock,
--- a/packages/gateway/src/routing/createLoadTracker.ts
+++ b/packages/gateway/src/routing/createLoadTracker.ts
@@ -12,8 +12,6 @@
 export interface TrackedRequest {
   /** Marks the start of the response, after which the prefill is complete. */
   responseStarted(): void;
-  /** Marks the end of the request. */
-  ended(): void;
 }
 
 /** Work that a request causes at a server. */
@@ -25,8 +23,15 @@
 
 /** Tracks the requests at each server, from this host, its peers and the reports of servers. */
 export interface LoadTracker {
-  /** Counts a request at the server until it ends. */
-  trackRequest(server: ServerId, work: RequestWork): TrackedRequest;
+  /**
+   * Runs a request at the server and counts it until the promise settles, or until the function
+   * throws: a count that is not taken back would keep the server's capacity for good.
+   */
+  trackWhile<Result>(
+    server: ServerId,
+    work: RequestWork,
+    run: (request: TrackedRequest) => Promise<Result>,
+  ): Promise<Result>;
   /** Records the load that the server reported in a response. */
   recordReport(server: ServerId, load: ServerLoad): void;
   /** Load that this host causes at the server. */
@@ -107,7 +112,7 @@
   }
 
   return {
-    trackRequest(server, { rank, promptTokens }) {
+    async trackWhile(server, { rank, promptTokens }, run) {
       const counter = counters.get(server) ?? {
         running: 0,
         pendingTokens: new Map(),
@@ -119,26 +124,21 @@
       counter.running += 1;
       addPending(promptTokens);
       let pending = true;
-      let running = true;
       const responseStarted = (): void => {
         if (pending) {
           pending = false;
           addPending(-promptTokens);
         }
       };
-      return {
-        responseStarted,
-        ended() {
-          responseStarted();
-          if (running) {
-            running = false;
-            counter.running -= 1;
-            if (counter.running === 0) {
-              counters.delete(server);
-            }
-          }
-        },
-      };
+      try {
+        return await run({ responseStarted });
+      } finally {
+        responseStarted();
+        counter.running -= 1;
+        if (counter.running === 0) {
+          counters.delete(server);
+        }
+      }
     },
     recordReport(server, load) {
       reports.set(server, { load, atMs: clock.monotonicMs() });
--- a/packages/gateway/src/upstream/sendUpstream.ts
+++ b/packages/gateway/src/upstream/sendUpstream.ts
@@ -1,4 +1,4 @@
-import { request as httpRequest } from 'node:http';
+import { request as httpRequest, validateHeaderName, validateHeaderValue } from 'node:http';
 import type { Agent, ClientRequest, IncomingMessage } from 'node:http';
 import { PlatformError, startInputTimeout } from '@camphorbarrow/core';
 import type { InputTimeout } from '@camphorbarrow/core';
@@ -7,11 +7,16 @@
 /** Interim responses (status 1xx) to one request after which its connection is closed. */
 const MAX_INTERIM_RESPONSES = 16;
 
+const MIN_STATUS = 100;
+const MAX_STATUS = 999;
+
 /**
  * Why a server or a peer returned no response. `invalid`: the HTTP client rejected the request, such
- * as a header value that it cannot send.
+ * as a header value that it cannot send. `malformed`: the response has a status or a header that
+ * cannot be passed on.
  */
-export type SendFailure = 'invalid' | 'unreachable' | 'broken' | 'silent' | 'cancelled';
+export type SendFailure =
+  'invalid' | 'unreachable' | 'broken' | 'malformed' | 'silent' | 'cancelled';
 
 export type SendResult =
   | { readonly kind: 'response'; readonly response: IncomingMessage }
@@ -62,6 +67,25 @@
   }
 }
 
+/**
+ * Whether the head can be passed on. The HTTP client accepts names and values of headers, and status
+ * codes, that the HTTP server rejects with an exception.
+ */
+function isWellFormed({ statusCode = 0, rawHeaders }: IncomingMessage): boolean {
+  try {
+    rawHeaders.forEach((text, index) => {
+      if (index % 2 === 0) {
+        validateHeaderName(text);
+      } else {
+        validateHeaderValue(rawHeaders[index - 1] ?? '', text);
+      }
+    });
+    return statusCode >= MIN_STATUS && statusCode <= MAX_STATUS;
+  } catch {
+    return false;
+  }
+}
+
 const buildRequest = (options: UpstreamRequest): ClientRequest =>
   httpRequest({
     agent: options.agent,
@@ -155,6 +179,18 @@
     let receivedResponse: IncomingMessage | undefined;
     outgoing.on('response', (response) => {
       receivedResponse = response;
+      if (!isWellFormed(response)) {
+        // Its bytes are not parsed any further, so the connection can't be used again.
+        response.on('error', () => undefined);
+        outgoing.destroy();
+        settle({
+          kind: 'failed',
+          failure: 'malformed',
+          mayHaveRun: true,
+          cause: 'malformed response head',
+        });
+        return;
+      }
       detectHiddenReset(response);
       settle({ kind: 'response', response });
     });
--- a/packages/gateway/tests/exchange/prepareAttempt.test.ts
+++ b/packages/gateway/tests/exchange/prepareAttempt.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 import { createManualClock } from '@camphorbarrow/core';
-import { prepareAttempt } from '../../src/index.js';
+import { prepareAttempt, tryPrepareNextAttempt } from '../../src/index.js';
 import type { Exchange, ExchangeProgress, GatewayContext } from '../../src/index.js';
 import {
   buildRequestMetadata,
@@ -45,3 +45,35 @@
   t.deepEqual(prepare(false), { prepared: true, withdrawals: 0 });
   t.deepEqual(prepare(true), { prepared: false, withdrawals: 1 });
 });
+
+// A trial that never ends would keep all hosts from sending requests with its prompt part.
+test('the trial of an attempt that cannot be prepared ends, also after an exception', (t) => {
+  let endedTrials = 0;
+  const trial = {
+    end() {
+      endedTrials += 1;
+    },
+  };
+  const context = {
+    clock: createManualClock(),
+    router: { choose: () => ({ kind: 'server', server: buildServer() }) },
+    crashGuard: { quarantineMs: () => 0, trialKey: () => undefined },
+    partSuspicion: { hasSuspects: () => false, blockedUntilMs: () => 0 },
+    partTrials: { tryStart: () => trial },
+    retryBudget: { tryWithdraw: () => true },
+    serverRateLimiter: {
+      recordSend() {
+        throw new Error('unexpected');
+      },
+    },
+  } as unknown as GatewayContext;
+  const exchange = {
+    metadata: buildRequestMetadata(),
+    route: buildRoute(),
+    service: buildService(),
+    deadlineAtMs: 1_000,
+  } as unknown as Exchange;
+  const progress = { attempts: 1, causes: [] } as unknown as ExchangeProgress;
+  t.throws(() => tryPrepareNextAttempt(context, exchange, progress), { message: 'unexpected' });
+  t.is(endedTrials, 1);
+});
--- a/packages/gateway/tests/routing/createLoadTracker.test.ts
+++ b/packages/gateway/tests/routing/createLoadTracker.test.ts
@@ -36,3 +36,26 @@
   t.is(loads.running(server), 0);
   t.is(loads.tokensAhead(server, 0), 0);
 });
+
+// A count that outlived its request kept the server's capacity for good.
+test('a request is counted until it ends, also by an exception', async (t) => {
+  const loads = createLoadTracker(createManualClock(), () => []);
+  const work = { rank: 0, promptTokens: 500 };
+  const running: number[] = [];
+  const run = (): Promise<never> => {
+    running.push(loads.running(server), loads.tokensAhead(server, 0));
+    throw new Error('unexpected');
+  };
+  await t.throwsAsync(loads.trackWhile(server, work, run), { message: 'unexpected' });
+  await t.throwsAsync(
+    loads.trackWhile(server, work, async ({ responseStarted }) => {
+      responseStarted();
+      running.push(loads.running(server), loads.tokensAhead(server, 0));
+      throw new Error('unexpected');
+    }),
+  );
+  t.deepEqual(running, [1, 500, 1, 0]);
+  t.is(loads.running(server), 0);
+  t.is(loads.tokensAhead(server, 0), 0);
+  t.is(loads.ownLoads().size, 0);
+});
--- a/packages/gateway/tests/routing/createRegionChooser.test.ts
+++ b/packages/gateway/tests/routing/createRegionChooser.test.ts
@@ -127,6 +127,8 @@
   t.not(chooseAmong([outdated, latest, recovered, other]), 'other');
 });
 
+const never = new Promise<void>(() => {});
+
 test('requests are spread over the hosts of a region', (t) => {
   const clock = createManualClock();
   const loads = createLoadTracker(clock, () => []);
@@ -141,7 +143,7 @@
   const chosen = peers.map(() => {
     const peer = choose(buildRoutingRequest({ remainingMs: 4_000 }))?.choice.peer;
     if (peer !== undefined) {
-      loads.trackRequest(relayLoadId(peer), { rank: 0, promptTokens: 0 });
+      void loads.trackWhile(relayLoadId(peer), { rank: 0, promptTokens: 0 }, () => never);
     }
     return peer?.heartbeat.host.id;
   });
