Tell all regions of crashes, and remember them for longer than a quarantine

Found beside it: a connection that had broken earlier without a crash made the guard ignore a crash of the same process (the age of the first one counted, and the refused connection was looked for once); crashes were looked for at once only for requests with shared prompt parts; an attempt after the first one was not checked against the quarantine; servers that fail together counted in full against each request that several of them ran.

Change: reports go to all hosts, with the age of the crash. Those that count against a quarantined request are repeated in each heartbeat, reduced to such requests, so that a host which was restarted or cut off learns of them. A crash is remembered for two hours; a quarantine lasts one minute from the latest crash, four times as long after each further one, an hour at most. When it ends, hosts try the request at one server at a time, in the order of prompt parts on trial. A request is a suspect of the next crash only if it was one when it was sent; of the others only the largest share counts. Each attempt is checked against the quarantine. Reports name at most 64 requests with half of their hashes: 16 reports fit into a datagram.

Not changed: the own interface still tells only its region (docs/guarantees.md); its scores use the same tracker, so servers that fail together no longer add up there either.

--- a/packages/core/src/quarantine/createQuarantine.ts
+++ b/packages/core/src/quarantine/createQuarantine.ts
@@ -63,6 +63,8 @@
 interface Run {
   readonly fingerprint: Fingerprint;
   readonly incarnation: Incarnation;
+  /** Whether the request was a suspect when it was sent. */
+  readonly wasSuspect: boolean;
   readonly sharedParts: readonly PromptPartKey[];
   /** Parts that were suspected when the request was sent. */
   readonly trialParts: readonly PromptPartKey[];
@@ -91,7 +93,7 @@
   function mergeReport(report: CrashReport): CrashReport {
     const ownRuns = runsOn(report.serverId).filter((run) => run.incarnation === report.incarnation);
     const ownFingerprints = ownRuns.map((run) => run.fingerprint);
-    const suspects = ownFingerprints.filter(isSuspect);
+    const suspects = ownRuns.filter((run) => run.wasSuspect).map((run) => run.fingerprint);
     const unstarted = ownRuns.filter((run) => !run.isStarted);
     const ownParts = unstarted.flatMap((run) => run.sharedParts);
     const ownTrialParts = unstarted.flatMap((run) => run.trialParts);
@@ -155,6 +157,7 @@
       const run: Run = {
         fingerprint,
         incarnation: incarnationOf(server),
+        wasSuspect: isSuspect(fingerprint),
         sharedParts,
         trialParts: suspicion.suspectsAmong(sharedParts),
         isStarted: false,
--- a/packages/gateway/src/exchange/forwardToServer.ts
+++ b/packages/gateway/src/exchange/forwardToServer.ts
@@ -58,6 +58,8 @@
 
 interface SentAttempt {
   readonly sentAtMs: number;
+  /** Whether the request was a suspect of a crash when it was sent. */
+  readonly wasSuspect: boolean;
   /** Prompt parts that were suspected when the request was sent. */
   readonly trialParts: readonly PromptPartKey[];
 }
@@ -65,7 +67,7 @@
 async function recordResult(
   { context, exchange, destination }: ForwardToServerOptions,
   result: AttemptResult,
-  { sentAtMs, trialParts }: SentAttempt,
+  { sentAtMs, wasSuspect, trialParts }: SentAttempt,
 ): Promise<void> {
   const { incarnation } = destination.server;
   switch (result.kind) {
@@ -85,12 +87,13 @@
         context.health.recordFailure(incarnation);
         context.crashGuard.recordBrokenConnection(destination.server, {
           fingerprint: exchange.fingerprint(),
+          wasSuspect,
           hasStarted: result.kind === 'interrupted',
           sharedParts: exchange.sharedPartKeys(),
           trialParts,
         });
-        // A retry must not take a prompt part that crashes servers to the next one.
-        if (result.cause === 'broken' && exchange.sharedPartKeys().length > 0) {
+        // A retry must not take what crashes servers to the next one.
+        if (result.cause === 'broken') {
           await context.crashGuard.investigate(destination.server);
         }
       }
@@ -194,6 +197,7 @@
   const { context, exchange, destination } = options;
   const { server, rank, uncachedTokens, tokensAhead } = destination;
   const sentAtMs = context.clock.monotonicMs();
+  const wasSuspect = context.crashGuard.isSuspect(exchange.fingerprint);
   const trialParts = context.partSuspicion.hasSuspects()
     ? context.partSuspicion.suspectsAmong(exchange.sharedPartKeys())
     : [];
@@ -238,7 +242,7 @@
       });
     },
   );
-  await recordResult(options, result, { sentAtMs, trialParts });
+  await recordResult(options, result, { sentAtMs, wasSuspect, trialParts });
   if (result.kind === 'delivered' && capacityTokens === undefined) {
     context.speeds.recordCall(server.incarnation, usualDurationMs());
   }
--- a/packages/gateway/src/exchange/prepareAttempt.ts
+++ b/packages/gateway/src/exchange/prepareAttempt.ts
@@ -1,6 +1,6 @@
 import type { PartTrial } from '../limits/createPartTrials.js';
 import type { Destination } from '../routing/Destination.js';
-import { admitPromptParts, tryAdmitPromptParts } from './admitPromptParts.js';
+import { admitAfterCrashes, tryAdmitAfterCrashes } from './admitAfterCrashes.js';
 import type { Exchange } from './Exchange.js';
 import type { ExchangeProgress } from './ExchangeProgress.js';
 import type { GatewayContext } from './GatewayContext.js';
@@ -40,7 +40,7 @@
 }
 
 /**
- * Waits until the next attempt may be prepared; undefined if its prompt parts are rejected. The
+ * Waits until the next attempt may be prepared; undefined if it is rejected because of crashes. The
  * reason is then in the progress.
  */
 export async function admitAttempt(
@@ -49,10 +49,10 @@
   progress: ExchangeProgress,
   startSignal: AbortSignal,
 ): Promise<PartTrial | undefined> {
-  const admission = await admitPromptParts(context, exchange, progress.runs > 0, startSignal);
+  const admission = await admitAfterCrashes(context, exchange, progress.runs > 0, startSignal);
   if (admission.kind === 'rejected') {
     progress.causes.push(admission.cause);
-    progress.stopCause = 'prompt-part';
+    progress.stopCause = admission.stopCause;
     progress.retryAfterMs = admission.retryAfterMs;
     return undefined;
   }
@@ -126,7 +126,7 @@
   if (destination.kind === 'none') {
     return undefined;
   }
-  const admission = tryAdmitPromptParts(context, exchange, true);
+  const admission = tryAdmitAfterCrashes(context, exchange, true);
   if (admission?.kind !== 'admitted') {
     return undefined;
   }
--- a/packages/gateway/src/exchange/runAttempts.ts
+++ b/packages/gateway/src/exchange/runAttempts.ts
@@ -16,8 +16,6 @@
 const MAX_RETRY_PAUSE_MS = 1_600;
 /** Reasons to stop that a short pause does not change. */
 const LASTING_STOP_CAUSES: ReadonlySet<StopCause> = new Set(['prompt-part', 'quarantined']);
-/** Retry delay for a request that crashed its servers; by then its crashes have expired. */
-const QUARANTINE_RETRY_AFTER_MS = 60_000;
 
 /** Number of servers that may run the request; the relaying host retries a relayed one. */
 function maxRuns(exchange: Exchange): number {
@@ -188,12 +186,6 @@
     return mayRepeat;
   }
 
-  if (context.crashGuard.isQuarantined(exchange.fingerprint)) {
-    progress.causes.push('quarantined after server crashes');
-    progress.stopCause = 'quarantined';
-    progress.retryAfterMs = QUARANTINE_RETRY_AFTER_MS;
-    return result;
-  }
   try {
     for (;;) {
       let prepared: PreparedAttempt | undefined;
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -10,7 +10,7 @@
 export * from './exchange/GatewayContext.js';
 export * from './exchange/ResponseWriter.js';
 export * from './exchange/StopCause.js';
-export * from './exchange/admitPromptParts.js';
+export * from './exchange/admitAfterCrashes.js';
 export * from './exchange/createCacheResponseRecorder.js';
 export * from './exchange/createResponseWriter.js';
 export * from './exchange/describeChoice.js';
--- a/packages/gateway/src/lifecycle/createEntryHost.ts
+++ b/packages/gateway/src/lifecycle/createEntryHost.ts
@@ -169,7 +169,7 @@
       loads: loads.ownLoads(),
       paces: paces.ownPaces(),
       capacity: serverView.capacity(),
-      crashes: crashGuard.recentReports(),
+      crashes: crashGuard.reports(),
       partEvidence: context.partSuspicion.evidence(),
       partTrials: context.partTrials.running(),
       serverLimits: context.serverLimits.reports(),
@@ -180,8 +180,8 @@
       context.transits.recordHeartbeat(heartbeat);
       context.partSuspicion.merge(heartbeat.partEvidence);
       context.partTrials.recordPeer(heartbeat.host.id, heartbeat.partTrials);
+      crashGuard.mergeReports(heartbeat.crashes);
       if (heartbeat.host.region === own.region) {
-        crashGuard.mergeReports(heartbeat.crashes);
         context.serverLimits.mergeReports(heartbeat.serverLimits);
       }
     },
--- a/packages/gateway/src/lifecycle/createGatewayContext.ts
+++ b/packages/gateway/src/lifecycle/createGatewayContext.ts
@@ -1,5 +1,5 @@
 import { createDispatchQueue, createPartSuspicion } from '@camphorbarrow/core';
-import type { HostId } from '@camphorbarrow/core';
+import type { HostId, PromptPartKey } from '@camphorbarrow/core';
 import type { GatewayContext } from '../exchange/GatewayContext.js';
 import type { FleetView } from '../fleet/createFleetView.js';
 import { createCrashGuard } from '../limits/createCrashGuard.js';
@@ -102,6 +102,20 @@
     own.id,
     ...peers.alive().map(({ heartbeat }) => heartbeat.host.id),
   ];
+  const crashGuard = createCrashGuard({
+    clock,
+    log,
+    suspicion: partSuspicion,
+    refusesConnections,
+  });
+  const trialSuspicion = {
+    suspectsAmong: (keys: readonly PromptPartKey[]): readonly PromptPartKey[] => [
+      ...partSuspicion.suspectsAmong(keys),
+      ...keys.filter((key) => crashGuard.quarantineEndMs(key) !== -Infinity),
+    ],
+    suspectedSinceMs: (key: PromptPartKey): number =>
+      Math.max(partSuspicion.suspectedSinceMs(key), crashGuard.quarantineEndMs(key)),
+  };
   const context: GatewayContext = {
     ownId: own.id,
     ownIncarnation: options.ownIncarnation,
@@ -125,9 +139,9 @@
     leavingServers,
     serverPauses,
     retryBudget: createRetryBudget({ clock, bounds, hostCount: () => peers.known().length + 1 }),
-    crashGuard: createCrashGuard({ clock, log, suspicion: partSuspicion, refusesConnections }),
+    crashGuard,
     partSuspicion,
-    partTrials: createPartTrials({ clock, suspicion: partSuspicion, ownId: own.id, hosts }),
+    partTrials: createPartTrials({ clock, suspicion: trialSuspicion, ownId: own.id, hosts }),
     transits: createTransitTracker(clock),
     serverConnections: createConnectionPools(SERVER_IDLE_TIMEOUT_MS),
     peerConnections: createConnectionPools(PEER_IDLE_TIMEOUT_MS),
--- a/packages/gateway/src/limits/createCrashGuard.ts
+++ b/packages/gateway/src/limits/createCrashGuard.ts
@@ -11,22 +11,38 @@
 import { lifetimeId } from '../model/lifetimeId.js';
 import type { ServerState } from '../model/ServerState.js';
 
-/** Time for which a crash counts against the requests that were running on the server. */
-const CRASH_RETENTION_MS = 60_000;
 /** Score from which a request is quarantined: two crashes that no other request explains. */
 const QUARANTINE_SCORE = 2;
+/** Duration of the first quarantine; each further crash after one multiplies it. */
+const FIRST_QUARANTINE_MS = 60_000;
+const QUARANTINE_GROWTH = 4;
+const MAX_QUARANTINE_MS = 3_600_000;
+/**
+ * Time for which a crash counts against the requests that were running on the server. Longer than
+ * any quarantine, so that a request which crashes a server after one is not taken for a new one.
+ */
+const CRASH_RETENTION_MS = 2 * MAX_QUARANTINE_MS;
 /** Scores are sums of fractions, so rounding can leave them slightly below a whole number. */
 const SCORE_TOLERANCE = 1e-9;
 /** Time after a broken connection within which the end of the process counts as a crash. */
 const CRASH_CONFIRMATION_MS = 5_000;
-/** Time for which a crash report is sent to peers, and the maximum number of reports sent. */
+/** Time for which a crash report is sent to peers, and the maximum number of such reports. */
 const REPORT_MAX_AGE_MS = 3_000;
 const MAX_REPORTS = 8;
+/** Maximum number of requests in one report. */
+const MAX_REPORTED_REQUESTS = 64;
+/**
+ * Maximum number of reports of earlier crashes that count against quarantined requests, for hosts
+ * that were restarted or cut off when they happened.
+ */
+const MAX_QUARANTINE_REPORTS = 16;
 const MAX_LOGGED_PARTS = 16;
 
 /** Request whose connection broke. */
 export interface BrokenRequest {
   readonly fingerprint: Fingerprint;
+  /** Whether it was a suspect of an earlier crash when it was sent. */
+  readonly wasSuspect: boolean;
   /** Whether its response had started. */
   readonly hasStarted: boolean;
   /** Prompt parts that it shares with other requests. */
@@ -46,8 +62,14 @@
 
 /** Quarantines requests that crash the servers that run them. */
 export interface CrashGuard {
-  /** Whether the request is rejected because it crashed several servers. */
-  isQuarantined(fingerprint: () => Fingerprint): boolean;
+  /** Time in ms for which the request is rejected because it crashed several servers, or 0. */
+  quarantineMs(fingerprint: () => Fingerprint): number;
+  /** Whether a server crashed while it ran the request, which has not completed since. */
+  isSuspect(fingerprint: () => Fingerprint): boolean;
+  /** Key of a request whose quarantine has ended, which is tried at one server first. */
+  trialKey(fingerprint: () => Fingerprint): PromptPartKey | undefined;
+  /** Monotonic time at which the latest quarantine of the request with this trial key ended. */
+  quarantineEndMs(trialKey: PromptPartKey): number;
   /** Records that a server completed the request. */
   recordCompletion(fingerprint: () => Fingerprint): void;
   /** Records that the connection broke while the server ran the request. */
@@ -58,8 +80,8 @@
   recordServerGone(server: ServerState): void;
   /** Treats the servers with all other incarnations as gone. */
   retain(incarnations: ReadonlySet<string>): void;
-  /** Recent crash reports, to send to peers. */
-  recentReports(): readonly CrashReport[];
+  /** Crash reports to send to peers in all regions: recent ones, and those behind quarantines. */
+  reports(): readonly CrashReport[];
   /** Adds the crash reports of a peer. */
   mergeReports(reports: readonly CrashReport[]): void;
   /** Sets the function that is called after a crash, to send the evidence to peers at once. */
@@ -68,9 +90,8 @@
 
 interface PendingCrash {
   readonly server: ServerState;
-  readonly requests: BrokenRequest[];
+  requests: readonly { readonly request: BrokenRequest; readonly atMs: number }[];
   isRefused: Promise<boolean> | undefined;
-  readonly atMs: number;
 }
 
 /** Creates a guard without any recorded crashes. */
@@ -78,10 +99,24 @@
   const { clock, log, suspicion } = options;
   const tracker = createCrashTracker({ clock, holdMs: () => CRASH_RETENTION_MS });
   const pending = new Map<string, PendingCrash>();
-  const recent = new Map<string, { report: CrashReport; atMs: number }>();
+  const recent = new Map<
+    string,
+    { readonly report: CrashReport; readonly atMs: number; readonly reportedAtMs: number }
+  >();
   let notify = (): void => undefined;
 
-  function report({ server, requests, atMs }: PendingCrash): void {
+  /** Monotonic time at which the latest quarantine of a request ends; -Infinity if it had none. */
+  function quarantinedUntilMs(fingerprint: Fingerprint): number {
+    const furtherCrashes = Math.floor(
+      tracker.crashScore(fingerprint) - QUARANTINE_SCORE + SCORE_TOLERANCE,
+    );
+    return furtherCrashes < 0
+      ? -Infinity
+      : tracker.lastCrashAtMs(fingerprint) +
+          Math.min(MAX_QUARANTINE_MS, FIRST_QUARANTINE_MS * QUARANTINE_GROWTH ** furtherCrashes);
+  }
+
+  function report(server: ServerState, requests: readonly BrokenRequest[], atMs: number): void {
     const { id } = server.registration;
     const fingerprints = [...new Set(requests.map(({ fingerprint }) => fingerprint))];
     const unstarted = requests.filter(({ hasStarted }) => !hasStarted);
@@ -93,15 +128,22 @@
     const crash = tracker.merge({
       serverId: id,
       incarnation: asId(crashId),
+      ageMs,
       running: fingerprints,
-      suspects: fingerprints.filter((fingerprint) => tracker.crashScore(fingerprint) > 0),
+      suspects: [
+        ...new Set(
+          requests.filter(({ wasSuspect }) => wasSuspect).map(({ fingerprint }) => fingerprint),
+        ),
+      ],
     });
-    recent.set(server.incarnation, { report: crash, atMs: clock.monotonicMs() });
+    recent.set(server.incarnation, { report: crash, atMs, reportedAtMs: clock.monotonicMs() });
     log.warn('server-crashed', {
       serverId: id,
       running: fingerprints.length,
       unstarted: unstarted.length,
       maxCrashScore: Math.max(0, ...fingerprints.map(tracker.crashScore)),
+      quarantined: fingerprints.filter((each) => quarantinedUntilMs(each) > clock.monotonicMs())
+        .length,
       unstartedParts: parts.slice(0, MAX_LOGGED_PARTS).join(' '),
       trialParts: trialParts.slice(0, MAX_LOGGED_PARTS).join(' '),
     });
@@ -111,15 +153,55 @@
   function confirmCrash(incarnation: string): void {
     const crash = pending.get(incarnation);
     pending.delete(incarnation);
-    if (crash !== undefined && clock.monotonicMs() - crash.atMs < CRASH_CONFIRMATION_MS) {
-      report(crash);
+    // A connection that broke long before is no sign that its request was running.
+    const oldestMs = clock.monotonicMs() - CRASH_CONFIRMATION_MS;
+    const running = crash?.requests.filter(({ atMs }) => atMs > oldestMs) ?? [];
+    const [first] = running;
+    if (crash !== undefined && first !== undefined) {
+      const requests = running.map(({ request }) => request);
+      report(crash.server, requests, first.atMs);
     }
   }
 
+  /** Reports of known crashes that count against a quarantined request, reduced to such requests. */
+  function quarantineReports(): CrashReport[] {
+    const quarantined = new Set(
+      tracker.repeatSuspects().filter((each) => quarantinedUntilMs(each) !== -Infinity),
+    );
+    const reports = [...quarantined].flatMap((fingerprint) => tracker.crashesOf(fingerprint));
+    const unique = new Map(reports.map((each) => [each.incarnation, each]));
+    const isQuarantined = (fingerprint: Fingerprint): boolean => quarantined.has(fingerprint);
+    return [...unique.values()].slice(-MAX_QUARANTINE_REPORTS).map((each) => ({
+      ...each,
+      running: each.running.filter(isQuarantined).slice(0, MAX_REPORTED_REQUESTS),
+      suspects: each.suspects.filter(isQuarantined).slice(0, MAX_REPORTED_REQUESTS),
+    }));
+  }
+
+  function recentReports(): CrashReport[] {
+    const nowMs = clock.monotonicMs();
+    [...recent]
+      .filter(([, { reportedAtMs }]) => reportedAtMs < nowMs - REPORT_MAX_AGE_MS)
+      .forEach(([incarnation]) => recent.delete(incarnation));
+    return [...recent.values()].slice(-MAX_REPORTS).map(({ report: each, atMs }) => ({
+      ...each,
+      ageMs: Math.round(nowMs - atMs),
+      running: each.running.slice(0, MAX_REPORTED_REQUESTS),
+      suspects: each.suspects.slice(0, MAX_REPORTED_REQUESTS),
+    }));
+  }
+
   return {
-    isQuarantined: (fingerprint) =>
-      tracker.crashCount() > 0 &&
-      tracker.crashScore(fingerprint()) >= QUARANTINE_SCORE - SCORE_TOLERANCE,
+    quarantineMs(fingerprint) {
+      const untilMs = tracker.crashCount() === 0 ? 0 : quarantinedUntilMs(fingerprint());
+      return Math.max(0, untilMs - clock.monotonicMs());
+    },
+    isSuspect: (fingerprint) => tracker.crashCount() > 0 && tracker.crashScore(fingerprint()) > 0,
+    trialKey: (fingerprint) =>
+      tracker.crashCount() > 0 && quarantinedUntilMs(fingerprint()) !== -Infinity
+        ? asId<PromptPartKey>(fingerprint())
+        : undefined,
+    quarantineEndMs: (trialKey) => quarantinedUntilMs(asId<Fingerprint>(trialKey)),
     recordCompletion(fingerprint) {
       if (tracker.crashCount() > 0) {
         tracker.clear(fingerprint());
@@ -130,18 +212,27 @@
         server,
         requests: [],
         isRefused: undefined,
-        atMs: clock.monotonicMs(),
       };
-      crash.requests.push(request);
+      const atMs = clock.monotonicMs();
+      crash.requests = [
+        ...crash.requests.filter((each) => each.atMs > atMs - CRASH_CONFIRMATION_MS),
+        { request, atMs },
+      ];
       pending.set(server.incarnation, crash);
     },
     async investigate({ incarnation, registration }) {
       const crash = pending.get(incarnation);
-      if (crash !== undefined) {
-        crash.isRefused ??= options.refusesConnections(registration.endpoint);
+      if (crash === undefined) {
+        return;
+      }
+      crash.isRefused ??= options.refusesConnections(registration.endpoint);
+      try {
         if (await crash.isRefused) {
           confirmCrash(incarnation);
         }
+      } finally {
+        // The process may end later.
+        crash.isRefused = undefined;
       }
     },
     recordServerGone: ({ incarnation }) => confirmCrash(incarnation),
@@ -150,12 +241,11 @@
         .filter((incarnation) => !incarnations.has(incarnation))
         .forEach(confirmCrash);
     },
-    recentReports() {
-      const oldestMs = clock.monotonicMs() - REPORT_MAX_AGE_MS;
-      [...recent]
-        .filter(([, { atMs }]) => atMs < oldestMs)
-        .forEach(([incarnation]) => recent.delete(incarnation));
-      return [...recent.values()].slice(-MAX_REPORTS).map((entry) => entry.report);
+    reports() {
+      const recentOnes = recentReports();
+      const isRecent = ({ incarnation }: CrashReport): boolean =>
+        recentOnes.some((each) => each.incarnation === incarnation);
+      return [...recentOnes, ...quarantineReports().filter((each) => !isRecent(each))];
     },
     mergeReports(reports) {
       reports.forEach((crash) => tracker.merge(crash));
--- a/packages/gateway/src/limits/createPartTrials.ts
+++ b/packages/gateway/src/limits/createPartTrials.ts
@@ -8,7 +8,8 @@
 
 export interface PartTrialsOptions {
   readonly clock: Clock;
-  readonly suspicion: PartSuspicion;
+  /** A part may also stand for a whole request that crashed servers. */
+  readonly suspicion: Pick<PartSuspicion, 'suspectsAmong' | 'suspectedSinceMs'>;
   readonly ownId: HostId;
   /** Reachable entry hosts of all regions, including this one. */
   readonly hosts: () => readonly HostId[];
@@ -41,7 +42,8 @@
   readonly atMs: number;
 }
 
-const UNLIMITED: PartTrial = { end: () => undefined };
+/** Permission for a request without suspected parts. */
+export const UNLIMITED_TRIAL: PartTrial = { end: () => undefined };
 
 /**
  * Creates the limit. All hosts compute the same order of hosts for a part. Only the first one may
@@ -74,7 +76,7 @@
     tryStart(parts, isRetry) {
       const suspects = suspicion.suspectsAmong(parts);
       if (suspects.length === 0) {
-        return UNLIMITED;
+        return UNLIMITED_TRIAL;
       }
       if (suspects.some(isOnTrial) || !(isRetry || suspects.every(isOwnTurn))) {
         return undefined;
--- a/packages/gateway/src/peers/createHeartbeats.ts
+++ b/packages/gateway/src/peers/createHeartbeats.ts
@@ -21,7 +21,7 @@
   readonly registeredHosts: () => readonly HostRegistration[];
   /** Addresses of hosts from the settings, used while the hosts are not known. */
   readonly seeds: () => readonly Endpoint[];
-  /** Builds the current heartbeat; hosts of other regions get it without loads, crashes and limits. */
+  /** Builds the current heartbeat; hosts of other regions get it without loads and limits. */
   readonly buildHeartbeat: () => Omit<PeerHeartbeat, 'echo'>;
   /** Evidence for hosts of other regions; each host of this one sends them what it observed. */
   readonly ownPartEvidence: () => PartEvidence;
@@ -95,7 +95,6 @@
     const encodeRemote = createHeartbeatEncoder({
       ...heartbeat,
       loads: new Map(),
-      crashes: [],
       serverLimits: [],
       partEvidence: options.ownPartEvidence(),
     });
--- a/packages/gateway/src/peers/usableRows.ts
+++ b/packages/gateway/src/peers/usableRows.ts
@@ -33,8 +33,11 @@
 function isCrash(row: unknown): boolean {
   const crash = (row ?? {}) as Record<string, unknown>;
   const { serverId, incarnation, running, suspects, parts = [], trialParts = [] } = crash;
+  const { ageMs = 0, runningCount = 0, suspectCount = 0 } = crash;
   return (
-    areStrings([serverId, incarnation]) && [running, suspects, parts, trialParts].every(areStrings)
+    areFigures([ageMs, runningCount, suspectCount]) &&
+    areStrings([serverId, incarnation]) &&
+    [running, suspects, parts, trialParts].every(areStrings)
   );
 }
 
--- a/packages/gateway/tests/exchange/admitPromptParts.test.ts
+++ b/packages/gateway/tests/exchange/admitAfterCrashes.test.ts
@@ -4,7 +4,7 @@
 import { setImmediate as nextTurn } from 'node:timers/promises';
 import test from 'ava';
 import { createSystemClock } from '@camphorbarrow/core';
-import { admitPromptParts } from '../../src/index.js';
+import { admitAfterCrashes } from '../../src/index.js';
 import type { Exchange, GatewayContext } from '../../src/index.js';
 import { blockEventLoop } from '../support/blockEventLoop.js';
 
@@ -26,6 +26,7 @@
   const clock = createSystemClock();
   const context = {
     clock,
+    crashGuard: { quarantineMs: () => 0, trialKey: () => undefined },
     partSuspicion: { hasSuspects: () => true, blockedUntilMs: () => 0 },
     partTrials: { tryStart: () => (isTrialRunning ? undefined : { end() {} }) },
   } as unknown as GatewayContext;
@@ -33,7 +34,7 @@
     sharedPartKeys: () => [],
     deadlineAtMs: clock.monotonicMs() + 10_000,
   } as unknown as Exchange;
-  const pending = admitPromptParts(context, exchange, false, new AbortController().signal);
+  const pending = admitAfterCrashes(context, exchange, false, new AbortController().signal);
   await nextTurn();
   sender.write('x');
   blockEventLoop(800);
--- a/packages/gateway/tests/exchange/serveExchange.test.ts
+++ b/packages/gateway/tests/exchange/serveExchange.test.ts
@@ -14,7 +14,7 @@
     closing: new AbortController().signal,
     metrics: { increment: noop },
     retryBudget: { recordRequest: noop },
-    crashGuard: { isQuarantined: () => false },
+    crashGuard: { quarantineMs: () => 0, trialKey: () => undefined },
     partSuspicion: { hasSuspects: () => false, blockedUntilMs: () => 0 },
     partTrials: {
       tryStart: () => ({
