End a request when bytes without end arrive in place of a response head

Shown here by a table of eight forms against calls of servers, of the store and of engines' caches: status line, header fields, one field, blank lines, interim responses, another protocol, chunk extension, trailers.

Cause: the HTTP client limits a head, a chunk extension and trailers to 16 KiB, but skips blank lines before a head for as long as they come: 470, 511 and 347 MB were parsed within a call of 1.5 s, and the event loop had time for little else. Interim responses were limited in calls of servers and peers, not of the store (17 MB).

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -131,6 +131,7 @@
 export * from './routing/selectCandidates.js';
 export * from './upstream/createConnectionPools.js';
 export * from './upstream/discardBody.js';
+export * from './upstream/limitResponseHead.js';
 export * from './upstream/readFullBody.js';
 export * from './upstream/refusesConnections.js';
 export * from './upstream/sendUpstream.js';
--- a/packages/gateway/src/limits/createCrashGuard.ts
+++ b/packages/gateway/src/limits/createCrashGuard.ts
@@ -36,6 +36,7 @@
  * that were restarted or cut off when they happened.
  */
 const MAX_QUARANTINE_REPORTS = 16;
+const MAX_QUARANTINED_PER_REPORT = 8;
 const MAX_LOGGED_PARTS = 16;
 
 /** Request whose connection broke. */
@@ -173,8 +174,8 @@
     const isQuarantined = (fingerprint: Fingerprint): boolean => quarantined.has(fingerprint);
     return [...unique.values()].slice(-MAX_QUARANTINE_REPORTS).map((each) => ({
       ...each,
-      running: each.running.filter(isQuarantined).slice(0, MAX_REPORTED_REQUESTS),
-      suspects: each.suspects.filter(isQuarantined).slice(0, MAX_REPORTED_REQUESTS),
+      running: each.running.filter(isQuarantined).slice(0, MAX_QUARANTINED_PER_REPORT),
+      suspects: each.suspects.filter(isQuarantined).slice(0, MAX_QUARANTINED_PER_REPORT),
     }));
   }
 
--- a/packages/gateway/src/upstream/sendUpstream.ts
+++ b/packages/gateway/src/upstream/sendUpstream.ts
@@ -3,9 +3,7 @@
 import { PlatformError, startInputTimeout } from '@camphorbarrow/core';
 import type { InputTimeout } from '@camphorbarrow/core';
 import type { Endpoint } from '../model/Endpoint.js';
-
-/** Interim responses (status 1xx) to one request after which its connection is closed. */
-const MAX_INTERIM_RESPONSES = 16;
+import { limitResponseHead } from './limitResponseHead.js';
 
 const MIN_STATUS = 100;
 const MAX_STATUS = 999;
@@ -169,13 +167,7 @@
         void Promise.resolve(options.beforeWrite?.()).then(write);
       });
     });
-    let interimResponses = 0;
-    outgoing.on('information', () => {
-      interimResponses += 1;
-      if (interimResponses > MAX_INTERIM_RESPONSES) {
-        cancel('broken');
-      }
-    });
+    limitResponseHead(outgoing, () => cancel('broken'));
     let receivedResponse: IncomingMessage | undefined;
     outgoing.on('response', (response) => {
       receivedResponse = response;
--- a/packages/gateway/tests/limits/createCrashGuard.test.ts
+++ b/packages/gateway/tests/limits/createCrashGuard.test.ts
@@ -9,6 +9,10 @@
 const crashing = asId<Fingerprint>('crashing');
 const innocent = asId<Fingerprint>('innocent');
 const MINUTE_MS = 60_000;
+const FINGERPRINT_LENGTH = 32;
+const MAX_DATAGRAM_BYTES = 65_507;
+/** Room for the rest of a heartbeat: loads of some hundred servers and evidence on prompt parts. */
+const OTHER_HEARTBEAT_BYTES = 16_384;
 
 /** A request whose connection breaks now, and that was sent just before. */
 const broken = (guard: CrashGuard, fingerprint: Fingerprint): BrokenRequest => ({
@@ -165,3 +169,23 @@
   third.mergeReports(restarted.reports());
   t.true(isQuarantined(third));
 });
+
+// A heartbeat over the size of a datagram can't be sent, and its host seems to be gone.
+test('the reports of many crashes of many requests fit into a datagram', (t) => {
+  const clock = createManualClock();
+  const guard = createGuard(clock);
+  const requests = Array.from({ length: 300 }, (_, index) =>
+    asId<Fingerprint>(index.toString(16).padStart(FINGERPRINT_LENGTH, '0')),
+  );
+  for (let server = 0; server < 40; server += 1) {
+    crashServer(guard, server, [...requests.slice(server), ...requests.slice(0, server)]);
+    if (server === 20) {
+      clock.advance(10_000);
+    }
+  }
+  crashServer(guard, 40, requests.slice(0, 1));
+  crashServer(guard, 41, requests.slice(0, 1));
+  t.true(isQuarantined(guard, requests[0]));
+  const crashes = JSON.stringify(guard.reports());
+  t.true(crashes.length < MAX_DATAGRAM_BYTES - OTHER_HEARTBEAT_BYTES, `${crashes.length} bytes`);
+});
