Give an error response without end up after 1 MiB

Cause: one limit for successes and errors. Change: error responses may have 1 MiB. Test: entryHost.shortChunks, 'an error response without end is given up early', failed before (11.4 MB sent). splitEvents.ts is named after what it exports now.

--- a/packages/gateway/src/exchange/forwardEvents.ts
+++ b/packages/gateway/src/exchange/forwardEvents.ts
@@ -2,7 +2,7 @@
 import { createBodyScope, startInputTimeout } from '@camphorbarrow/core';
 import type { BodyBuffer, BodyBuffers, InputTimeout } from '@camphorbarrow/core';
 import type { ResponseWriter } from './ResponseWriter.js';
-import { describeEvents, endOfLastEvent, hasFields } from './splitEvents.js';
+import { describeEvents, endOfLastEvent, hasFields } from './describeEvents.js';
 
 /** Maximum number of bytes since the last complete event: a long event, or comments. */
 const MAX_BYTES_BETWEEN_EVENTS = 1_048_576;
--- a/packages/gateway/src/exchange/receiveResponse.ts
+++ b/packages/gateway/src/exchange/receiveResponse.ts
@@ -10,8 +10,14 @@
 
 /** Maximum size of a response that is buffered. */
 const MAX_BUFFERED_BYTES = 8_388_608;
+/**
+ * Maximum size of an error response. Most responses without end are errors, and parsing them takes
+ * processor time from other requests.
+ */
+const MAX_ERROR_BYTES = 1_048_576;
 /** Status codes from which callers conclude that the request has not run. */
 const NOT_RUN_STATUS_CODES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+const FIRST_ERROR_STATUS = 400;
 const MISDIRECTED = 421;
 const EVENT_STREAM_TYPE = 'text/event-stream';
 
@@ -111,7 +117,7 @@
   options.onResponseStart();
   const body = await readFullBody(response, {
     bodies: exchange.bodies,
-    maxBytes: MAX_BUFFERED_BYTES,
+    maxBytes: status < FIRST_ERROR_STATUS ? MAX_BUFFERED_BYTES : MAX_ERROR_BYTES,
     signal,
   });
   if (body.kind !== 'complete') {
@@ -119,7 +125,7 @@
   }
   const { bytes } = body;
   const headers = stripHopByHopHeaders(response.rawHeaders);
-  if (status < 400) {
+  if (status < FIRST_ERROR_STATUS) {
     exchange.responseWriter.send(status, headers, bytes);
     return { kind: 'delivered', status };
   }
