Limit the requests of all remembered crashes together

Cause: crashes are remembered for two hours now, up to 1,024 of them with 256 requests each, and the index by request adds to that. Change: at most 16,384 requests; when there are more, the oldest crashes are forgotten first whose requests ran on one crashed server only, so that quarantines stay. Tests: createCrashTracker, four new ones (limit, shares of partial reports, ages, servers that fail together).

--- a/packages/core/src/quarantine/createCrashTracker.ts
+++ b/packages/core/src/quarantine/createCrashTracker.ts
@@ -39,6 +39,8 @@
 
 const MAX_CRASHES = 1_024;
 const MAX_REQUESTS_PER_CRASH = 256;
+/** Limit on the requests of all crashes together. */
+const MAX_REQUESTS = 16_384;
 const MIN_REPEATED_CRASHES = 2;
 
 function union(a: readonly Fingerprint[], b: readonly Fingerprint[]): Fingerprint[] {
@@ -78,11 +80,24 @@
     crashes.delete(key);
   }
 
-  function evictOld(): void {
-    const excess = crashes.size - MAX_CRASHES;
-    [...crashes]
-      .filter(([, crash], index) => !isRemembered(crash) || index < excess)
-      .forEach(([key]) => forget(key));
+  const hasRepeatSuspect = ({ report }: Crash): boolean =>
+    report.running.some((fingerprint) => repeatSuspects.has(fingerprint));
+
+  /** Forgets old crashes, and while there are too many, first those whose requests ran only once. */
+  function evict(): void {
+    [...crashes].filter(([, crash]) => !isRemembered(crash)).forEach(([key]) => forget(key));
+    const isFull = (): boolean =>
+      crashes.size > MAX_CRASHES || crashKeysByRequest.size > MAX_REQUESTS;
+    if (isFull()) {
+      const entries = [...crashes];
+      const repeated = entries.filter(([, crash]) => hasRepeatSuspect(crash));
+      const others = entries.filter(([, crash]) => !hasRepeatSuspect(crash));
+      [...others, ...repeated].forEach(([key]) => {
+        if (isFull()) {
+          forget(key);
+        }
+      });
+    }
   }
 
   /** The crashes that count against a request. */
@@ -116,7 +131,6 @@
 
   return {
     merge(report) {
-      evictOld();
       const key = `${report.serverId} ${report.incarnation}`;
       const known = crashes.get(key);
       const reports = known === undefined ? [report] : [known.report, report];
@@ -137,6 +151,7 @@
           repeatSuspects.add(fingerprint);
         }
       });
+      evict();
       return merged;
     },
     crashScore,
--- a/packages/core/tests/quarantine/createCrashTracker.test.ts
+++ b/packages/core/tests/quarantine/createCrashTracker.test.ts
@@ -83,3 +83,46 @@
   );
   t.pass();
 });
+
+test('crashes of servers that fail together count once, and later ones of suspects in full', (t) => {
+  const { tracker } = createTracker();
+  tracker.merge(crash('s1', ['a', 'b']));
+  tracker.merge(crash('s2', ['a']));
+  tracker.merge(crash('s3', ['a', 'b', 'c', 'd']));
+  t.is(tracker.crashScore(fingerprint('a')), 1);
+  tracker.merge(crash('s4', ['a'], ['a']));
+  t.is(tracker.crashScore(fingerprint('a')), 2);
+});
+
+test('a report that lists only some requests has the shares of the whole one', (t) => {
+  const { tracker } = createTracker();
+  tracker.merge({ ...crash('s1', ['a']), runningCount: 4 });
+  t.is(tracker.crashScore(fingerprint('a')), 0.25);
+  tracker.merge({ ...crash('s2', ['b'], ['b']), runningCount: 4, suspectCount: 2 });
+  t.is(tracker.crashScore(fingerprint('b')), 0.5);
+  tracker.merge(crash('s2', ['a', 'b', 'c', 'd'], ['b', 'c']));
+  t.is(tracker.crashScore(fingerprint('b')), 0.5);
+});
+
+test('the age of a report counts, so that a crash expires everywhere at once', (t) => {
+  const { tracker, clock } = createTracker();
+  tracker.merge({ ...crash('s1', ['a']), ageMs: HOLD_MS - 1_000 });
+  t.is(tracker.crashScore(fingerprint('a')), 1);
+  clock.advance(1_001);
+  t.is(tracker.crashScore(fingerprint('a')), 0);
+});
+
+// The memory grew with the crashes of many servers that each ran many requests.
+test('the requests of all crashes are limited, and those of several crashes stay longest', (t) => {
+  const { tracker } = createTracker();
+  tracker.merge(crash('bad-1', ['bad']));
+  tracker.merge(crash('bad-2', ['bad'], ['bad']));
+  for (let server = 0; server < 200; server += 1) {
+    const running = Array.from({ length: 200 }, (_, index) => `${server} ${index}`);
+    tracker.merge(crash(`s${server}`, running));
+  }
+  t.true(tracker.crashCount() <= 16_384 / 200 + 2);
+  t.is(tracker.crashScore(fingerprint('bad')), 2);
+  t.is(tracker.crashScore(fingerprint('0 0')), 0);
+  t.is(tracker.crashScore(fingerprint('199 0')), 1 / 200);
+});
