Treat a server that was lost as cold until a heartbeat says otherwise

No entry said that it was cold, and 6 s after its loss both hosts sent to it at the full rate: 12 requests in a second (bound 6.45), at which it crashed again.

Cause: the cold time was known from entries only. That a server was lost and is reachable again without a heartbeat in between is the sign of a new start, and it was used only to try the server again.

Change: ServerHealth keeps the time of the loss and of the first complete response after it; the server is cold until cold_start_s after that response, or for 12 s where this host has none. A heartbeat ends this at once, so that nothing changes while the store is up.

--- a/packages/gateway/src/lifecycle/createEntryHost.ts
+++ b/packages/gateway/src/lifecycle/createEntryHost.ts
@@ -1,7 +1,7 @@
 import { randomUUID } from 'node:crypto';
 import { setMaxListeners } from 'node:events';
 import { runAfterPoll } from '@camphorbarrow/core';
-import type { HostId } from '@camphorbarrow/core';
+import type { CrashReport, HostId } from '@camphorbarrow/core';
 import { logFailures } from '../errors/logFailures.js';
 import { createChangeDecoder } from '../fleet/createChangeDecoder.js';
 import { createCacheResponseRecorder } from '../exchange/createCacheResponseRecorder.js';
@@ -26,6 +26,7 @@
 import { createDrainState } from './createDrainState.js';
 import type { DrainProgress } from './createDrainState.js';
 import { createEventLoopMonitor } from './createEventLoopMonitor.js';
+import { lifetimeId } from '../model/lifetimeId.js';
 import { createGatewayContext } from './createGatewayContext.js';
 import { createHousekeeping } from './createHousekeeping.js';
 import type { EntryHostOptions } from './EntryHostOptions.js';
@@ -151,6 +152,14 @@
   peerLimit.apply(peerListener.server);
   view.onConfiguration(({ limits }) => callerListener.applyLimits(limits));
 
+  /** Applies the end of a process that another host has seen, while its entry is still the same. */
+  function recordServerEnd({ serverId, incarnation, ageMs = 0 }: CrashReport): void {
+    const server = view.servers.get(serverId);
+    if (server !== undefined && lifetimeId(server.registration) === incarnation) {
+      context.health.recordEnd(server.incarnation, clock.monotonicMs() - ageMs);
+    }
+  }
+
   const heartbeats = createHeartbeats({
     clock,
     log,
@@ -181,6 +190,7 @@
       context.partSuspicion.merge(heartbeat.partEvidence);
       context.partTrials.recordPeer(heartbeat.host.id, heartbeat.partTrials);
       crashGuard.mergeReports(heartbeat.crashes);
+      heartbeat.crashes.forEach(recordServerEnd);
       if (heartbeat.host.region === own.region) {
         context.serverLimits.mergeReports(heartbeat.serverLimits);
       }
--- a/packages/gateway/src/model/ServiceSpec.ts
+++ b/packages/gateway/src/model/ServiceSpec.ts
@@ -7,6 +7,8 @@
   readonly maxConnections: number;
   /** Maximum request rate of a cold server, summed over all entry hosts; 0 means no limit. */
   readonly coldRequestsPerSecond: number;
+  /** Time for which a server is cold after its start. */
+  readonly coldStartMs: number;
   /** Size of the KV cache of one model engine; undefined for a service that is not a model. */
   readonly kvCapacityTokens: number | undefined;
   /** Time to transfer one cached token between engines; undefined if transfers are unsupported. */
--- a/packages/gateway/src/routing/createServerHealth.ts
+++ b/packages/gateway/src/routing/createServerHealth.ts
@@ -9,6 +9,13 @@
  * entries are kept after a failure of the store.
  */
 const DEAD_ENTRY_MAX_AGE_MS = 6_000;
+/**
+ * Time for which a lost server may be cold if this host has completed no request there since: only a
+ * few hosts send to a cold server, and others would leave it alone until its next heartbeat.
+ */
+const UNCONFIRMED_LOSS_MS = 2 * DEAD_ENTRY_MAX_AGE_MS;
+/** Differences in the time of a loss below this come from the transit of reports. */
+const SAME_LOSS_MS = 2_000;
 /** Weight of a new outcome in the moving average of the failure ratio. */
 const OUTCOME_WEIGHT = 0.1;
 /** Time constant of the exponential decay of the failure ratio without new outcomes. */
@@ -29,10 +36,23 @@
   recordFailure(incarnation: string): void;
   /** Records that a connection failed or the server stopped responding. */
   recordUnreachable(incarnation: string): void;
+  /**
+   * Records that the process ended at this monotonic time, as seen by any host. Repeated reports of
+   * the same end have no effect.
+   */
+  recordEnd(incarnation: string, atMs: number): void;
   /** Records that a request sent at `sentAtMs` got no response in time. */
   recordTimeout(incarnation: string, sentAtMs: number): void;
   /** Whether the server can be sent requests now. */
   isReachable(server: ServerState): boolean;
+  /**
+   * Monotonic time until which a server may be cold although no heartbeat says so: one that was lost
+   * and is reachable again may have started anew. 0 if a heartbeat arrived since the loss, or if it was
+   * never lost.
+   *
+   * @param coldStartMs time for which servers are cold after a start
+   */
+  coldUntilMs(server: ServerState, coldStartMs: number): number;
   /** Time to add to the estimates of a server that fails more requests than usual. */
   penaltyMs(incarnation: string): number;
   /** Drops the records of all other incarnations. */
@@ -44,6 +64,9 @@
   updatedAtMs: number;
   responseStartedAtMs: number;
   unreachableSinceMs: number | undefined;
+  /** Time of the latest loss, and of the first complete response after it. */
+  lostAtMs: number;
+  recoveredAtMs: number;
   nextAttemptAtMs: number;
   backoffMs: number;
 }
@@ -58,6 +81,8 @@
       updatedAtMs: clock.monotonicMs(),
       responseStartedAtMs: -Infinity,
       unreachableSinceMs: undefined,
+      lostAtMs: -Infinity,
+      recoveredAtMs: Infinity,
       nextAttemptAtMs: 0,
       backoffMs: INITIAL_BACKOFF_MS,
     };
@@ -76,10 +101,16 @@
     record.updatedAtMs = clock.monotonicMs();
     if (!failed) {
       record.unreachableSinceMs = undefined;
+      record.recoveredAtMs = Math.min(record.recoveredAtMs, clock.monotonicMs());
       record.backoffMs = INITIAL_BACKOFF_MS;
     }
   }
 
+  function recordLoss(record: HealthRecord, atMs: number): void {
+    record.lostAtMs = atMs;
+    record.recoveredAtMs = Infinity;
+  }
+
   function recordUnreachable(incarnation: string): void {
     recordOutcome(incarnation, true);
     const record = recordOf(incarnation);
@@ -88,10 +119,19 @@
       return;
     }
     record.unreachableSinceMs = nowMs;
+    recordLoss(record, nowMs);
     record.nextAttemptAtMs = nowMs + record.backoffMs;
     record.backoffMs = Math.min(MAX_BACKOFF_MS, record.backoffMs * 2);
   }
 
+  function recordEnd(incarnation: string, atMs: number): void {
+    const record = recordOf(incarnation);
+    if (atMs > record.lostAtMs + SAME_LOSS_MS) {
+      recordLoss(record, atMs);
+      record.unreachableSinceMs = atMs;
+    }
+  }
+
   return {
     recordSuccess: (incarnation) => recordOutcome(incarnation, false),
     recordResponseStart(incarnation) {
@@ -101,6 +141,7 @@
       records.get(incarnation)?.responseStartedAtMs ?? -Infinity,
     recordFailure: (incarnation) => recordOutcome(incarnation, true),
     recordUnreachable,
+    recordEnd,
     recordTimeout(incarnation, sentAtMs) {
       // A response to another request in the meantime shows that only this connection failed.
       if (recordOf(incarnation).responseStartedAtMs > sentAtMs) {
@@ -123,6 +164,15 @@
           nowMs >= record.unreachableSinceMs + DEAD_ENTRY_MAX_AGE_MS)
       );
     },
+    coldUntilMs(server, coldStartMs) {
+      const record = records.get(server.incarnation);
+      if (record === undefined || server.lastHeartbeatAtMs > record.lostAtMs) {
+        return 0;
+      }
+      return record.recoveredAtMs === Infinity
+        ? record.lostAtMs + UNCONFIRMED_LOSS_MS
+        : record.recoveredAtMs + coldStartMs;
+    },
     penaltyMs(incarnation) {
       const record = records.get(incarnation);
       const excess = record === undefined ? 0 : currentRatio(record) - USUAL_FAILURE_RATIO;
--- a/packages/gateway/src/routing/createServerView.ts
+++ b/packages/gateway/src/routing/createServerView.ts
@@ -59,7 +59,11 @@
           server.region === options.region &&
           !view.isEvacuated(server.registration.zone) &&
           health.isReachable(server),
-      );
+      )
+      .map((server) => {
+        const coldUntilMs = health.coldUntilMs(server, service.coldStartMs);
+        return coldUntilMs > server.coldUntilMs ? { ...server, coldUntilMs } : server;
+      });
   }
 
   function queueMs(server: ServerState, service: ServiceSpec, rank: number): number {
--- a/packages/gateway/tests/routing/createServerHealth.test.ts
+++ b/packages/gateway/tests/routing/createServerHealth.test.ts
@@ -75,3 +75,44 @@
   health.recordUnreachable(server.incarnation);
   t.false(health.isReachable(server));
 });
+
+const COLD_START_MS = 3_000;
+
+// While the store was down, no heartbeat said that a server was cold, and its start went unnoticed.
+test('a lost server may be cold after its first complete response', (t) => {
+  const clock = createManualClock();
+  const health = createServerHealth(clock);
+  const server = buildServer();
+  clock.advance(100);
+  t.is(health.coldUntilMs(server, COLD_START_MS), 0);
+  health.recordUnreachable(server.incarnation);
+  const lostAtMs = clock.monotonicMs();
+  clock.advance(7_000);
+  t.true(health.isReachable(server));
+  t.true(health.coldUntilMs(server, COLD_START_MS) > clock.monotonicMs());
+  health.recordSuccess(server.incarnation);
+  clock.advance(1_000);
+  health.recordSuccess(server.incarnation);
+  t.is(health.coldUntilMs(server, COLD_START_MS), lostAtMs + 10_000);
+  clock.advance(10_000);
+  health.recordUnreachable(server.incarnation);
+  const alive = { ...server, lastHeartbeatAtMs: clock.monotonicMs() + 1 };
+  t.is(health.coldUntilMs(alive, COLD_START_MS), 0);
+});
+
+test('a server whose end another host has seen is avoided, and may be cold after it', (t) => {
+  const clock = createManualClock();
+  const health = createServerHealth(clock);
+  const server = buildServer();
+  clock.advance(1_000);
+  const report = (): void => health.recordEnd(server.incarnation, 900);
+  report();
+  t.false(health.isReachable(server));
+  clock.advance(6_500);
+  t.true(health.isReachable(server));
+  t.true(health.coldUntilMs(server, COLD_START_MS) > clock.monotonicMs());
+  health.recordSuccess(server.incarnation);
+  report();
+  t.true(health.isReachable(server));
+  t.is(health.coldUntilMs(server, COLD_START_MS), clock.monotonicMs() + COLD_START_MS);
+});
--- a/packages/gateway/tests/support/builders.ts
+++ b/packages/gateway/tests/support/builders.ts
@@ -42,6 +42,7 @@
     name: asId('model'),
     maxConnections: 360,
     coldRequestsPerSecond: 2,
+    coldStartMs: 3_000,
     kvCapacityTokens: 300_000,
     cacheTransferMsPerToken: 0.001,
     tokensPerEvent: 6,
