--- a/packages/gateway/src/lifecycle/createEntryHost.ts
+++ b/packages/gateway/src/lifecycle/createEntryHost.ts
@@ -195,6 +195,14 @@
         context.serverLimits.mergeReports(heartbeat.serverLimits);
       }
     },
+    onSent({ receivers, totalBytes, isUrgent }) {
+      const type = isUrgent ? 'urgent' : 'regular';
+      options.metrics.gauge('heartbeat_bytes', totalBytes / Math.max(1, receivers), { type });
+      if (isUrgent) {
+        options.metrics.increment('urgent_heartbeats');
+        log.info('urgent-heartbeats', { receivers, totalBytes });
+      }
+    },
     intervalMs: HEARTBEAT_INTERVAL_MS,
   });
   // The attempt that reports a crash or starts a trial goes on without them.
--- a/packages/gateway/src/peers/createHeartbeats.ts
+++ b/packages/gateway/src/peers/createHeartbeats.ts
@@ -26,9 +26,20 @@
   /** Evidence for hosts of other regions; each host of this one sends them what it observed. */
   readonly ownPartEvidence: () => PartEvidence;
   readonly onHeartbeat: (heartbeat: PeerHeartbeat) => void;
+  /** Called after each round, and after heartbeats to all hosts. */
+  readonly onSent?: (sent: SentHeartbeats) => void;
   readonly intervalMs: number;
 }
 
+/** Heartbeats that were sent together. */
+export interface SentHeartbeats {
+  readonly receivers: number;
+  /** Size of all of them together. */
+  readonly totalBytes: number;
+  /** Whether they went to all hosts at once because of an urgent change. */
+  readonly isUrgent: boolean;
+}
+
 /** Exchange of heartbeats with the other entry hosts. */
 export interface Heartbeats {
   /** Sends a heartbeat to all hosts immediately, for urgent changes. */
@@ -89,7 +100,8 @@
     }
   }
 
-  function sendTo(receivers: readonly Target[]): void {
+  function sendTo(receivers: readonly Target[], isUrgent: boolean): void {
+    let totalBytes = 0;
     const heartbeat = options.buildHeartbeat();
     const encodeLocal = createHeartbeatEncoder(heartbeat);
     const encodeRemote = createHeartbeatEncoder({
@@ -102,8 +114,10 @@
       const { endpoint, host } = target;
       const echo = host === undefined ? undefined : peers.echoFor(host.id);
       const datagram = isLocal(target) ? encodeLocal(echo) : encodeRemote(echo);
+      totalBytes += datagram.length;
       sendDatagram(datagram, endpoint);
     });
+    options.onSent?.({ receivers: receivers.length, totalBytes, isUrgent });
   }
 
   /** Selects the hosts of this round, so that its cost does not grow with the fleet. */
@@ -135,10 +149,11 @@
     const all = targets();
     const local = all.filter(isLocal);
     const remote = all.filter((target) => !isLocal(target));
-    sendTo([
+    const receivers = [
       ...selectForRound(local, localReportRounds(local.length)),
       ...selectForRound(remote, remoteReportRounds(remote.length)),
-    ]);
+    ];
+    sendTo(receivers, false);
     round += 1;
   }
 
@@ -164,7 +179,7 @@
   );
 
   return {
-    sendToAll: () => sendTo(targets()),
+    sendToAll: () => sendTo(targets(), true),
     close() {
       clearInterval(timer);
       socket.close();
