Report only a host's own requests of a crash, and pace heartbeats to all hosts

Cause: a crash report listed the requests of all hosts on the server (64 of up to 256), eight of them rode on each heartbeat for 3 s, and each crash that a host noticed made it send one to every host at once. Class: control traffic that grows with the fleet, the crashes and the requests of others together.

Change: each host reports what it had sent itself; the others do the same, and receivers add the parts up. All crashes of the last 3 s are reported (32; before, the latest 8). Heartbeats to all hosts after a crash or for a trial are paced by their bytes (250 KB a second), and changes in between go together; those at the begin and end of a drain are not paced.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -93,6 +93,7 @@
 export * from './peers/PeerHeartbeat.js';
 export * from './peers/WireHeartbeat.js';
 export * from './peers/createHeartbeats.js';
+export * from './peers/createPacedSend.js';
 export * from './peers/createPeerRegistry.js';
 export * from './peers/createPeerTotals.js';
 export * from './peers/createRegionStoreReaders.js';
--- a/packages/gateway/src/lifecycle/createEntryHost.ts
+++ b/packages/gateway/src/lifecycle/createEntryHost.ts
@@ -16,6 +16,7 @@
 import { createRequestHandler } from '../ingress/createRequestHandler.js';
 import type { RequestHandler } from '../ingress/createRequestHandler.js';
 import { createHeartbeats } from '../peers/createHeartbeats.js';
+import { createPacedSend } from '../peers/createPacedSend.js';
 import { createPeerRegistry } from '../peers/createPeerRegistry.js';
 import type { HostState } from '../peers/PeerHeartbeat.js';
 import { createRegionStoreReaders } from '../peers/createRegionStoreReaders.js';
@@ -42,6 +43,8 @@
 const PEER_LISTENER_IDLE_TIMEOUT_MS = 30_000;
 /** Timeout for removing the registration from the store; otherwise it expires with its lease. */
 const UNREGISTER_TIMEOUT_MS = 200;
+/** Rate of heartbeats to all hosts after crashes: a fifth of a link of 10 Mbit/s. */
+const URGENT_BYTES_PER_SECOND = 250_000;
 /** Interval at which state of removed servers and peers is dropped. */
 const HOUSEKEEPING_INTERVAL_MS = 1_000;
 /** Number of heartbeats after an evacuation until a server's report of being cold is used. */
@@ -206,9 +209,15 @@
     intervalMs: HEARTBEAT_INTERVAL_MS,
   });
   // The attempt that reports a crash or starts a trial goes on without them.
-  const reportAtOnce = logFailures(log, 'heartbeat-failed', heartbeats.sendToAll);
-  crashGuard.onCrash(reportAtOnce);
-  context.partTrials.onStart(reportAtOnce);
+  const reportSoon = createPacedSend({
+    clock,
+    log,
+    bytesPerSecond: URGENT_BYTES_PER_SECOND,
+    send: heartbeats.sendToAll,
+    signal: stop.signal,
+  });
+  crashGuard.onCrash(reportSoon);
+  context.partTrials.onStart(reportSoon);
 
   const runHousekeeping = createHousekeeping({
     clock,
--- a/packages/gateway/src/limits/createCrashGuard.ts
+++ b/packages/gateway/src/limits/createCrashGuard.ts
@@ -3,6 +3,7 @@
   Clock,
   CrashReport,
   Fingerprint,
+  Incarnation,
   LogSink,
   PartSuspicion,
   PromptPartKey,
@@ -28,9 +29,10 @@
 const CRASH_CONFIRMATION_MS = 5_000;
 /** Time for which a crash report is sent to peers, and the maximum number of such reports. */
 const REPORT_MAX_AGE_MS = 3_000;
-const MAX_REPORTS = 8;
-/** Maximum number of requests in one report. */
+const MAX_REPORTS = 32;
+/** Maximum number of requests in one report, and in all of them. */
 const MAX_REPORTED_REQUESTS = 64;
+const MAX_REPORTED_REQUESTS_IN_ALL = 448;
 /**
  * Maximum number of reports of earlier crashes that count against quarantined requests, for hosts
  * that were restarted or cut off when they happened.
@@ -100,6 +102,10 @@
   const { clock, log, suspicion } = options;
   const tracker = createCrashTracker({ clock, holdMs: () => CRASH_RETENTION_MS });
   const pending = new Map<string, PendingCrash>();
+  /**
+   * Reports of what this host had sent to servers that crashed. The other hosts report their own
+   * requests: with those of all hosts, the reports would grow with the fleet.
+   */
   const recent = new Map<
     string,
     { readonly report: CrashReport; readonly atMs: number; readonly reportedAtMs: number }
@@ -126,18 +132,23 @@
     const crashId = lifetimeId(server.registration);
     const ageMs = clock.monotonicMs() - atMs;
     suspicion.recordCrash({ crashId, ageMs, parts, trialParts });
-    const crash = tracker.merge({
+    const known = recent.get(server.incarnation)?.report;
+    const suspects = requests
+      .filter(({ wasSuspect }) => wasSuspect)
+      .map(({ fingerprint }) => fingerprint);
+    const own = {
       serverId: id,
-      incarnation: asId(crashId),
+      incarnation: asId<Incarnation>(crashId),
       ageMs,
-      running: fingerprints,
-      suspects: [
-        ...new Set(
-          requests.filter(({ wasSuspect }) => wasSuspect).map(({ fingerprint }) => fingerprint),
-        ),
-      ],
+      running: [...new Set([...(known?.running ?? []), ...fingerprints])],
+      suspects: [...new Set([...(known?.suspects ?? []), ...suspects])],
+    };
+    const { runningCount, suspectCount } = tracker.merge(own);
+    recent.set(server.incarnation, {
+      report: { ...own, runningCount, suspectCount },
+      atMs,
+      reportedAtMs: clock.monotonicMs(),
     });
-    recent.set(server.incarnation, { report: crash, atMs, reportedAtMs: clock.monotonicMs() });
     log.warn('server-crashed', {
       serverId: id,
       running: fingerprints.length,
@@ -184,11 +195,16 @@
     [...recent]
       .filter(([, { reportedAtMs }]) => reportedAtMs < nowMs - REPORT_MAX_AGE_MS)
       .forEach(([incarnation]) => recent.delete(incarnation));
-    return [...recent.values()].slice(-MAX_REPORTS).map(({ report: each, atMs }) => ({
+    const latest = [...recent.values()].slice(-MAX_REPORTS);
+    const maxRequests = Math.min(
+      MAX_REPORTED_REQUESTS,
+      Math.floor(MAX_REPORTED_REQUESTS_IN_ALL / Math.max(1, latest.length)),
+    );
+    return latest.map(({ report: each, atMs }) => ({
       ...each,
       ageMs: Math.round(nowMs - atMs),
-      running: each.running.slice(0, MAX_REPORTED_REQUESTS),
-      suspects: each.suspects.slice(0, MAX_REPORTED_REQUESTS),
+      running: each.running.slice(0, maxRequests),
+      suspects: each.suspects.slice(0, maxRequests),
     }));
   }
 
--- a/packages/gateway/src/peers/createHeartbeats.ts
+++ b/packages/gateway/src/peers/createHeartbeats.ts
@@ -42,8 +42,8 @@
 
 /** Exchange of heartbeats with the other entry hosts. */
 export interface Heartbeats {
-  /** Sends a heartbeat to all hosts immediately, for urgent changes. */
-  sendToAll(): void;
+  /** Sends a heartbeat to all hosts immediately, for urgent changes. Returns the bytes sent. */
+  sendToAll(): number;
   close(): void;
 }
 
@@ -100,7 +100,7 @@
     }
   }
 
-  function sendTo(receivers: readonly Target[], isUrgent: boolean): void {
+  function sendTo(receivers: readonly Target[], isUrgent: boolean): number {
     let totalBytes = 0;
     const heartbeat = options.buildHeartbeat();
     const encodeLocal = createHeartbeatEncoder(heartbeat);
@@ -118,6 +118,7 @@
       sendDatagram(datagram, endpoint);
     });
     options.onSent?.({ receivers: receivers.length, totalBytes, isUrgent });
+    return totalBytes;
   }
 
   /** Selects the hosts of this round, so that its cost does not grow with the fleet. */
--- a/packages/gateway/tests/limits/createCrashGuard.test.ts
+++ b/packages/gateway/tests/limits/createCrashGuard.test.ts
@@ -189,3 +189,58 @@
   const crashes = JSON.stringify(guard.reports());
   t.true(crashes.length < MAX_DATAGRAM_BYTES - OTHER_HEARTBEAT_BYTES, `${crashes.length} bytes`);
 });
+
+const HOSTS = 20;
+const CRASHED_SERVERS = 14;
+const REQUESTS_PER_HOST = 3;
+/** Heartbeats that a host sends in a second to the hosts of all regions. */
+const HEARTBEATS_PER_SECOND = 70;
+/** Half of the smallest link of the deployments, 7 Mbit/s. */
+const MAX_BYTES_PER_SECOND = 437_500;
+
+/** Crashes servers that ran requests of every host, whose reports then reach all other hosts. */
+function crashTogether(): { guards: readonly CrashGuard[]; requests: readonly Fingerprint[] } {
+  const clock = createManualClock();
+  const guards = Array.from({ length: HOSTS }, () => createGuard(clock));
+  const requests: Fingerprint[] = [];
+  guards.forEach((guard) => {
+    for (let server = 0; server < CRASHED_SERVERS; server += 1) {
+      const own = Array.from({ length: REQUESTS_PER_HOST }, (_, index) =>
+        asId<Fingerprint>((requests.length + index).toString(16).padStart(FINGERPRINT_LENGTH, '0')),
+      );
+      requests.push(...own);
+      crashServer(guard, server, own);
+      guards.forEach((other) => other.mergeReports(guard.reports()));
+    }
+  });
+  return { guards, requests };
+}
+
+// The reports of all hosts together filled the links of small hosts for seconds.
+test('the crash reports of a host do not grow with the requests of other hosts', (t) => {
+  const { guards } = crashTogether();
+  guards.forEach((guard) => {
+    const reports = guard.reports();
+    t.true(reports.every(({ running }) => running.length <= REQUESTS_PER_HOST));
+    const bytesPerSecond = JSON.stringify(reports).length * HEARTBEATS_PER_SECOND;
+    t.true(bytesPerSecond <= MAX_BYTES_PER_SECOND, `${bytesPerSecond} bytes per second`);
+  });
+});
+
+test('the crashes of many servers at the same moment are all reported to all hosts', (t) => {
+  const { guards, requests } = crashTogether();
+  guards.forEach((guard) => {
+    t.is(guard.reports().length, CRASHED_SERVERS);
+    t.true(requests.every((request) => guard.isSuspect(() => request)));
+  });
+});
+
+test('a host reports all of its requests on a server whose crash it notices twice', (t) => {
+  const guard = createGuard();
+  crashServer(guard, 1, [crashing]);
+  crashServer(guard, 1, [innocent]);
+  t.deepEqual(
+    guard.reports().map(({ running }) => running),
+    [[crashing, innocent]],
+  );
+});
