Log and count requests to servers with a limited rate

Nothing told which hosts sent to a cold server, which senders each of them had counted, and how it knew that the server was cold, so the hypotheses in docs/incidents/flooded-cold-server.md could not be told apart. Each request to a cold server, or one that named a rate, is now a line `rate-limited-send` (its volume is bounded by the limit itself), and counted by source in `rate_limited_sends_total`; requests that no server may take because of these limits are counted in `rate_limited_requests_total`.

--- a/packages/gateway/src/exchange/prepareAttempt.ts
+++ b/packages/gateway/src/exchange/prepareAttempt.ts
@@ -33,9 +33,13 @@
 }
 
 /** Counts a request to a server with a limited rate before any other request is routed. */
-function recordChoice(context: GatewayContext, destination: PreparedAttempt['destination']): void {
+function recordChoice(
+  context: GatewayContext,
+  { service }: Exchange,
+  destination: PreparedAttempt['destination'],
+): void {
   if (destination.kind === 'server') {
-    context.serverRateLimiter.recordSend(destination.server);
+    context.serverRateLimiter.recordSend(destination.server, service.coldRequestsPerSecond);
   }
 }
 
@@ -84,6 +88,9 @@
     if (destination.kind === 'none') {
       progress.causes.push(destination.reason);
       progress.stopCause = destination.reason;
+      if (destination.reason === 'rate-limited') {
+        context.metrics.increment('rate_limited_requests', { service: exchange.service.name });
+      }
       if (destination.reason === 'servers-paused') {
         progress.retryAfterMs = Math.max(progress.retryAfterMs, destination.retryAfterMs);
       }
@@ -101,7 +108,7 @@
       progress.stopCause = 'retry-budget';
       return undefined;
     }
-    recordChoice(context, destination);
+    recordChoice(context, exchange, destination);
     return destination;
   });
 }
@@ -134,7 +141,7 @@
     if (!context.retryBudget.tryWithdraw(exchange.service.name)) {
       return undefined;
     }
-    recordChoice(context, destination);
+    recordChoice(context, exchange, destination);
     return destination;
   });
 }
--- a/packages/gateway/src/fleet/createServerDirectory.ts
+++ b/packages/gateway/src/fleet/createServerDirectory.ts
@@ -133,6 +133,7 @@
       const reportedColdUntilMs =
         registration.coldRemainingMs > 0 ? nowMs + registration.coldRemainingMs : 0;
       const knownColdUntilMs = sameLifetime ? known.coldUntilMs : 0;
+      const knownColdSource = sameLifetime ? known.coldSource : undefined;
       const turnedCold =
         reportedColdUntilMs > Math.max(nowMs, knownColdUntilMs) + COLD_TIME_TOLERANCE_MS;
       removedServers.delete(id);
@@ -142,6 +143,7 @@
           registration,
           region: options.regionOfZone(registration.zone),
           coldUntilMs: Math.max(reportedColdUntilMs, knownColdUntilMs),
+          coldSource: reportedColdUntilMs > knownColdUntilMs ? 'entry' : knownColdSource,
           lastHeartbeatAtMs: nowMs,
           incarnation: sameLifetime ? known.incarnation : nextIncarnation(registration),
         },
@@ -185,6 +187,8 @@
           entry.state = {
             ...entry.state,
             coldUntilMs: Math.max(entry.state.coldUntilMs, coldUntilMs),
+            coldSource:
+              coldUntilMs > entry.state.coldUntilMs ? 'evacuation' : entry.state.coldSource,
           };
         }
       });
--- a/packages/gateway/src/lifecycle/createGatewayContext.ts
+++ b/packages/gateway/src/lifecycle/createGatewayContext.ts
@@ -67,6 +67,17 @@
     ownId: own.id,
     regionHosts,
     limitOf: serverLimits.limitOf,
+    onLimitedSend(send) {
+      const heardAtMs = peers.aliveIn(region).map(({ lastHeartbeatAtMs }) => lastHeartbeatAtMs);
+      const hostsAgeMs = Math.round(
+        clock.monotonicMs() - Math.min(clock.monotonicMs(), ...heardAtMs),
+      );
+      log.info('rate-limited-send', { ...send, hostsAgeMs });
+      metrics.increment('rate_limited_sends', {
+        limit: send.limit,
+        source: send.coldSource ?? 'response',
+      });
+    },
   });
   const serverView = createServerView({
     clock,
--- a/packages/gateway/src/limits/createServerRateLimiter.ts
+++ b/packages/gateway/src/limits/createServerRateLimiter.ts
@@ -1,5 +1,5 @@
-import type { Clock, HostId } from '@camphorbarrow/core';
-import type { ServerState } from '../model/ServerState.js';
+import type { Clock, HostId, ServerId } from '@camphorbarrow/core';
+import type { ColdSource, ServerState } from '../model/ServerState.js';
 import { rankByRendezvous } from '../routing/rankByRendezvous.js';
 
 /** Number of entry hosts that may send requests to the same cold server. */
@@ -16,8 +16,27 @@
   readonly regionHosts: () => readonly HostId[];
   /** Limit that the server named for all hosts together; undefined if there is none. */
   readonly limitOf: (server: ServerState) => number | undefined;
+  /** Called with each request that is sent to a server with a limited rate. */
+  readonly onLimitedSend?: (send: LimitedSend) => void;
 }
 
+/** Request to a server with a limited rate, and the view of the region that permitted it. */
+export interface LimitedSend {
+  readonly serverId: ServerId;
+  readonly limit: RateLimit;
+  /** How this host knows that the server is cold; undefined if it is not. */
+  readonly coldSource: ColdSource | undefined;
+  /** Time for which the server stays cold, as far as this host knows; 0 if it is warm. */
+  readonly coldRemainingMs: number;
+  /** Hosts that may send to the server, separated by spaces. */
+  readonly senders: string;
+  /** Number of hosts from which the senders were selected. */
+  readonly hostCount: number;
+}
+
+/** Reason for which the rate of requests to a server is limited. */
+type RateLimit = 'cold' | 'named';
+
 /** Limits the rate of requests to servers that are cold or have named a limit. */
 export interface ServerRateLimiter {
   /**
@@ -26,13 +45,18 @@
    * @param coldRequestsPerSecond limit while the server is cold; 0 means none
    */
   permits(server: ServerState, coldRequestsPerSecond: number): boolean;
-  /** Records that a request is being sent to the server. */
-  recordSend(server: ServerState): void;
+  /**
+   * Records that a request is being sent to the server.
+   *
+   * @param coldRequestsPerSecond limit while the server is cold; 0 means none
+   */
+  recordSend(server: ServerState, coldRequestsPerSecond?: number): void;
   /** Drops the records of all other incarnations. */
   retain(incarnations: ReadonlySet<string>): void;
 }
 
 interface SharedRate {
+  readonly limit: RateLimit;
   readonly requestsPerSecond: number;
   /** Number of hosts that share the rate equally. */
   readonly senders: number;
@@ -61,6 +85,7 @@
       ...(isCold
         ? [
             {
+              limit: 'cold' as const,
               requestsPerSecond: coldRequestsPerSecond,
               senders: SENDERS_PER_COLD_SERVER,
               burst: COLD_BURST,
@@ -71,6 +96,7 @@
         ? []
         : [
             {
+              limit: 'named' as const,
               requestsPerSecond: Math.max(MIN_REQUESTS_PER_SECOND, limit),
               senders: Math.max(MIN_SENDERS_PER_LIMITED_SERVER, Math.ceil(limit)),
               burst: LIMITED_BURST,
@@ -79,14 +105,29 @@
     ];
   }
 
+  // The first part of an incarnation is the server's id, which is the same on all hosts.
+  const rankHosts = ({ incarnation }: ServerState): readonly string[] =>
+    rankByRendezvous(incarnation.split('#')[0] ?? '', options.regionHosts());
+
+  function reportSend(server: ServerState, { limit, senders }: SharedRate): void {
+    const hosts = rankHosts(server);
+    options.onLimitedSend?.({
+      serverId: server.registration.id,
+      limit,
+      coldSource: limit === 'cold' ? server.coldSource : undefined,
+      coldRemainingMs: Math.round(Math.max(0, server.coldUntilMs - clock.monotonicMs())),
+      senders: hosts.slice(0, senders).join(' '),
+      hostCount: hosts.length,
+    });
+  }
+
   return {
     permits(server, coldRequestsPerSecond) {
       const rates = ratesOf(server, coldRequestsPerSecond);
       if (rates.length === 0) {
         return true;
       }
-      // The first part of an incarnation is the server's id, which is the same on all hosts.
-      const hosts = rankByRendezvous(server.incarnation.split('#')[0] ?? '', options.regionHosts());
+      const hosts = rankHosts(server);
       const sends = sentAtMs.get(server.incarnation) ?? [];
       return rates.every(({ requestsPerSecond, senders, burst }) => {
         const intervalMs = (1_000 * Math.min(senders, hosts.length)) / requestsPerSecond;
@@ -94,7 +135,12 @@
         return hosts.slice(0, senders).includes(options.ownId) && elapsedMs >= burst * intervalMs;
       });
     },
-    recordSend({ incarnation }) {
+    recordSend(server, coldRequestsPerSecond = 0) {
+      const { incarnation } = server;
+      const [rate] = ratesOf(server, coldRequestsPerSecond);
+      if (rate !== undefined) {
+        reportSend(server, rate);
+      }
       const sends = [clock.monotonicMs(), ...(sentAtMs.get(incarnation) ?? [])];
       sentAtMs.set(incarnation, sends.slice(0, Math.max(COLD_BURST, LIMITED_BURST)));
     },
--- a/packages/gateway/src/routing/createServerView.ts
+++ b/packages/gateway/src/routing/createServerView.ts
@@ -62,7 +62,9 @@
       )
       .map((server) => {
         const coldUntilMs = health.coldUntilMs(server, service.coldStartMs);
-        return coldUntilMs > server.coldUntilMs ? { ...server, coldUntilMs } : server;
+        return coldUntilMs > server.coldUntilMs
+          ? { ...server, coldUntilMs, coldSource: 'loss' }
+          : server;
       });
   }
 
