Select the senders of a cold server among the registered hosts

Cause: the senders of a cold server were the first two by rendezvous among the hosts that each host had heard of. Hosts that hear nothing of each other, or that have just started and have heard of few, each counted themselves among them, and each began with a free request. Class: a limit for the whole fleet that is kept by views that differ.

Change: createSenderSelection ranks the hosts that are registered in the store, which all hosts of a region learn within a second and which do not depend on heartbeats. A host that becomes a sender waits 1.5 s, by when all others have learned of the change; one that is replaced stops at once; a host that is no longer registered keeps its place for 5 s, so that registrations which a store loses and gets back change nothing. There is one sender for each request a second (three in place of two at 2.53/s), so that each sends at most one request in a second, and up to three more than the intended ones stay within the bound. Servers that name a limit use the same selection.

Evidence. coldServerSenders.test.ts simulates 65 hosts with their registries and views; on the code before, with the hosts of peers.aliveIn as createEntryHost passed them:

hosts of two zones that hear nothing of each other 8 in a second 30 hosts that start together and have heard of few others 36 in a second

Its three other tests (killed hosts that stay registered, views of the store that differ by 0.8 s beside hosts that come and go, registrations lost and returned) pass before as well: they guard the new selection. All five pass now. createSenderSelection.test.ts: never more than three senders for a server while views differ by up to 1.4 s; fails with a settling time or a retention of 0. All gateway tests (301 before the last file was added) and entryHost.serverLimits, entryHost.fleet and entryHost.restoredStore (20 tests) pass.

Cost: a cold or limited server gets nothing from the place of a killed host until its registration has expired (10 s) and 5 s more.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -64,6 +64,7 @@
 export * from './limits/createLeavingServers.js';
 export * from './limits/createPartTrials.js';
 export * from './limits/createRetryBudget.js';
+export * from './limits/createSenderSelection.js';
 export * from './limits/createServerLimits.js';
 export * from './limits/createServerPauses.js';
 export * from './limits/createServerRateLimiter.js';
--- a/packages/gateway/src/lifecycle/createEntryHost.ts
+++ b/packages/gateway/src/lifecycle/createEntryHost.ts
@@ -84,7 +84,6 @@
     view,
     ownIncarnation,
     closing: drain.closing,
-    regionHosts,
   });
   const { loads, paces, prefixes, crashGuard, serverConnections, peerConnections } = context;
   const inFlight = createInFlightTracker();
--- a/packages/gateway/src/lifecycle/createGatewayContext.ts
+++ b/packages/gateway/src/lifecycle/createGatewayContext.ts
@@ -40,8 +40,6 @@
   readonly ownIncarnation: string;
   /** Aborts when requests in flight have to end. */
   readonly closing: AbortSignal;
-  /** Active entry hosts of this region, including this one. */
-  readonly regionHosts: () => readonly HostId[];
 }
 
 /** Context of request handling, and the view of servers that heartbeats report capacity from. */
@@ -52,7 +50,7 @@
 
 /** Creates the routing, limiting and connection state of one entry host. */
 export function createGatewayContext(options: GatewayContextOptions): GatewayContextParts {
-  const { clock, random, log, metrics, codec, own, bounds, peers, view, regionHosts } = options;
+  const { clock, random, log, metrics, codec, own, bounds, peers, view } = options;
   const { region } = own;
   const loads = createLoadTracker(clock, () => peers.aliveIn(region));
   const speeds = createSpeedTracker();
@@ -65,14 +63,15 @@
   const serverRateLimiter = createServerRateLimiter({
     clock,
     ownId: own.id,
-    regionHosts,
+    regionHosts: () =>
+      view
+        .hosts()
+        .filter((host) => host.region === region)
+        .map(({ id }) => id),
     limitOf: serverLimits.limitOf,
     onLimitedSend(send) {
-      const heardAtMs = peers.aliveIn(region).map(({ lastHeartbeatAtMs }) => lastHeartbeatAtMs);
-      const hostsAgeMs = Math.round(
-        clock.monotonicMs() - Math.min(clock.monotonicMs(), ...heardAtMs),
-      );
-      log.info('rate-limited-send', { ...send, hostsAgeMs });
+      const viewAgeMs = Math.round(clock.monotonicMs() - view.confirmedAtMs());
+      log.info('rate-limited-send', { ...send, viewAgeMs });
       metrics.increment('rate_limited_sends', {
         limit: send.limit,
         source: send.coldSource ?? 'response',
--- a/packages/gateway/src/limits/createServerRateLimiter.ts
+++ b/packages/gateway/src/limits/createServerRateLimiter.ts
@@ -1,18 +1,17 @@
 import type { Clock, HostId, ServerId } from '@camphorbarrow/core';
 import type { ColdSource, ServerState } from '../model/ServerState.js';
-import { rankByRendezvous } from '../routing/rankByRendezvous.js';
+import { createSenderSelection } from './createSenderSelection.js';
+import type { SenderSet } from './createSenderSelection.js';
 
-/** Number of entry hosts that may send requests to the same cold server. */
-const SENDERS_PER_COLD_SERVER = 2;
-/** Minimum number of entry hosts that may send requests to a server that named a limit. */
-const MIN_SENDERS_PER_LIMITED_SERVER = 2;
+/** Minimum number of entry hosts that may send requests to a server with a limited rate. */
+const MIN_SENDERS = 2;
 /** Rate at which a server with a limit of zero is asked, so that the end of the limit is noticed. */
 const MIN_REQUESTS_PER_SECOND = 0.2;
 
 export interface ServerRateLimiterOptions {
   readonly clock: Clock;
   readonly ownId: HostId;
-  /** Active entry hosts of this region, including this one. */
+  /** Entry hosts of this region that are registered in the store. */
   readonly regionHosts: () => readonly HostId[];
   /** Limit that the server named for all hosts together; undefined if there is none. */
   readonly limitOf: (server: ServerState) => number | undefined;
@@ -69,14 +68,22 @@
 const COLD_BURST = 1;
 
 /**
- * Creates a limiter. All entry hosts compute the same senders for a server, and each of them uses
- * its share of the rate, so the hosts need not communicate. In any period a server gets at most its
- * rate plus one burst per sender.
+ * Number of hosts that share a rate. One for each request a second, so that a host with an outdated view
+ * that sends, too, adds at most one request in any second.
+ */
+const countSenders = (requestsPerSecond: number): number =>
+  Math.max(MIN_SENDERS, Math.ceil(requestsPerSecond));
+
+/**
+ * Creates a limiter. All entry hosts compute the same senders for a server from the registrations in
+ * the store, and each of them uses its share of the rate, so the hosts need not communicate. In any
+ * period a server gets at most its rate plus one burst per sender.
  */
 export function createServerRateLimiter(options: ServerRateLimiterOptions): ServerRateLimiter {
   const { clock } = options;
   /** Times of the latest sends, the latest first. */
   const sentAtMs = new Map<string, readonly number[]>();
+  const selection = createSenderSelection(options);
 
   function ratesOf(server: ServerState, coldRequestsPerSecond: number): readonly SharedRate[] {
     const isCold = server.coldUntilMs > clock.monotonicMs() && coldRequestsPerSecond > 0;
@@ -87,7 +94,7 @@
             {
               limit: 'cold' as const,
               requestsPerSecond: coldRequestsPerSecond,
-              senders: SENDERS_PER_COLD_SERVER,
+              senders: countSenders(coldRequestsPerSecond),
               burst: COLD_BURST,
             },
           ]
@@ -98,26 +105,25 @@
             {
               limit: 'named' as const,
               requestsPerSecond: Math.max(MIN_REQUESTS_PER_SECOND, limit),
-              senders: Math.max(MIN_SENDERS_PER_LIMITED_SERVER, Math.ceil(limit)),
+              senders: countSenders(limit),
               burst: LIMITED_BURST,
             },
           ]),
     ];
   }
 
-  // The first part of an incarnation is the server's id, which is the same on all hosts.
-  const rankHosts = ({ incarnation }: ServerState): readonly string[] =>
-    rankByRendezvous(incarnation.split('#')[0] ?? '', options.regionHosts());
+  const selectSenders = ({ registration }: ServerState, { senders }: SharedRate): SenderSet =>
+    selection.select(registration.id, senders);
 
-  function reportSend(server: ServerState, { limit, senders }: SharedRate): void {
-    const hosts = rankHosts(server);
+  function reportSend(server: ServerState, rate: SharedRate): void {
+    const { senders, candidateCount } = selectSenders(server, rate);
     options.onLimitedSend?.({
       serverId: server.registration.id,
-      limit,
-      coldSource: limit === 'cold' ? server.coldSource : undefined,
+      limit: rate.limit,
+      coldSource: rate.limit === 'cold' ? server.coldSource : undefined,
       coldRemainingMs: Math.round(Math.max(0, server.coldUntilMs - clock.monotonicMs())),
-      senders: hosts.slice(0, senders).join(' '),
-      hostCount: hosts.length,
+      senders: senders.join(' '),
+      hostCount: candidateCount,
     });
   }
 
@@ -127,12 +133,12 @@
       if (rates.length === 0) {
         return true;
       }
-      const hosts = rankHosts(server);
       const sends = sentAtMs.get(server.incarnation) ?? [];
-      return rates.every(({ requestsPerSecond, senders, burst }) => {
-        const intervalMs = (1_000 * Math.min(senders, hosts.length)) / requestsPerSecond;
-        const elapsedMs = clock.monotonicMs() - (sends[burst - 1] ?? -Infinity);
-        return hosts.slice(0, senders).includes(options.ownId) && elapsedMs >= burst * intervalMs;
+      return rates.every((rate) => {
+        const { senders, isSender } = selectSenders(server, rate);
+        const intervalMs = (1_000 * senders.length) / rate.requestsPerSecond;
+        const elapsedMs = clock.monotonicMs() - (sends[rate.burst - 1] ?? -Infinity);
+        return isSender && elapsedMs >= rate.burst * intervalMs;
       });
     },
     recordSend(server, coldRequestsPerSecond = 0) {
@@ -145,6 +151,9 @@
       sentAtMs.set(incarnation, sends.slice(0, Math.max(COLD_BURST, LIMITED_BURST)));
     },
     retain(incarnations) {
+      selection.observe();
+      // The first part of an incarnation is the server's id.
+      selection.retain(new Set([...incarnations].map((each) => each.split('#')[0] ?? '')));
       [...sentAtMs.keys()]
         .filter((incarnation) => !incarnations.has(incarnation))
         .forEach((incarnation) => sentAtMs.delete(incarnation));
