Count registered hosts in the share of the retry budget

Cause: the slack was divided by the number of peers that a host had heard of. Change: by the number of hosts registered in the store, if that is higher.

--- a/packages/gateway/src/lifecycle/createGatewayContext.ts
+++ b/packages/gateway/src/lifecycle/createGatewayContext.ts
@@ -148,7 +148,12 @@
     serverLimits,
     leavingServers,
     serverPauses,
-    retryBudget: createRetryBudget({ clock, bounds, hostCount: () => peers.known().length + 1 }),
+    retryBudget: createRetryBudget({
+      clock,
+      bounds,
+      // A host that has just started has heard of few others.
+      hostCount: () => Math.max(peers.known().length + 1, view.hosts().length),
+    }),
     crashGuard,
     partSuspicion,
     partTrials: createPartTrials({ clock, suspicion: trialSuspicion, ownId: own.id, hosts }),
--- a/packages/gateway/tests/limits/coldServerSenders.test.ts
+++ b/packages/gateway/tests/limits/coldServerSenders.test.ts
@@ -1,17 +1,10 @@
 import test from 'ava';
-import { asId, createBodyMemory, createManualClock, createSeededRandom } from '@camphorbarrow/core';
+import { asId, createManualClock } from '@camphorbarrow/core';
 import type { HostId, ManualClock, WatchEvent } from '@camphorbarrow/core';
-import { createFleetView, createGatewayContext, createPeerRegistry } from '../../src/index.js';
-import type {
-  FleetChange,
-  FleetView,
-  GatewayContext,
-  PeerHeartbeat,
-  PeerRegistry,
-  ServerState,
-} from '../../src/index.js';
+import type { PeerHeartbeat, ServerState } from '../../src/index.js';
 import { buildHost, buildServer } from '../support/builders.js';
-import { silentLog, discardingMetrics } from '../support/silentSinks.js';
+import { createSimulatedHost, SIMULATED_REGION } from '../support/createSimulatedHost.js';
+import type { SimulatedHost } from '../support/createSimulatedHost.js';
 
 const COLD_PER_S = 2.53;
 /** Bound of the deployments: cold_per_s x cold_over + cold_slack. */
@@ -24,17 +17,8 @@
 
 const hostId = (index: number): HostId => asId<HostId>(`front-${index}`);
 
-function decode({ key, kind }: WatchEvent): FleetChange {
-  const registration = kind === 'put' ? buildHost(key, 'north') : undefined;
-  return { kind: 'host', id: asId(key), registration };
-}
-
-interface SimulatedHost {
-  readonly id: HostId;
+interface PlayedHost extends SimulatedHost {
   readonly startedAtMs: number;
-  readonly view: FleetView;
-  readonly peers: PeerRegistry;
-  readonly limiter: GatewayContext['serverRateLimiter'];
   /** Revision of the store that the view shows. */
   revision: number;
 }
@@ -61,40 +45,11 @@
   readonly ends?: ReadonlyMap<number, { readonly atMs: number; readonly starts?: number }>;
 }
 
-function createHost(index: number, clock: ManualClock): SimulatedHost {
-  const id = hostId(index);
-  const own = buildHost(id, 'north');
-  const peers = createPeerRegistry(clock, silentLog, own.region);
-  const view = createFleetView({
-    clock,
-    log: silentLog,
-    decode,
-    regionOfZone: () => own.region,
-    coldAfterEvacuationMs: () => 0,
-  });
-  const { context } = createGatewayContext({
-    clock,
-    random: createSeededRandom(index),
-    log: silentLog,
-    metrics: discardingMetrics,
-    codec: {} as GatewayContext['codec'],
-    own,
-    bounds: () => ({
-      graceMs: 1_000,
-      retryRatio: 0.2,
-      retrySlack: 50,
-      retryWindowMs: 10_000,
-      serverHeartbeatMs: 1_200,
-    }),
-    requestBodies: createBodyMemory(1),
-    peers,
-    view,
-    ownIncarnation: id,
-    closing: new AbortController().signal,
-  });
-  const limiter = context.serverRateLimiter;
-  return { id, startedAtMs: clock.monotonicMs(), view, peers, limiter, revision: 0 };
-}
+const startHost = (index: number, clock: ManualClock): PlayedHost => ({
+  ...createSimulatedHost(hostId(index), clock),
+  startedAtMs: clock.monotonicMs(),
+  revision: 0,
+});
 
 /** Lets all hosts send whatever they may to cold servers. Returns the times of sends per server. */
 function play(scenario: Scenario): readonly (readonly number[])[] {
@@ -109,8 +64,8 @@
     atMs,
     event: { kind, key: hostId(host), value: '', modRevision: index + 1 },
   }));
-  const hosts: (SimulatedHost | undefined)[] = Array.from({ length: HOST_COUNT }, (_, index) =>
-    createHost(index, clock),
+  const hosts: (PlayedHost | undefined)[] = Array.from({ length: HOST_COUNT }, (_, index) =>
+    startHost(index, clock),
   );
   const servers: ServerState[] = Array.from({ length: SERVER_COUNT }, (_, index) => ({
     ...buildServer({ id: asId(`server-${index}`) }),
@@ -118,7 +73,7 @@
   }));
   const sentAtMs: number[][] = servers.map(() => []);
 
-  function update(host: SimulatedHost, index: number, nowMs: number): void {
+  function update(host: PlayedHost, index: number, nowMs: number): void {
     const due = stored.filter(({ atMs }) => atMs + viewDelayMs(index) <= nowMs);
     if (due.length > host.revision) {
       const events = due.slice(host.revision).map(({ event }) => event);
@@ -135,7 +90,7 @@
       hosts.forEach((sender, other) => {
         if (receiver && sender && index !== other && hears(index, other) && isDue(index, other)) {
           receiver.peers.recordHeartbeat({
-            host: buildHost(sender.id, 'north'),
+            host: buildHost(sender.id, SIMULATED_REGION),
             incarnation: String(sender.startedAtMs),
             sentAtMs: nowMs,
           } as unknown as PeerHeartbeat);
@@ -151,7 +106,7 @@
         hosts[index] = undefined;
       }
       if (end?.starts === nowMs) {
-        hosts[index] = createHost(index, clock);
+        hosts[index] = startHost(index, clock);
       }
       if (host !== undefined) {
         update(host, index, nowMs);
@@ -164,8 +119,8 @@
     );
     hosts.forEach((host) => {
       servers.forEach((server, index) => {
-        if (host?.limiter.permits(server, COLD_PER_S) === true) {
-          host.limiter.recordSend(server, COLD_PER_S);
+        if (host?.context.serverRateLimiter.permits(server, COLD_PER_S) === true) {
+          host.context.serverRateLimiter.recordSend(server, COLD_PER_S);
           sentAtMs[index]?.push(nowMs);
         }
       });
