Stop following the cache of an engine that enough other hosts follow

Cause: a host decided once, when it first saw an engine, whether it is one of its followers, from the hosts that it had heard of by then. Hosts that start together have heard of few others and followed many engines for as long as these ran.

Change: followers are selected among the hosts registered in the store, and each host checks before every call that it still is one; when it stops, it discards the engine's reports.

Evidence: runCacheFollower.test.ts, "a host stops following an engine once enough other hosts follow it": 30 of 30 engines before, under a third now.

--- a/packages/gateway/src/lifecycle/createEntryHost.ts
+++ b/packages/gateway/src/lifecycle/createEntryHost.ts
@@ -73,10 +73,11 @@
     regionOfZone: options.regionOfZone,
     coldAfterEvacuationMs: () => COLD_HEARTBEAT_COUNT * bounds().serverHeartbeatMs,
   });
-  const regionHosts = (): readonly HostId[] => [
-    own.id,
-    ...peers.aliveIn(own.region).map(({ heartbeat }) => heartbeat.host.id),
-  ];
+  const regionHosts = (): readonly HostId[] =>
+    view
+      .hosts()
+      .filter(({ region }) => region === own.region)
+      .map(({ id }) => id);
   const ownIncarnation = randomUUID();
   const { context, serverView } = createGatewayContext({
     ...options,
--- a/packages/gateway/src/routing/runCacheFollower.ts
+++ b/packages/gateway/src/routing/runCacheFollower.ts
@@ -21,7 +21,7 @@
   readonly log: LogSink;
   readonly ownId: HostId;
   readonly region: RegionId;
-  /** Active entry hosts of this region, including this one. */
+  /** Entry hosts of this region that are registered in the store. */
   readonly regionHosts: () => readonly HostId[];
   readonly view: FleetView;
   readonly feed: CacheFeed;
@@ -57,7 +57,7 @@
     const { incarnation } = server;
     let since = 0;
     let epoch: string | undefined;
-    while (!signal.aborted && isCurrent(server)) {
+    while (!signal.aborted && isCurrent(server) && isFollower(server)) {
       // What an engine asks for in a response has been read then.
       await waitForPoll();
       if (signal.aborted) {
@@ -87,6 +87,7 @@
         await clock.sleep(RETRY_DELAY_MS, signal).catch(() => undefined);
       }
     }
+    prefixes.discardReports(incarnation);
   }
 
   while (!signal.aborted) {
--- a/packages/gateway/tests/routing/runCacheFollower.test.ts
+++ b/packages/gateway/tests/routing/runCacheFollower.test.ts
@@ -5,6 +5,7 @@
 import test from 'ava';
 import type { ExecutionContext } from 'ava';
 import { asId, createSystemClock } from '@camphorbarrow/core';
+import type { HostId } from '@camphorbarrow/core';
 import { createPrefixCacheTracker, runCacheFollower } from '../../src/index.js';
 import type { FleetView, ServerState } from '../../src/index.js';
 import { buildServer, buildService } from '../support/builders.js';
@@ -15,6 +16,7 @@
   t: ExecutionContext,
   engines: readonly ServerState[],
   mayCall: (server: ServerState) => boolean,
+  regionHosts: () => readonly HostId[] = () => [asId('host-1')],
 ) {
   const clock = createSystemClock();
   const stop = new AbortController();
@@ -25,7 +27,7 @@
     log: silentLog,
     ownId: asId('host-1'),
     region: asId('north'),
-    regionHosts: () => [asId('host-1')],
+    regionHosts,
     view: {
       table: () => ({ services: new Map([[service.name, service]]) }),
       servers: {
@@ -58,6 +60,30 @@
   t.deepEqual(called, [engines[1]]);
 });
 
+// Hosts that had started together and knew few others went on to follow every engine, which rejected
+// calls of up to 36 hosts with 429.
+test('a host stops following an engine once enough other hosts follow it', async (t) => {
+  const others = Array.from({ length: 64 }, (_, index) => asId<HostId>(`host-${index + 2}`));
+  const engines = Array.from({ length: 30 }, (_, index) =>
+    buildServer({ id: asId(`server-${index}`) }),
+  );
+  let hosts: readonly HostId[] = [asId('host-1')];
+  const called = startFollower(
+    t,
+    engines,
+    () => true,
+    () => hosts,
+  );
+  await sleep(200);
+  t.is(new Set(called).size, engines.length);
+  hosts = [asId('host-1'), ...others];
+  await sleep(700);
+  called.length = 0;
+  await sleep(1_500);
+  const followed = new Set(called).size;
+  t.true(followed < engines.length / 3, `${followed} engines`);
+});
+
 test.serial(
   'no cache call goes to an engine that has asked for a pause while the process stood still',
   async (t) => {
