Test a small region whose cold servers lose one of their senders

Three hosts, one killed and registered for 10 s more: the others send at their shares meanwhile and at the whole rate from 5 s after its registration ended.

--- a/packages/gateway/tests/limits/coldServerSenders.test.ts
+++ b/packages/gateway/tests/limits/coldServerSenders.test.ts
@@ -10,7 +10,7 @@
 /** Bound of the deployments: cold_per_s x cold_over + cold_slack. */
 const MAX_REQUESTS_PER_SECOND = COLD_PER_S * 1.5 + 3;
 const STEP_MS = 20;
-const HOST_COUNT = 65;
+const LARGE_REGION_HOSTS = 65;
 /** Interval at which a host hears of each other one: four of them in each round of 100 ms. */
 const HEARTBEAT_STEPS = 1_600 / STEP_MS;
 const SERVER_COUNT = 12;
@@ -29,6 +29,8 @@
 }
 
 interface Scenario {
+  /** Number of hosts in the region. @default 65 */
+  readonly hostCount?: number;
   readonly durationMs: number;
   /** Whether heartbeats of one host reach the other. */
   readonly hears?: (receiver: number, sender: number) => boolean;
@@ -54,9 +56,14 @@
 /** Lets all hosts send whatever they may to cold servers. Returns the times of sends per server. */
 function play(scenario: Scenario): readonly (readonly number[])[] {
   const clock = createManualClock();
-  const { hears = () => true, viewDelayMs = () => 0, isAbsent = () => false } = scenario;
+  const {
+    hostCount = LARGE_REGION_HOSTS,
+    hears = () => true,
+    viewDelayMs = () => 0,
+    isAbsent = () => false,
+  } = scenario;
   const stored: StoredChange[] = [
-    ...Array.from({ length: HOST_COUNT }, (_, index) => index)
+    ...Array.from({ length: hostCount }, (_, index) => index)
       .filter((index) => !isAbsent(index))
       .map((index) => ({ atMs: -Infinity, kind: 'put' as const, host: index })),
     ...(scenario.changes ?? []),
@@ -64,7 +71,7 @@
     atMs,
     event: { kind, key: hostId(host), value: '', modRevision: index + 1 },
   }));
-  const hosts: (PlayedHost | undefined)[] = Array.from({ length: HOST_COUNT }, (_, index) =>
+  const hosts: (PlayedHost | undefined)[] = Array.from({ length: hostCount }, (_, index) =>
     startHost(index, clock),
   );
   const servers: ServerState[] = Array.from({ length: SERVER_COUNT }, (_, index) => ({
@@ -165,16 +172,35 @@
   t.true(minimumOf(sends, 21_000) >= 6, 'others take the places of lost hosts');
 });
 
+test('hosts of a small region go on sending to cold servers after one of them was killed', (t) => {
+  const sends = play({
+    hostCount: 3,
+    durationMs: 24_000,
+    ends: new Map([[0, { atMs: 3_000 }]]),
+    changes: [{ atMs: 13_000, host: 0, kind: 'delete' }],
+  });
+  t.true(busiestOf(sends) <= MAX_REQUESTS_PER_SECOND, `${busiestOf(sends)} in a second`);
+  const whileRegistered = sends.map((sentAtMs) =>
+    sentAtMs.filter((at) => at >= 3_000 && at < 13_000),
+  );
+  t.true(minimumOf(whileRegistered, 0) >= 0.6 * COLD_PER_S * 10, 'the others use their shares');
+  t.true(minimumOf(sends, 19_000) >= 0.9 * COLD_PER_S * 5, 'the others use the whole rate');
+});
+
 // Views of the store differ by up to 0.8 s, and every 0.2 s one host leaves and another comes.
 test('hosts that learn of new and removed hosts at different times do not flood a cold server', (t) => {
   const changes = Array.from({ length: 40 }, (_, index) => [
     { atMs: 2_000 + index * 200, host: index, kind: 'delete' as const },
-    { atMs: 2_000 + index * 200 + 100, host: (index + 25) % HOST_COUNT, kind: 'put' as const },
+    {
+      atMs: 2_000 + index * 200 + 100,
+      host: (index + 25) % LARGE_REGION_HOSTS,
+      kind: 'put' as const,
+    },
   ]).flat();
   const sends = play({
     durationMs: 18_000,
     changes,
-    isAbsent: (host) => host >= 25 && host < HOST_COUNT,
+    isAbsent: (host) => host >= 25 && host < LARGE_REGION_HOSTS,
     viewDelayMs: (host) => (host * 37) % 800,
   });
   t.true(busiestOf(sends) <= MAX_REQUESTS_PER_SECOND, `${busiestOf(sends)} in a second`);
