Order the hosts that try a suspected prompt part by registration

What callers would see: requests with a prompt part that crashes servers reach several servers at once (BUDGET) after hosts have started or while heartbeats are lost.

Cause: the first host by rendezvous among those that a host had heard of may try a suspected part. A host that has heard of none takes itself for the first. Class: a limit for the whole fleet that is kept by views that differ, as the senders of a cold server.

Change: the order is that of the registered hosts, with the ones that were heard of.

A registered host that is gone delays a trial by one step of a second, as one that was heard of lately did.

--- a/packages/gateway/src/lifecycle/createGatewayContext.ts
+++ b/packages/gateway/src/lifecycle/createGatewayContext.ts
@@ -108,9 +108,13 @@
     loads,
   });
   const partSuspicion = createPartSuspicion(clock);
+  // Hosts that have heard of different peers would each take themselves for the first.
   const hosts = (): readonly HostId[] => [
-    own.id,
-    ...peers.alive().map(({ heartbeat }) => heartbeat.host.id),
+    ...new Set([
+      own.id,
+      ...view.hosts().map(({ id }) => id),
+      ...peers.alive().map(({ heartbeat }) => heartbeat.host.id),
+    ]),
   ];
   const crashGuard = createCrashGuard({
     clock,
--- a/packages/gateway/src/limits/createPartTrials.ts
+++ b/packages/gateway/src/limits/createPartTrials.ts
@@ -11,7 +11,7 @@
   /** A part may also stand for a whole request that crashed servers. */
   readonly suspicion: Pick<PartSuspicion, 'suspectsAmong' | 'suspectedSinceMs'>;
   readonly ownId: HostId;
-  /** Reachable entry hosts of all regions, including this one. */
+  /** Entry hosts of all regions that are registered or reachable, including this one. */
   readonly hosts: () => readonly HostId[];
 }
 
