Keep the senders of a cold server while no host of the region is registered

What callers would see: in a region of one or two hosts, requests are rejected as rate-limited for seconds although a cold server, or one that names a limit, would take some. A store that refuses a third of the hosts for 9 s and ends their leases can hit all hosts of such a region.

Cause: a host whose registration was lost stops 3.5 s later, so that others can take its place. If no host of the region is registered, there is none to take it.

Change: the last known hosts keep their places until one of the region is registered again; from then on the others stop as before.

The other tests of the selection and of the limiter pass.

--- a/packages/gateway/src/limits/createSenderSelection.ts
+++ b/packages/gateway/src/limits/createSenderSelection.ts
@@ -8,8 +8,9 @@
  */
 export const SENDER_SETTLE_MS = 1_500;
 /**
- * Time for which a host that is no longer registered keeps its place. Longer than the interval at which
- * hosts renew their registrations, so that the loss of registrations in the store changes no senders.
+ * Time for which a host that is no longer registered keeps its place; as long as no host of the region
+ * is registered, all of them do. Longer than the interval at which hosts renew their registrations, so
+ * that the loss of registrations in the store changes no senders.
  */
 export const REMOVED_SENDER_RETENTION_MS = 5_000;
 /** Maximum age of the candidates; they are needed for each server of each choice. */
@@ -57,11 +58,14 @@
   const candidates = new Map<HostId, Candidate>();
   const rankings = new Map<string, readonly string[]>();
   let observedAtMs = -Infinity;
+  /** Whether no host of the region is registered, so that none can take the place of another. */
+  let isRegionUnregistered = true;
 
   function observe(): void {
     const nowMs = clock.monotonicMs();
     observedAtMs = nowMs;
     const registered = new Set(options.regionHosts());
+    isRegionUnregistered = registered.size === 0;
     registered.forEach((id) => {
       const candidate = candidates.get(id);
       if (candidate === undefined) {
@@ -75,7 +79,8 @@
       .filter(([id]) => !registered.has(id))
       .forEach(([id, candidate]) => {
         candidate.removedAtMs ??= nowMs;
-        if (nowMs - candidate.removedAtMs >= REMOVED_SENDER_RETENTION_MS) {
+        const removedForMs = nowMs - candidate.removedAtMs;
+        if (!isRegionUnregistered && removedForMs >= REMOVED_SENDER_RETENTION_MS) {
           candidates.delete(id);
           rankings.clear();
         }
@@ -89,7 +94,8 @@
     return (
       own !== undefined &&
       (candidates.size === 1 || nowMs - own.registeredAtMs >= SENDER_SETTLE_MS) &&
-      nowMs - (own.removedAtMs ?? Infinity) < REMOVED_SENDER_RETENTION_MS - SENDER_SETTLE_MS
+      (isRegionUnregistered ||
+        nowMs - (own.removedAtMs ?? Infinity) < REMOVED_SENDER_RETENTION_MS - SENDER_SETTLE_MS)
     );
   }
 
--- a/packages/gateway/tests/limits/coldServerSenders.test.ts
+++ b/packages/gateway/tests/limits/coldServerSenders.test.ts
@@ -220,3 +220,21 @@
   const during = sends.map((sentAtMs) => sentAtMs.filter((at) => at >= 4_000 && at < 8_000));
   t.true(minimumOf(during, 0) >= 6, 'the servers get requests all the time');
 });
+
+// Hosts without a registration sent nothing, and no host of the region had one.
+test('hosts of a small region whose registrations are all lost go on sending to cold servers', (t) => {
+  const sends = play({
+    hostCount: 2,
+    durationMs: 20_000,
+    changes: [
+      { atMs: 3_000, host: 0, kind: 'delete' },
+      { atMs: 3_000, host: 1, kind: 'delete' },
+      { atMs: 12_000, host: 1, kind: 'put' },
+      { atMs: 13_500, host: 0, kind: 'put' },
+    ],
+    viewDelayMs: (host) => host * 700,
+  });
+  t.true(busiestOf(sends) <= MAX_REQUESTS_PER_SECOND, `${busiestOf(sends)} in a second`);
+  const whileLost = sends.map((sentAtMs) => sentAtMs.filter((at) => at >= 3_000 && at < 12_000));
+  t.true(minimumOf(whileLost, 0) >= 0.9 * COLD_PER_S * 9, 'the servers get their whole rate');
+});
