Send the report of a crash to all hosts before it expires

What callers would see: a request that crashes servers reaches more of them (BUDGET), as hosts of other regions have not heard of an earlier crash.

Cause: heartbeats to all hosts are paced by their bytes, and a report is sent for 3 s. After a large send, the next one came when the report had expired. By the regular rounds a host of another region is reached once in 4.4 s at 195 hosts.

Change: the pause is at most 2 s.

Evidence: the new test of createPacedSend fails before.

--- a/packages/gateway/src/lifecycle/createEntryHost.ts
+++ b/packages/gateway/src/lifecycle/createEntryHost.ts
@@ -45,6 +45,8 @@
 const UNREGISTER_TIMEOUT_MS = 200;
 /** Rate of heartbeats to all hosts after crashes: a fifth of a link of 10 Mbit/s. */
 const URGENT_BYTES_PER_SECOND = 250_000;
+/** Maximum pause between them; a crash is reported for 3 s only. */
+const MAX_URGENT_PAUSE_MS = 2_000;
 /** Interval at which state of removed servers and peers is dropped. */
 const HOUSEKEEPING_INTERVAL_MS = 1_000;
 /** Number of heartbeats after an evacuation until a server's report of being cold is used. */
@@ -213,6 +215,7 @@
     clock,
     log,
     bytesPerSecond: URGENT_BYTES_PER_SECOND,
+    maxPauseMs: MAX_URGENT_PAUSE_MS,
     send: heartbeats.sendToAll,
     signal: stop.signal,
   });
--- a/packages/gateway/tests/peers/createPacedSend.test.ts
+++ b/packages/gateway/tests/peers/createPacedSend.test.ts
@@ -7,6 +7,7 @@
 const silentLog: LogSink = { info() {}, warn() {}, error() {} };
 const BYTES_PER_SECOND = 1_000;
 const SEND_BYTES = 500;
+const MAX_PAUSE_MS = 2_000;
 
 function startPacedSend(send = (): number => SEND_BYTES) {
   const clock = createManualClock();
@@ -16,6 +17,7 @@
     clock,
     log: silentLog,
     bytesPerSecond: BYTES_PER_SECOND,
+    maxPauseMs: MAX_PAUSE_MS,
     send() {
       sentAtMs.push(clock.monotonicMs());
       return send();
@@ -82,3 +84,15 @@
   await advance(1_000);
   t.is(sentAtMs.length, 1);
 });
+
+// After a send to 194 hosts, the next one came when the report of the crash was no longer sent.
+test('a change after a large send waits for the maximum pause at most', async (t) => {
+  const { request, advance, sentAtMs } = startPacedSend(() => 10 * BYTES_PER_SECOND);
+  request();
+  await advance(100);
+  request();
+  await advance(MAX_PAUSE_MS - 101);
+  t.deepEqual(sentAtMs, [0]);
+  await advance(1);
+  t.deepEqual(sentAtMs, [0, MAX_PAUSE_MS]);
+});
