Report how many requests all hosts had on a crashed server

What callers would see: an innocent request is rejected as quarantined for a minute at hosts that missed a part of the reports of a crash.

Cause: a share in a crash is divided among the requests or suspects that are known, and a report named the largest number that one host had, so a host with one of two reports counted a suspect in full.

Change: a report carries the numbers of requests and suspects of all hosts that its sender knows at that time. Its size stays the same.

A host that has heard nothing but one report from a host that knew no others yet still counts too much until more arrive.

--- a/packages/core/src/quarantine/createCrashTracker.ts
+++ b/packages/core/src/quarantine/createCrashTracker.ts
@@ -13,6 +13,11 @@
    * Adds a report, or merges it with the known report of the same crash. Returns the merged report.
    */
   merge(report: CrashReport): CrashReport;
+  /** Numbers of requests and of suspects in all known reports of the same crash together. */
+  knownCounts(report: CrashReport): {
+    readonly runningCount: number;
+    readonly suspectCount: number;
+  };
   /**
    * Sum of the request's shares in all remembered crashes. A crash counts as 1, divided equally
    * between the suspects that ran on the server, or between all its requests when none was a
@@ -54,6 +59,8 @@
   };
 }
 
+const crashKey = ({ serverId, incarnation }: CrashReport): string => `${serverId} ${incarnation}`;
+
 /** Creates the tracker of crashes. Merging reports is idempotent and commutative. */
 export function createCrashTracker(options: CrashTrackerOptions): CrashTracker {
   const { clock } = options;
@@ -131,7 +138,7 @@
 
   return {
     merge(report) {
-      const key = `${report.serverId} ${report.incarnation}`;
+      const key = crashKey(report);
       const known = crashes.get(key);
       const reports = known === undefined ? [report] : [known.report, report];
       const counts = reports.map(countsOf);
@@ -154,6 +161,7 @@
       evict();
       return merged;
     },
+    knownCounts: (report) => countsOf(crashes.get(crashKey(report))?.report ?? report),
     crashScore,
     lastCrashAtMs: (fingerprint) =>
       Math.max(-Infinity, ...countedCrashes(fingerprint).map(({ atMs }) => atMs)),
--- a/packages/gateway/src/limits/createCrashGuard.ts
+++ b/packages/gateway/src/limits/createCrashGuard.ts
@@ -143,12 +143,8 @@
       running: [...new Set([...(known?.running ?? []), ...fingerprints])],
       suspects: [...new Set([...(known?.suspects ?? []), ...suspects])],
     };
-    const { runningCount, suspectCount } = tracker.merge(own);
-    recent.set(server.incarnation, {
-      report: { ...own, runningCount, suspectCount },
-      atMs,
-      reportedAtMs: clock.monotonicMs(),
-    });
+    tracker.merge(own);
+    recent.set(server.incarnation, { report: own, atMs, reportedAtMs: clock.monotonicMs() });
     log.warn('server-crashed', {
       serverId: id,
       running: fingerprints.length,
@@ -202,6 +198,8 @@
     );
     return latest.map(({ report: each, atMs }) => ({
       ...each,
+      // A host that misses the reports of others divides by the numbers of all requests nevertheless.
+      ...tracker.knownCounts(each),
       ageMs: Math.round(nowMs - atMs),
       running: each.running.slice(0, maxRequests),
       suspects: each.suspects.slice(0, maxRequests),
