Report a quarantine also while a crash of own requests is reported

What callers would see: a request that crashes servers reaches another one (BUDGET) at a host that has started or was cut off.

Cause: for 3 s after a crash, the report of a host's own requests on that server took the place of the one that says which quarantined request of another host ran there.

Change: both are sent; receivers add them up.

Evidence: the new test of createCrashGuard.partialReports fails before. The tests of the size of reports pass.

--- a/packages/gateway/src/limits/createCrashGuard.ts
+++ b/packages/gateway/src/limits/createCrashGuard.ts
@@ -256,12 +256,7 @@
         .filter((incarnation) => !incarnations.has(incarnation))
         .forEach(confirmCrash);
     },
-    reports() {
-      const recentOnes = recentReports();
-      const isRecent = ({ incarnation }: CrashReport): boolean =>
-        recentOnes.some((each) => each.incarnation === incarnation);
-      return [...recentOnes, ...quarantineReports().filter((each) => !isRecent(each))];
-    },
+    reports: () => [...recentReports(), ...quarantineReports()],
     mergeReports(reports) {
       reports.forEach((crash) => tracker.merge(crash));
     },
--- a/packages/gateway/tests/limits/createCrashGuard.partialReports.test.ts
+++ b/packages/gateway/tests/limits/createCrashGuard.partialReports.test.ts
@@ -47,3 +47,16 @@
   t.false(isQuarantined(second, innocent));
   t.false(isQuarantined(third, innocent));
 });
+
+// The report of its own request took the place of the one about the quarantined request.
+test('a host whose request was running beside a quarantined one reports the quarantine', (t) => {
+  const clock = createManualClock();
+  const [first, second, third] = [createGuard(clock), createGuard(clock), createGuard(clock)];
+  crashServer(first, 1, crashing);
+  crashServer(first, 2, crashing);
+  crashServer(second, 2, innocent);
+  second.mergeReports(first.reports());
+  t.true(isQuarantined(second, crashing));
+  third.mergeReports(second.reports());
+  t.true(isQuarantined(third, crashing));
+});
