Send followers the changes of a listing, not a full copy

What callers would see: hosts on small links answer late while the store loses its history, as each loss sends all hosts of a region full copies of the store.

Cause: a listing after the loss of the history emptied the log of changes, so that followers at an earlier position, and those that follow them, got everything. Class: control traffic that grows with the fleet.

Change: how a listing differs from what was known goes into the log like other changes; only the first listing, and one of a restored store, starts it anew.

Evidence: the new test of createFleetView fails before (complete: true); the tests of the view, of restored stores and of the fleet pass.

--- a/packages/gateway/src/fleet/createChangeLog.ts
+++ b/packages/gateway/src/fleet/createChangeLog.ts
@@ -11,7 +11,7 @@
   append(key: string, revision: StoreRevision): void;
   /** Keys that changed after the revision; undefined if the log does not go back that far. */
   since(revision: StoreRevision): ReadonlySet<string> | undefined;
-  /** Clears the log after a listing, which has no individual changes before the revision. */
+  /** Starts the log anew at a listing whose differences from what was known are not in it. */
   reset(revision: StoreRevision): void;
 }
 
--- a/packages/gateway/src/fleet/createFleetView.ts
+++ b/packages/gateway/src/fleet/createFleetView.ts
@@ -119,7 +119,10 @@
       applyRestoredListing(listing);
     } else {
       applyEvents(replica.applyListing(listing));
-      changes.reset(listing.revision);
+      // What a later listing changes is in the log already.
+      if (known.revision === 0) {
+        changes.reset(listing.revision);
+      }
     }
     return true;
   }
--- a/packages/gateway/tests/fleet/createFleetView.test.ts
+++ b/packages/gateway/tests/fleet/createFleetView.test.ts
@@ -134,3 +134,23 @@
   clock.advance(3_000);
   t.is(follower.servers.all().length, 0);
 });
+
+// Each follower got a full copy, and sent full copies to those that asked it.
+test('a listing after the loss of the history is sent to followers as changes', (t) => {
+  const view = setUp();
+  view.applyListing({ items: [put('north-a', '', 1), put('south-a', '', 2)], era: 1, revision: 3 });
+  const follower = setUp();
+  follower.applyPeerUpdate(view.updateSince(follower.position()));
+  view.applyListing({ items: [put('south-a', '', 2), put('west-a', '', 6)], era: 1, revision: 7 });
+  const update = view.updateSince(follower.position());
+  t.false(update.complete);
+  t.like(update, { items: [put('west-a', '', 6)], removals: [{ key: 'north-a', modRevision: 7 }] });
+  t.deepEqual([update.items.length, update.removals.length], [1, 1]);
+  follower.applyPeerUpdate(update);
+  t.is(follower.position().revision, 7);
+  t.deepEqual(
+    ['north-a', 'south-a', 'west-a'].map((zone) => follower.isEvacuated(asId(zone))),
+    [false, true, true],
+  );
+  t.false(follower.updateSince({ era: 1, revision: 3 }).complete);
+});
