Log the maximum length of a stream, and count how streams end by it

The log of a request had its prompt tokens and an estimate of its events, which mixes the caller's estimate with the usual length of the route, and nothing of an earlier request that it resumes. Whether long streams are rejected, broken off, late or left could not be told by size.

--- a/packages/gateway/src/exchange/describeChoice.ts
+++ b/packages/gateway/src/exchange/describeChoice.ts
@@ -11,6 +11,7 @@
     estimateMs: Math.round(choice.estimateMs),
     waitMs: Math.round(choice.waitMs),
     finishMs: Math.round(choice.finishMs),
+    typicalFinishMs: Math.round(choice.typicalFinishMs),
   };
   if (choice.kind === 'region') {
     return { destination: choice.peer.heartbeat.host.id, ...estimates };
--- a/packages/gateway/src/exchange/serveExchange.ts
+++ b/packages/gateway/src/exchange/serveExchange.ts
@@ -1,5 +1,6 @@
 import { runAfterPoll } from '@camphorbarrow/core';
 import { describeChoice } from './describeChoice.js';
+import { describeStreamOutcome } from './describeStreamOutcome.js';
 import type { Exchange } from './Exchange.js';
 import type { ExchangeProgress } from './ExchangeProgress.js';
 import type { GatewayContext } from './GatewayContext.js';
@@ -102,6 +103,14 @@
   const kind = route.delivery === 'events' ? 'stream' : 'call';
   const labels = { service: exchange.service.name, kind };
   context.metrics.increment('requests', { ...labels, status: String(status) });
+  if (kind === 'stream' && exchange.relayedBy === undefined) {
+    const outcome = describeStreamOutcome(exchange.metadata.maxOutputTokens, progress, {
+      status,
+      isExpired,
+      hasCallerLeft: responseWriter.disconnected.aborted,
+    });
+    context.metrics.increment('stream_outcomes', { service: exchange.service.name, ...outcome });
+  }
   if (progress.firstEventMs !== undefined) {
     context.metrics.timingMs('first_event', progress.firstEventMs, labels);
   }
@@ -115,7 +124,11 @@
     remainingMs: Math.round(exchange.deadlineAtMs - exchange.arrivedAtMs),
     events: progress.eventCount,
     promptTokens: exchange.metadata.promptTokens,
+    maxOutputTokens: exchange.metadata.maxOutputTokens,
+    expectedOutputTokens: exchange.metadata.expectedOutputTokens,
     expectedEvents: Math.round(exchange.expectedEvents),
+    resumedAfter: exchange.metadata.lastEventId,
+    lastEventId: progress.lastEventId,
     reportedWaiting: progress.reportedWaiting,
     firstEventMs: roundMs(progress.firstEventMs),
     longestGapMs: roundMs(progress.longestGapMs),
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -15,6 +15,7 @@
 export * from './exchange/createResponseWriter.js';
 export * from './exchange/describeChoice.js';
 export * from './exchange/describeEvents.js';
+export * from './exchange/describeStreamOutcome.js';
 export * from './exchange/forwardEvents.js';
 export * from './exchange/forwardToPeer.js';
 export * from './exchange/forwardToServer.js';
