Log the software version of servers and the stream that a request resumes

The hosts' logs did not tell which version wrote the events of a stream, nor which requests go on with one. The request line now has serverVersion, resumes and resumesAfter. No decision depends on these yet.

--- a/packages/gateway/src/exchange/describeChoice.ts
+++ b/packages/gateway/src/exchange/describeChoice.ts
@@ -17,6 +17,7 @@
   }
   return {
     destination: choice.server.registration.id,
+    serverVersion: choice.server.registration.softwareVersion,
     ...estimates,
     rank: choice.rank,
     uncachedTokens: choice.uncachedTokens,
--- a/packages/gateway/src/exchange/serveExchange.ts
+++ b/packages/gateway/src/exchange/serveExchange.ts
@@ -107,6 +107,8 @@
   }
   context.log.info('request', {
     requestId: exchange.metadata.attemptId,
+    resumes: exchange.metadata.resumes,
+    resumesAfter: exchange.metadata.lastEventId,
     route: route.name,
     service: exchange.service.name,
     tableVersion: exchange.tableVersion,
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -81,6 +81,7 @@
 export * from './model/ServerState.js';
 export * from './model/ServiceName.js';
 export * from './model/ServiceSpec.js';
+export * from './model/SoftwareVersion.js';
 export * from './model/StorePosition.js';
 export * from './model/StoreUpdate.js';
 export * from './model/isEndpoint.js';
--- a/packages/gateway/src/model/RequestMetadata.ts
+++ b/packages/gateway/src/model/RequestMetadata.ts
@@ -20,4 +20,9 @@
   readonly promptParts: readonly PromptPart[];
   /** Id of the last event that the caller received from an interrupted stream. */
   readonly lastEventId: string | undefined;
+  /**
+   * Attempt that brought the caller the first event of the stream that it resumes. Undefined if the
+   * caller names none, or a text that is no attempt id.
+   */
+  readonly resumes: AttemptId | undefined;
 }
--- a/packages/gateway/src/model/ServerRegistration.ts
+++ b/packages/gateway/src/model/ServerRegistration.ts
@@ -1,6 +1,7 @@
 import type { AvailabilityZoneId, ServerId } from '@camphorbarrow/core';
 import type { Endpoint } from './Endpoint.js';
 import type { ServiceName } from './ServiceName.js';
+import type { SoftwareVersion } from './SoftwareVersion.js';
 
 /** Registration that a backend server writes to the store. */
 export interface ServerRegistration {
@@ -8,6 +9,8 @@
   readonly service: ServiceName;
   readonly endpoint: Endpoint;
   readonly zone: AvailabilityZoneId;
+  /** What servers of several versions write does not fit together in one stream. */
+  readonly softwareVersion: SoftwareVersion;
   /** Maximum number of requests that the server processes concurrently. */
   readonly slots: number;
   readonly state: 'ready' | 'draining';
--- a/packages/gateway/tests/support/builders.ts
+++ b/packages/gateway/tests/support/builders.ts
@@ -17,6 +17,7 @@
     service: asId('model'),
     endpoint: { host: '10.0.0.1', port: 8000 },
     zone: asId('north-a'),
+    softwareVersion: asId('v1'),
     slots: 64,
     state: 'ready',
     coldRemainingMs: 0,
@@ -78,6 +79,7 @@
     expectedOutputTokens: undefined,
     promptParts: [],
     lastEventId: undefined,
+    resumes: undefined,
     ...overrides,
   };
 }
