--- a/packages/gateway/src/exchange/Exchange.ts
+++ b/packages/gateway/src/exchange/Exchange.ts
@@ -1,6 +1,7 @@
 import type { BodyBuffers, Fingerprint, PromptPartKey } from '@camphorbarrow/core';
 import type { Route } from '../model/Route.js';
 import type { RequestMetadata } from '../model/RequestMetadata.js';
+import type { SoftwareVersion } from '../model/SoftwareVersion.js';
 import type { ServiceSpec } from '../model/ServiceSpec.js';
 import type { ResponseWriter } from './ResponseWriter.js';
 
@@ -32,6 +33,8 @@
   readonly deadlineAtMs: number;
   /** Entry host that relayed the request; undefined when it came from a caller. */
   readonly relayedBy: string | undefined;
+  /** Version at which the relaying host requires the stream to go on. */
+  readonly requiredVersion: SoftwareVersion | undefined;
   /** Time in transit from the relaying host, in excess of a heartbeat's; undefined if unknown. */
   readonly excessTransitMs: number | undefined;
   readonly responseWriter: ResponseWriter;
--- a/packages/gateway/src/exchange/ExchangeProgress.ts
+++ b/packages/gateway/src/exchange/ExchangeProgress.ts
@@ -1,8 +1,13 @@
 import type { HostId, ServerId } from '@camphorbarrow/core';
 import type { LocalChoice, RegionChoice } from '../routing/Destination.js';
+import type { SoftwareVersion } from '../model/SoftwareVersion.js';
+import type { VersionFinding } from '../streams/createStreamVersions.js';
 import type { BufferedResponse } from './AttemptResult.js';
 import type { StopCause } from './StopCause.js';
 
+/** `relay`: named by the host that relayed the request; `response`: of the server that began it. */
+export type VersionSource = VersionFinding['source'] | 'relay' | 'response';
+
 /** Mutable state of the attempts to serve one request. */
 export interface ExchangeProgress {
   /** Number of attempts, whether or not they reached a server. */
@@ -13,6 +18,10 @@
   runs: number;
   /** Id of the last event that the caller has received; a resumed stream continues after it. */
   lastEventId: string | undefined;
+  /** Version at which the stream was begun, once that is known. */
+  requiredVersion: SoftwareVersion | undefined;
+  /** How the version is known; `unknown` ends a stream that is interrupted. */
+  versionSource: VersionSource | undefined;
   /** Latest error response of a server; sent to the caller when no other attempt succeeds. */
   errorResponse: BufferedResponse | undefined;
   readonly triedServers: Set<ServerId>;
--- a/packages/gateway/src/exchange/GatewayContext.ts
+++ b/packages/gateway/src/exchange/GatewayContext.ts
@@ -16,6 +16,8 @@
 import type { ServerPauses } from '../limits/createServerPauses.js';
 import type { ServerRateLimiter } from '../limits/createServerRateLimiter.js';
 import type { WireCodec } from '../ports/WireCodec.js';
+import type { ServerState } from '../model/ServerState.js';
+import type { SoftwareVersion } from '../model/SoftwareVersion.js';
 import type { TransitTracker } from '../peers/createTransitTracker.js';
 import type { LoadTracker } from '../routing/createLoadTracker.js';
 import type { OutputLengthEstimator } from '../routing/createOutputLengthEstimator.js';
@@ -24,6 +26,7 @@
 import type { Router } from '../routing/createRouter.js';
 import type { ServerHealth } from '../routing/createServerHealth.js';
 import type { SpeedTracker } from '../routing/createSpeedTracker.js';
+import type { StreamVersions } from '../streams/createStreamVersions.js';
 import type { ConnectionPools } from '../upstream/createConnectionPools.js';
 
 /** Services and state that request handling depends on. */
@@ -64,6 +67,13 @@
   /** Prompt parts that are suspected of crashing servers. */
   readonly partSuspicion: PartSuspicion;
   readonly partTrials: PartTrials;
+  /** Software versions that began the streams of callers. */
+  readonly streamVersions: StreamVersions;
+  /**
+   * Version of the process that responds as this server. Undefined if its entry may be of an earlier
+   * process while the service has several versions.
+   */
+  readonly versionOf: (server: ServerState) => SoftwareVersion | undefined;
   /** Transit times of messages from peers. */
   readonly transits: TransitTracker;
   /** Connections to backend servers. */
--- a/packages/gateway/src/exchange/StopCause.ts
+++ b/packages/gateway/src/exchange/StopCause.ts
@@ -8,6 +8,10 @@
   | 'rate-limited'
   | 'servers-leaving'
   | 'servers-paused'
+  /** No server of the version that began the stream is left. */
+  | 'version-gone'
+  /** It is not known which version began the stream. */
+  | 'version-unknown'
   | 'overloaded'
   | 'retry-budget'
   | 'prompt-part'
--- /dev/null
+++ b/packages/gateway/src/exchange/findStreamVersion.ts
@@ -0,0 +1,37 @@
+import type { Exchange } from './Exchange.js';
+import type { ExchangeProgress } from './ExchangeProgress.js';
+import type { GatewayContext } from './GatewayContext.js';
+
+/**
+ * Finds the software version at which a resumed stream must go on. Returns false if it is not known
+ * while the service has several; the stream must then not go on.
+ */
+export async function findStreamVersion(
+  context: GatewayContext,
+  exchange: Exchange,
+  progress: ExchangeProgress,
+  signal: AbortSignal,
+): Promise<boolean> {
+  const { metadata, route, service } = exchange;
+  if (exchange.requiredVersion !== undefined) {
+    progress.requiredVersion = exchange.requiredVersion;
+    progress.versionSource = 'relay';
+    return true;
+  }
+  if (metadata.lastEventId === undefined || !route.resumable) {
+    return true;
+  }
+  const { version, source } = await context.streamVersions.find(
+    metadata.resumes,
+    service.name,
+    signal,
+  );
+  progress.requiredVersion = version;
+  progress.versionSource = source;
+  context.metrics.increment('resumed_streams', { service: service.name, source });
+  if (version === undefined) {
+    progress.causes.push('software version of the stream is unknown');
+    progress.stopCause = 'version-unknown';
+  }
+  return version !== undefined;
+}
--- a/packages/gateway/src/exchange/forwardEvents.ts
+++ b/packages/gateway/src/exchange/forwardEvents.ts
@@ -16,6 +16,11 @@
   readonly isContinuation: boolean;
   /** Called before the first event is forwarded. */
   readonly onFirstEvent: () => void;
+  /**
+   * Called with the first event, which is held until the result is known; false ends the stream
+   * without it.
+   */
+  readonly admitFirstEvent?: () => boolean | Promise<boolean>;
   /** Called for each chunk that completes events, with their number. */
   readonly onEvents: (count: number) => void;
   /** Longest pause between events; undefined for no limit. */
@@ -28,7 +33,7 @@
 export interface ForwardEventsResult {
   /** Whether the stream ended normally, and not inside an event. */
   readonly complete: boolean;
-  readonly cause: 'end' | 'broken' | 'silent' | 'cancelled';
+  readonly cause: 'end' | 'broken' | 'silent' | 'cancelled' | 'not-admitted';
   readonly hasForwardedEvents: boolean;
   /** Id of the last forwarded event. */
   readonly lastEventId: string | undefined;
@@ -95,6 +100,15 @@
     }
   }
 
+  /** Whether the events may be forwarded; waits for no turn of the event loop without need. */
+  function admitEvents(): boolean | Promise<boolean> {
+    if (hasForwardedEvents || options.admitFirstEvent === undefined) {
+      return true;
+    }
+    gapTimeout?.close();
+    return options.admitFirstEvent();
+  }
+
   async function forwardEvent(bytes: Buffer): Promise<void> {
     if (!hasForwardedEvents) {
       options.onFirstEvent();
@@ -136,9 +150,13 @@
         !hasForwardedEvents &&
         events.hasFields &&
         events.eventCount === 0;
+      const admitted = isForeign || !events.hasFields || admitEvents();
+      const isAdmitted = typeof admitted === 'boolean' ? admitted : await admitted;
       if (isForeign) {
         stop('broken');
-      } else if (events.hasFields) {
+      } else if (!isAdmitted) {
+        stop('not-admitted');
+      } else if (events.hasFields && !signal.aborted) {
         bytesSinceEvent = remainder.sizeBytes();
         lastEventId = events.lastEventId ?? lastEventId;
         options.onEvents(events.eventCount);
--- a/packages/gateway/src/exchange/forwardToPeer.ts
+++ b/packages/gateway/src/exchange/forwardToPeer.ts
@@ -1,3 +1,4 @@
+import type { SoftwareVersion } from '../model/SoftwareVersion.js';
 import type { Destination } from '../routing/Destination.js';
 import { relayLoadId } from '../routing/relayLoadId.js';
 import { formatEndpoint } from '../upstream/createConnectionPools.js';
@@ -6,9 +7,11 @@
 import type { Exchange } from './Exchange.js';
 import type { GatewayContext } from './GatewayContext.js';
 import { receiveResponse } from './receiveResponse.js';
+import type { ReceiveResponseOptions } from './receiveResponse.js';
 import { NOT_ARRIVED, relayHeaders, stripRelayHeaders } from './relayHeaders.js';
 import { formatSendTime } from './sendTimeHeader.js';
 import { stripHopByHopHeaders } from './stripHopByHopHeaders.js';
+import { formatVersion, parseVersion } from './versionHeader.js';
 import type { AttemptResult } from './AttemptResult.js';
 import type { AttemptSignals } from './AttemptSignals.js';
 
@@ -27,6 +30,9 @@
   readonly onResponseStart: () => void;
   /** Called for each chunk that completes events, with their number. */
   readonly onEvents: (count: number) => void;
+  /** Version of the servers that may take the request; undefined for any. */
+  readonly requiredVersion: SoftwareVersion | undefined;
+  readonly admitStream: ReceiveResponseOptions['admitStream'];
 }
 
 async function receiveFromPeer(
@@ -69,6 +75,8 @@
     response,
     metadata: context.codec.readResponse(response.headers),
     expectedServer: undefined,
+    serverVersion: () => parseVersion(response.headers[relayHeaders.serverVersion]),
+    admitStream: options.admitStream,
     signal,
     onResponseStart,
     onEvents: options.onEvents,
@@ -78,7 +86,7 @@
 
 /** Relays the request to an entry host of another region, which serves it there or rejects it. */
 export async function forwardToPeer(options: ForwardToPeerOptions): Promise<AttemptResult> {
-  const { context, exchange, destination, signal } = options;
+  const { context, exchange, destination, signal, requiredVersion } = options;
   const { peer } = destination;
   const { host } = peer.heartbeat;
   const remainingMs = Math.floor(exchange.deadlineAtMs - context.clock.monotonicMs());
@@ -93,6 +101,9 @@
       incarnation: context.ownIncarnation,
       sentAtMs: context.clock.monotonicMs(),
     }),
+    ...(requiredVersion === undefined
+      ? []
+      : [relayHeaders.requiredVersion, formatVersion(requiredVersion)]),
     'Content-Length',
     String(exchange.body.length),
   ];
--- a/packages/gateway/src/exchange/forwardToServer.ts
+++ b/packages/gateway/src/exchange/forwardToServer.ts
@@ -40,6 +40,7 @@
   readonly onResponseStart: () => void;
   /** Called for each chunk that completes events, with their number. */
   readonly onEvents: (count: number) => void;
+  readonly admitStream: ReceiveResponseOptions['admitStream'];
 }
 
 function responseTimeoutMs({
@@ -80,6 +81,9 @@
       break;
     case 'unknown':
     case 'interrupted':
+      if (result.cause === 'not-admitted') {
+        break;
+      }
       if (result.cause === 'silent') {
         context.health.recordTimeout(incarnation, sentAtMs);
         context.serverConnections.closeIdle(incarnation);
@@ -182,6 +186,8 @@
     response,
     metadata,
     expectedServer: server.registration.id,
+    serverVersion: () => context.versionOf(server),
+    admitStream: options.admitStream,
     signal,
     ...callbacks,
     maxEventGapMs:
--- a/packages/gateway/src/exchange/receiveResponse.ts
+++ b/packages/gateway/src/exchange/receiveResponse.ts
@@ -1,11 +1,14 @@
 import type { IncomingMessage } from 'node:http';
 import type { ServerId } from '@camphorbarrow/core';
 import type { ResponseMetadata } from '../model/ResponseMetadata.js';
+import type { SoftwareVersion } from '../model/SoftwareVersion.js';
 import { discardBody } from '../upstream/discardBody.js';
 import { readFullBody } from '../upstream/readFullBody.js';
 import type { Exchange } from './Exchange.js';
 import { forwardEvents } from './forwardEvents.js';
+import { relayHeaders, stripRelayHeaders } from './relayHeaders.js';
 import { stripHopByHopHeaders } from './stripHopByHopHeaders.js';
+import { formatVersion } from './versionHeader.js';
 import type { AttemptResult } from './AttemptResult.js';
 
 /** Maximum size of a response that is buffered. */
@@ -32,6 +35,10 @@
   readonly onResponseStart: () => void;
   /** Called for each chunk that completes events, with their number. */
   readonly onEvents: (count: number) => void;
+  /** Version of the server that responds; undefined if it is not certain. */
+  readonly serverVersion: () => SoftwareVersion | undefined;
+  /** Decides whether a stream of a server with this version may be forwarded. */
+  readonly admitStream: (version: SoftwareVersion | undefined) => boolean | Promise<boolean>;
   /** Longest pause between events; undefined for no limit. */
   readonly maxEventGapMs: number | undefined;
   /** Checked after such a pause; while it returns true, the stream is not ended. */
@@ -77,6 +84,12 @@
   return contentType === undefined || contentType.startsWith(EVENT_STREAM_TYPE);
 }
 
+/** Headers that tell the relaying host which version writes the stream. */
+function versionHeaders({ exchange, serverVersion }: ReceiveResponseOptions): readonly string[] {
+  const version = exchange.relayedBy === undefined ? undefined : serverVersion();
+  return version === undefined ? [] : [relayHeaders.serverVersion, formatVersion(version)];
+}
+
 async function receiveEvents(options: ReceiveResponseOptions): Promise<AttemptResult> {
   const { exchange, response } = options;
   const { responseWriter } = exchange;
@@ -84,7 +97,8 @@
   const startResponse = (): void => {
     options.onResponseStart();
     if (!responseWriter.isStarted()) {
-      responseWriter.writeHead(status, stripHopByHopHeaders(response.rawHeaders));
+      const headers = stripRelayHeaders(stripHopByHopHeaders(response.rawHeaders));
+      responseWriter.writeHead(status, [...headers, ...versionHeaders(options)]);
     }
   };
   const result = await forwardEvents({
@@ -93,6 +107,7 @@
     bodies: exchange.bodies,
     isContinuation: responseWriter.isStarted(),
     onFirstEvent: startResponse,
+    admitFirstEvent: () => options.admitStream(options.serverVersion()),
     onEvents: options.onEvents,
     maxEventGapMs: options.maxEventGapMs,
     ...(options.keepWaiting === undefined ? {} : { keepWaiting: options.keepWaiting }),
@@ -124,7 +139,7 @@
     return signal.aborted ? { kind: 'cancelled' } : { kind: 'unknown', cause: body.kind };
   }
   const { bytes } = body;
-  const headers = stripHopByHopHeaders(response.rawHeaders);
+  const headers = stripRelayHeaders(stripHopByHopHeaders(response.rawHeaders));
   if (status < FIRST_ERROR_STATUS) {
     exchange.responseWriter.send(status, headers, bytes);
     return { kind: 'delivered', status };
--- a/packages/gateway/src/exchange/relayHeaders.ts
+++ b/packages/gateway/src/exchange/relayHeaders.ts
@@ -6,6 +6,10 @@
   service: 'x-entry-host-service',
   /** Incarnation of the relaying host and time of sending on its monotonic clock. */
   sentAt: 'x-entry-host-sent-at',
+  /** Software version at which a stream must go on, encoded as a URI component. */
+  requiredVersion: 'x-entry-host-required-version',
+  /** On a stream: software version of its server if that is certain, encoded as a URI component. */
+  serverVersion: 'x-entry-host-server-version',
   /** On an error response: `not-run` or `unknown`. */
   outcome: 'x-entry-host-outcome',
   /** On an error response: code of the error. */
--- a/packages/gateway/src/exchange/runAttempts.ts
+++ b/packages/gateway/src/exchange/runAttempts.ts
@@ -1,3 +1,5 @@
+import type { SoftwareVersion } from '../model/SoftwareVersion.js';
+import { admitStream } from './admitStream.js';
 import type { AttemptResult } from './AttemptResult.js';
 import type { AttemptSignals } from './AttemptSignals.js';
 import type { Exchange } from './Exchange.js';
@@ -15,7 +17,12 @@
 const INITIAL_RETRY_PAUSE_MS = 200;
 const MAX_RETRY_PAUSE_MS = 1_600;
 /** Reasons to stop that a short pause does not change. */
-const LASTING_STOP_CAUSES: ReadonlySet<StopCause> = new Set(['prompt-part', 'quarantined']);
+const LASTING_STOP_CAUSES: ReadonlySet<StopCause> = new Set([
+  'prompt-part',
+  'quarantined',
+  'version-gone',
+  'version-unknown',
+]);
 
 /** Number of servers that may run the request; the relaying host retries a relayed one. */
 function maxRuns(exchange: Exchange): number {
@@ -59,7 +66,9 @@
       recordFailure(progress, result.cause);
       progress.lastEventId = result.lastEventId ?? progress.lastEventId;
       progress.runs += 1;
-      return route.resumable && progress.runs < maxRuns(exchange);
+      return (
+        route.resumable && progress.versionSource !== 'unknown' && progress.runs < maxRuns(exchange)
+      );
   }
 }
 
@@ -88,6 +97,8 @@
     progress.lastEventAtMs = nowMs;
     progress.eventCount += count;
   };
+  const admit = (version: SoftwareVersion | undefined): boolean | Promise<boolean> =>
+    admitStream(context, exchange, progress, version);
   progress.lastChoice = destination;
   progress.lastAttemptMs = context.clock.monotonicMs() - exchange.arrivedAtMs;
   if (destination.kind === 'region') {
@@ -100,6 +111,8 @@
       ...signals,
       onResponseStart,
       onEvents,
+      requiredVersion: progress.requiredVersion,
+      admitStream: admit,
     });
     // A rejection holds for the whole region, except by a draining host. After a failure of one of
     // its servers, another server of the region may still succeed.
@@ -123,9 +136,19 @@
     ...signals,
     onResponseStart,
     onEvents,
+    admitStream: admit,
   });
 }
 
+/** Whether a reserved attempt still goes to a server of the version that began the stream. */
+function isUsable({ destination }: PreparedAttempt, progress: ExchangeProgress): boolean {
+  return (
+    progress.requiredVersion === undefined ||
+    destination.kind === 'region' ||
+    destination.server.registration.softwareVersion === progress.requiredVersion
+  );
+}
+
 /**
  * Whether a request without a destination waits for one. The only other end of a stream that has
  * started is a response without its rest; the server that this host has given up might have
@@ -181,7 +204,8 @@
     ).finally(prepared.trial.end);
     const mayRepeat = recordResult(exchange, progress, result);
     if (!mayRepeat && result.kind !== 'delivered' && result.kind !== 'cancelled') {
-      progress.stopCause = 'not-repeatable';
+      const isUnknown = result.kind === 'interrupted' && progress.versionSource === 'unknown';
+      progress.stopCause = isUnknown ? 'version-unknown' : 'not-repeatable';
     }
     return mayRepeat;
   }
@@ -189,6 +213,10 @@
   try {
     for (;;) {
       let prepared: PreparedAttempt | undefined;
+      if (reserved !== undefined && !isUsable(reserved, progress)) {
+        reserved.trial.end();
+        reserved = undefined;
+      }
       if (reserved !== undefined) {
         await context.dispatchQueue.wait(startSignal);
         if (startSignal.aborted) {
--- a/packages/gateway/src/exchange/sendFinalResponse.ts
+++ b/packages/gateway/src/exchange/sendFinalResponse.ts
@@ -5,6 +5,7 @@
   type RequestError,
 } from '@camphorbarrow/core';
 import { createDrainingError } from '../errors/createDrainingError.js';
+import { StreamVersionError } from '../errors/StreamVersionError.js';
 import type { Route } from '../model/Route.js';
 import type { Exchange } from './Exchange.js';
 import type { ExchangeProgress } from './ExchangeProgress.js';
@@ -33,6 +34,11 @@
     const outcome = progress.attempts === 0 ? 'not-run' : 'unknown';
     return new DeadlineExceededError('No response before the deadline.', { props: { outcome } });
   }
+  if (progress.stopCause === 'version-unknown' || progress.stopCause === 'version-gone') {
+    return new StreamVersionError(`The stream cannot be resumed: ${cause}.`, {
+      props: { retryAfterMs: progress.retryAfterMs },
+    });
+  }
   return new NoServerError(`No server accepted the request: ${cause}.`, {
     props: { retryAfterMs: progress.retryAfterMs },
   });
--- a/packages/gateway/src/exchange/serveExchange.ts
+++ b/packages/gateway/src/exchange/serveExchange.ts
@@ -1,7 +1,9 @@
 import { runAfterPoll } from '@camphorbarrow/core';
+import type { AttemptResult } from './AttemptResult.js';
 import { describeChoice } from './describeChoice.js';
 import type { Exchange } from './Exchange.js';
 import type { ExchangeProgress } from './ExchangeProgress.js';
+import { findStreamVersion } from './findStreamVersion.js';
 import type { GatewayContext } from './GatewayContext.js';
 import { runAttempts } from './runAttempts.js';
 import { sendFinalResponse } from './sendFinalResponse.js';
@@ -29,6 +31,8 @@
     hasArrived: false,
     runs: 0,
     lastEventId: exchange.metadata.lastEventId,
+    requiredVersion: undefined,
+    versionSource: undefined,
     errorResponse: undefined,
     triedServers: new Set(),
     triedRegions: new Set(),
@@ -85,7 +89,11 @@
   const signals = { signal: end.signal, startSignal: start.signal };
 
   context.retryBudget.recordRequest(exchange.service.name);
-  const result = await runAttempts(context, exchange, progress, signals).finally(() => {
+  const attemptAll = async (): Promise<AttemptResult | undefined> =>
+    (await findStreamVersion(context, exchange, progress, start.signal))
+      ? runAttempts(context, exchange, progress, signals)
+      : undefined;
+  const result = await attemptAll().finally(() => {
     clearTimeout(timer);
     cancelEnd();
     responseWriter.disconnected.removeEventListener('abort', onDisconnect);
@@ -114,6 +122,8 @@
     tableVersion: exchange.tableVersion,
     relayedBy: exchange.relayedBy,
     ...describeChoice(progress.lastChoice),
+    requiredVersion: progress.requiredVersion,
+    versionSource: progress.versionSource,
     remainingMs: Math.round(exchange.deadlineAtMs - exchange.arrivedAtMs),
     events: progress.eventCount,
     promptTokens: exchange.metadata.promptTokens,
--- a/packages/gateway/src/exchange/toRoutingRequest.ts
+++ b/packages/gateway/src/exchange/toRoutingRequest.ts
@@ -12,7 +12,8 @@
   progress: Pick<
     ExchangeProgress,
     'runs' | 'lastEventId' | 'triedServers' | 'triedRegions' | 'rejectingHosts'
-  >,
+  > &
+    Partial<Pick<ExchangeProgress, 'requiredVersion'>>,
   remainingMs: number,
 ): RoutingRequest {
   const { route, service, metadata, expectedEvents, typicalEvents } = exchange;
@@ -28,5 +29,6 @@
     rejectingHosts: progress.rejectingHosts,
     isRetry: progress.runs > 0 || progress.lastEventId !== undefined,
     isRelayed: exchange.relayedBy !== undefined,
+    requiredVersion: progress.requiredVersion,
   };
 }
--- a/packages/gateway/src/fleet/createServerDirectory.ts
+++ b/packages/gateway/src/fleet/createServerDirectory.ts
@@ -68,6 +68,7 @@
     earlier.endpoint.host === later.endpoint.host &&
     earlier.endpoint.port === later.endpoint.port &&
     earlier.service === later.service &&
+    earlier.softwareVersion === later.softwareVersion &&
     earlier.startedAtMs === later.startedAtMs &&
     earlier.sequence <= later.sequence
   );
--- a/packages/gateway/src/ingress/createRequestHandler.ts
+++ b/packages/gateway/src/ingress/createRequestHandler.ts
@@ -17,6 +17,7 @@
 import { sendErrorResponse } from '../exchange/sendErrorResponse.js';
 import { parseSendTime } from '../exchange/sendTimeHeader.js';
 import { serveExchange } from '../exchange/serveExchange.js';
+import { parseVersion } from '../exchange/versionHeader.js';
 import type { FleetView } from '../fleet/createFleetView.js';
 import type { Route } from '../model/Route.js';
 import type { RoutingTable } from '../model/RoutingTable.js';
@@ -200,6 +201,9 @@
       arrivedAtMs,
       deadlineAtMs,
       relayedBy,
+      requiredVersion: isRelayed
+        ? parseVersion(firstHeaderValue(request, relayHeaders.requiredVersion))
+        : undefined,
       excessTransitMs,
       responseWriter,
     };
--- a/packages/gateway/src/lifecycle/createEntryHost.ts
+++ b/packages/gateway/src/lifecycle/createEntryHost.ts
@@ -44,6 +44,8 @@
 const UNREGISTER_TIMEOUT_MS = 200;
 /** Interval at which state of removed servers and peers is dropped. */
 const HOUSEKEEPING_INTERVAL_MS = 1_000;
+/** Interval at which new software versions of servers are noticed. */
+const STREAM_VERSION_UPDATE_INTERVAL_MS = 250;
 /** Number of heartbeats after an evacuation until a server's report of being cold is used. */
 const COLD_HEARTBEAT_COUNT = 2;
 
@@ -182,8 +184,10 @@
       partEvidence: context.partSuspicion.evidence(),
       partTrials: context.partTrials.running(),
       serverLimits: context.serverLimits.reports(),
+      versions: context.streamVersions.reports(),
     }),
     ownPartEvidence: () => context.partSuspicion.evidence('own'),
+    onDatagram: context.streamVersions.receive,
     onHeartbeat(heartbeat) {
       peers.recordHeartbeat(heartbeat);
       context.transits.recordHeartbeat(heartbeat);
@@ -191,12 +195,14 @@
       context.partTrials.recordPeer(heartbeat.host.id, heartbeat.partTrials);
       crashGuard.mergeReports(heartbeat.crashes);
       heartbeat.crashes.forEach(recordServerEnd);
+      context.streamVersions.mergeReports(heartbeat.versions ?? []);
       if (heartbeat.host.region === own.region) {
         context.serverLimits.mergeReports(heartbeat.serverLimits);
       }
     },
     intervalMs: HEARTBEAT_INTERVAL_MS,
   });
+  context.streamVersions.useTransport(heartbeats.send);
   // The attempt that reports a crash or starts a trial goes on without them.
   const reportAtOnce = logFailures(log, 'heartbeat-failed', heartbeats.sendToAll);
   crashGuard.onCrash(reportAtOnce);
@@ -217,6 +223,11 @@
     HOUSEKEEPING_INTERVAL_MS,
   );
 
+  const streamVersionUpdates = setInterval(
+    logFailures(log, 'stream-version-update-failed', context.streamVersions.update),
+    STREAM_VERSION_UPDATE_INTERVAL_MS,
+  );
+
   const tasks = [
     runStoreFollower({
       clock,
@@ -292,6 +303,7 @@
       inFlight.count(),
     );
     clearInterval(housekeeping);
+    clearInterval(streamVersionUpdates);
     eventLoopMonitor.close();
     heartbeats.close();
     listeners.forEach((listener) => listener.close());
--- a/packages/gateway/src/lifecycle/createGatewayContext.ts
+++ b/packages/gateway/src/lifecycle/createGatewayContext.ts
@@ -22,6 +22,8 @@
 import { createServerView } from '../routing/createServerView.js';
 import type { ServerView } from '../routing/createServerView.js';
 import { createSpeedTracker } from '../routing/createSpeedTracker.js';
+import { createServerVersions } from '../streams/createServerVersions.js';
+import { createStreamVersions } from '../streams/createStreamVersions.js';
 import { createConnectionPools } from '../upstream/createConnectionPools.js';
 import { refusesConnections } from '../upstream/refusesConnections.js';
 import type { EntryHostOptions } from './EntryHostOptions.js';
@@ -94,7 +96,14 @@
       serverRateLimiter,
       serverLimits,
     }),
-    chooseRegion: createRegionChooser({ clock, random, region, peers, loads }),
+    chooseRegion: createRegionChooser({
+      clock,
+      random,
+      region,
+      peers,
+      loads,
+      servers: view.servers.all,
+    }),
     loads,
   });
   const partSuspicion = createPartSuspicion(clock);
@@ -116,6 +125,14 @@
     suspectedSinceMs: (key: PromptPartKey): number =>
       Math.max(partSuspicion.suspectedSinceMs(key), crashGuard.quarantineEndMs(key)),
   };
+  const streamVersions = createStreamVersions({
+    clock,
+    log,
+    metrics,
+    ownId: own.id,
+    view,
+    peers,
+  });
   const context: GatewayContext = {
     ownId: own.id,
     ownIncarnation: options.ownIncarnation,
@@ -142,6 +159,8 @@
     crashGuard,
     partSuspicion,
     partTrials: createPartTrials({ clock, suspicion: trialSuspicion, ownId: own.id, hosts }),
+    streamVersions,
+    versionOf: createServerVersions({ view, health, isMixed: streamVersions.isMixed }),
     transits: createTransitTracker(clock),
     serverConnections: createConnectionPools(SERVER_IDLE_TIMEOUT_MS),
     peerConnections: createConnectionPools(PEER_IDLE_TIMEOUT_MS),
--- a/packages/gateway/src/peers/PeerHeartbeat.ts
+++ b/packages/gateway/src/peers/PeerHeartbeat.ts
@@ -3,6 +3,7 @@
 import type { HostRegistration } from '../model/HostRegistration.js';
 import type { StorePosition } from '../model/StorePosition.js';
 import type { ServiceName } from '../model/ServiceName.js';
+import type { VersionReport } from '../streams/createVersionHistory.js';
 
 /** Load that one entry host causes at one server. */
 export interface HostLoad {
@@ -64,6 +65,8 @@
   readonly partTrials: readonly PromptPartKey[];
   /** Request rates that servers of the sender's region named. */
   readonly serverLimits: readonly ServerLimitReport[];
+  /** Software versions of the services that have had several ones recently. */
+  readonly versions?: readonly VersionReport[];
 }
 
 /**
--- a/packages/gateway/src/peers/WireHeartbeat.ts
+++ b/packages/gateway/src/peers/WireHeartbeat.ts
@@ -39,6 +39,8 @@
   readonly trials?: readonly PromptPartKey[];
   /** Server, its limit in requests per second or null, and age in ms; omitted if there are none. */
   readonly limits?: readonly (readonly [string, number | null, number])[];
+  /** Service, software version, and age in ms; omitted if there are none. */
+  readonly vers?: readonly (readonly [string, string, number])[];
 }
 
 /** Crashes and responses by prompt part, in the form that is sent. */
--- a/packages/gateway/src/peers/createHeartbeats.ts
+++ b/packages/gateway/src/peers/createHeartbeats.ts
@@ -26,6 +26,8 @@
   /** Evidence for hosts of other regions; each host of this one sends them what it observed. */
   readonly ownPartEvidence: () => PartEvidence;
   readonly onHeartbeat: (heartbeat: PeerHeartbeat) => void;
+  /** Called with each datagram; returns true for one that is no heartbeat and needs nothing else. */
+  readonly onDatagram?: (datagram: Buffer) => boolean;
   readonly intervalMs: number;
 }
 
@@ -33,6 +35,8 @@
 export interface Heartbeats {
   /** Sends a heartbeat to all hosts immediately, for urgent changes. */
   sendToAll(): void;
+  /** Sends another message to the peer endpoint of a host; resolves when it was sent or has failed. */
+  send(datagram: Buffer, endpoint: Endpoint): Promise<void>;
   close(): void;
 }
 
@@ -74,12 +78,20 @@
     return [...targetsByEndpoint.values()];
   }
 
-  function sendDatagram(datagram: Buffer, endpoint: Endpoint): void {
-    const fail = ({ message }: Error): void =>
+  function sendDatagram(
+    datagram: Buffer,
+    endpoint: Endpoint,
+    onSent: () => void = () => undefined,
+  ): void {
+    const fail = ({ message }: Error): void => {
       log.warn('heartbeat-send-failed', { peer: endpointKey(endpoint), reason: message });
+      onSent();
+    };
     try {
       socket.send(datagram, endpoint.port, endpoint.host, (error) => {
-        if (error !== null) {
+        if (error === null) {
+          onSent();
+        } else {
           fail(error);
         }
       });
@@ -144,6 +156,9 @@
 
   socket.on('message', (datagram) => {
     receivedCount += 1;
+    if (options.onDatagram?.(datagram) === true) {
+      return;
+    }
     try {
       const heartbeat = decodeHeartbeat(datagram);
       if (heartbeat.host.id !== own.id) {
@@ -165,6 +180,10 @@
 
   return {
     sendToAll: () => sendTo(targets()),
+    send: (datagram, endpoint) =>
+      new Promise((resolve) => {
+        sendDatagram(datagram, endpoint, resolve);
+      }),
     close() {
       clearInterval(timer);
       socket.close();
--- a/packages/gateway/src/peers/heartbeatCodec.ts
+++ b/packages/gateway/src/peers/heartbeatCodec.ts
@@ -1,4 +1,6 @@
+import { asId } from '@camphorbarrow/core';
 import type { PartCrashReport, PartEvidence, PartServedReport } from '@camphorbarrow/core';
+import type { VersionReport } from '../streams/createVersionHistory.js';
 import { InvalidMessageError } from '../errors/InvalidMessageError.js';
 import { parseHostRegistration } from '../model/parseHostRegistration.js';
 import { isWireHeartbeat } from './isWireHeartbeat.js';
@@ -77,6 +79,11 @@
             ageMs,
           ]),
         }),
+    ...(heartbeat.versions === undefined || heartbeat.versions.length === 0
+      ? {}
+      : {
+          vers: heartbeat.versions.map(({ service, version, ageMs }) => [service, version, ageMs]),
+        }),
   };
   const common = JSON.stringify(message);
   return (echo) =>
@@ -132,5 +139,14 @@
       requestsPerSecond: requestsPerSecond ?? undefined,
       ageMs,
     })),
+    ...(message.vers === undefined
+      ? {}
+      : {
+          versions: message.vers.map(([service, version, ageMs]) => ({
+            service: asId<VersionReport['service']>(service),
+            version: asId<VersionReport['version']>(version),
+            ageMs,
+          })),
+        }),
   };
 }
--- a/packages/gateway/src/peers/isWireHeartbeat.ts
+++ b/packages/gateway/src/peers/isWireHeartbeat.ts
@@ -32,6 +32,20 @@
   );
 }
 
+function isWireVersions(value: unknown): value is NonNullable<WireHeartbeat['vers']> {
+  return (
+    Array.isArray(value) &&
+    value.every(
+      (row) =>
+        Array.isArray(row) &&
+        typeof row[0] === 'string' &&
+        typeof row[1] === 'string' &&
+        Number.isFinite(row[2]) &&
+        row[2] >= 0,
+    )
+  );
+}
+
 function isEcho(value: unknown): boolean {
   const { sentAtMs, heldMs } = (value ?? {}) as Record<string, unknown>;
   return Number.isFinite(sentAtMs) && Number.isFinite(heldMs);
@@ -57,6 +71,7 @@
     Array.isArray(message.crash) &&
     (message.parts === undefined || isWirePartEvidence(message.parts)) &&
     (message.trials === undefined || Array.isArray(message.trials)) &&
-    (message.limits === undefined || isWireLimits(message.limits))
+    (message.limits === undefined || isWireLimits(message.limits)) &&
+    (message.vers === undefined || isWireVersions(message.vers))
   );
 }
--- a/packages/gateway/src/routing/Destination.ts
+++ b/packages/gateway/src/routing/Destination.ts
@@ -2,6 +2,7 @@
 import type { Route } from '../model/Route.js';
 import type { RequestMetadata } from '../model/RequestMetadata.js';
 import type { ServerState } from '../model/ServerState.js';
+import type { SoftwareVersion } from '../model/SoftwareVersion.js';
 import type { ServiceSpec } from '../model/ServiceSpec.js';
 import type { Peer } from '../peers/createPeerRegistry.js';
 import type { CacheFetch } from './planCacheFetch.js';
@@ -27,6 +28,8 @@
   readonly isRetry: boolean;
   /** Whether another entry host relayed the request; it must then be processed in this region. */
   readonly isRelayed: boolean;
+  /** Version at which the stream was begun; undefined if servers of any version may take it. */
+  readonly requiredVersion?: SoftwareVersion | undefined;
 }
 
 export type LocalChoice = Extract<Destination, { kind: 'server' }>;
@@ -79,8 +82,9 @@
        * - `rate-limited`: all usable servers are cold or have named a limit, and may not receive
        *   more requests of this host now.
        * - `servers-leaving`: the servers that are left are about to stop.
+       * - `version-gone`: no region has a server of the required version any more.
        */
-      readonly reason: 'no-server' | 'rate-limited' | 'servers-leaving';
+      readonly reason: 'no-server' | 'rate-limited' | 'servers-leaving' | 'version-gone';
     }
   | {
       readonly kind: 'none';
--- a/packages/gateway/src/routing/createLocalChooser.ts
+++ b/packages/gateway/src/routing/createLocalChooser.ts
@@ -99,14 +99,14 @@
   }
 
   return (request) => {
-    const { route, service, metadata } = request;
+    const { route, service, metadata, requiredVersion } = request;
     const mayServe = route.homeRegions.length === 0 || route.homeRegions.includes(options.region);
     if (!mayServe) {
       return { kind: 'none', reason: 'no-server' };
     }
-    const usableForService = servers.usable(service);
+    const usableForService = servers.usable(service, requiredVersion);
     if (usableForService.length === 0) {
-      return servers.rejection(service);
+      return servers.rejection(service, requiredVersion);
     }
     const otherHosts = peers.aliveIn(options.region).length;
     // The connections that a server accepts are shared by the hosts of the region.
--- a/packages/gateway/src/routing/createRegionChooser.ts
+++ b/packages/gateway/src/routing/createRegionChooser.ts
@@ -1,4 +1,5 @@
 import type { Clock, RandomSource, RegionId } from '@camphorbarrow/core';
+import type { ServerState } from '../model/ServerState.js';
 import type { Peer, PeerRegistry } from '../peers/createPeerRegistry.js';
 import type { RegionCapacity } from '../peers/PeerHeartbeat.js';
 import type { LoadTracker } from './createLoadTracker.js';
@@ -6,6 +7,7 @@
 import type { RoutingRequest, RegionChoice } from './Destination.js';
 import { estimateFinish } from './estimateFinish.js';
 import { estimateStallMs } from './estimateStall.js';
+import { hasVersion } from './hasVersion.js';
 import { relayLoadId } from './relayLoadId.js';
 import type { Scored } from './Scored.js';
 
@@ -22,6 +24,8 @@
   readonly region: RegionId;
   readonly peers: PeerRegistry;
   readonly loads: LoadTracker;
+  /** All known servers; a region without one of the required version is not chosen. */
+  readonly servers?: () => readonly ServerState[];
 }
 
 /** Selects an entry host of another region, or undefined if there is none. */
@@ -106,11 +110,16 @@
    */
   function acceptingPeers(request: RoutingRequest): readonly Peer[] {
     const { homeRegions } = request.route;
+    const { service, requiredVersion } = request;
+    const servers = requiredVersion === undefined ? [] : (options.servers?.() ?? []);
+    const mayContinue = (region: RegionId): boolean =>
+      requiredVersion === undefined || hasVersion(servers, service.name, requiredVersion, region);
     const alive = peers.alive().filter(({ heartbeat: { host } }) => {
       const isAllowed = homeRegions.length === 0 || homeRegions.includes(host.region);
       return (
         host.region !== options.region &&
         isAllowed &&
+        mayContinue(host.region) &&
         !request.triedRegions.has(host.region) &&
         !request.rejectingHosts.has(host.id)
       );
--- a/packages/gateway/src/routing/createServerHealth.ts
+++ b/packages/gateway/src/routing/createServerHealth.ts
@@ -53,6 +53,8 @@
    * @param coldStartMs time for which servers are cold after a start
    */
   coldUntilMs(server: ServerState, coldStartMs: number): number;
+  /** Whether a heartbeat arrived since the latest loss, so that the entry is of the current process. */
+  isConfirmed(server: ServerState): boolean;
   /** Time to add to the estimates of a server that fails more requests than usual. */
   penaltyMs(incarnation: string): number;
   /** Drops the records of all other incarnations. */
@@ -173,6 +175,8 @@
         ? record.lostAtMs + UNCONFIRMED_LOSS_MS
         : record.recoveredAtMs + coldStartMs;
     },
+    isConfirmed: (server) =>
+      server.lastHeartbeatAtMs > (records.get(server.incarnation)?.lostAtMs ?? -Infinity),
     penaltyMs(incarnation) {
       const record = records.get(incarnation);
       const excess = record === undefined ? 0 : currentRatio(record) - USUAL_FAILURE_RATIO;
--- a/packages/gateway/src/routing/createServerView.ts
+++ b/packages/gateway/src/routing/createServerView.ts
@@ -3,6 +3,7 @@
 import type { ServerState } from '../model/ServerState.js';
 import type { ServiceName } from '../model/ServiceName.js';
 import type { ServiceSpec } from '../model/ServiceSpec.js';
+import type { SoftwareVersion } from '../model/SoftwareVersion.js';
 import type { LeavingServers } from '../limits/createLeavingServers.js';
 import type { ServerLimits } from '../limits/createServerLimits.js';
 import type { ServerPauses } from '../limits/createServerPauses.js';
@@ -12,6 +13,7 @@
 import type { PaceTracker } from './createPaceTracker.js';
 import type { ServerHealth } from './createServerHealth.js';
 import type { SpeedTracker } from './createSpeedTracker.js';
+import { hasVersion } from './hasVersion.js';
 
 /** Delay of the first event on an engine for each request that it runs. */
 const MS_PER_RUNNING_REQUEST = 2;
@@ -36,9 +38,9 @@
 /** Servers of this region, as the router sees them. */
 export interface ServerView {
   /** Servers of the service that can receive requests, including cold ones. */
-  usable(service: ServiceSpec): readonly ServerState[];
-  /** Why a service has no usable server. */
-  rejection(service: ServiceSpec): LocalRejection;
+  usable(service: ServiceSpec, version?: SoftwareVersion): readonly ServerState[];
+  /** Why a service has no usable server, or none of the version. */
+  rejection(service: ServiceSpec, version?: SoftwareVersion): LocalRejection;
   /** Estimated wait for the work already queued at the server. */
   queueMs(server: ServerState, service: ServiceSpec, rank: number): number;
   /** Estimated capacity of this region per service, for heartbeats. */
@@ -50,13 +52,14 @@
   const { clock, view, loads, speeds, paces, health, leavingServers, serverPauses } = options;
 
   /** Servers of the service that are reachable from here, including leaving and paused ones. */
-  function reachable(service: ServiceSpec): readonly ServerState[] {
+  function reachable(service: ServiceSpec, version?: SoftwareVersion): readonly ServerState[] {
     return view.servers
       .all()
       .filter(
         (server) =>
           server.registration.service === service.name &&
           server.region === options.region &&
+          (version === undefined || server.registration.softwareVersion === version) &&
           !view.isEvacuated(server.registration.zone) &&
           health.isReachable(server),
       )
@@ -82,14 +85,17 @@
     );
   }
 
-  function usable(service: ServiceSpec): readonly ServerState[] {
-    return reachable(service).filter(
+  function usable(service: ServiceSpec, version?: SoftwareVersion): readonly ServerState[] {
+    return reachable(service, version).filter(
       (server) => !leavingServers.isLeaving(server) && serverPauses.remainingMs(server) === 0,
     );
   }
 
-  function rejection(service: ServiceSpec): LocalRejection {
-    const servers = reachable(service);
+  function rejection(service: ServiceSpec, version?: SoftwareVersion): LocalRejection {
+    if (version !== undefined && !hasVersion(view.servers.all(), service.name, version)) {
+      return { kind: 'none', reason: 'version-gone' };
+    }
+    const servers = reachable(service, version);
     const staying = servers.filter((server) => !leavingServers.isLeaving(server));
     if (staying.length > 0) {
       const retryAfterMs = Math.min(...staying.map(serverPauses.remainingMs));
--- /dev/null
+++ b/packages/gateway/src/streams/createStreamVersions.ts
@@ -0,0 +1,245 @@
+import type { Clock, HostId, LogSink, MetricsSink } from '@camphorbarrow/core';
+import { compareStorePositions } from '../fleet/compareStorePositions.js';
+import type { FleetView } from '../fleet/createFleetView.js';
+import type { AttemptId } from '../model/AttemptId.js';
+import type { Endpoint } from '../model/Endpoint.js';
+import type { HostRegistration } from '../model/HostRegistration.js';
+import type { ServiceName } from '../model/ServiceName.js';
+import type { SoftwareVersion } from '../model/SoftwareVersion.js';
+import type { PeerRegistry } from '../peers/createPeerRegistry.js';
+import { chooseHolders } from './chooseHolders.js';
+import { createRecordBacklog } from './createRecordBacklog.js';
+import { createStreamQueries } from './createStreamQueries.js';
+import { createStreamRecords } from './createStreamRecords.js';
+import type { StreamRecord } from './createStreamRecords.js';
+import { createVersionHistory } from './createVersionHistory.js';
+import type { VersionReport } from './createVersionHistory.js';
+import { hasQuorum, isHistoryCurrent } from './isHistoryCurrent.js';
+import {
+  decodeStreamMessage,
+  encodeAnswer,
+  encodeQuery,
+  encodeRecords,
+  isStreamMessage,
+} from './streamMessages.js';
+
+/** Hosts of each region that a record is sent to. */
+const HOLDERS_PER_REGION = 2;
+/** Hosts of each region that are asked; one more, because the fleet may have changed since. */
+const ASKED_PER_REGION = 3;
+/** Longest time for which an event waits until its record has been sent. */
+const MAX_SEND_WAIT_MS = 20;
+
+/** Sends a datagram to the peer endpoint of a host; resolves when it was handed to the network. */
+export type SendDatagram = (datagram: Buffer, endpoint: Endpoint) => Promise<void>;
+
+export interface StreamVersionsOptions {
+  readonly clock: Clock;
+  readonly log: LogSink;
+  readonly metrics: MetricsSink;
+  readonly ownId: HostId;
+  readonly view: Pick<FleetView, 'servers' | 'hosts' | 'position' | 'confirmedAtMs'>;
+  readonly peers: Pick<PeerRegistry, 'alive' | 'known'>;
+}
+
+/**
+ * Version at which a stream may go on, and how this host knows it:
+ * - `record`: it forwarded the first event, or got the record of the host that did;
+ * - `single-version`: the service has had only one version;
+ * - `peer`: another host answered.
+ */
+export type VersionFinding =
+  | {
+      readonly version: SoftwareVersion;
+      readonly source: 'record' | 'single-version' | 'peer';
+    }
+  | { readonly version: undefined; readonly source: 'unknown' };
+
+/** Knows by which software version of a service each stream was begun. */
+export interface StreamVersions {
+  /** Whether streams of several versions of the service may exist. */
+  isMixed(service: ServiceName): boolean;
+  /** The version of all streams of the service; undefined if there may be several. */
+  singleVersion(service: ServiceName): SoftwareVersion | undefined;
+  /**
+   * Records the version of a stream, before its first event is forwarded. While the service has
+   * several versions, the event must wait until the result resolves: the record is then on its way to
+   * other hosts, which may have to continue the stream if this one is killed.
+   */
+  recordStart(record: StreamRecord): Promise<void> | undefined;
+  /** Finds the version of a stream that a caller resumes; asks other hosts if necessary. */
+  find(
+    stream: AttemptId | undefined,
+    service: ServiceName,
+    signal: AbortSignal,
+  ): Promise<VersionFinding>;
+  /** Reads the listed servers, and sends records that other hosts need from now on. */
+  update(): void;
+  /** Versions of services that have several, for peers. */
+  reports(): readonly VersionReport[];
+  mergeReports(reports: readonly VersionReport[]): void;
+  /** Handles a datagram from a peer. Returns false if it is no message on streams. */
+  receive(datagram: Buffer): boolean;
+  /** Sets how datagrams are sent; none are sent before. */
+  useTransport(send: SendDatagram): void;
+}
+
+/** Creates the knowledge of one host, which it shares with the others. */
+export function createStreamVersions(options: StreamVersionsOptions): StreamVersions {
+  const { clock, log, metrics, ownId, view, peers } = options;
+  const history = createVersionHistory(clock);
+  const records = createStreamRecords(clock);
+  const backlog = createRecordBacklog();
+  let send: SendDatagram = async () => undefined;
+  /** Whether this host has been told by its peers which versions they had seen before it started. */
+  let hasPeersHistory = false;
+  /** Services with several versions, whose earlier records were sent. */
+  let sharedServices: ReadonlySet<ServiceName> = new Set();
+
+  function otherHosts(): readonly HostRegistration[] {
+    const hosts = new Map(peers.known().map(({ heartbeat: { host } }) => [host.id, host]));
+    view.hosts().forEach((host) => hosts.set(host.id, host));
+    hosts.delete(ownId);
+    return [...hosts.values()];
+  }
+
+  function sendMessage(
+    kind: 'records' | 'query' | 'answer',
+    datagram: Buffer,
+    { peers: endpoint }: Pick<HostRegistration, 'peers'>,
+  ): Promise<void> {
+    metrics.increment('stream_messages', { kind });
+    return send(datagram, endpoint);
+  }
+
+  const queries = createStreamQueries({
+    clock,
+    sendQuery: (stream, host) => {
+      void sendMessage('query', encodeQuery(ownId, stream), host);
+    },
+  });
+
+  function isCurrent(): boolean {
+    const alive = peers.alive();
+    const state = {
+      storeAgeMs: clock.monotonicMs() - view.confirmedAtMs(),
+      registeredPeers: view.hosts().filter(({ id }) => id !== ownId).length,
+      alivePeers: alive.length,
+      isBehindPeer: alive.some(
+        ({ heartbeat }) => compareStorePositions(heartbeat.storePosition, view.position()) > 0,
+      ),
+    };
+    hasPeersHistory ||= view.hosts().length > 0 && hasQuorum(state);
+    return hasPeersHistory && isHistoryCurrent(state);
+  }
+
+  function singleVersion(service: ServiceName): SoftwareVersion | undefined {
+    const versions = history.versionsOf(service);
+    return versions.length === 1 && isCurrent() ? versions[0] : undefined;
+  }
+
+  function answer(from: HostId, stream: AttemptId): void {
+    const host = otherHosts().find(({ id }) => id === from);
+    if (host !== undefined) {
+      void sendMessage('answer', encodeAnswer(ownId, stream, records.get(stream)), host);
+    }
+  }
+
+  function handle(datagram: Buffer): void {
+    const message = decodeStreamMessage(datagram);
+    switch (message.kind) {
+      case 'records':
+        message.records.forEach(([record, ageMs]) => {
+          records.record(record, ageMs);
+          history.record({ ...record, ageMs });
+        });
+        break;
+      case 'query':
+        answer(message.from, message.stream);
+        break;
+      case 'answer':
+        queries.recordAnswer(message.from, message.stream, message.record);
+        break;
+    }
+  }
+
+  const isOfService = (
+    record: StreamRecord | undefined,
+    service: ServiceName,
+  ): record is StreamRecord => record?.service === service;
+
+  return {
+    isMixed: history.isMixed,
+    singleVersion,
+    recordStart(record) {
+      const { stream, service, version } = record;
+      const known = records.get(stream);
+      records.record(record);
+      history.record({ service, version, ageMs: 0 });
+      const isKnown = known?.version === version && known.service === service;
+      if (isKnown || !history.isMixed(service)) {
+        return undefined;
+      }
+      const [datagram] = encodeRecords([[record, 0]]);
+      if (datagram === undefined) {
+        return undefined;
+      }
+      const sent = chooseHolders(stream, otherHosts(), HOLDERS_PER_REGION).map((host) =>
+        sendMessage('records', datagram, host),
+      );
+      return Promise.race([Promise.all(sent).then(() => undefined), clock.sleep(MAX_SEND_WAIT_MS)]);
+    },
+    async find(stream, service, signal) {
+      const known = stream === undefined ? undefined : records.get(stream);
+      if (isOfService(known, service)) {
+        return { version: known.version, source: 'record' };
+      }
+      const single = singleVersion(service);
+      if (single !== undefined) {
+        return { version: single, source: 'single-version' };
+      }
+      if (stream !== undefined) {
+        const asked = chooseHolders(stream, otherHosts(), ASKED_PER_REGION);
+        const answered = (await queries.ask(stream, asked, signal)) ?? records.get(stream);
+        if (isOfService(answered, service)) {
+          records.record(answered);
+          return { version: answered.version, source: 'peer' };
+        }
+      }
+      return { version: undefined, source: 'unknown' };
+    },
+    update() {
+      history.recordServers(view.servers.all().map(({ registration }) => registration));
+      isCurrent();
+      const mixed = new Set(history.reports().map(({ service }) => service));
+      const hosts = otherHosts();
+      [...mixed]
+        .filter((service) => !sharedServices.has(service))
+        .forEach((service) =>
+          backlog.add([...records.ofService(service)].reverse(), ({ stream }) =>
+            chooseHolders(stream, hosts, HOLDERS_PER_REGION),
+          ),
+        );
+      sharedServices = mixed;
+      backlog.take().forEach(([datagram, endpoint]) => {
+        void sendMessage('records', datagram, { peers: endpoint });
+      });
+    },
+    reports: history.reports,
+    mergeReports: (reports) => reports.forEach(history.record),
+    receive(datagram) {
+      if (!isStreamMessage(datagram)) {
+        return false;
+      }
+      try {
+        handle(datagram);
+      } catch (error) {
+        log.warn('stream-message-unreadable', { reason: (error as Error).message });
+      }
+      return true;
+    },
+    useTransport(transport) {
+      send = transport;
+    },
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/streams/streamMessages.ts
@@ -0,0 +1,125 @@
+import { asId } from '@camphorbarrow/core';
+import type { HostId } from '@camphorbarrow/core';
+import { InvalidMessageError } from '../errors/InvalidMessageError.js';
+import type { AttemptId } from '../model/AttemptId.js';
+import type { StreamRecord } from './createStreamRecords.js';
+
+/** First bytes of every message, which tell it from a heartbeat. */
+const PREFIX = Buffer.from('{"streams":1,');
+/** Maximum size of the records in a datagram, so that it is not fragmented. */
+const MAX_RECORDS_BYTES = 1_100;
+
+/** Messages between hosts on the versions of streams. */
+export type StreamMessage =
+  /** Records and their age in ms. */
+  | {
+      readonly kind: 'records';
+      readonly records: readonly (readonly [StreamRecord, number])[];
+    }
+  | {
+      readonly kind: 'query';
+      readonly from: HostId;
+      readonly stream: AttemptId;
+    }
+  /** Answer to a query; without a record if the sender has none. */
+  | {
+      readonly kind: 'answer';
+      readonly from: HostId;
+      readonly stream: AttemptId;
+      readonly record: StreamRecord | undefined;
+    };
+
+type WireRecord = readonly [stream: string, service: string, version: string, ageMs: number];
+
+const toWire = ([{ stream, service, version }, ageMs]: readonly [
+  StreamRecord,
+  number,
+]): WireRecord => [stream, service, version, Math.round(ageMs)];
+
+function isWireRecord(value: unknown): value is WireRecord {
+  return (
+    Array.isArray(value) &&
+    value.length === 4 &&
+    value.slice(0, 3).every((text) => typeof text === 'string') &&
+    Number.isFinite(value[3]) &&
+    value[3] >= 0
+  );
+}
+
+const fromWire = ([stream, service, version, ageMs]: WireRecord) =>
+  [
+    {
+      stream: asId<AttemptId>(stream),
+      service: asId<StreamRecord['service']>(service),
+      version: asId<StreamRecord['version']>(version),
+    },
+    ageMs,
+  ] as const;
+
+const toDatagram = (fields: object): Buffer =>
+  Buffer.from(`${PREFIX.toString()}${JSON.stringify(fields).slice(1)}`);
+
+/** Encodes records into as many datagrams as their size requires. */
+export function encodeRecords(
+  records: readonly (readonly [StreamRecord, number])[],
+): readonly Buffer[] {
+  const batches: WireRecord[][] = [];
+  let batchBytes = Infinity;
+  records.map(toWire).forEach((row) => {
+    const rowBytes = JSON.stringify(row).length;
+    if (batchBytes + rowBytes > MAX_RECORDS_BYTES) {
+      batches.push([]);
+      batchBytes = 0;
+    }
+    batches.at(-1)?.push(row);
+    batchBytes += rowBytes;
+  });
+  return batches.map((rows) => toDatagram({ records: rows }));
+}
+
+export function encodeQuery(from: HostId, stream: AttemptId): Buffer {
+  return toDatagram({ query: stream, from });
+}
+
+export function encodeAnswer(
+  from: HostId,
+  stream: AttemptId,
+  record: StreamRecord | undefined,
+): Buffer {
+  return toDatagram({
+    answer: stream,
+    from,
+    record: record === undefined ? null : toWire([record, 0]),
+  });
+}
+
+/** Whether a datagram is a message of this kind and not a heartbeat. */
+export const isStreamMessage = (datagram: Buffer): boolean =>
+  datagram.subarray(0, PREFIX.length).equals(PREFIX);
+
+/** @throws InvalidMessageError if the datagram has missing or malformed fields */
+export function decodeStreamMessage(datagram: Buffer): StreamMessage {
+  let fields: Record<string, unknown>;
+  try {
+    fields = JSON.parse(datagram.toString()) as Record<string, unknown>;
+  } catch (error) {
+    throw new InvalidMessageError('The message on streams is not valid JSON.', { cause: error });
+  }
+  const { records, query, answer, from, record } = fields;
+  if (Array.isArray(records)) {
+    return { kind: 'records', records: records.filter(isWireRecord).map(fromWire) };
+  }
+  if (typeof from === 'string' && typeof query === 'string') {
+    return { kind: 'query', from: asId(from), stream: asId(query) };
+  }
+  if (typeof from === 'string' && typeof answer === 'string') {
+    const isKnown = isWireRecord(record) && record[0] === answer;
+    return {
+      kind: 'answer',
+      from: asId(from),
+      stream: asId(answer),
+      record: isKnown ? fromWire(record)[0] : undefined,
+    };
+  }
+  throw new InvalidMessageError('The message on streams has missing or malformed fields.');
+}
--- /dev/null
+++ b/packages/gateway/tests/streams/createStreamVersions.test.ts
@@ -0,0 +1,175 @@
+import test from 'ava';
+import { asId, createManualClock } from '@camphorbarrow/core';
+import type { ManualClock } from '@camphorbarrow/core';
+import {
+  STREAM_RETENTION_MS,
+  createStreamVersions,
+  decodeStreamMessage,
+  encodeAnswer,
+  encodeRecords,
+} from '../../src/index.js';
+import type { HostRegistration, Peer, StreamRecord, StreamVersions } from '../../src/index.js';
+import { buildHost, buildServer } from '../support/builders.js';
+
+const service = asId<StreamRecord['service']>('model');
+const v1 = asId<StreamRecord['version']>('v1');
+const v2 = asId<StreamRecord['version']>('v2');
+const stream = asId<StreamRecord['stream']>('attempt-1');
+const { signal } = new AbortController();
+
+interface SetUp {
+  readonly clock: ManualClock;
+  readonly streams: StreamVersions;
+  /** Kinds of the messages that were sent, with the receiving host. */
+  readonly sent: (readonly [string, string])[];
+}
+
+interface State {
+  readonly versions: readonly string[];
+  readonly hosts?: readonly HostRegistration[];
+  readonly alive?: readonly string[];
+  readonly storeAgeMs?: number;
+  readonly peerRevision?: number;
+}
+
+function setUp(state: State): SetUp {
+  const clock = createManualClock();
+  const hosts = state.hosts ?? ['own', 'a', 'b'].map((id) => buildHost(id, 'north'));
+  const alive = hosts
+    .filter(({ id }) => (state.alive ?? ['a', 'b']).includes(id))
+    .map(
+      (host) =>
+        ({
+          heartbeat: { host, storePosition: { era: 0, revision: state.peerRevision ?? 5 } },
+        }) as Peer,
+    );
+  const streams = createStreamVersions({
+    clock,
+    log: { info() {}, warn() {}, error() {} },
+    metrics: { increment() {}, gauge() {}, timingMs() {}, close: async () => undefined },
+    ownId: asId('own'),
+    view: {
+      servers: {
+        get: () => undefined,
+        all: () =>
+          state.versions.map((version, index) =>
+            buildServer({ id: asId(`server-${index}`), softwareVersion: asId(version) }),
+          ),
+      },
+      hosts: () => hosts,
+      position: () => ({ era: 0, revision: 5 }),
+      confirmedAtMs: () => clock.monotonicMs() - (state.storeAgeMs ?? 0),
+    },
+    peers: { alive: () => alive, known: () => alive },
+  });
+  const sent: (readonly [string, string])[] = [];
+  streams.useTransport(async (datagram, endpoint) => {
+    sent.push([decodeStreamMessage(datagram).kind, endpoint.host]);
+  });
+  streams.update();
+  return { clock, streams, sent };
+}
+
+test('nothing is sent while a service has one version, and any stream may go on', async (t) => {
+  const { streams, sent } = setUp({ versions: ['v1', 'v1'] });
+  t.is(streams.recordStart({ stream, service, version: v1 }), undefined);
+  t.like(await streams.find(undefined, service, signal), {
+    version: v1,
+    source: 'single-version',
+  });
+  t.deepEqual(sent, []);
+});
+
+test('the record of a stream is sent before its first event while a service has two versions', async (t) => {
+  const { streams, sent } = setUp({ versions: ['v1', 'v2'] });
+  await streams.recordStart({ stream, service, version: v2 });
+  t.deepEqual([...sent].sort(), [
+    ['records', 'a'],
+    ['records', 'b'],
+  ]);
+  t.like(await streams.find(stream, service, signal), { version: v2, source: 'record' });
+});
+
+test('records are sent once a second version appears in the message of a peer', (t) => {
+  const { streams, sent } = setUp({ versions: ['v1'] });
+  t.is(streams.recordStart({ stream, service, version: v1 }), undefined);
+  streams.mergeReports([{ service, version: v2, ageMs: 100 }]);
+  streams.update();
+  streams.update();
+  t.deepEqual(
+    sent.map(([kind]) => kind),
+    ['records', 'records'],
+  );
+});
+
+test('a host that has just started does not resume a stream of a version that peers report', async (t) => {
+  const { streams } = setUp({ versions: ['v2'] });
+  streams.mergeReports([{ service, version: v1, ageMs: 1_000 }]);
+  t.is(streams.singleVersion(service), undefined);
+});
+
+for (const [name, state] of [
+  ['has not heard of its peers since its start', { alive: [] }],
+  ['has no contact with the store while a peer knows more', { storeAgeMs: 9_000, peerRevision: 6 }],
+] as const) {
+  test(`a host that ${name} does not take a service for one of a single version`, (t) => {
+    t.is(setUp({ versions: ['v1'], ...state }).streams.singleVersion(service), undefined);
+  });
+}
+
+test('streams go on while the store responds to nobody', (t) => {
+  const { streams } = setUp({ versions: ['v1'], storeAgeMs: 9_000 });
+  t.is(streams.singleVersion(service), v1);
+});
+
+test('a version is forgotten after as long as a stream may last, and no sooner', (t) => {
+  const { clock, streams } = setUp({ versions: ['v1'] });
+  streams.mergeReports([{ service, version: v2, ageMs: 0 }]);
+  clock.advance(STREAM_RETENTION_MS - 1);
+  streams.update();
+  t.true(streams.isMixed(service));
+  clock.advance(2);
+  streams.update();
+  t.is(streams.singleVersion(service), v1);
+});
+
+test('hosts are asked for a stream that is not known here, and the answer is kept', async (t) => {
+  const { streams, sent } = setUp({ versions: ['v1', 'v2'] });
+  const found = streams.find(stream, service, signal);
+  streams.receive(encodeAnswer(asId('a'), stream, undefined));
+  streams.receive(encodeAnswer(asId('b'), stream, { stream, service, version: v1 }));
+  t.like(await found, { version: v1, source: 'peer' });
+  t.deepEqual(
+    sent.map(([kind]) => kind),
+    ['query', 'query'],
+  );
+  t.like(await streams.find(stream, service, signal), { version: v1, source: 'record' });
+});
+
+test('a stream that no host knows is unknown as soon as all have answered', async (t) => {
+  const { streams } = setUp({ versions: ['v1', 'v2'] });
+  const found = streams.find(stream, service, signal);
+  streams.receive(encodeAnswer(asId('a'), stream, undefined));
+  streams.receive(encodeAnswer(asId('b'), stream, undefined));
+  t.like(await found, { version: undefined, source: 'unknown' });
+});
+
+test('the record of another service does not decide on a stream', async (t) => {
+  const { streams } = setUp({ versions: ['v1', 'v2'], alive: [], hosts: [buildHost('own', 'x')] });
+  const other = asId<StreamRecord['service']>('other');
+  const [datagram] = encodeRecords([[{ stream, service: other, version: v1 }, 0]]);
+  t.true(streams.receive(datagram ?? Buffer.alloc(0)));
+  t.is((await streams.find(stream, service, signal)).version, undefined);
+});
+
+test('an unreadable message is dropped, and a heartbeat is left to its reader', (t) => {
+  const { streams } = setUp({ versions: ['v1'] });
+  for (const text of [
+    '{"streams":1,',
+    '{"streams":1,"query":7}',
+    '{"streams":1,"records":[[1]]}',
+  ]) {
+    t.true(streams.receive(Buffer.from(text)), text);
+  }
+  t.false(streams.receive(Buffer.from('{"v":1}')));
+});
