Streams: a host that has just started learns from a peer that a service has one version

A host that had not heard of half of the others since its start, or whose view of the store was old, rejected resumed streams also while the service had a single version all along: nobody holds records then. The answer to its query now also carries the single version that the asked host has seen; a host that itself has seen several does not use it. An empty Last-Event-Id begins a stream.

--- a/packages/gateway/src/exchange/admitStream.ts
+++ b/packages/gateway/src/exchange/admitStream.ts
@@ -2,6 +2,7 @@
 import type { Exchange } from './Exchange.js';
 import type { ExchangeProgress } from './ExchangeProgress.js';
 import type { GatewayContext } from './GatewayContext.js';
+import { isResumed } from './isResumed.js';
 
 /**
  * Decides whether the first event of a response may be forwarded. The version of the first response
@@ -27,7 +28,7 @@
   } else if (version !== progress.requiredVersion) {
     return false;
   }
-  const stream = metadata.lastEventId === undefined ? metadata.attemptId : metadata.resumes;
+  const stream = isResumed(metadata) ? metadata.resumes : metadata.attemptId;
   // The host that has the caller's connection records the stream, also if another one relays it.
   if (version === undefined || stream === undefined || exchange.relayedBy !== undefined) {
     return true;
--- a/packages/gateway/src/exchange/findStreamVersion.ts
+++ b/packages/gateway/src/exchange/findStreamVersion.ts
@@ -1,6 +1,7 @@
 import type { Exchange } from './Exchange.js';
 import type { ExchangeProgress } from './ExchangeProgress.js';
 import type { GatewayContext } from './GatewayContext.js';
+import { isResumed } from './isResumed.js';
 
 /**
  * Finds the software version at which a resumed stream must go on. Returns false if it is not known
@@ -18,7 +19,7 @@
     progress.versionSource = 'relay';
     return true;
   }
-  if (metadata.lastEventId === undefined || !route.resumable) {
+  if (!route.resumable || !isResumed(metadata)) {
     return true;
   }
   const { version, source } = await context.streamVersions.find(
--- /dev/null
+++ b/packages/gateway/src/exchange/isResumed.ts
@@ -0,0 +1,5 @@
+import type { RequestMetadata } from '../model/RequestMetadata.js';
+
+/** Whether the caller has received events of the stream; an empty id stands for none. */
+export const isResumed = ({ lastEventId }: RequestMetadata): boolean =>
+  lastEventId !== undefined && lastEventId !== '';
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -21,6 +21,7 @@
 export * from './exchange/forwardEvents.js';
 export * from './exchange/forwardToPeer.js';
 export * from './exchange/forwardToServer.js';
+export * from './exchange/isResumed.js';
 export * from './exchange/prepareAttempt.js';
 export * from './exchange/receiveResponse.js';
 export * from './exchange/recordServerNotices.js';
--- a/packages/gateway/src/streams/createStreamVersions.ts
+++ b/packages/gateway/src/streams/createStreamVersions.ts
@@ -10,6 +10,7 @@
 import { chooseHolders } from './chooseHolders.js';
 import { createRecordBacklog } from './createRecordBacklog.js';
 import { createStreamQueries } from './createStreamQueries.js';
+import type { StreamQuestion } from './createStreamQueries.js';
 import { createStreamRecords } from './createStreamRecords.js';
 import type { StreamRecord } from './createStreamRecords.js';
 import { createVersionHistory } from './createVersionHistory.js';
@@ -22,6 +23,7 @@
   encodeRecords,
   isStreamMessage,
 } from './streamMessages.js';
+import type { StreamQuery } from './streamMessages.js';
 
 /** Hosts of each region that a record is sent to. */
 const HOLDERS_PER_REGION = 2;
@@ -112,12 +114,7 @@
     return send(datagram, endpoint);
   }
 
-  const queries = createStreamQueries({
-    clock,
-    sendQuery: (stream, host) => {
-      void sendMessage('query', encodeQuery(ownId, stream), host);
-    },
-  });
+  const queries = createStreamQueries(clock);
 
   function isCurrent(): boolean {
     const alive = peers.alive();
@@ -138,10 +135,16 @@
     return versions.length === 1 && isCurrent() ? versions[0] : undefined;
   }
 
-  function answer(from: HostId, stream: AttemptId): void {
+  function answer({ from, stream, service }: StreamQuery): void {
     const host = otherHosts().find(({ id }) => id === from);
     if (host !== undefined) {
-      void sendMessage('answer', encodeAnswer(ownId, stream, records.get(stream)), host);
+      const datagram = encodeAnswer({
+        from: ownId,
+        stream,
+        record: records.get(stream),
+        singleVersion: singleVersion(service),
+      });
+      void sendMessage('answer', datagram, host);
     }
   }
 
@@ -155,18 +158,34 @@
         });
         break;
       case 'query':
-        answer(message.from, message.stream);
+        answer(message);
         break;
       case 'answer':
-        queries.recordAnswer(message.from, message.stream, message.record);
+        queries.recordAnswer(message);
         break;
     }
   }
 
-  const isOfService = (
-    record: StreamRecord | undefined,
+  /** A host that has seen several versions does not rely on one that has seen a single one. */
+  function askPeers(
+    stream: AttemptId,
     service: ServiceName,
-  ): record is StreamRecord => record?.service === service;
+    signal: AbortSignal,
+  ): Promise<SoftwareVersion | undefined> {
+    const datagram = encodeQuery({ from: ownId, stream, service });
+    const question: StreamQuestion = {
+      stream,
+      hosts: chooseHolders(stream, otherHosts(), ASKED_PER_REGION),
+      send: (host) => {
+        void sendMessage('query', datagram, host);
+      },
+      read: ({ record, singleVersion: single }) => {
+        const recorded = record?.service === service ? record.version : undefined;
+        return recorded ?? (history.isMixed(service) ? undefined : single);
+      },
+    };
+    return queries.ask(question, signal);
+  }
 
   return {
     isMixed: history.isMixed,
@@ -191,7 +210,7 @@
     },
     async find(stream, service, signal) {
       const known = stream === undefined ? undefined : records.get(stream);
-      if (isOfService(known, service)) {
+      if (known?.service === service) {
         return { version: known.version, source: 'record' };
       }
       const single = singleVersion(service);
@@ -199,11 +218,10 @@
         return { version: single, source: 'single-version' };
       }
       if (stream !== undefined) {
-        const asked = chooseHolders(stream, otherHosts(), ASKED_PER_REGION);
-        const answered = (await queries.ask(stream, asked, signal)) ?? records.get(stream);
-        if (isOfService(answered, service)) {
-          records.record(answered);
-          return { version: answered.version, source: 'peer' };
+        const version = await askPeers(stream, service, signal);
+        if (version !== undefined) {
+          records.record({ stream, service, version });
+          return { version, source: 'peer' };
         }
       }
       return { version: undefined, source: 'unknown' };
--- a/packages/gateway/src/streams/streamMessages.ts
+++ b/packages/gateway/src/streams/streamMessages.ts
@@ -2,6 +2,8 @@
 import type { HostId } from '@camphorbarrow/core';
 import { InvalidMessageError } from '../errors/InvalidMessageError.js';
 import type { AttemptId } from '../model/AttemptId.js';
+import type { ServiceName } from '../model/ServiceName.js';
+import type { SoftwareVersion } from '../model/SoftwareVersion.js';
 import type { StreamRecord } from './createStreamRecords.js';
 
 /** First bytes of every message, which tell it from a heartbeat. */
@@ -16,18 +18,23 @@
       readonly kind: 'records';
       readonly records: readonly (readonly [StreamRecord, number])[];
     }
-  | {
-      readonly kind: 'query';
-      readonly from: HostId;
-      readonly stream: AttemptId;
-    }
-  /** Answer to a query; without a record if the sender has none. */
-  | {
-      readonly kind: 'answer';
-      readonly from: HostId;
-      readonly stream: AttemptId;
-      readonly record: StreamRecord | undefined;
-    };
+  | ({ readonly kind: 'query' } & StreamQuery)
+  | ({ readonly kind: 'answer' } & StreamAnswer);
+
+export interface StreamQuery {
+  readonly from: HostId;
+  readonly stream: AttemptId;
+  readonly service: ServiceName;
+}
+
+export interface StreamAnswer {
+  readonly from: HostId;
+  readonly stream: AttemptId;
+  /** Undefined if the sender has none. */
+  readonly record: StreamRecord | undefined;
+  /** The only version of the queried service that the sender has seen; undefined if not certain. */
+  readonly singleVersion: SoftwareVersion | undefined;
+}
 
 type WireRecord = readonly [stream: string, service: string, version: string, ageMs: number];
 
@@ -77,21 +84,16 @@
   return batches.map((rows) => toDatagram({ records: rows }));
 }
 
-export function encodeQuery(from: HostId, stream: AttemptId): Buffer {
-  return toDatagram({ query: stream, from });
-}
+export const encodeQuery = ({ from, stream, service }: StreamQuery): Buffer =>
+  toDatagram({ query: stream, from, service });
 
-export function encodeAnswer(
-  from: HostId,
-  stream: AttemptId,
-  record: StreamRecord | undefined,
-): Buffer {
-  return toDatagram({
+export const encodeAnswer = ({ from, stream, record, singleVersion }: StreamAnswer): Buffer =>
+  toDatagram({
     answer: stream,
     from,
-    record: record === undefined ? null : toWire([record, 0]),
+    ...(record === undefined ? {} : { record: toWire([record, 0]) }),
+    ...(singleVersion === undefined ? {} : { single: singleVersion }),
   });
-}
 
 /** Whether a datagram is a message of this kind and not a heartbeat. */
 export const isStreamMessage = (datagram: Buffer): boolean =>
@@ -105,12 +107,12 @@
   } catch (error) {
     throw new InvalidMessageError('The message on streams is not valid JSON.', { cause: error });
   }
-  const { records, query, answer, from, record } = fields;
+  const { records, query, answer, from, service, record, single } = fields;
   if (Array.isArray(records)) {
     return { kind: 'records', records: records.filter(isWireRecord).map(fromWire) };
   }
-  if (typeof from === 'string' && typeof query === 'string') {
-    return { kind: 'query', from: asId(from), stream: asId(query) };
+  if (typeof from === 'string' && typeof query === 'string' && typeof service === 'string') {
+    return { kind: 'query', from: asId(from), stream: asId(query), service: asId(service) };
   }
   if (typeof from === 'string' && typeof answer === 'string') {
     const isKnown = isWireRecord(record) && record[0] === answer;
@@ -119,6 +121,7 @@
       from: asId(from),
       stream: asId(answer),
       record: isKnown ? fromWire(record)[0] : undefined,
+      singleVersion: typeof single === 'string' ? asId<SoftwareVersion>(single) : undefined,
     };
   }
   throw new InvalidMessageError('The message on streams has missing or malformed fields.');
