Streams: the number of hosts that hold a record does not grow with the fleet

With two holders in every region, a stream would cost a datagram per holder: 48 in a fleet of 24 regions. Its holders are now in three regions at the most, chosen alike by all hosts.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -137,6 +137,7 @@
 export * from './routing/runCacheFollower.js';
 export * from './routing/selectCandidates.js';
 export * from './streams/chooseHolders.js';
+export * from './streams/createHistoryCheck.js';
 export * from './streams/createRecordBacklog.js';
 export * from './streams/createServerVersions.js';
 export * from './streams/createStreamQueries.js';
--- a/packages/gateway/src/streams/chooseHolders.ts
+++ b/packages/gateway/src/streams/chooseHolders.ts
@@ -2,21 +2,29 @@
 import type { HostRegistration } from '../model/HostRegistration.js';
 import { rankByRendezvous } from '../routing/rankByRendezvous.js';
 
+/** Regions in which the record of a stream is held; bounds its cost in a fleet of many regions. */
+const MAX_REGIONS = 3;
+
 /**
- * Selects the hosts of each region that hold the record of a stream. All hosts that know the same
- * fleet select the same ones.
+ * Selects the hosts that hold the record of a stream, in several regions. All hosts that know the
+ * same fleet select the same ones.
  */
 export function chooseHolders(
   stream: AttemptId,
   hosts: readonly HostRegistration[],
   hostsPerRegion: number,
 ): readonly HostRegistration[] {
-  const byId = new Map(hosts.map((host) => [host.id as string, host]));
-  const regions = new Set(hosts.map(({ region }) => region));
-  return [...regions].flatMap((region) => {
-    const ids = [...byId.values()].filter((host) => host.region === region).map(({ id }) => id);
-    return rankByRendezvous(stream, ids)
-      .slice(0, hostsPerRegion)
-      .flatMap((id) => byId.get(id) ?? []);
+  const byRegion = new Map<string, Map<string, HostRegistration>>();
+  hosts.forEach((host) => {
+    const ofRegion = byRegion.get(host.region) ?? new Map<string, HostRegistration>();
+    byRegion.set(host.region, ofRegion.set(host.id, host));
   });
+  return rankByRendezvous(stream, [...byRegion.keys()])
+    .slice(0, MAX_REGIONS)
+    .flatMap((region) => {
+      const ofRegion = byRegion.get(region) ?? new Map<string, HostRegistration>();
+      return rankByRendezvous(stream, [...ofRegion.keys()])
+        .slice(0, hostsPerRegion)
+        .flatMap((id) => ofRegion.get(id) ?? []);
+    });
 }
--- a/packages/gateway/src/streams/createStreamVersions.ts
+++ b/packages/gateway/src/streams/createStreamVersions.ts
@@ -1,5 +1,4 @@
 import type { Clock, HostId, LogSink, MetricsSink } from '@camphorbarrow/core';
-import { compareStorePositions } from '../fleet/compareStorePositions.js';
 import type { FleetView } from '../fleet/createFleetView.js';
 import type { AttemptId } from '../model/AttemptId.js';
 import type { Endpoint } from '../model/Endpoint.js';
@@ -8,6 +7,7 @@
 import type { SoftwareVersion } from '../model/SoftwareVersion.js';
 import type { PeerRegistry } from '../peers/createPeerRegistry.js';
 import { chooseHolders } from './chooseHolders.js';
+import { createHistoryCheck } from './createHistoryCheck.js';
 import { createRecordBacklog } from './createRecordBacklog.js';
 import { createStreamQueries } from './createStreamQueries.js';
 import type { StreamQuestion } from './createStreamQueries.js';
@@ -15,7 +15,6 @@
 import type { StreamRecord } from './createStreamRecords.js';
 import { createVersionHistory } from './createVersionHistory.js';
 import type { VersionReport } from './createVersionHistory.js';
-import { hasQuorum, isHistoryCurrent } from './isHistoryCurrent.js';
 import {
   decodeStreamMessage,
   encodeAnswer,
@@ -25,9 +24,9 @@
 } from './streamMessages.js';
 import type { StreamQuery } from './streamMessages.js';
 
-/** Hosts of each region that a record is sent to. */
+/** Hosts of a region that a record is sent to. */
 const HOLDERS_PER_REGION = 2;
-/** Hosts of each region that are asked; one more, because the fleet may have changed since. */
+/** Hosts of a region that are asked; one more, because the fleet may have changed since. */
 const ASKED_PER_REGION = 3;
 /** Longest time for which an event waits until its record has been sent. */
 const MAX_SEND_WAIT_MS = 20;
@@ -92,13 +91,13 @@
   const history = createVersionHistory(clock);
   const records = createStreamRecords(clock);
   const backlog = createRecordBacklog();
+  const isCurrent = createHistoryCheck(options);
   let send: SendDatagram = async () => undefined;
-  /** Whether this host has been told by its peers which versions they had seen before it started. */
-  let hasPeersHistory = false;
+  let otherHosts: readonly HostRegistration[] = [];
   /** Services with several versions, whose earlier records were sent. */
   let sharedServices: ReadonlySet<ServiceName> = new Set();
 
-  function otherHosts(): readonly HostRegistration[] {
+  function listOtherHosts(): readonly HostRegistration[] {
     const hosts = new Map(peers.known().map(({ heartbeat: { host } }) => [host.id, host]));
     view.hosts().forEach((host) => hosts.set(host.id, host));
     hosts.delete(ownId);
@@ -116,27 +115,13 @@
 
   const queries = createStreamQueries(clock);
 
-  function isCurrent(): boolean {
-    const alive = peers.alive();
-    const state = {
-      storeAgeMs: clock.monotonicMs() - view.confirmedAtMs(),
-      registeredPeers: view.hosts().filter(({ id }) => id !== ownId).length,
-      alivePeers: alive.length,
-      isBehindPeer: alive.some(
-        ({ heartbeat }) => compareStorePositions(heartbeat.storePosition, view.position()) > 0,
-      ),
-    };
-    hasPeersHistory ||= view.hosts().length > 0 && hasQuorum(state);
-    return hasPeersHistory && isHistoryCurrent(state);
-  }
-
   function singleVersion(service: ServiceName): SoftwareVersion | undefined {
     const versions = history.versionsOf(service);
     return versions.length === 1 && isCurrent() ? versions[0] : undefined;
   }
 
   function answer({ from, stream, service }: StreamQuery): void {
-    const host = otherHosts().find(({ id }) => id === from);
+    const host = otherHosts.find(({ id }) => id === from);
     if (host !== undefined) {
       const datagram = encodeAnswer({
         from: ownId,
@@ -175,7 +160,7 @@
     const datagram = encodeQuery({ from: ownId, stream, service });
     const question: StreamQuestion = {
       stream,
-      hosts: chooseHolders(stream, otherHosts(), ASKED_PER_REGION),
+      hosts: chooseHolders(stream, otherHosts, ASKED_PER_REGION),
       send: (host) => {
         void sendMessage('query', datagram, host);
       },
@@ -203,7 +188,7 @@
       if (datagram === undefined) {
         return undefined;
       }
-      const sent = chooseHolders(stream, otherHosts(), HOLDERS_PER_REGION).map((host) =>
+      const sent = chooseHolders(stream, otherHosts, HOLDERS_PER_REGION).map((host) =>
         sendMessage('records', datagram, host),
       );
       return Promise.race([Promise.all(sent).then(() => undefined), clock.sleep(MAX_SEND_WAIT_MS)]);
@@ -227,15 +212,15 @@
       return { version: undefined, source: 'unknown' };
     },
     update() {
+      otherHosts = listOtherHosts();
       history.recordServers(view.servers.all().map(({ registration }) => registration));
       isCurrent();
       const mixed = new Set(history.reports().map(({ service }) => service));
-      const hosts = otherHosts();
       [...mixed]
         .filter((service) => !sharedServices.has(service))
         .forEach((service) =>
           backlog.add([...records.ofService(service)].reverse(), ({ stream }) =>
-            chooseHolders(stream, hosts, HOLDERS_PER_REGION),
+            chooseHolders(stream, otherHosts, HOLDERS_PER_REGION),
           ),
         );
       sharedServices = mixed;
