--- a/packages/gateway/src/routing/createRegionChooser.ts
+++ b/packages/gateway/src/routing/createRegionChooser.ts
@@ -25,7 +25,7 @@
   readonly peers: PeerRegistry;
   readonly loads: LoadTracker;
   /** All known servers; a region without one of the required version is not chosen. */
-  readonly servers?: () => readonly ServerState[];
+  readonly servers: () => readonly ServerState[];
 }
 
 /** Selects an entry host of another region, or undefined if there is none. */
@@ -111,7 +111,7 @@
   function acceptingPeers(request: RoutingRequest): readonly Peer[] {
     const { homeRegions } = request.route;
     const { service, requiredVersion } = request;
-    const servers = requiredVersion === undefined ? [] : (options.servers?.() ?? []);
+    const servers = requiredVersion === undefined ? [] : options.servers();
     const mayContinue = (region: RegionId): boolean =>
       requiredVersion === undefined || hasVersion(servers, service.name, requiredVersion, region);
     const alive = peers.alive().filter(({ heartbeat: { host } }) => {
--- a/packages/gateway/tests/routing/createRegionChooser.test.ts
+++ b/packages/gateway/tests/routing/createRegionChooser.test.ts
@@ -1,9 +1,22 @@
 import test from 'ava';
 import { asId, createManualClock, createSeededRandom } from '@camphorbarrow/core';
-import type { ManualClock } from '@camphorbarrow/core';
+import type { ManualClock, RegionId } from '@camphorbarrow/core';
 import { createLoadTracker, createRegionChooser, relayLoadId } from '../../src/index.js';
-import type { RoutingRequest, HostState, Peer, PeerRegistry } from '../../src/index.js';
-import { buildHost, buildRoutingRequest, buildRoute, buildService } from '../support/builders.js';
+import type {
+  RoutingRequest,
+  HostState,
+  Peer,
+  PeerRegistry,
+  ServerState,
+  SoftwareVersion,
+} from '../../src/index.js';
+import {
+  buildHost,
+  buildRoutingRequest,
+  buildRoute,
+  buildServer,
+  buildService,
+} from '../support/builders.js';
 
 const service = buildService();
 /** Time for which a draining host of the tests still serves requests. */
@@ -50,6 +63,7 @@
   peers: readonly Peer[],
   changes: Partial<RoutingRequest> = {},
   clock: ManualClock = createManualClock(),
+  servers: readonly ServerState[] = [],
 ): string | undefined {
   const choose = createRegionChooser({
     clock,
@@ -57,6 +71,7 @@
     region: asId('north'),
     peers: { alive: () => peers } as unknown as PeerRegistry,
     loads: createLoadTracker(clock, () => []),
+    servers: () => servers,
   });
   return choose(buildRoutingRequest({ remainingMs: 4_000, ...changes }))?.choice.peer.heartbeat.host
     .id;
@@ -139,6 +154,7 @@
     region: asId('north'),
     peers: { alive: () => peers } as unknown as PeerRegistry,
     loads,
+    servers: () => [],
   });
   const chosen = peers.map(() => {
     const peer = choose(buildRoutingRequest({ remainingMs: 4_000 }))?.choice.peer;
@@ -149,3 +165,19 @@
   });
   t.is(new Set(chosen).size, peers.length);
 });
+
+test('a stream is not relayed to a region without a server of the version that began it', (t) => {
+  const peers = [buildPeer('a', 'south', 'ready'), buildPeer('b', 'east', 'ready')];
+  const server = buildServer({ softwareVersion: asId('v2') });
+  const servers = [
+    { ...server, region: asId<RegionId>('east') },
+    { ...buildServer(), region: asId<RegionId>('south') },
+    { ...buildServer({ service: asId('other'), softwareVersion: asId('v3') }), region: undefined },
+  ];
+  const clock = createManualClock();
+  const choose = (version: string): string | undefined =>
+    chooseAmong(peers, { requiredVersion: asId<SoftwareVersion>(version) }, clock, servers);
+  t.is(choose('v2'), 'b');
+  t.is(choose('v1'), 'a');
+  t.is(choose('v3'), undefined);
+});
--- a/packages/gateway/tests/routing/createServerView.test.ts
+++ b/packages/gateway/tests/routing/createServerView.test.ts
@@ -81,3 +81,18 @@
   leavingServers.recordResponse(second, 503);
   t.deepEqual(view.rejection(service), { kind: 'none', reason: 'servers-leaving' });
 });
+
+test('a stream of a version without a usable server waits for one that is listed, in any region', (t) => {
+  const v1 = first.registration.softwareVersion;
+  const newer = buildServer({ id: asId('server-3'), softwareVersion: asId('v2') });
+  const { view, leavingServers } = setUp([first, newer]);
+  t.deepEqual(view.usable(service, v1), [first]);
+  leavingServers.recordResponse(first, 200);
+  t.deepEqual(view.usable(service, v1), []);
+  t.deepEqual(view.rejection(service, v1), { kind: 'none', reason: 'servers-leaving' });
+  const elsewhere = { ...first, region: asId<NonNullable<ServerState['region']>>('south') };
+  const reasonWith = (servers: readonly ServerState[]) =>
+    setUp(servers).view.rejection(service, v1).reason;
+  t.is(reasonWith([elsewhere, newer]), 'no-server');
+  t.is(reasonWith([newer]), 'version-gone');
+});
