A host that is not running does not exclude its region from a request

Streams and other requests that were relayed to a killed host got 503 although another host of its region ran: any failure to reach a peer counted as a rejection by its region. A refused connection now concerns only the host, as a rejection by a draining one does; a connection that times out still excludes the region, because each further try costs as long.

--- a/packages/gateway/src/exchange/AttemptResult.ts
+++ b/packages/gateway/src/exchange/AttemptResult.ts
@@ -18,8 +18,8 @@
       readonly reachedServer: boolean;
       /** Whether the request may have arrived at any server, which then rejected it. */
       readonly hasArrived: boolean;
-      /** Whether a draining peer rejected the request, which says nothing of its region. */
-      readonly isPeerDraining?: boolean;
+      /** Whether the peer drains or is not running, which says nothing of its region. */
+      readonly concernsHostOnly?: boolean;
     }
   /** The server ran the request and returned an error response. */
   | { readonly kind: 'failed-run'; readonly response: BufferedResponse }
--- a/packages/gateway/src/exchange/forwardToPeer.ts
+++ b/packages/gateway/src/exchange/forwardToPeer.ts
@@ -52,6 +52,7 @@
           cause: `peer ${sent.cause}`,
           reachedServer: false,
           hasArrived: false,
+          concernsHostOnly: sent.isRefused === true,
         };
   }
   const { response } = sent;
@@ -67,7 +68,7 @@
       cause: isPeerDraining ? 'peer is draining' : 'rejected by peer',
       reachedServer: false,
       hasArrived: response.headers[relayHeaders.arrived] !== NOT_ARRIVED,
-      isPeerDraining,
+      concernsHostOnly: isPeerDraining,
     };
   }
   return receiveResponse({
--- a/packages/gateway/src/exchange/runAttempts.ts
+++ b/packages/gateway/src/exchange/runAttempts.ts
@@ -114,9 +114,9 @@
       requiredVersion: progress.requiredVersion,
       admitStream: admit,
     });
-    // A rejection holds for the whole region, except by a draining host. After a failure of one of
+    // A rejection holds for the whole region, unless it is due to the host. After a failure of one of
     // its servers, another server of the region may still succeed.
-    if (result.kind === 'not-run' && result.isPeerDraining === true) {
+    if (result.kind === 'not-run' && result.concernsHostOnly === true) {
       progress.rejectingHosts.add(host.id);
     } else if (result.kind === 'not-run') {
       progress.triedRegions.add(host.region);
--- a/packages/gateway/src/upstream/sendUpstream.ts
+++ b/packages/gateway/src/upstream/sendUpstream.ts
@@ -24,6 +24,8 @@
       /** Whether any byte of the request may have reached the other end. */
       readonly mayHaveRun: boolean;
       readonly cause: string;
+      /** Whether no process listens at the endpoint. */
+      readonly isRefused?: boolean;
     };
 
 export interface UpstreamRequest {
@@ -197,6 +199,7 @@
         failure: written || failure === 'cancelled' ? failure : 'unreachable',
         mayHaveRun: written,
         cause: error.message,
+        isRefused: (error as NodeJS.ErrnoException).code === 'ECONNREFUSED',
       });
     });
     outgoing.on('close', () => {
