--- a/packages/gateway/src/exchange/describeChoice.ts
+++ b/packages/gateway/src/exchange/describeChoice.ts
@@ -11,12 +11,14 @@
     estimateMs: Math.round(choice.estimateMs),
     waitMs: Math.round(choice.waitMs),
     finishMs: Math.round(choice.finishMs),
+    typicalFinishMs: Math.round(choice.typicalFinishMs),
   };
   if (choice.kind === 'region') {
     return { destination: choice.peer.heartbeat.host.id, ...estimates };
   }
   return {
     destination: choice.server.registration.id,
+    serverVersion: choice.server.registration.softwareVersion,
     ...estimates,
     rank: choice.rank,
     uncachedTokens: choice.uncachedTokens,
--- a/packages/gateway/src/exchange/serveExchange.ts
+++ b/packages/gateway/src/exchange/serveExchange.ts
@@ -1,7 +1,10 @@
 import { runAfterPoll } from '@camphorbarrow/core';
+import type { AttemptResult } from './AttemptResult.js';
 import { describeChoice } from './describeChoice.js';
+import { describeStreamOutcome } from './describeStreamOutcome.js';
 import type { Exchange } from './Exchange.js';
 import type { ExchangeProgress } from './ExchangeProgress.js';
+import { findStreamVersion } from './findStreamVersion.js';
 import type { GatewayContext } from './GatewayContext.js';
 import { runAttempts } from './runAttempts.js';
 import { sendFinalResponse } from './sendFinalResponse.js';
@@ -29,6 +32,8 @@
     hasArrived: false,
     runs: 0,
     lastEventId: exchange.metadata.lastEventId,
+    requiredVersion: undefined,
+    versionSource: undefined,
     errorResponse: undefined,
     triedServers: new Set(),
     triedRegions: new Set(),
@@ -85,7 +90,11 @@
   const signals = { signal: end.signal, startSignal: start.signal };
 
   context.retryBudget.recordRequest(exchange.service.name);
-  const result = await runAttempts(context, exchange, progress, signals).finally(() => {
+  const attemptAll = async (): Promise<AttemptResult | undefined> =>
+    (await findStreamVersion(context, exchange, progress, start.signal))
+      ? runAttempts(context, exchange, progress, signals)
+      : undefined;
+  const result = await attemptAll().finally(() => {
     clearTimeout(timer);
     cancelEnd();
     responseWriter.disconnected.removeEventListener('abort', onDisconnect);
@@ -102,20 +111,36 @@
   const kind = route.delivery === 'events' ? 'stream' : 'call';
   const labels = { service: exchange.service.name, kind };
   context.metrics.increment('requests', { ...labels, status: String(status) });
+  if (kind === 'stream' && exchange.relayedBy === undefined) {
+    const outcome = describeStreamOutcome(exchange.metadata.maxOutputTokens, progress, {
+      status,
+      isExpired,
+      hasCallerLeft: responseWriter.disconnected.aborted,
+    });
+    context.metrics.increment('stream_outcomes', { service: exchange.service.name, ...outcome });
+  }
   if (progress.firstEventMs !== undefined) {
     context.metrics.timingMs('first_event', progress.firstEventMs, labels);
   }
   context.log.info('request', {
     requestId: exchange.metadata.attemptId,
+    resumes: exchange.metadata.resumes,
+    resumesAfter: exchange.metadata.lastEventId,
     route: route.name,
     service: exchange.service.name,
     tableVersion: exchange.tableVersion,
     relayedBy: exchange.relayedBy,
     ...describeChoice(progress.lastChoice),
+    requiredVersion: progress.requiredVersion,
+    versionSource: progress.versionSource,
     remainingMs: Math.round(exchange.deadlineAtMs - exchange.arrivedAtMs),
     events: progress.eventCount,
     promptTokens: exchange.metadata.promptTokens,
+    maxOutputTokens: exchange.metadata.maxOutputTokens,
+    expectedOutputTokens: exchange.metadata.expectedOutputTokens,
     expectedEvents: Math.round(exchange.expectedEvents),
+    resumedAfter: exchange.metadata.lastEventId,
+    lastEventId: progress.lastEventId,
     reportedWaiting: progress.reportedWaiting,
     firstEventMs: roundMs(progress.firstEventMs),
     longestGapMs: roundMs(progress.longestGapMs),
--- a/packages/gateway/src/lifecycle/createEntryHost.ts
+++ b/packages/gateway/src/lifecycle/createEntryHost.ts
@@ -49,6 +49,8 @@
 const MAX_URGENT_PAUSE_MS = 2_000;
 /** Interval at which state of removed servers and peers is dropped. */
 const HOUSEKEEPING_INTERVAL_MS = 1_000;
+/** Interval at which new software versions of servers are noticed. */
+const STREAM_VERSION_UPDATE_INTERVAL_MS = 250;
 /** Number of heartbeats after an evacuation until a server's report of being cold is used. */
 const COLD_HEARTBEAT_COUNT = 2;
 
@@ -187,8 +189,10 @@
       partEvidence: context.partSuspicion.evidence(),
       partTrials: context.partTrials.running(),
       serverLimits: context.serverLimits.reports(),
+      versions: context.streamVersions.reports(),
     }),
     ownPartEvidence: () => context.partSuspicion.evidence('own'),
+    onDatagram: context.streamVersions.receive,
     onHeartbeat(heartbeat) {
       peers.recordHeartbeat(heartbeat);
       context.transits.recordHeartbeat(heartbeat);
@@ -196,6 +200,7 @@
       context.partTrials.recordPeer(heartbeat.host.id, heartbeat.partTrials);
       crashGuard.mergeReports(heartbeat.crashes);
       heartbeat.crashes.forEach(recordServerEnd);
+      context.streamVersions.mergeReports(heartbeat.versions ?? []);
       if (heartbeat.host.region === own.region) {
         context.serverLimits.mergeReports(heartbeat.serverLimits);
       }
@@ -210,6 +215,7 @@
     },
     intervalMs: HEARTBEAT_INTERVAL_MS,
   });
+  context.streamVersions.useTransport(heartbeats.send);
   // The attempt that reports a crash or starts a trial goes on without them.
   const reportSoon = createPacedSend({
     clock,
@@ -237,6 +243,11 @@
     HOUSEKEEPING_INTERVAL_MS,
   );
 
+  const streamVersionUpdates = setInterval(
+    logFailures(log, 'stream-version-update-failed', context.streamVersions.update),
+    STREAM_VERSION_UPDATE_INTERVAL_MS,
+  );
+
   const tasks = [
     runStoreFollower({
       clock,
@@ -312,6 +323,7 @@
       inFlight.count(),
     );
     clearInterval(housekeeping);
+    clearInterval(streamVersionUpdates);
     eventLoopMonitor.close();
     heartbeats.close();
     listeners.forEach((listener) => listener.close());
