Select the hosts of waiting stream records a few at a time

What callers would see: responses pause when a second software version of a service appears.

Cause: the hosts that hold the records of all streams of the last two minutes were selected in one turn of the event loop.

Change: they are selected when the records are sent, 600 at a time at most.

Evidence: the new test of createRecordBacklog fails before.

--- a/packages/gateway/src/streams/createRecordBacklog.ts
+++ b/packages/gateway/src/streams/createRecordBacklog.ts
@@ -5,6 +5,8 @@
 
 /** Records that are grouped by host before they are sent together. */
 const GROUP_RECORDS = 60;
+/** Groups of records whose hosts are selected at a time. */
+const MAX_GROUPS = 10;
 /** Datagrams that are sent at a time, so that the receivers' buffers do not overflow. */
 const MAX_DATAGRAMS = 40;
 
@@ -19,23 +21,44 @@
   take(): readonly (readonly [Buffer, Endpoint])[];
 }
 
+interface PendingRecords {
+  readonly entries: (readonly [StreamRecord, number])[];
+  readonly holdersOf: (record: StreamRecord) => readonly HostRegistration[];
+}
+
 /** Creates an empty backlog. */
 export function createRecordBacklog(): RecordBacklog {
   const datagrams: (readonly [Buffer, Endpoint])[] = [];
+  /** Records whose hosts are not selected yet: in a large fleet, the selection for all takes long. */
+  const pending: PendingRecords[] = [];
+
+  function groupNext({ entries, holdersOf }: PendingRecords): void {
+    const byHost = new Map<HostRegistration, (readonly [StreamRecord, number])[]>();
+    entries.splice(0, GROUP_RECORDS).forEach((entry) =>
+      holdersOf(entry[0]).forEach((host) => {
+        byHost.set(host, [...(byHost.get(host) ?? []), entry]);
+      }),
+    );
+    byHost.forEach((records, { peers }) =>
+      datagrams.push(...encodeRecords(records).map((datagram) => [datagram, peers] as const)),
+    );
+    if (entries.length === 0) {
+      pending.shift();
+    }
+  }
+
   return {
     add(entries, holdersOf) {
-      for (let start = 0; start < entries.length; start += GROUP_RECORDS) {
-        const byHost = new Map<HostRegistration, (readonly [StreamRecord, number])[]>();
-        entries.slice(start, start + GROUP_RECORDS).forEach((entry) =>
-          holdersOf(entry[0]).forEach((host) => {
-            byHost.set(host, [...(byHost.get(host) ?? []), entry]);
-          }),
-        );
-        byHost.forEach((records, { peers }) =>
-          datagrams.push(...encodeRecords(records).map((datagram) => [datagram, peers] as const)),
-        );
+      pending.push({ entries: [...entries], holdersOf });
+    },
+    take() {
+      for (let groups = 0; groups < MAX_GROUPS && datagrams.length < MAX_DATAGRAMS; groups += 1) {
+        const [next] = pending;
+        if (next !== undefined) {
+          groupNext(next);
+        }
       }
+      return datagrams.splice(0, MAX_DATAGRAMS);
     },
-    take: () => datagrams.splice(0, MAX_DATAGRAMS),
   };
 }
--- /dev/null
+++ b/packages/gateway/tests/streams/createRecordBacklog.test.ts
@@ -0,0 +1,51 @@
+import test from 'ava';
+import { asId } from '@camphorbarrow/core';
+import { createRecordBacklog, decodeStreamMessage } from '../../src/index.js';
+import type { StreamRecord } from '../../src/index.js';
+import { buildHost } from '../support/builders.js';
+
+const RECORDS = 3_000;
+const MAX_SELECTIONS_AT_A_TIME = 600;
+
+const entries = Array.from(
+  { length: RECORDS },
+  (_, index) =>
+    [
+      {
+        stream: asId<StreamRecord['stream']>(`attempt-${index}`),
+        service: asId<StreamRecord['service']>('model'),
+        version: asId<StreamRecord['version']>('v1'),
+      },
+      index,
+    ] as const,
+);
+
+// The selection of holders for all streams at once kept a host from its requests.
+test('records that wait are assigned to hosts a few at a time, and all are sent in order', (t) => {
+  const host = buildHost('a', 'north');
+  const backlog = createRecordBacklog();
+  let selections = 0;
+  backlog.add(entries, () => {
+    selections += 1;
+    return [host];
+  });
+  t.true(selections <= MAX_SELECTIONS_AT_A_TIME);
+  const sent: string[] = [];
+  let rounds = 0;
+  for (let before = -1; before < sent.length && rounds < RECORDS; rounds += 1) {
+    before = sent.length;
+    const selectionsBefore = selections;
+    backlog.take().forEach(([datagram]) => {
+      const message = decodeStreamMessage(datagram);
+      if (message.kind === 'records') {
+        sent.push(...message.records.map(([{ stream }]) => stream));
+      }
+    });
+    t.true(selections - selectionsBefore <= MAX_SELECTIONS_AT_A_TIME);
+  }
+  t.is(selections, RECORDS);
+  t.deepEqual(
+    sent,
+    entries.map(([{ stream }]) => stream as string),
+  );
+});
