Forget software versions that hosts only tell each other of

What callers would see: none; hosts go on sending records of streams and versions long after a service has one version again.

Cause: a report names the age of a sighting without its transit, and hosts pass on what they have heard, so that the sighting becomes newer with each host that it passes.

Change: what a host has heard is passed on with an age increased by a second, more than the transit.

--- a/packages/gateway/src/streams/createStreamVersions.ts
+++ b/packages/gateway/src/streams/createStreamVersions.ts
@@ -229,7 +229,7 @@
       });
     },
     reports: history.reports,
-    mergeReports: (reports) => reports.forEach(history.record),
+    mergeReports: history.merge,
     receive(datagram) {
       if (!isStreamMessage(datagram)) {
         return false;
--- a/packages/gateway/src/streams/createVersionHistory.ts
+++ b/packages/gateway/src/streams/createVersionHistory.ts
@@ -4,6 +4,12 @@
 import type { SoftwareVersion } from '../model/SoftwareVersion.js';
 import { STREAM_RETENTION_MS } from './streamRetention.js';
 
+/**
+ * Added to the age of what this host has heard when it tells others, as the age in a report does not
+ * include its transit. Without it, hosts that tell each other of a version would never forget it.
+ */
+const REPORT_TRANSIT_MS = 1_000;
+
 /** A version that servers of a service had, and the time since. */
 export interface VersionReport {
   readonly service: ServiceName;
@@ -15,8 +21,10 @@
 export interface VersionHistory {
   /** Records the versions of the listed servers. */
   recordServers(registrations: readonly ServerRegistration[]): void;
-  /** Records what this host or a peer has seen. */
+  /** Records what this host has seen, or the host that began a stream. */
   record(report: VersionReport): void;
+  /** Records what a peer reports, which it may have heard from others. */
+  merge(reports: readonly VersionReport[]): void;
   versionsOf(service: ServiceName): readonly SoftwareVersion[];
   /** Whether streams of several versions may exist. */
   isMixed(service: ServiceName): boolean;
@@ -24,39 +32,47 @@
   reports(): readonly VersionReport[];
 }
 
+interface Sighting {
+  /** Monotonic time. */
+  readonly atMs: number;
+  readonly isHeard: boolean;
+}
+
 /** Creates an empty history. */
 export function createVersionHistory(clock: Clock): VersionHistory {
-  /** Monotonic time at which each version was last seen. */
-  const seenAtMs = new Map<ServiceName, Map<SoftwareVersion, number>>();
+  /** Latest sighting of each version. */
+  const sightings = new Map<ServiceName, Map<SoftwareVersion, Sighting>>();
 
   const isRecent = (atMs: number): boolean => clock.monotonicMs() - atMs <= STREAM_RETENTION_MS;
 
-  function record({ service, version, ageMs }: VersionReport): void {
+  function add({ service, version, ageMs }: VersionReport, isHeard: boolean): void {
     const atMs = clock.monotonicMs() - ageMs;
-    const versions = seenAtMs.get(service) ?? new Map<SoftwareVersion, number>();
-    const knownAtMs = versions.get(version) ?? -Infinity;
+    const versions = sightings.get(service) ?? new Map<SoftwareVersion, Sighting>();
+    const knownAtMs = versions.get(version)?.atMs ?? -Infinity;
     if (isRecent(atMs) && atMs > knownAtMs) {
-      versions.set(version, atMs);
-      seenAtMs.set(service, versions);
+      versions.set(version, { atMs, isHeard });
+      sightings.set(service, versions);
     }
   }
 
+  const record = (report: VersionReport): void => add(report, false);
+
   const versionsOf = (service: ServiceName): readonly SoftwareVersion[] =>
-    [...(seenAtMs.get(service) ?? [])]
-      .filter(([, atMs]) => isRecent(atMs))
+    [...(sightings.get(service) ?? [])]
+      .filter(([, { atMs }]) => isRecent(atMs))
       .map(([version]) => version);
 
   const isMixed = (service: ServiceName): boolean => versionsOf(service).length > 1;
 
   function dropOld(): void {
-    seenAtMs.forEach((versions, service) => {
-      versions.forEach((atMs, version) => {
+    sightings.forEach((versions, service) => {
+      versions.forEach(({ atMs }, version) => {
         if (!isRecent(atMs)) {
           versions.delete(version);
         }
       });
       if (versions.size === 0) {
-        seenAtMs.delete(service);
+        sightings.delete(service);
       }
     });
   }
@@ -69,15 +85,16 @@
       );
     },
     record,
+    merge: (reports) => reports.forEach((each) => add(each, true)),
     versionsOf,
     isMixed,
     reports: () =>
-      [...seenAtMs].flatMap(([service, versions]) =>
+      [...sightings].flatMap(([service, versions]) =>
         isMixed(service)
-          ? [...versions].map(([version, atMs]) => ({
+          ? [...versions].map(([version, { atMs, isHeard }]) => ({
               service,
               version,
-              ageMs: Math.round(clock.monotonicMs() - atMs),
+              ageMs: Math.round(clock.monotonicMs() - atMs) + (isHeard ? REPORT_TRANSIT_MS : 0),
             }))
           : [],
       ),
