Count a second software version of a service as soon as the store lists it

What callers would see: a stream holds events of two versions (ORDER), if it is resumed within 250 ms of the second version at a host that did not begin it.

Cause: the versions of the listed servers were read at intervals, and a host that had read one took it for that of all streams.

Change: they are also read before a service is taken for one of a single version, for each resumed stream.

Evidence: the new test of createStreamVersions fails before. The other tests of streams pass.

--- a/packages/gateway/src/streams/createStreamVersions.ts
+++ b/packages/gateway/src/streams/createStreamVersions.ts
@@ -115,7 +115,11 @@
 
   const queries = createStreamQueries(clock);
 
+  const recordServers = (): void =>
+    history.recordServers(view.servers.all().map(({ registration }) => registration));
+
   function singleVersion(service: ServiceName): SoftwareVersion | undefined {
+    recordServers();
     const versions = history.versionsOf(service);
     return versions.length === 1 && isCurrent() ? versions[0] : undefined;
   }
@@ -213,7 +217,7 @@
     },
     update() {
       otherHosts = listOtherHosts();
-      history.recordServers(view.servers.all().map(({ registration }) => registration));
+      recordServers();
       isCurrent();
       const mixed = new Set(history.reports().map(({ service }) => service));
       [...mixed]
--- a/packages/gateway/tests/streams/createStreamVersions.test.ts
+++ b/packages/gateway/tests/streams/createStreamVersions.test.ts
@@ -131,6 +131,15 @@
   });
 }
 
+// Servers were read at intervals, and other hosts had begun streams at the new version in between.
+test('a second version counts from the moment at which the store lists it', (t) => {
+  const versions = ['v1'];
+  const { streams } = setUp({ versions });
+  t.is(streams.singleVersion(service), v1);
+  versions.push('v2');
+  t.is(streams.singleVersion(service), undefined);
+});
+
 test('streams go on while the store responds to nobody', (t) => {
   const { streams } = setUp({ versions: ['v1'], storeAgeMs: 9_000 });
   t.is(streams.singleVersion(service), v1);
