--- a/packages/daemon/src/report/explainRequest.ts
+++ b/packages/daemon/src/report/explainRequest.ts
@@ -75,6 +75,12 @@
   if (causes.endsWith('servers-paused')) {
     return `${host} rejected it before it ran: all servers that it could reach and that were not leaving had asked it for a pause (${causes}); see server-paused in its log.`;
   }
+  if (causes.endsWith('version-gone')) {
+    return `${host} rejected it before it ran: no server of the software version that began its stream (${text(fields.requiredVersion)}) was listed any more (${causes}).`;
+  }
+  if (causes.endsWith('software version of the stream is unknown')) {
+    return `${host} rejected it before it ran: it resumes ${text(fields.resumes) || 'no named attempt'}, and no host told which software version began that stream.`;
+  }
   if (/prompt part (crashed servers|suspected after server crashes)$/.test(causes)) {
     return `${host} rejected it before it ran: ${causes}; see server-crashed in the logs of all hosts.`;
   }
--- a/packages/daemon/tests/report/explainRequest.test.ts
+++ b/packages/daemon/tests/report/explainRequest.test.ts
@@ -162,3 +162,19 @@
     /^host-1 rejected it before it ran: prompt part suspected/,
   );
 });
+
+test('rejections of resumed streams are explained by what is known of their version', (t) => {
+  const rejected = { event: 'request', requestId: 'a1', attempts: 0, runs: 0, status: 503 };
+  const conclusionFor = (fields: object) =>
+    explain([line(1, 'host-1', { ...rejected, tookMs: 3, ...fields })]).conclusion;
+  t.is(
+    conclusionFor({ causes: 'version-gone', requiredVersion: 'v1' }),
+    'host-1 rejected it before it ran: no server of the software version that began its stream (v1) was listed any more (version-gone).',
+  );
+  const causes = 'software version of the stream is unknown';
+  t.is(
+    conclusionFor({ causes, resumes: 'a0' }),
+    'host-1 rejected it before it ran: it resumes a0, and no host told which software version began that stream.',
+  );
+  t.regex(conclusionFor({ causes }) ?? '', /resumes no named attempt/);
+});
