Streams: hosts ask for the single version of a service also when the caller names no stream

A host that had just started, or whose view was not current, rejected such a stream without asking, because queries were only sent for a named stream. A query now names the service, and a stream if there is one; its answer counts for that service alone. Test: createStreamVersions, which fails with the earlier condition.

--- a/packages/gateway/src/streams/chooseHolders.ts
+++ b/packages/gateway/src/streams/chooseHolders.ts
@@ -1,4 +1,3 @@
-import type { AttemptId } from '../model/AttemptId.js';
 import type { HostRegistration } from '../model/HostRegistration.js';
 import { rankByRendezvous } from '../routing/rankByRendezvous.js';
 
@@ -10,7 +9,7 @@
  * same fleet select the same ones.
  */
 export function chooseHolders(
-  stream: AttemptId,
+  stream: string,
   hosts: readonly HostRegistration[],
   hostsPerRegion: number,
 ): readonly HostRegistration[] {
--- a/packages/gateway/src/streams/createStreamQueries.ts
+++ b/packages/gateway/src/streams/createStreamQueries.ts
@@ -1,17 +1,15 @@
 import type { Clock, HostId } from '@camphorbarrow/core';
-import type { AttemptId } from '../model/AttemptId.js';
 import type { HostRegistration } from '../model/HostRegistration.js';
 import type { SoftwareVersion } from '../model/SoftwareVersion.js';
-import type { StreamAnswer } from './streamMessages.js';
+import type { StreamAnswer, StreamQuery } from './streamMessages.js';
 
 /** Longest wait for answers; covers two round trips between regions. */
 const QUERY_TIMEOUT_MS = 400;
 /** Time after which hosts without an answer are asked again, because datagrams get lost. */
 const REPEAT_AFTER_MS = 200;
 
-/** Question about one stream. */
-export interface StreamQuestion {
-  readonly stream: AttemptId;
+/** Question about one stream, or about a service. */
+export interface StreamQuestion extends Pick<StreamQuery, 'stream' | 'service'> {
   readonly hosts: readonly HostRegistration[];
   /** Sends the query to a host. */
   readonly send: (host: HostRegistration) => void;
@@ -38,7 +36,9 @@
 
 /** Creates the queries of one host. */
 export function createStreamQueries(clock: Clock): StreamQueries {
-  const queries = new Map<AttemptId, Set<RunningQuery>>();
+  const queries = new Map<string, Set<RunningQuery>>();
+  const keyOf = ({ stream, service }: Pick<StreamQuery, 'stream' | 'service'>): string =>
+    `${service}\n${stream ?? ''}`;
 
   async function wait(durationMs: number, signal: AbortSignal): Promise<undefined> {
     await clock.sleep(durationMs, signal).catch(() => undefined);
@@ -46,7 +46,8 @@
   }
 
   return {
-    async ask({ stream, hosts, send, read }, signal) {
+    async ask(question, signal) {
+      const { hosts, send, read } = question;
       if (hosts.length === 0) {
         return undefined;
       }
@@ -62,8 +63,9 @@
           ended.abort();
         },
       };
-      const ofStream = queries.get(stream) ?? new Set();
-      queries.set(stream, ofStream.add(query));
+      const key = keyOf(question);
+      const ofStream = queries.get(key) ?? new Set();
+      queries.set(key, ofStream.add(query));
       try {
         awaiting.forEach(send);
         await wait(REPEAT_AFTER_MS, stop);
@@ -75,12 +77,12 @@
       } finally {
         ofStream.delete(query);
         if (ofStream.size === 0) {
-          queries.delete(stream);
+          queries.delete(key);
         }
       }
     },
     recordAnswer(answer) {
-      queries.get(answer.stream)?.forEach(({ awaiting, read, settle }) => {
+      queries.get(keyOf(answer))?.forEach(({ awaiting, read, settle }) => {
         if (!awaiting.delete(answer.from)) {
           return;
         }
--- a/packages/gateway/src/streams/createStreamVersions.ts
+++ b/packages/gateway/src/streams/createStreamVersions.ts
@@ -126,7 +126,8 @@
       const datagram = encodeAnswer({
         from: ownId,
         stream,
-        record: records.get(stream),
+        service,
+        record: stream === undefined ? undefined : records.get(stream),
         singleVersion: singleVersion(service),
       });
       void sendMessage('answer', datagram, host);
@@ -153,14 +154,15 @@
 
   /** A host that has seen several versions does not rely on one that has seen a single one. */
   function askPeers(
-    stream: AttemptId,
+    stream: AttemptId | undefined,
     service: ServiceName,
     signal: AbortSignal,
   ): Promise<SoftwareVersion | undefined> {
     const datagram = encodeQuery({ from: ownId, stream, service });
     const question: StreamQuestion = {
       stream,
-      hosts: chooseHolders(stream, otherHosts, ASKED_PER_REGION),
+      service,
+      hosts: chooseHolders(stream ?? service, otherHosts, ASKED_PER_REGION),
       send: (host) => {
         void sendMessage('query', datagram, host);
       },
@@ -202,12 +204,16 @@
       if (single !== undefined) {
         return { version: single, source: 'single-version' };
       }
-      if (stream !== undefined) {
-        const version = await askPeers(stream, service, signal);
-        if (version !== undefined) {
+      // Only a record tells the version of a stream of a service that is known to have several.
+      const version =
+        stream === undefined && history.isMixed(service)
+          ? undefined
+          : await askPeers(stream, service, signal);
+      if (version !== undefined) {
+        if (stream !== undefined) {
           records.record({ stream, service, version });
-          return { version, source: 'peer' };
         }
+        return { version, source: 'peer' };
       }
       return { version: undefined, source: 'unknown' };
     },
--- a/packages/gateway/src/streams/streamMessages.ts
+++ b/packages/gateway/src/streams/streamMessages.ts
@@ -23,13 +23,13 @@
 
 export interface StreamQuery {
   readonly from: HostId;
-  readonly stream: AttemptId;
+  /** Undefined to ask only for the single version of the service. */
+  readonly stream: AttemptId | undefined;
   readonly service: ServiceName;
 }
 
-export interface StreamAnswer {
-  readonly from: HostId;
-  readonly stream: AttemptId;
+/** Answer to a query for this stream and service. */
+export interface StreamAnswer extends StreamQuery {
   /** Undefined if the sender has none. */
   readonly record: StreamRecord | undefined;
   /** The only version of the queried service that the sender has seen; undefined if not certain. */
@@ -85,12 +85,13 @@
 }
 
 export const encodeQuery = ({ from, stream, service }: StreamQuery): Buffer =>
-  toDatagram({ query: stream, from, service });
+  toDatagram({ query: service, from, stream });
 
-export const encodeAnswer = ({ from, stream, record, singleVersion }: StreamAnswer): Buffer =>
+export const encodeAnswer = ({ record, singleVersion, ...query }: StreamAnswer): Buffer =>
   toDatagram({
-    answer: stream,
-    from,
+    answer: query.service,
+    from: query.from,
+    stream: query.stream,
     ...(record === undefined ? {} : { record: toWire([record, 0]) }),
     ...(singleVersion === undefined ? {} : { single: singleVersion }),
   });
@@ -107,22 +108,29 @@
   } catch (error) {
     throw new InvalidMessageError('The message on streams is not valid JSON.', { cause: error });
   }
-  const { records, query, answer, from, service, record, single } = fields;
+  const { records, query, answer, from, stream, record, single } = fields;
   if (Array.isArray(records)) {
     return { kind: 'records', records: records.filter(isWireRecord).map(fromWire) };
   }
-  if (typeof from === 'string' && typeof query === 'string' && typeof service === 'string') {
-    return { kind: 'query', from: asId(from), stream: asId(query), service: asId(service) };
-  }
-  if (typeof from === 'string' && typeof answer === 'string') {
-    const isKnown = isWireRecord(record) && record[0] === answer;
-    return {
-      kind: 'answer',
+  const service = query ?? answer;
+  if (
+    typeof from === 'string' &&
+    typeof service === 'string' &&
+    (stream === undefined || typeof stream === 'string')
+  ) {
+    const fieldsOfQuery: StreamQuery = {
       from: asId(from),
-      stream: asId(answer),
-      record: isKnown ? fromWire(record)[0] : undefined,
-      singleVersion: typeof single === 'string' ? asId<SoftwareVersion>(single) : undefined,
+      stream: stream === undefined ? undefined : asId<AttemptId>(stream),
+      service: asId(service),
     };
+    return query === undefined
+      ? {
+          kind: 'answer',
+          ...fieldsOfQuery,
+          record: isWireRecord(record) && record[0] === stream ? fromWire(record)[0] : undefined,
+          singleVersion: typeof single === 'string' ? asId<SoftwareVersion>(single) : undefined,
+        }
+      : { kind: 'query', ...fieldsOfQuery };
   }
   throw new InvalidMessageError('The message on streams has missing or malformed fields.');
 }
--- a/packages/gateway/tests/streams/createStreamVersions.test.ts
+++ b/packages/gateway/tests/streams/createStreamVersions.test.ts
@@ -26,6 +26,7 @@
 const buildAnswer = (from: string, changes: Partial<StreamAnswer> = {}): StreamAnswer => ({
   from: asId(from),
   stream,
+  service,
   record: undefined,
   singleVersion: undefined,
   ...changes,
@@ -167,6 +168,16 @@
   t.like(await found, { version: v1, source: 'peer' });
 });
 
+test('a host that has just started asks peers also for a stream that the caller does not name', async (t) => {
+  const { streams } = setUp({ versions: ['v1'], alive: [] });
+  const found = streams.find(undefined, service, signal);
+  const other = asId<StreamRecord['service']>('other');
+  const answer = buildAnswer('a', { stream: undefined, singleVersion: v1 });
+  streams.receive(encodeAnswer({ ...answer, service: other, singleVersion: v2 }));
+  streams.receive(encodeAnswer(answer));
+  t.like(await found, { version: v1, source: 'peer' });
+});
+
 test('a host that has seen two versions does not rely on a peer that has seen one', async (t) => {
   const { streams } = setUp({ versions: ['v1', 'v2'] });
   const found = streams.find(stream, service, signal);
@@ -196,6 +207,7 @@
   for (const text of [
     '{"streams":1,',
     '{"streams":1,"query":7}',
+    '{"streams":1,"query":"a","from":"b","stream":7}',
     '{"streams":1,"records":[[1]]}',
   ]) {
     t.true(streams.receive(Buffer.from(text)), text);
