Limit the software versions that a heartbeat reports

Found by review (by reading): many versions of a service within two minutes would make heartbeats larger than a datagram, and the hosts would lose each other. The 64 latest are reported. The new test fails before (1,000 reports).

--- a/packages/gateway/src/streams/createVersionHistory.ts
+++ b/packages/gateway/src/streams/createVersionHistory.ts
@@ -10,6 +10,9 @@
  */
 const REPORT_TRANSIT_MS = 1_000;
 
+/** Maximum number of reports: heartbeats, which carry them, must fit into a datagram. */
+const MAX_REPORTS = 64;
+
 /** A version that servers of a service had, and the time since. */
 export interface VersionReport {
   readonly service: ServiceName;
@@ -89,14 +92,17 @@
     versionsOf,
     isMixed,
     reports: () =>
-      [...sightings].flatMap(([service, versions]) =>
-        isMixed(service)
-          ? [...versions].map(([version, { atMs, isHeard }]) => ({
-              service,
-              version,
-              ageMs: Math.round(clock.monotonicMs() - atMs) + (isHeard ? REPORT_TRANSIT_MS : 0),
-            }))
-          : [],
-      ),
+      [...sightings]
+        .flatMap(([service, versions]) =>
+          isMixed(service)
+            ? [...versions].map(([version, { atMs, isHeard }]) => ({
+                service,
+                version,
+                ageMs: Math.round(clock.monotonicMs() - atMs) + (isHeard ? REPORT_TRANSIT_MS : 0),
+              }))
+            : [],
+        )
+        .sort((a, b) => a.ageMs - b.ageMs)
+        .slice(0, MAX_REPORTS),
   };
 }
--- a/packages/gateway/tests/streams/createVersionHistory.test.ts
+++ b/packages/gateway/tests/streams/createVersionHistory.test.ts
@@ -35,3 +35,17 @@
     [false, false, false, false],
   );
 });
+
+// A heartbeat over the size of a datagram can't be sent, and its host seems to be gone.
+test('the reports of many versions fit into a heartbeat, the latest ones first', (t) => {
+  const clock = createManualClock();
+  const history = createVersionHistory(clock);
+  const longVersion = (index: number): string => `${index}`.padStart(200, 'v');
+  for (let index = 0; index < 1_000; index += 1) {
+    history.record(report(longVersion(index)));
+    clock.advance(10);
+  }
+  const reports = history.reports();
+  t.is(reports[0]?.version, asId<VersionReport['version']>(longVersion(999)));
+  t.true(JSON.stringify(reports).length < 20_000);
+});
