Average the pace of an engine over time, not over the gaps that a host sees

Streams were admitted to engines that needed two and more times as long for an event as was estimated, and ended at their deadline or when their callers left, while the next region was idle.

Each gap between two events had a weight of 0.05, and the average decayed towards the pace of an idle engine between two gaps. The more hosts share an engine, the fewer gaps each of them sees: with one stream and gaps of 300 ms the estimate was 90 ms after two seconds and settled at 108 ms (computed). A gap now has the weight of the time that it covers, 0.05 at least, and a pace decays only once it is no longer fresh. With many streams nothing changes.

The new test fails without the change ("a slower pace is noticed within two seconds, however few streams a host has: 1 streams"); the earlier tests are unchanged.

--- a/packages/gateway/src/routing/createPaceTracker.ts
+++ b/packages/gateway/src/routing/createPaceTracker.ts
@@ -4,12 +4,14 @@
 
 /** Time between events of a stream on an engine without prefill work. */
 const IDLE_MS_PER_EVENT = 35;
-/** Weight of a new gap in the moving average of the pace. */
-const GAP_WEIGHT = 0.05;
-/** Time constant of the exponential decay of a pace to the idle one without observations. */
+/** Minimum weight of a new gap in the moving average of the pace. */
+const MIN_GAP_WEIGHT = 0.05;
+/** Time constant of the moving average of the pace on an engine with few streams. */
+const PACE_AVERAGE_MS = 1_000;
+/** Time constant of the exponential decay of a pace that is not fresh to the idle one. */
 const PACE_DECAY_MS = 2_000;
-/** Maximum age of a pace that is reported to peers; slow streams have gaps of this length. */
-const REPORT_MAX_AGE_MS = 500;
+/** Age up to which a pace is fresh and reported to peers; slow streams have gaps of this length. */
+const FRESH_MAX_AGE_MS = 500;
 
 /** Tracks the pace of each engine: the time between events of a stream, which prefills extend. */
 export interface PaceTracker {
@@ -32,6 +34,15 @@
   readonly count: number;
 }
 
+/**
+ * Weight of a gap. The fewer streams a host has on an engine, the fewer gaps it observes; with a
+ * fixed weight, it would notice a change the later, the more hosts share the engine.
+ */
+function gapWeight(gapMs: number, sinceLastGapMs: number): number {
+  const spanMs = Math.min(gapMs, sinceLastGapMs);
+  return Math.max(MIN_GAP_WEIGHT, 1 - Math.exp(-spanMs / PACE_AVERAGE_MS));
+}
+
 /**
  * Creates a tracker. Hosts of a large region exchange their paces because each has few streams on an
  * engine, and a host without any would take a busy engine for an idle one. `peers` returns the other
@@ -56,19 +67,24 @@
     if (pace === undefined) {
       return IDLE_MS_PER_EVENT;
     }
-    const decay = Math.exp((pace.atMs - clock.monotonicMs()) / PACE_DECAY_MS);
+    // A pace that decayed between two gaps would be underestimated on engines with few streams.
+    const staleMs = Math.max(0, clock.monotonicMs() - pace.atMs - FRESH_MAX_AGE_MS);
+    const decay = Math.exp(-staleMs / PACE_DECAY_MS);
     return IDLE_MS_PER_EVENT + (pace.msPerEvent - IDLE_MS_PER_EVENT) * decay;
   }
 
   const isFresh = (server: ServerId): boolean =>
-    clock.monotonicMs() - (observed.get(server)?.atMs ?? -Infinity) <= REPORT_MAX_AGE_MS;
+    clock.monotonicMs() - (observed.get(server)?.atMs ?? -Infinity) <= FRESH_MAX_AGE_MS;
 
   return {
     recordEventGap(server, gapMs) {
+      const nowMs = clock.monotonicMs();
       const current = ownPace(server);
+      // A first gap on its own may be a pause.
+      const sinceLastGapMs = nowMs - (observed.get(server)?.atMs ?? nowMs);
       observed.set(server, {
-        msPerEvent: current + GAP_WEIGHT * (gapMs - current),
-        atMs: clock.monotonicMs(),
+        msPerEvent: current + gapWeight(gapMs, sinceLastGapMs) * (gapMs - current),
+        atMs: nowMs,
       });
     },
     msPerEvent(server) {
--- a/packages/gateway/tests/routing/createPaceTracker.test.ts
+++ b/packages/gateway/tests/routing/createPaceTracker.test.ts
@@ -36,3 +36,31 @@
   clock.advance(10_000);
   t.true(tracker.msPerEvent(server) < 36);
 });
+
+// A host of a large region has one stream on an engine. It took an engine for three times as fast as
+// it was, for seconds, and admitted long streams that ended at their deadline.
+test('a slower pace is noticed within two seconds, however few streams a host has', (t) => {
+  [1, 5].forEach((streams) => {
+    const clock = createManualClock();
+    const tracker = createPaceTracker(clock, () => []);
+    const gapMs = 300;
+    for (let elapsedMs = 0; elapsedMs < 2_000; elapsedMs += gapMs / streams) {
+      clock.advance(gapMs / streams);
+      tracker.recordEventGap(server, gapMs);
+    }
+    t.true(tracker.msPerEvent(server) > 220, `${streams} streams`);
+    t.true(tracker.msPerEvent(server) <= gapMs);
+  });
+});
+
+test('the pace of an engine with many streams is an average of many gaps', (t) => {
+  const clock = createManualClock();
+  const tracker = createPaceTracker(clock, () => []);
+  for (let gaps = 0; gaps < 200; gaps += 1) {
+    clock.advance(5);
+    tracker.recordEventGap(server, 100);
+  }
+  clock.advance(5);
+  tracker.recordEventGap(server, 500);
+  t.true(tracker.msPerEvent(server) < 130);
+});
