--- a/packages/gateway/src/exchange/serveExchange.ts
+++ b/packages/gateway/src/exchange/serveExchange.ts
@@ -139,7 +139,6 @@
     maxOutputTokens: exchange.metadata.maxOutputTokens,
     expectedOutputTokens: exchange.metadata.expectedOutputTokens,
     expectedEvents: Math.round(exchange.expectedEvents),
-    resumedAfter: exchange.metadata.lastEventId,
     lastEventId: progress.lastEventId,
     reportedWaiting: progress.reportedWaiting,
     firstEventMs: roundMs(progress.firstEventMs),
