Move the heartbeats of an entry host to a module of their own

createEntryHost had grown to 344 lines. No change of behaviour; 46 tests of platform (fleet, crashes, drain, versions, limits, closing heartbeat) pass.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -66,6 +66,7 @@
 export * from './lifecycle/createGatewayContext.js';
 export * from './lifecycle/createHostDirectory.js';
 export * from './lifecycle/createHousekeeping.js';
+export * from './lifecycle/startHostHeartbeats.js';
 export * from './limits/createCrashGuard.js';
 export * from './limits/createLeavingServers.js';
 export * from './limits/createPartTrials.js';
--- a/packages/gateway/src/lifecycle/createEntryHost.ts
+++ b/packages/gateway/src/lifecycle/createEntryHost.ts
@@ -1,7 +1,7 @@
 import { randomUUID } from 'node:crypto';
 import { setMaxListeners } from 'node:events';
 import { runAfterPoll } from '@camphorbarrow/core';
-import type { CrashReport, HostId } from '@camphorbarrow/core';
+import type { HostId } from '@camphorbarrow/core';
 import { logFailures } from '../errors/logFailures.js';
 import { createChangeDecoder } from '../fleet/createChangeDecoder.js';
 import { createCacheResponseRecorder } from '../exchange/createCacheResponseRecorder.js';
@@ -15,24 +15,21 @@
 import { createListener } from '../ingress/createListener.js';
 import { createRequestHandler } from '../ingress/createRequestHandler.js';
 import type { RequestHandler } from '../ingress/createRequestHandler.js';
-import { createHeartbeats } from '../peers/createHeartbeats.js';
-import { createPacedSend } from '../peers/createPacedSend.js';
 import { createPeerRegistry } from '../peers/createPeerRegistry.js';
 import type { HostState } from '../peers/PeerHeartbeat.js';
 import { createRegionStoreReaders } from '../peers/createRegionStoreReaders.js';
 import { createStoreUpdateExchange } from '../peers/createStoreUpdateExchange.js';
-import { HEARTBEAT_INTERVAL_MS } from '../peers/reportRounds.js';
 import { runPeerStoreFollower } from '../peers/runPeerStoreFollower.js';
 import { runCacheFollower } from '../routing/runCacheFollower.js';
 import { createDrainState } from './createDrainState.js';
 import type { DrainProgress } from './createDrainState.js';
 import { createEventLoopMonitor } from './createEventLoopMonitor.js';
-import { lifetimeId } from '../model/lifetimeId.js';
 import { createGatewayContext } from './createGatewayContext.js';
 import { createHousekeeping } from './createHousekeeping.js';
 import type { EntryHostOptions } from './EntryHostOptions.js';
 import { createHostDirectory } from './createHostDirectory.js';
 import type { HostDirectory } from './createHostDirectory.js';
+import { startHostHeartbeats } from './startHostHeartbeats.js';
 
 const WATCH_WAIT_MS = 2_000;
 /** Pause between watch calls, so that each returns more changes; every store call is charged. */
@@ -43,10 +40,6 @@
 const PEER_LISTENER_IDLE_TIMEOUT_MS = 30_000;
 /** Timeout for removing the registration from the store; otherwise it expires with its lease. */
 const UNREGISTER_TIMEOUT_MS = 200;
-/** Rate of heartbeats to all hosts after crashes: a fifth of a link of 10 Mbit/s. */
-const URGENT_BYTES_PER_SECOND = 250_000;
-/** Maximum pause between them; a crash is reported for 3 s only. */
-const MAX_URGENT_PAUSE_MS = 2_000;
 /** Interval at which state of removed servers and peers is dropped. */
 const HOUSEKEEPING_INTERVAL_MS = 1_000;
 /** Interval at which new software versions of servers are noticed. */
@@ -93,7 +86,7 @@
     ownIncarnation,
     closing: drain.closing,
   });
-  const { loads, paces, prefixes, crashGuard, serverConnections, peerConnections } = context;
+  const { prefixes, serverConnections, peerConnections } = context;
   const inFlight = createInFlightTracker();
 
   function currentState(): HostState {
@@ -159,74 +152,17 @@
   peerLimit.apply(peerListener.server);
   view.onConfiguration(({ limits }) => callerListener.applyLimits(limits));
 
-  /** Applies the end of a process that another host has seen, while its entry is still the same. */
-  function recordServerEnd({ serverId, incarnation, ageMs = 0 }: CrashReport): void {
-    const server = view.servers.get(serverId);
-    if (server !== undefined && lifetimeId(server.registration) === incarnation) {
-      context.health.recordEnd(server.incarnation, clock.monotonicMs() - ageMs);
-    }
-  }
-
-  const heartbeats = createHeartbeats({
-    clock,
-    log,
-    own,
+  const heartbeats = startHostHeartbeats({
+    ...options,
+    context,
+    ownIncarnation,
     peers,
-    registeredHosts: view.hosts,
-    seeds: options.seeds,
-    buildHeartbeat: () => ({
-      host: own,
-      incarnation: ownIncarnation,
-      sentAtMs: clock.monotonicMs(),
-      state: currentState(),
-      closesInMs: drain.closesInMs(),
-      storePosition: view.position(),
-      configurationVersion: view.table()?.version ?? 0,
-      loads: loads.ownLoads(),
-      paces: paces.ownPaces(),
-      capacity: serverView.capacity(),
-      crashes: crashGuard.reports(),
-      partEvidence: context.partSuspicion.evidence(),
-      partTrials: context.partTrials.running(),
-      serverLimits: context.serverLimits.reports(),
-      versions: context.streamVersions.reports(),
-    }),
-    ownPartEvidence: () => context.partSuspicion.evidence('own'),
-    onDatagram: context.streamVersions.receive,
-    onHeartbeat(heartbeat) {
-      peers.recordHeartbeat(heartbeat);
-      context.transits.recordHeartbeat(heartbeat);
-      context.partSuspicion.merge(heartbeat.partEvidence);
-      context.partTrials.recordPeer(heartbeat.host.id, heartbeat.partTrials);
-      crashGuard.mergeReports(heartbeat.crashes);
-      heartbeat.crashes.forEach(recordServerEnd);
-      context.streamVersions.mergeReports(heartbeat.versions ?? []);
-      if (heartbeat.host.region === own.region) {
-        context.serverLimits.mergeReports(heartbeat.serverLimits);
-      }
-    },
-    onSent({ receivers, totalBytes, isUrgent }) {
-      const type = isUrgent ? 'urgent' : 'regular';
-      options.metrics.gauge('heartbeat_bytes', totalBytes / Math.max(1, receivers), { type });
-      if (isUrgent) {
-        options.metrics.increment('urgent_heartbeats');
-        log.info('urgent-heartbeats', { receivers, totalBytes });
-      }
-    },
-    intervalMs: HEARTBEAT_INTERVAL_MS,
-  });
-  context.streamVersions.useTransport(heartbeats.send);
-  // The attempt that reports a crash or starts a trial goes on without them.
-  const reportSoon = createPacedSend({
-    clock,
-    log,
-    bytesPerSecond: URGENT_BYTES_PER_SECOND,
-    maxPauseMs: MAX_URGENT_PAUSE_MS,
-    send: heartbeats.sendToAll,
+    view,
+    serverView,
+    drain,
+    currentState,
     signal: stop.signal,
   });
-  crashGuard.onCrash(reportSoon);
-  context.partTrials.onStart(reportSoon);
 
   const runHousekeeping = createHousekeeping({
     clock,
