Wait for the settings file in place of ending without it

Operators saw a host end with code 1 within 0.2 s (SettingsError) whenever its settings file was missing, empty, cut or lacked a field at that moment; the platform starts it again, and it ends again for as long as that lasts.

Cause: the file was read once, and what was wrong with it was thrown out of the program.

Change: retryUntilAvailable repeats an attempt with a pause and reports its failure at once, then every 10 s, or after a second when the message differs. waitForSettings uses it every 100 ms: one log line (settings-awaited) with the path and every missing or malformed field, settings-complete when the file can be used. After a failure, and for a text that ends within a value, two equal reads are needed, as the beginning of a file can be valid. SIGTERM and SIGINT meanwhile end the host with code 0. An address with a port over 65535 is a malformed field that is named; it was an error without the field. An empty file is reported with all its fields missing.

The build relied on the end of a host without settings to write the code cache. It now starts the program through its exported function and stops it through the same signal as SIGTERM does, after the first turn of the event loop.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -108,6 +108,7 @@
 export * from './lifecycle/createHostDirectory.js';
 export * from './lifecycle/createHostLoadMonitor.js';
 export * from './lifecycle/createHousekeeping.js';
+export * from './lifecycle/retryUntilAvailable.js';
 export * from './lifecycle/startHostHeartbeats.js';
 export * from './limits/createCrashGuard.js';
 export * from './limits/createLeavingServers.js';
