Retry listening while a TCP port of the host is not available

Operators saw a host end with code 1 (EADDRINUSE) after 0.1 to 0.2 s when one of its ports for callers, peers, readiness, directory or metrics was in use at that moment; the platform starts it again, and it ends again for as long as the port is held.

Cause: createListener waited for the first attempt to listen and passed its error on, which ended the program.

A host without its port for callers or peers says "starting" in place of "ready": readiness answers 503, the directory and the other hosts leave it out. Directory and metrics hold nothing up. Closing ends the attempts.

--- a/packages/gateway/src/ingress/createListener.ts
+++ b/packages/gateway/src/ingress/createListener.ts
@@ -1,7 +1,6 @@
 import { createServer } from 'node:http';
 import { Server as NetServer } from 'node:net';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
-import { once } from 'node:events';
 import { handleConnectionErrors, waitForPoll } from '@camphorbarrow/core';
 import type { Clock, LogSink, MetricsSink } from '@camphorbarrow/core';
 import type { CallerLimits } from '../model/CallerLimits.js';
@@ -12,6 +11,7 @@
 import { createHeldLimit } from './createHeldLimit.js';
 import { createPipelineLimit } from './createPipelineLimit.js';
 import { lingerOnClose } from './lingerOnClose.js';
+import { listenWithRetry } from './listenWithRetry.js';
 
 /** Maximum size of a request head that is parsed; the configuration may set a lower limit. */
 const MAX_HEADER_BYTES = 65_536;
@@ -56,6 +56,8 @@
    */
   applyLimits(limits: CallerLimits): void;
   readonly server: Server;
+  /** Whether connections are accepted, or wait for it. */
+  isListening(): boolean;
   /**
    * Accepts the connections that wait, and no further ones. Requests on open connections are still
    * handled.
@@ -67,7 +69,9 @@
   close(): void;
 }
 
-/** Starts an HTTP listener. */
+/**
+ * Starts an HTTP listener. Attempts to listen go on after the first, until its endpoint is available.
+ */
 export async function createListener(options: ListenerOptions): Promise<Listener> {
   const server = createServer({
     maxHeaderSize: MAX_HEADER_BYTES,
@@ -115,15 +119,17 @@
     });
     options.connectionMemory?.holdWhile(request, handled);
   });
-  server.listen(options.endpoint.port, options.endpoint.host);
-  await once(server, 'listening');
+  const stopRetries = new AbortController();
+  await listenWithRetry(server, { ...options, signal: stopRetries.signal });
   return {
     server,
+    isListening: () => server.listening,
     applyLimits({ headerTimeoutMs, idleTimeoutMs }) {
       server.headersTimeout = headerTimeout.apply(headerTimeoutMs);
       server.keepAliveTimeout = toAnnouncedMs(idleTimeoutMs);
     },
     async stopListening() {
+      stopRetries.abort();
       let acceptedBefore: number;
       const endAtMs = options.clock.monotonicMs() + MAX_ACCEPT_MS;
       do {
@@ -137,6 +143,7 @@
     },
     lingeringCount: lingering.count,
     close() {
+      stopRetries.abort();
       server.close();
       server.closeAllConnections();
     },
--- a/packages/gateway/src/lifecycle/createEntryHost.ts
+++ b/packages/gateway/src/lifecycle/createEntryHost.ts
@@ -62,7 +62,10 @@
   close(): Promise<void>;
 }
 
-/** Starts an entry host: listeners, heartbeats, and the tasks that follow the store. */
+/**
+ * Starts an entry host: listeners, heartbeats, and the tasks that follow the store. It is not ready
+ * until it has the endpoints for callers and peers; what does not need them runs meanwhile.
+ */
 export async function createEntryHost(options: EntryHostOptions): Promise<EntryHost> {
   const { clock, log, metrics, own, bounds, store, connectionMemory } = options;
   const stop = new AbortController();
@@ -94,11 +97,15 @@
   const { prefixes, serverConnections, peerConnections } = context;
   const inFlight = createInFlightTracker();
 
+  /** Whether each endpoint is open without which callers are better served by other hosts. */
+  const requiredEndpoints: (() => boolean)[] = [];
+
   function currentState(): HostState {
     if (drain.isDraining()) {
       return drain.isRejectingRequests() ? 'closing' : 'draining';
     }
-    return view.table() === undefined ? 'starting' : 'ready';
+    const hasEndpoints = requiredEndpoints.every((isOpen) => isOpen());
+    return hasEndpoints && view.table() !== undefined ? 'ready' : 'starting';
   }
 
   const directoryHosts = createHostDirectory({ own, peers, view, currentState });
@@ -160,6 +167,7 @@
   });
 
   const listeners = [callerListener, peerListener];
+  requiredEndpoints.push(callerListener.isListening, peerListener.isListening);
   callerLimit.apply(callerListener.server);
   peerLimit.apply(peerListener.server);
   view.onConfiguration(({ limits }) => callerListener.applyLimits(limits));
