Retry binding the port for heartbeats, and say that the host is not ready

Operators saw a host that was ready and heard no other host, for as long as it ran, with one log line: its UDP port had been in use at its start. Other hosts took it for unresponsive.

Cause: a failed bind was logged and not repeated, and the next send bound the socket to a port that the kernel chose, after which it could not be bound to its own.

Change: bindWithRetry, with the attempts and log lines of the TCP ports (listener "heartbeats"). Until the port is bound nothing is sent, and closing ends the attempts. The host says "starting" meanwhile: readiness answers 503 and the directory leaves it out; requests that come are served as before. It could serve alone, but what it would do there no other host hears of: crash reports, versions of streams, limits of servers, use of allowances, and it would act on none of theirs. Callers are better served by hosts that are heard, and the platform shows the fault.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -158,6 +158,7 @@
 export * from './overload/fairLevel.js';
 export * from './peers/PeerHeartbeat.js';
 export * from './peers/WireHeartbeat.js';
+export * from './peers/bindWithRetry.js';
 export * from './peers/createHeartbeatDecoder.js';
 export * from './peers/createHeartbeats.js';
 export * from './peers/createPacedSend.js';
--- a/packages/gateway/src/lifecycle/createEntryHost.ts
+++ b/packages/gateway/src/lifecycle/createEntryHost.ts
@@ -184,6 +184,7 @@
     currentState,
     signal: stop.signal,
   });
+  requiredEndpoints.push(heartbeats.isBound);
 
   const runHousekeeping = createHousekeeping({
     clock,
--- a/packages/gateway/src/peers/createHeartbeats.ts
+++ b/packages/gateway/src/peers/createHeartbeats.ts
@@ -4,6 +4,7 @@
 import { logFailures } from '../errors/logFailures.js';
 import type { Endpoint } from '../model/Endpoint.js';
 import type { HostRegistration } from '../model/HostRegistration.js';
+import { bindWithRetry } from './bindWithRetry.js';
 import type { PeerRegistry } from './createPeerRegistry.js';
 import { createHeartbeatDecoder } from './createHeartbeatDecoder.js';
 import { createRoundEncoder } from './heartbeatCodec.js';
@@ -50,6 +51,8 @@
   sendToAll(): number;
   /** Sends another message to the peer endpoint of a host; resolves when it was sent or has failed. */
   send(datagram: Buffer, endpoint: Endpoint): Promise<void>;
+  /** Whether the peer endpoint is bound. Nothing is sent or received before. */
+  isBound(): boolean;
   close(): void;
 }
 
@@ -68,7 +71,10 @@
 
 const endpointKey = ({ host, port }: Endpoint): string => `${host}:${port}`;
 
-/** Starts sending and receiving heartbeats over UDP on the peer endpoint of this host. */
+/**
+ * Starts sending and receiving heartbeats over UDP on the peer endpoint of this host, once that can be
+ * bound.
+ */
 export function createHeartbeats(options: HeartbeatOptions): Heartbeats {
   const { clock, log, own, peers } = options;
   const socket = createSocket({
@@ -76,6 +82,8 @@
     // Endpoints hold addresses; the default resolver costs a turn of the event loop for each datagram.
     lookup: (address, _options, callback) => callback(null, address, IPV4_FAMILY),
   });
+  const stopBinding = new AbortController();
+  let isBound = false;
   let round = 0;
   let lastRoundAtMs = clock.monotonicMs();
   /** Whether heartbeats may be unread that arrived while the process stood still. */
@@ -124,6 +132,11 @@
       log.warn('heartbeat-send-failed', { peer: endpointKey(endpoint), reason: message });
       onSent();
     };
+    if (!isBound) {
+      // Sending would bind the socket to a port on which no host is heard.
+      onSent();
+      return;
+    }
     try {
       socket.send(datagram, endpoint.port, endpoint.host, (error) => {
         if (error === null) {
@@ -211,8 +224,17 @@
       log.warn('heartbeat-unreadable', { reason: (error as Error).message });
     }
   });
-  socket.on('error', (error) => log.error('heartbeat-socket-failed', {}, error));
-  socket.bind(own.peers.port, own.peers.host);
+  socket.once('listening', () => {
+    isBound = true;
+    socket.on('error', (error) => log.error('heartbeat-socket-failed', {}, error));
+  });
+  void bindWithRetry(socket, {
+    endpoint: own.peers,
+    clock,
+    log,
+    name: 'heartbeats',
+    signal: stopBinding.signal,
+  });
 
   const timer = setInterval(
     logFailures(log, 'heartbeat-round-failed', sendRound),
@@ -225,7 +247,10 @@
       new Promise((resolve) => {
         sendDatagram(datagram, endpoint, resolve);
       }),
+    isBound: () => isBound,
     close() {
+      stopBinding.abort();
+      isBound = false;
       clearInterval(timer);
       socket.close();
     },
--- a/packages/gateway/tests/peers/createHeartbeats.test.ts
+++ b/packages/gateway/tests/peers/createHeartbeats.test.ts
@@ -118,3 +118,44 @@
   await sleep(100);
   t.true(roundTripMs() < 200, String(roundTripMs()));
 });
+
+// The first send bound the socket to another port, on which the host heard nobody for its lifetime.
+test('a host whose peer port is in use sends nothing until it has the port', async (t) => {
+  const receiver = await startReceiver();
+  const { socket: holder, endpoint } = await startReceiver();
+  const clock = createSystemClock();
+  const own = hostAt('own', endpoint);
+  const sources: number[] = [];
+  receiver.socket.on('message', (_, { port }) => sources.push(port));
+  const start = () =>
+    createHeartbeats({
+      clock,
+      log: silentLog,
+      own,
+      peers: createPeerRegistry(clock, silentLog, asId('north')),
+      registeredHosts: () => [hostAt('other', receiver.endpoint)],
+      seeds: () => [],
+      buildHeartbeat: () => buildHeartbeat(own, 0),
+      ownPartEvidence: () => ({ crashes: [], served: [] }),
+      onHeartbeat: () => undefined,
+      intervalMs: 10,
+    });
+  const stopped = start();
+  stopped.sendToAll();
+  stopped.close();
+  const heartbeats = start();
+  t.teardown(() => {
+    heartbeats.close();
+    receiver.socket.close();
+  });
+  heartbeats.sendToAll();
+  await heartbeats.send(Buffer.from('x'), receiver.endpoint);
+  await sleep(300);
+  t.deepEqual(sources, []);
+  t.false(heartbeats.isBound());
+  holder.close();
+  await once(receiver.socket, 'message');
+  t.deepEqual([...new Set(sources)], [endpoint.port]);
+  t.true(heartbeats.isBound());
+  t.false(stopped.isBound(), 'closed while it waited');
+});
