Tell servers that this host does not reach from a region without servers

Operators saw no-server for a request whether no server of the service was listed or this host reached none of them; the timeline of RECOVER could not tell the two apart (docs/incidents/stranded-hosts.md).

npx ava packages/gateway/tests/routing/createServerView.test.ts failed before the change: no-server in place of unreachable (1 of 7); 7 of 7 passed after.

--- a/packages/daemon/src/report/explainRequest.ts
+++ b/packages/daemon/src/report/explainRequest.ts
@@ -88,6 +88,9 @@
   if (/(no-server|rate-limited|cold)$/.test(causes)) {
     return `${host} rejected it before it ran: it knew no server that could accept it (${causes}).`;
   }
+  if (causes.endsWith('unreachable')) {
+    return `${host} rejected it before it ran: servers were listed, but it reached none of them (${causes}); see server-link-failed and host-cut-off in its log.`;
+  }
   if (causes.endsWith('servers-leaving')) {
     return `${host} rejected it before it ran: all servers that it could reach were leaving (${causes}); see server-leaving and server-changed in its log.`;
   }
--- a/packages/gateway/src/exchange/prepareAttempt.ts
+++ b/packages/gateway/src/exchange/prepareAttempt.ts
@@ -111,7 +111,7 @@
       } else if (
         context.controlsOverload() &&
         progress.hasOverloadedPeer &&
-        destination.reason === 'no-server'
+        (destination.reason === 'no-server' || destination.reason === 'unreachable')
       ) {
         // Nothing else is left than the region that had no room, and it is not tried again.
         progress.stopCause = 'overloaded';
--- a/packages/gateway/src/routing/Destination.ts
+++ b/packages/gateway/src/routing/Destination.ts
@@ -99,9 +99,12 @@
        * - `rate-limited`: all usable servers are cold or have named a limit, and may not receive
        *   more requests of this host now.
        * - `servers-leaving`: the servers that are left are about to stop.
+       * - `unreachable`: this host reaches none of the region's servers, of which some are listed and
+       *   not leaving.
        * - `version-gone`: no region has a server of the required version any more.
        */
-      readonly reason: 'no-server' | 'rate-limited' | 'servers-leaving' | 'version-gone';
+      readonly reason:
+        'no-server' | 'rate-limited' | 'servers-leaving' | 'unreachable' | 'version-gone';
     }
   | {
       readonly kind: 'none';
--- a/packages/gateway/src/routing/createServerView.ts
+++ b/packages/gateway/src/routing/createServerView.ts
@@ -68,15 +68,21 @@
   const { clock, view, loads, speeds, paces, health, leavingServers, serverPauses } = options;
   let latestCapacity: ReadonlyMap<ServiceName, RegionCapacity> = new Map();
 
+  /** Servers of the service in zones that may get requests. */
+  const listed = (service: ServiceSpec, version?: SoftwareVersion): readonly ServerState[] =>
+    view.servers
+      .ofService(service.name, options.region)
+      .filter(
+        ({ registration }) =>
+          (version === undefined || registration.softwareVersion === version) &&
+          !view.isEvacuated(registration.zone),
+      );
+
   /** Servers of the service that are reachable from here, including leaving and paused ones. */
   function reachable(service: ServiceSpec, version?: SoftwareVersion): readonly ServerState[] {
     const servers: ServerState[] = [];
-    view.servers.ofService(service.name, options.region).forEach((server) => {
-      if (
-        (version === undefined || server.registration.softwareVersion === version) &&
-        !view.isEvacuated(server.registration.zone) &&
-        health.isReachable(server)
-      ) {
+    listed(service, version).forEach((server) => {
+      if (health.isReachable(server)) {
         const coldUntilMs = health.coldUntilMs(server, service.coldStartMs);
         servers.push(
           coldUntilMs > server.coldUntilMs
@@ -126,7 +132,11 @@
       const retryAfterMs = Math.min(...staying.map(serverPauses.remainingMs));
       return { kind: 'none', reason: 'servers-paused', retryAfterMs };
     }
-    return { kind: 'none', reason: servers.length === 0 ? 'no-server' : 'servers-leaving' };
+    const unreached = listed(service, version);
+    if (unreached.some((server) => !leavingServers.isLeaving(server))) {
+      return { kind: 'none', reason: 'unreachable' };
+    }
+    return { kind: 'none', reason: unreached.length === 0 ? 'no-server' : 'servers-leaving' };
   }
 
   /** Computed for each round of heartbeats, so it passes over the servers once. */
--- a/packages/gateway/tests/routing/createServerView.test.ts
+++ b/packages/gateway/tests/routing/createServerView.test.ts
@@ -23,6 +23,7 @@
   const serverPauses = createServerPauses(sinks);
   const paces = createPaceTracker(clock, () => []);
   const loads = createLoadTracker(clock, () => []);
+  const health = createServerHealth(clock);
   const view: ServerView = createServerView({
     clock,
     region: asId('north'),
@@ -34,12 +35,12 @@
     loads,
     speeds: createSpeedTracker(),
     paces,
-    health: createServerHealth(clock),
+    health,
     serverLimits: { limitOf: () => undefined },
     leavingServers,
     serverPauses,
   });
-  return { clock, view, loads, paces, leavingServers, serverPauses };
+  return { clock, view, loads, paces, health, leavingServers, serverPauses };
 }
 
 const first = buildServer();
@@ -76,6 +77,16 @@
   t.deepEqual(setUp([]).view.rejection(service), { kind: 'none', reason: 'no-server' });
 });
 
+test('the rejection tells servers that this host does not reach from servers that are not there', (t) => {
+  const { view, health, leavingServers } = setUp([first, second]);
+  leavingServers.recordResponse(first, 200);
+  health.recordUnreachable(second.incarnation);
+  health.recordUnreachable(first.incarnation);
+  t.deepEqual(view.rejection(service), { kind: 'none', reason: 'unreachable' });
+  leavingServers.recordResponse(second, 200);
+  t.deepEqual(view.rejection(service), { kind: 'none', reason: 'servers-leaving' });
+});
+
 test('paused servers are not usable and add no capacity until the pause ends', (t) => {
   const { clock, view, serverPauses } = setUp([first, second]);
   serverPauses.recordRejection(first, { status: 503, retryAfterMs: 3_000 });
