Tell a host's lost links from lost servers

Callers of a host that was partitioned from all servers were rejected after 400 ms or more for each server that it tried, again and again during the cut: a server counted as reachable at its next heartbeat, which says only that its process lives. After the cut the host answered unreachable or rate-limited for seconds, as each failure counted as a loss of the server (cold for up to 12 s). Refused links were reported to all hosts as crashes of all servers, with the requests that ran there. Cause: a failed connection was taken for evidence about the server, whatever the host's links to other servers did.

Each host now keeps its links to the servers of its region. A server whose connection fails is tried again by connections without a request, at growing pauses up to 1 s. It then opens no connection for a request, lists no capacity in its heartbeats, and draws no conclusions about servers, requests or prompt parts. With the first server that it reaches again, all that it lost with its links are back. A server that refuses connections while others are reached, or that is the only one left, counts as crashed as before.

--- a/packages/gateway/src/exchange/AttemptResult.ts
+++ b/packages/gateway/src/exchange/AttemptResult.ts
@@ -16,6 +16,8 @@
       readonly cause: string;
       /** False if the intended server could not be reached; it then counts as unreachable. */
       readonly reachedServer: boolean;
+      /** Whether the connection to the intended server was refused. */
+      readonly isRefused?: boolean | undefined;
       /** Whether the request may have arrived at any server, which then rejected it. */
       readonly hasArrived: boolean;
       /** Whether the peer drains or is not running, which says nothing of its region. */
--- a/packages/gateway/src/exchange/GatewayContext.ts
+++ b/packages/gateway/src/exchange/GatewayContext.ts
@@ -36,6 +36,7 @@
 import type { UnseenSends } from '../routing/createUnseenSends.js';
 import type { StreamVersions } from '../streams/createStreamVersions.js';
 import type { ConnectionPools } from '../upstream/createConnectionPools.js';
+import type { ServerLinks } from '../upstream/createServerLinks.js';
 
 /** Services and state that request handling depends on. */
 export interface GatewayContext {
@@ -101,6 +102,8 @@
   readonly versionOf: (server: ServerState) => SoftwareVersion | undefined;
   /** Transit times of messages from peers. */
   readonly transits: TransitTracker;
+  /** Which backend servers this host reaches. */
+  readonly serverLinks: ServerLinks;
   /** Connections to backend servers. */
   readonly serverConnections: ConnectionPools;
   /** Connections to other entry hosts. */
--- a/packages/gateway/src/exchange/forwardToServer.ts
+++ b/packages/gateway/src/exchange/forwardToServer.ts
@@ -1,10 +1,10 @@
-import type { PromptPartKey } from '@camphorbarrow/core';
 import type { Destination } from '../routing/Destination.js';
 import { sendUpstream } from '../upstream/sendUpstream.js';
 import type { Exchange } from './Exchange.js';
 import type { GatewayContext } from './GatewayContext.js';
 import { belongsTo, comesFrom, receiveResponse } from './receiveResponse.js';
 import type { ReceiveResponseOptions } from './receiveResponse.js';
+import { recordServerResult } from './recordServerResult.js';
 import { recordServerNotices } from './recordServerNotices.js';
 import { stripRelayHeaders } from './relayHeaders.js';
 import { stripHopByHopHeaders } from './stripHopByHopHeaders.js';
@@ -25,6 +25,9 @@
 /** Sound servers fall silent for about a second; moving their streams would only repeat work. */
 const MIN_EVENT_GAP_MS = 1_500;
 
+/** Interval at which a server is probed while responses are late. */
+const SILENT_PROBE_MAX_AGE_MS = 500;
+
 export interface ForwardToServerOptions extends AttemptSignals {
   readonly context: GatewayContext;
   readonly exchange: Exchange;
@@ -57,67 +60,6 @@
     : Math.max(route.targetLatencyMs, destination.estimateMs * RESPONSE_TIMEOUT_ESTIMATE_RATIO);
 }
 
-interface SentAttempt {
-  readonly sentAtMs: number;
-  /** Whether the request was a suspect of a crash when it was sent. */
-  readonly wasSuspect: boolean;
-  /** Prompt parts that were suspected when the request was sent. */
-  readonly trialParts: readonly PromptPartKey[];
-}
-
-async function recordResult(
-  { context, exchange, destination }: ForwardToServerOptions,
-  result: AttemptResult,
-  { sentAtMs, wasSuspect, trialParts }: SentAttempt,
-): Promise<void> {
-  const { incarnation, registration } = destination.server;
-  const recordOutcome = (hasFailed: boolean): void =>
-    context.outcomes.record(registration.id, hasFailed);
-  switch (result.kind) {
-    case 'delivered':
-      context.health.recordSuccess(incarnation);
-      recordOutcome(false);
-      context.crashGuard.recordCompletion(exchange.fingerprint);
-      break;
-    case 'failed-run':
-      context.health.recordFailure(incarnation);
-      recordOutcome(true);
-      break;
-    case 'unknown':
-    case 'interrupted':
-      if (result.cause === 'not-admitted') {
-        break;
-      }
-      recordOutcome(true);
-      if (result.cause === 'silent') {
-        context.health.recordTimeout(incarnation, sentAtMs);
-        context.serverConnections.closeIdle(incarnation);
-      } else {
-        context.health.recordFailure(incarnation);
-        context.crashGuard.recordBrokenConnection(destination.server, {
-          fingerprint: exchange.fingerprint(),
-          wasSuspect,
-          hasStarted: result.kind === 'interrupted',
-          sharedParts: exchange.sharedPartKeys(),
-          trialParts,
-        });
-        // A retry must not take what crashes servers to the next one.
-        if (result.cause === 'broken') {
-          await context.crashGuard.investigate(destination.server);
-        }
-      }
-      break;
-    case 'not-run':
-      if (!result.reachedServer) {
-        context.health.recordUnreachable(incarnation);
-        context.crashGuard.recordServerGone(destination.server);
-      }
-      break;
-    case 'cancelled':
-      break;
-  }
-}
-
 async function sendAndReceive(
   options: ForwardToServerOptions,
   sentAtMs: number,
@@ -156,7 +98,14 @@
     body: exchange.body,
     connectTimeoutMs: CONNECT_TIMEOUT_MS,
     responseTimeoutMs: responseTimeoutMs(options),
-    keepWaiting: () => hasQueue() || keepWaiting(),
+    keepWaiting() {
+      if (hasQueue()) {
+        return true;
+      }
+      // While no other attempt is possible, the silence ends nothing that would tell.
+      context.serverLinks.check(server, SILENT_PROBE_MAX_AGE_MS).catch(() => undefined);
+      return keepWaiting();
+    },
     signal,
     startSignal: options.startSignal,
     beforeWrite: () => context.dispatchQueue.wait(options.startSignal),
@@ -172,10 +121,12 @@
           kind: 'not-run',
           cause: sent.cause,
           reachedServer: sent.failure === 'invalid',
+          isRefused: sent.isRefused,
           hasArrived: false,
         };
   }
   const { response } = sent;
+  context.serverLinks.recordResponse(server);
   context.serverConnections.updateIdleTimeout(response.socket, response.headers['keep-alive']);
   const metadata = context.codec.readResponse(response.headers);
   if (metadata.load !== undefined) {
@@ -256,7 +207,7 @@
       });
     },
   );
-  await recordResult(options, result, { sentAtMs, wasSuspect, trialParts });
+  await recordServerResult(options, result, { sentAtMs, wasSuspect, trialParts });
   if (result.kind === 'delivered' && capacityTokens === undefined) {
     context.speeds.recordCall(server.incarnation, usualDurationMs());
   }
--- a/packages/gateway/src/lifecycle/createEntryHost.ts
+++ b/packages/gateway/src/lifecycle/createEntryHost.ts
@@ -239,6 +239,7 @@
       feed: options.createCacheFeed(serverConnections, createCacheResponseRecorder(context)),
       prefixes,
       mayCall: (server) =>
+        context.serverLinks.isOpen(server) &&
         context.serverLimits.limitOf(server) === undefined &&
         !context.leavingServers.isLeaving(server) &&
         context.serverPauses.remainingMs(server) === 0,
@@ -282,6 +283,7 @@
     loadMonitor.close();
     heartbeats.close();
     listeners.forEach((listener) => listener.close());
+    context.serverLinks.close();
     serverConnections.close();
     peerConnections.close();
     store.close();
--- a/packages/gateway/src/lifecycle/createGatewayContext.ts
+++ b/packages/gateway/src/lifecycle/createGatewayContext.ts
@@ -40,7 +40,8 @@
 import { createServerVersions } from '../streams/createServerVersions.js';
 import { createStreamVersions } from '../streams/createStreamVersions.js';
 import { createConnectionPools } from '../upstream/createConnectionPools.js';
-import { refusesConnections } from '../upstream/refusesConnections.js';
+import { createServerLinks } from '../upstream/createServerLinks.js';
+import { tryConnect } from '../upstream/tryConnect.js';
 import type { EntryHostOptions } from './EntryHostOptions.js';
 
 /** Idle timeout of connections to servers that announce none. */
@@ -104,6 +105,13 @@
       });
     },
   });
+  const serverLinks = createServerLinks({
+    clock,
+    log,
+    metrics,
+    servers: () => view.servers.all().filter((server) => server.region === region),
+    connect: tryConnect,
+  });
   const serverView = createServerView({
     clock,
     region,
@@ -112,6 +120,7 @@
     speeds,
     paces,
     health,
+    serverLinks,
     serverLimits,
     leavingServers,
     serverPauses,
@@ -168,7 +177,7 @@
     clock,
     log,
     suspicion: partSuspicion,
-    refusesConnections,
+    refusesConnections: async (server) => (await serverLinks.check(server)) === 'refused',
   });
   const trialSuspicion = {
     suspectsAmong: (keys: readonly PromptPartKey[]): readonly PromptPartKey[] => [
@@ -242,6 +251,7 @@
     streamVersions,
     versionOf: createServerVersions({ view, health, isMixed: streamVersions.isMixed }),
     transits: createTransitTracker(clock),
+    serverLinks,
     serverConnections: createConnectionPools(SERVER_IDLE_TIMEOUT_MS),
     peerConnections: createConnectionPools(PEER_IDLE_TIMEOUT_MS),
   };
--- a/packages/gateway/src/lifecycle/createHousekeeping.ts
+++ b/packages/gateway/src/lifecycle/createHousekeeping.ts
@@ -26,8 +26,17 @@
 /** Creates the periodic work that reports gauges and drops state of removed servers and peers. */
 export function createHousekeeping(options: HousekeepingOptions): () => void {
   const { clock, metrics, context, view, peers } = options;
-  const { loads, unseenSends, speeds, health, prefixes, crashGuard, serverRateLimiter, paces } =
-    context;
+  const {
+    loads,
+    unseenSends,
+    speeds,
+    health,
+    prefixes,
+    crashGuard,
+    serverRateLimiter,
+    paces,
+    serverLinks,
+  } = context;
 
   function reportLoadSpread(service: ServiceSpec): void {
     const tags = { service: service.name };
@@ -58,7 +67,7 @@
     table?.services.forEach(reportLoadSpread);
     const servers = view.servers.all();
     const incarnations = new Set(servers.map(({ incarnation }) => incarnation));
-    [speeds, health, prefixes, crashGuard, serverRateLimiter].forEach((tracker) =>
+    [speeds, health, prefixes, crashGuard, serverRateLimiter, serverLinks].forEach((tracker) =>
       tracker.retain(incarnations),
     );
     context.serverLimits.retain(servers);
--- a/packages/gateway/src/limits/createCrashGuard.ts
+++ b/packages/gateway/src/limits/createCrashGuard.ts
@@ -8,7 +8,6 @@
   PartSuspicion,
   PromptPartKey,
 } from '@camphorbarrow/core';
-import type { Endpoint } from '../model/Endpoint.js';
 import { lifetimeId } from '../model/lifetimeId.js';
 import type { ServerState } from '../model/ServerState.js';
 
@@ -59,8 +58,8 @@
   readonly log: LogSink;
   /** Attributes crashes to the prompt parts of requests without a response. */
   readonly suspicion: PartSuspicion;
-  /** Whether no process listens at the endpoint. */
-  readonly refusesConnections: (endpoint: Endpoint) => Promise<boolean>;
+  /** Whether no process listens at the server's endpoint, while this host reaches other servers. */
+  readonly refusesConnections: (server: ServerState) => Promise<boolean>;
 }
 
 /** Quarantines requests that crash the servers that run them. */
@@ -79,6 +78,8 @@
   recordBrokenConnection(server: ServerState, request: BrokenRequest): void;
   /** Checks whether the process of a server with a broken connection still listens. */
   investigate(server: ServerState): Promise<void>;
+  /** Drops the broken connections to the server: this host lost its own links to all servers. */
+  forget(server: ServerState): void;
   /** Records that the process refuses connections or was replaced. */
   recordServerGone(server: ServerState): void;
   /** Treats the servers with all other incarnations as gone. */
@@ -235,12 +236,13 @@
       ];
       pending.set(server.incarnation, crash);
     },
-    async investigate({ incarnation, registration }) {
+    async investigate(server) {
+      const { incarnation } = server;
       const crash = pending.get(incarnation);
       if (crash === undefined) {
         return;
       }
-      crash.isRefused ??= options.refusesConnections(registration.endpoint);
+      crash.isRefused ??= options.refusesConnections(server);
       try {
         if (await crash.isRefused) {
           confirmCrash(incarnation);
@@ -250,6 +252,9 @@
         crash.isRefused = undefined;
       }
     },
+    forget({ incarnation }) {
+      pending.delete(incarnation);
+    },
     recordServerGone: ({ incarnation }) => confirmCrash(incarnation),
     retain(incarnations) {
       [...pending.keys()]
--- a/packages/gateway/src/routing/createServerView.ts
+++ b/packages/gateway/src/routing/createServerView.ts
@@ -8,6 +8,7 @@
 import type { ServerLimits } from '../limits/createServerLimits.js';
 import type { ServerPauses } from '../limits/createServerPauses.js';
 import type { RegionCapacity } from '../peers/PeerHeartbeat.js';
+import type { ServerLinks } from '../upstream/createServerLinks.js';
 import type { LocalRejection } from './Destination.js';
 import type { LoadTracker } from './createLoadTracker.js';
 import type { PaceTracker } from './createPaceTracker.js';
@@ -36,6 +37,7 @@
   readonly speeds: SpeedTracker;
   readonly paces: PaceTracker;
   readonly health: ServerHealth;
+  readonly serverLinks: Pick<ServerLinks, 'isOpen'>;
   readonly serverLimits: Pick<ServerLimits, 'limitOf'>;
   readonly leavingServers: Pick<LeavingServers, 'isLeaving'>;
   readonly serverPauses: Pick<ServerPauses, 'remainingMs'>;
@@ -82,7 +84,7 @@
   function reachable(service: ServiceSpec, version?: SoftwareVersion): readonly ServerState[] {
     const servers: ServerState[] = [];
     listed(service, version).forEach((server) => {
-      if (health.isReachable(server)) {
+      if (options.serverLinks.isOpen(server) && health.isReachable(server)) {
         const coldUntilMs = health.coldUntilMs(server, service.coldStartMs);
         servers.push(
           coldUntilMs > server.coldUntilMs
--- /dev/null
+++ b/packages/gateway/src/upstream/createServerLinks.ts
@@ -0,0 +1,267 @@
+import type { Clock, LogSink, MetricsSink } from '@camphorbarrow/core';
+import type { Endpoint } from '../model/Endpoint.js';
+import type { ServerState } from '../model/ServerState.js';
+import { createWitnessSearch } from './createWitnessSearch.js';
+import { hasFailed } from './ServerLink.js';
+import type { LinkVerdict, ServerLink } from './ServerLink.js';
+import type { ConnectOutcome } from './tryConnect.js';
+
+/** Pause before a server is probed again after a failure; doubles with each further one. */
+const INITIAL_BACKOFF_MS = 100;
+const MAX_BACKOFF_MS = 1_000;
+const PROBE_INTERVAL_MS = 100;
+const MAX_PROBES = 16;
+/** Failures up to this time before a cut was noticed belong to it. */
+const CUT_NOTICE_MS = 2_000;
+
+export interface ServerLinksOptions {
+  readonly clock: Clock;
+  readonly log: LogSink;
+  readonly metrics: MetricsSink;
+  /** Servers of this host's region that the store lists. */
+  readonly servers: () => readonly ServerState[];
+  /** Opens a connection and closes it again without a request. */
+  readonly connect: (endpoint: Endpoint) => Promise<ConnectOutcome>;
+}
+
+/** Which servers of its region this host reaches, by its own connections to them. */
+export interface ServerLinks {
+  /**
+   * Records that a connection could not be established.
+   *
+   * @param isRefused whether no process listens, as far as the network tells
+   */
+  recordFailure(server: ServerState, isRefused?: boolean): Promise<LinkVerdict>;
+  /**
+   * Finds out whether this host still reaches a server that stayed silent or broke a connection.
+   *
+   * @param maxAgeMs age up to which an earlier probe is sufficient
+   */
+  check(server: ServerState, maxAgeMs?: number): Promise<LinkVerdict>;
+  /** Records that a response of the server arrived, on any connection. */
+  recordResponse(server: ServerState): void;
+  /** Whether new connections to the server may be opened, as far as this host knows. */
+  isOpen(server: ServerState): boolean;
+  /** Whether this host reaches none of the servers, and has tried. */
+  isCutOff(): boolean;
+  /** Drops the records of all other incarnations. */
+  retain(incarnations: ReadonlySet<string>): void;
+  /** Ends the probes. */
+  close(): void;
+}
+
+/**
+ * Creates the record; a server that was never tried counts as reachable unless this host is cut off.
+ * Failed servers are tried again by connections without a request. Connections that stay open while
+ * new ones are refused are not used: they would be too few, and other hosts reach the server.
+ */
+export function createServerLinks(options: ServerLinksOptions): ServerLinks {
+  const { clock, log, metrics } = options;
+  const closing = new AbortController();
+  const links = new Map<string, ServerLink>();
+  let cutOffSinceMs: number | undefined;
+  let runningProbes = 0;
+  let isProbing = false;
+
+  function linkTo(server: ServerState): ServerLink {
+    const link = links.get(server.incarnation) ?? {
+      server,
+      failedAtMs: undefined,
+      connectedAtMs: -Infinity,
+      respondedAtMs: -Infinity,
+      backoffMs: INITIAL_BACKOFF_MS,
+      nextProbeAtMs: -Infinity,
+      probe: undefined,
+      verdict: undefined,
+    };
+    links.set(server.incarnation, link);
+    return link;
+  }
+
+  const listedLinks = (): readonly ServerLink[] => options.servers().map(linkTo);
+  const describe = ({ server: { registration } }: ServerLink) => ({
+    serverId: registration.id,
+    service: registration.service,
+  });
+
+  function beginCut(listed: readonly ServerLink[]): void {
+    if (cutOffSinceMs === undefined) {
+      cutOffSinceMs = clock.monotonicMs();
+      log.warn('host-cut-off', { listed: listed.length, failed: listed.filter(hasFailed).length });
+      metrics.increment('host_cuts');
+    }
+  }
+
+  /** The servers that were lost with the links of this host are back with them. */
+  function endCut(listed: readonly ServerLink[]): void {
+    if (cutOffSinceMs === undefined) {
+      return;
+    }
+    const oldestMs = cutOffSinceMs - CUT_NOTICE_MS;
+    const lost = listed.filter(({ failedAtMs }) => (failedAtMs ?? -Infinity) >= oldestMs);
+    lost.forEach((link) => {
+      link.failedAtMs = undefined;
+    });
+    const tookMs = clock.monotonicMs() - cutOffSinceMs;
+    cutOffSinceMs = undefined;
+    const failed = listed.filter(hasFailed).length;
+    log.info('host-reconnected', {
+      listed: listed.length,
+      restored: lost.length,
+      failed,
+      tookMs: Math.round(tookMs),
+    });
+    metrics.timingMs('host_cut', tookMs);
+  }
+
+  function recordOpen(link: ServerLink): void {
+    const nowMs = clock.monotonicMs();
+    link.connectedAtMs = nowMs;
+    if (link.failedAtMs !== undefined) {
+      const tookMs = Math.round(nowMs - link.failedAtMs);
+      log.info('server-link-restored', { ...describe(link), tookMs });
+      link.failedAtMs = undefined;
+    }
+    endCut(listedLinks());
+  }
+
+  function recordFailed(link: ServerLink, cause: Exclude<ConnectOutcome, 'open'>): void {
+    const nowMs = clock.monotonicMs();
+    link.backoffMs =
+      nowMs - link.nextProbeAtMs > MAX_BACKOFF_MS
+        ? INITIAL_BACKOFF_MS
+        : Math.min(MAX_BACKOFF_MS, link.backoffMs * 2);
+    link.nextProbeAtMs = nowMs + link.backoffMs;
+    if (link.failedAtMs === undefined) {
+      link.failedAtMs = nowMs;
+      log.warn('server-link-failed', { ...describe(link), cause });
+      metrics.increment('server_link_failures', { cause });
+      const listed = listedLinks();
+      if (listed.length > 0 && listed.every(hasFailed)) {
+        beginCut(listed);
+      }
+    }
+  }
+
+  function probe(link: ServerLink): Promise<ConnectOutcome> {
+    if (link.probe === undefined) {
+      runningProbes += 1;
+      link.probe = options.connect(link.server.registration.endpoint).then((outcome) => {
+        runningProbes -= 1;
+        link.probe = undefined;
+        metrics.increment('server_probes', { outcome });
+        if (!closing.signal.aborted && links.get(link.server.incarnation) === link) {
+          if (outcome === 'open') {
+            recordOpen(link);
+          } else {
+            recordFailed(link, outcome);
+          }
+        }
+        return outcome;
+      });
+    }
+    return link.probe;
+  }
+
+  /** Servers that have to be probed: failed ones and, while this host is cut off, all. */
+  const missingLinks = (): readonly ServerLink[] =>
+    listedLinks().filter((link) => hasFailed(link) || cutOffSinceMs !== undefined);
+
+  function startDueProbes(): void {
+    const nowMs = clock.monotonicMs();
+    missingLinks()
+      .filter((link) => link.probe === undefined && link.nextProbeAtMs <= nowMs)
+      .sort((a, b) => a.nextProbeAtMs - b.nextProbeAtMs)
+      .slice(0, Math.max(0, MAX_PROBES - runningProbes))
+      .forEach(probe);
+  }
+
+  async function runProbes(): Promise<void> {
+    if (isProbing) {
+      return;
+    }
+    isProbing = true;
+    while (!closing.signal.aborted && missingLinks().length > 0) {
+      startDueProbes();
+      await clock.sleep(PROBE_INTERVAL_MS, closing.signal).catch(() => undefined);
+    }
+    isProbing = false;
+  }
+
+  const witnesses = createWitnessSearch({
+    clock,
+    links: listedLinks,
+    probe,
+    cutOffSinceMs: () => cutOffSinceMs,
+    signal: closing.signal,
+  });
+
+  async function judge(
+    link: ServerLink,
+    tryServer: () => Promise<ConnectOutcome>,
+  ): Promise<LinkVerdict> {
+    const sinceMs = clock.monotonicMs();
+    const outcome = await tryServer();
+    if (outcome === 'open') {
+      return 'open';
+    }
+    void runProbes();
+    if (await witnesses.reachesOther(link, sinceMs)) {
+      return outcome === 'refused' ? 'refused' : 'failed';
+    }
+    beginCut(listedLinks());
+    return 'cut-off';
+  }
+
+  /** Failures of a server at the same time have one reason. */
+  function findVerdict(
+    link: ServerLink,
+    tryServer: () => Promise<ConnectOutcome>,
+  ): Promise<LinkVerdict> {
+    link.verdict ??= judge(link, tryServer).finally(() => {
+      link.verdict = undefined;
+    });
+    return link.verdict;
+  }
+
+  return {
+    recordFailure(server, isRefused = false) {
+      const link = linkTo(server);
+      const outcome = isRefused ? 'refused' : 'timeout';
+      recordFailed(link, outcome);
+      return findVerdict(link, async () => outcome);
+    },
+    check(server, maxAgeMs = 0) {
+      const link = linkTo(server);
+      return !hasFailed(link) && clock.monotonicMs() - link.connectedAtMs < maxAgeMs
+        ? Promise.resolve('open')
+        : findVerdict(link, () => probe(link));
+    },
+    recordResponse(server) {
+      linkTo(server).respondedAtMs = clock.monotonicMs();
+    },
+    isOpen(server) {
+      const link = links.get(server.incarnation);
+      return (
+        cutOffSinceMs === undefined &&
+        (link === undefined || !hasFailed(link)) &&
+        !witnesses.isInDoubt()
+      );
+    },
+    isCutOff: () => cutOffSinceMs !== undefined,
+    retain(incarnations) {
+      [...links.keys()]
+        .filter((incarnation) => !incarnations.has(incarnation))
+        .forEach((incarnation) => links.delete(incarnation));
+      const listed = listedLinks();
+      if (listed.length === 0) {
+        endCut(listed);
+      } else if (listed.every(hasFailed)) {
+        beginCut(listed);
+      }
+      metrics.gauge('server_links_failed', listed.filter(hasFailed).length);
+      void runProbes();
+    },
+    close: () => closing.abort(),
+  };
+}
--- a/packages/gateway/tests/routing/createServerView.test.ts
+++ b/packages/gateway/tests/routing/createServerView.test.ts
@@ -24,6 +24,7 @@
   const paces = createPaceTracker(clock, () => []);
   const loads = createLoadTracker(clock, () => []);
   const health = createServerHealth(clock);
+  const unreached = new Set<ServerState>();
   const view: ServerView = createServerView({
     clock,
     region: asId('north'),
@@ -36,11 +37,12 @@
     speeds: createSpeedTracker(),
     paces,
     health,
+    serverLinks: { isOpen: (server) => !unreached.has(server) },
     serverLimits: { limitOf: () => undefined },
     leavingServers,
     serverPauses,
   });
-  return { clock, view, loads, paces, health, leavingServers, serverPauses };
+  return { clock, view, loads, paces, health, unreached, leavingServers, serverPauses };
 }
 
 const first = buildServer();
@@ -87,6 +89,17 @@
   t.deepEqual(view.rejection(service), { kind: 'none', reason: 'servers-leaving' });
 });
 
+// Other regions relayed requests to hosts that had lost their links to the servers.
+test('a host reports no capacity of servers that it does not reach', (t) => {
+  const { view, unreached } = setUp([first, second]);
+  unreached.add(first);
+  t.is(view.capacity().get(service.name)?.usableServers, 1);
+  unreached.add(second);
+  t.is(view.capacity().size, 0);
+  t.deepEqual(view.usable(service), []);
+  t.deepEqual(view.rejection(service), { kind: 'none', reason: 'unreachable' });
+});
+
 test('paused servers are not usable and add no capacity until the pause ends', (t) => {
   const { clock, view, serverPauses } = setUp([first, second]);
   serverPauses.recordRejection(first, { status: 503, retryAfterMs: 3_000 });
