--- a/packages/gateway/src/routing/createServerView.ts
+++ b/packages/gateway/src/routing/createServerView.ts
@@ -8,6 +8,7 @@
 import type { ServerLimits } from '../limits/createServerLimits.js';
 import type { ServerPauses } from '../limits/createServerPauses.js';
 import type { RegionCapacity } from '../peers/PeerHeartbeat.js';
+import type { ServerLinks } from '../upstream/createServerLinks.js';
 import type { LocalRejection } from './Destination.js';
 import type { LoadTracker } from './createLoadTracker.js';
 import type { PaceTracker } from './createPaceTracker.js';
@@ -36,6 +37,7 @@
   readonly speeds: SpeedTracker;
   readonly paces: PaceTracker;
   readonly health: ServerHealth;
+  readonly serverLinks: Pick<ServerLinks, 'isOpen'>;
   readonly serverLimits: Pick<ServerLimits, 'limitOf'>;
   readonly leavingServers: Pick<LeavingServers, 'isLeaving'>;
   readonly serverPauses: Pick<ServerPauses, 'remainingMs'>;
@@ -68,15 +70,21 @@
   const { clock, view, loads, speeds, paces, health, leavingServers, serverPauses } = options;
   let latestCapacity: ReadonlyMap<ServiceName, RegionCapacity> = new Map();
 
+  /** Servers of the service in zones that may get requests. */
+  const listed = (service: ServiceSpec, version?: SoftwareVersion): readonly ServerState[] =>
+    view.servers
+      .ofService(service.name, options.region)
+      .filter(
+        ({ registration }) =>
+          (version === undefined || registration.softwareVersion === version) &&
+          !view.isEvacuated(registration.zone),
+      );
+
   /** Servers of the service that are reachable from here, including leaving and paused ones. */
   function reachable(service: ServiceSpec, version?: SoftwareVersion): readonly ServerState[] {
     const servers: ServerState[] = [];
-    view.servers.ofService(service.name, options.region).forEach((server) => {
-      if (
-        (version === undefined || server.registration.softwareVersion === version) &&
-        !view.isEvacuated(server.registration.zone) &&
-        health.isReachable(server)
-      ) {
+    listed(service, version).forEach((server) => {
+      if (options.serverLinks.isOpen(server) && health.isReachable(server)) {
         const coldUntilMs = health.coldUntilMs(server, service.coldStartMs);
         servers.push(
           coldUntilMs > server.coldUntilMs
@@ -126,7 +134,11 @@
       const retryAfterMs = Math.min(...staying.map(serverPauses.remainingMs));
       return { kind: 'none', reason: 'servers-paused', retryAfterMs };
     }
-    return { kind: 'none', reason: servers.length === 0 ? 'no-server' : 'servers-leaving' };
+    const unreached = listed(service, version);
+    if (unreached.some((server) => !leavingServers.isLeaving(server))) {
+      return { kind: 'none', reason: 'unreachable' };
+    }
+    return { kind: 'none', reason: unreached.length === 0 ? 'no-server' : 'servers-leaving' };
   }
 
   /** Computed for each round of heartbeats, so it passes over the servers once. */
--- a/packages/gateway/tests/routing/createServerView.test.ts
+++ b/packages/gateway/tests/routing/createServerView.test.ts
@@ -23,6 +23,8 @@
   const serverPauses = createServerPauses(sinks);
   const paces = createPaceTracker(clock, () => []);
   const loads = createLoadTracker(clock, () => []);
+  const health = createServerHealth(clock);
+  const unreached = new Set<ServerState>();
   const view: ServerView = createServerView({
     clock,
     region: asId('north'),
@@ -34,12 +36,13 @@
     loads,
     speeds: createSpeedTracker(),
     paces,
-    health: createServerHealth(clock),
+    health,
+    serverLinks: { isOpen: (server) => !unreached.has(server) },
     serverLimits: { limitOf: () => undefined },
     leavingServers,
     serverPauses,
   });
-  return { clock, view, loads, paces, leavingServers, serverPauses };
+  return { clock, view, loads, paces, health, unreached, leavingServers, serverPauses };
 }
 
 const first = buildServer();
@@ -76,6 +79,27 @@
   t.deepEqual(setUp([]).view.rejection(service), { kind: 'none', reason: 'no-server' });
 });
 
+test('the rejection tells servers that this host does not reach from servers that are not there', (t) => {
+  const { view, health, leavingServers } = setUp([first, second]);
+  leavingServers.recordResponse(first, 200);
+  health.recordUnreachable(second.incarnation);
+  health.recordUnreachable(first.incarnation);
+  t.deepEqual(view.rejection(service), { kind: 'none', reason: 'unreachable' });
+  leavingServers.recordResponse(second, 200);
+  t.deepEqual(view.rejection(service), { kind: 'none', reason: 'servers-leaving' });
+});
+
+// Other regions relayed requests to hosts that had lost their links to the servers.
+test('a host reports no capacity of servers that it does not reach', (t) => {
+  const { view, unreached } = setUp([first, second]);
+  unreached.add(first);
+  t.is(view.capacity().get(service.name)?.usableServers, 1);
+  unreached.add(second);
+  t.is(view.capacity().size, 0);
+  t.deepEqual(view.usable(service), []);
+  t.deepEqual(view.rejection(service), { kind: 'none', reason: 'unreachable' });
+});
+
 test('paused servers are not usable and add no capacity until the pause ends', (t) => {
   const { clock, view, serverPauses } = setUp([first, second]);
   serverPauses.recordRejection(first, { status: 503, retryAfterMs: 3_000 });
