Relay only to hosts that report capacity themselves

Cause: the choice of a peer took the capacity that any host of a region had reported for that of all its hosts.

Change: a candidate is a host whose own latest heartbeat lists capacity for the service; the estimate of the region is still the latest one. A host that reaches no server does not keep a draining neighbour that does from being chosen.

The test failed before: npx ava packages/gateway/tests/routing/createRegionChooser.test.ts, the partitioned host was chosen.

--- a/packages/gateway/src/routing/createRegionChooser.ts
+++ b/packages/gateway/src/routing/createRegionChooser.ts
@@ -37,15 +37,14 @@
 type RegionEstimate = Scored<Omit<RegionChoice, 'kind' | 'peer'>>;
 
 /**
- * Capacity in the heartbeat that arrived last from any host of the region. Each host reports the
+ * Capacity in the heartbeat that arrived last from any of these hosts of a region. Each reports the
  * capacity of the whole region, and one of many hosts is heard of only every few seconds.
  */
 function latestCapacity(
   { service }: RoutingRequest,
   regionPeers: readonly Peer[],
 ): RegionCapacity | undefined {
-  const reporting = regionPeers.filter(({ heartbeat }) => heartbeat.capacity.has(service.name));
-  const latest = reporting.reduce<Peer | undefined>(
+  const latest = regionPeers.reduce<Peer | undefined>(
     (best, peer) =>
       best === undefined || peer.lastHeartbeatAtMs > best.lastHeartbeatAtMs ? peer : best,
     undefined,
@@ -109,8 +108,9 @@
   }
 
   /**
-   * Ready peers of other regions. Only the hosts of a region can reach its servers, so while all of
-   * them drain, as in a rolling restart, requests that end in time also go to draining hosts.
+   * Ready peers of other regions that can reach servers of the service themselves, by their own
+   * heartbeat. Only the hosts of a region can reach its servers, so while all of those drain, as in a
+   * rolling restart, requests that end in time also go to draining hosts.
    */
   function acceptingPeers(request: RoutingRequest): readonly Peer[] {
     const { homeRegions } = request.route;
@@ -118,11 +118,12 @@
     const servers = requiredVersion === undefined ? [] : options.servers();
     const mayContinue = (region: RegionId): boolean =>
       requiredVersion === undefined || hasVersion(servers, service.name, requiredVersion, region);
-    const alive = peers.alive().filter(({ heartbeat: { host } }) => {
+    const alive = peers.alive().filter(({ heartbeat: { host, capacity } }) => {
       const isAllowed = homeRegions.length === 0 || homeRegions.includes(host.region);
       return (
         host.region !== options.region &&
         isAllowed &&
+        capacity.has(service.name) &&
         mayContinue(host.region) &&
         !request.triedRegions.has(host.region) &&
         !request.rejectingHosts.has(host.id)
--- a/packages/gateway/tests/routing/createRegionChooser.test.ts
+++ b/packages/gateway/tests/routing/createRegionChooser.test.ts
@@ -143,6 +143,25 @@
   t.not(chooseAmong([outdated, latest, recovered, other]), 'other');
 });
 
+// Requests went to hosts that were partitioned from all servers, as long as any other host of their
+// region reported capacity.
+test('a host that reports no capacity for the service gets no request', (t) => {
+  const withoutCapacity = (peer: Peer): Peer => ({
+    ...peer,
+    heartbeat: { ...peer.heartbeat, capacity: new Map() },
+  });
+  const partitioned = withoutCapacity(buildPeer('partitioned', 'south', 'ready'));
+  const connected = buildPeer('connected', 'south', 'ready');
+  t.is(chooseAmong([partitioned, connected]), 'connected');
+  t.is(chooseAmong([connected, partitioned]), 'connected');
+  t.is(chooseAmong([partitioned]), undefined);
+  const draining = buildPeer('draining', 'south', 'draining');
+  t.is(chooseAmong([partitioned, draining]), 'draining');
+  const other = buildPeer('other', 'west', 'ready');
+  const rejectingHosts = new Set([connected.heartbeat.host.id]);
+  t.is(chooseAmong([partitioned, connected, other], { rejectingHosts }), 'other');
+});
+
 const never = new Promise<void>(() => {});
 
 test('requests are spread over the hosts of a region', (t) => {
