Try another host of a region after one that reaches no server

A relayed request that reached a host without its servers was rejected, although the next host of the region reached them: the rejection excluded the region.

Cause: such a rejection had the code of a region without servers. Hosts hear of each other late (seconds in large regions), so a heartbeat may still list the capacity.

Change: a host that reaches none of the live servers, or that could connect to none for this request, rejects it with the code servers-unreachable, which concerns that host only.

--- a/packages/gateway/src/exchange/AttemptResult.ts
+++ b/packages/gateway/src/exchange/AttemptResult.ts
@@ -18,7 +18,7 @@
       readonly reachedServer: boolean;
       /** Whether the request may have arrived at any server, which then rejected it. */
       readonly hasArrived: boolean;
-      /** Whether the peer drains or is not running, which says nothing of its region. */
+      /** Whether the reason is the peer's own, which says nothing of the other hosts of its region. */
       readonly concernsHostOnly?: boolean;
       /** Whether the peer rejected the request because the servers of its region have no room. */
       readonly isOverload?: boolean;
--- a/packages/gateway/src/exchange/StopCause.ts
+++ b/packages/gateway/src/exchange/StopCause.ts
@@ -8,6 +8,8 @@
   | 'rate-limited'
   | 'servers-leaving'
   | 'servers-paused'
+  /** The region has live servers, but this host reaches none of them. */
+  | 'unreachable'
   /** No server of the version that began the stream is left. */
   | 'version-gone'
   /** It is not known which version began the stream. */
--- a/packages/gateway/src/exchange/forwardToPeer.ts
+++ b/packages/gateway/src/exchange/forwardToPeer.ts
@@ -24,6 +24,7 @@
   ['connection-limit', 'peer has too many connections'],
   ['request-memory', 'peer has no memory for requests'],
   ['older-configuration', 'peer has an older configuration'],
+  ['servers-unreachable', 'peer reaches no server'],
 ]);
 
 export interface ForwardToPeerOptions extends AttemptSignals {
--- a/packages/gateway/src/exchange/sendFinalResponse.ts
+++ b/packages/gateway/src/exchange/sendFinalResponse.ts
@@ -6,6 +6,7 @@
   type RequestError,
 } from '@camphorbarrow/core';
 import { createDrainingError } from '../errors/createDrainingError.js';
+import { createUnreachableError } from '../errors/createUnreachableError.js';
 import { StreamVersionError } from '../errors/StreamVersionError.js';
 import type { Route } from '../model/Route.js';
 import type { Exchange } from './Exchange.js';
@@ -15,7 +16,22 @@
 
 const createNoServerError = createRejections(() => new NoServerError('No server.'));
 
+/**
+ * Whether another host of the region may do better, because this one reached no server. A relayed
+ * request is sent to servers only, so each of its attempts was at one.
+ */
+const hasReachedNoServer = (
+  { relayedBy }: Exchange,
+  { stopCause, attempts, hasArrived }: ExchangeProgress,
+): boolean =>
+  stopCause === 'unreachable' ||
+  (relayedBy !== undefined &&
+    (stopCause === 'not-repeatable' || stopCause === 'no-server') &&
+    attempts > 0 &&
+    !hasArrived);
+
 function createFinalError(
+  exchange: Exchange,
   progress: ExchangeProgress,
   isExpired: boolean,
   isClosing: boolean,
@@ -43,7 +59,10 @@
     });
   }
   const message = `No server accepted the request: ${cause}.`;
-  return createNoServerError({ message, retryAfterMs: progress.retryAfterMs });
+  const createError = hasReachedNoServer(exchange, progress)
+    ? createUnreachableError
+    : createNoServerError;
+  return createError({ message, retryAfterMs: progress.retryAfterMs });
 }
 
 function routeKind({ delivery, resumable, idempotent }: Route): string {
@@ -90,7 +109,7 @@
     responseWriter.send(status, headers, body);
     return status;
   }
-  const error = createFinalError(progress, isExpired, context.closing.aborted);
+  const error = createFinalError(exchange, progress, isExpired, context.closing.aborted);
   const relayed = exchange.relayedBy === undefined ? undefined : progress;
   sendErrorResponse(responseWriter, context.codec, error, relayed);
   return error.statusCode;
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -29,6 +29,7 @@
 export * from './errors/StoreHistoryLostError.js';
 export * from './errors/StreamVersionError.js';
 export * from './errors/createDrainingError.js';
+export * from './errors/createUnreachableError.js';
 export * from './errors/logFailures.js';
 export * from './exchange/AttemptResult.js';
 export * from './exchange/AttemptSignals.js';
--- a/packages/gateway/src/routing/Destination.ts
+++ b/packages/gateway/src/routing/Destination.ts
@@ -25,7 +25,7 @@
   readonly triedServers: ReadonlySet<ServerId>;
   /** Regions with a host that rejected the request or was unreachable; they are not tried again. */
   readonly triedRegions: ReadonlySet<string>;
-  /** Draining hosts that rejected the request. */
+  /** Hosts that rejected the request for a reason of their own. */
   readonly rejectingHosts: ReadonlySet<HostId>;
   /** Whether a server may already have run the request; it is then not rejected for overload. */
   readonly isRetry: boolean;
@@ -100,8 +100,10 @@
        *   more requests of this host now.
        * - `servers-leaving`: the servers that are left are about to stop.
        * - `version-gone`: no region has a server of the required version any more.
+       * - `unreachable`: the region has live servers, but this host reaches none of them.
        */
-      readonly reason: 'no-server' | 'rate-limited' | 'servers-leaving' | 'version-gone';
+      readonly reason:
+        'no-server' | 'rate-limited' | 'servers-leaving' | 'version-gone' | 'unreachable';
     }
   | {
       readonly kind: 'none';
