Relay to a neighbour from a host that reaches none of its servers

Callers of a host that was partitioned from all servers were rejected, or sent on to other regions, while its neighbour reached every server of the region and got nothing.

Cause: the choice of a peer left out the own region.

Change: when the local choice is rejected as unreachable, and only then, ready peers of the own region that report capacity are candidates at their round-trip time, beside other regions by score. The host that takes a relayed request never relays it, so there is one hop at most. A failure to connect to such a peer concerns that host only. Relays are counted in relays_total by scope and result.

--- a/packages/gateway/src/exchange/ExchangeProgress.ts
+++ b/packages/gateway/src/exchange/ExchangeProgress.ts
@@ -41,7 +41,7 @@
   overload: OverloadRejection | undefined;
   /** Time at which the request was recorded as sent, for the decisions under overload. */
   recordedSentAtMs: number | undefined;
-  /** Whether a host of another region rejected the request for overload. */
+  /** Whether another host rejected the request because the servers of its region have no room. */
   hasOverloadedPeer: boolean;
   /** Set once the request has waited for room at this host. */
   waiting: WaitingRequest | undefined;
--- a/packages/gateway/src/exchange/forwardToPeer.ts
+++ b/packages/gateway/src/exchange/forwardToPeer.ts
@@ -15,7 +15,7 @@
 import type { AttemptResult } from './AttemptResult.js';
 import type { AttemptSignals } from './AttemptSignals.js';
 
-/** Added to the round-trip time to get the connect timeout for a peer in another region. */
+/** Added to the round-trip time to get the connect timeout for a peer. */
 const CONNECT_MARGIN_MS = 500;
 const DEFAULT_ROUND_TRIP_MS = 200;
 /** Causes by error code of rejections that say nothing about the other hosts of the region. */
@@ -58,7 +58,8 @@
           cause: `peer ${sent.cause}`,
           reachedServer: false,
           hasArrived: false,
-          concernsHostOnly: sent.isRefused === true,
+          // The other hosts of this region are on the same network.
+          concernsHostOnly: sent.isRefused === true || options.destination.isOwnRegion,
         };
   }
   const { response } = sent;
@@ -93,7 +94,7 @@
   });
 }
 
-/** Relays the request to an entry host of another region, which serves it there or rejects it. */
+/** Relays the request to another entry host, which serves it in its region or rejects it. */
 export async function forwardToPeer(options: ForwardToPeerOptions): Promise<AttemptResult> {
   const { context, exchange, destination, signal, requiredVersion } = options;
   const { peer } = destination;
--- a/packages/gateway/src/exchange/runAttempts.ts
+++ b/packages/gateway/src/exchange/runAttempts.ts
@@ -118,6 +118,8 @@
       requiredVersion: progress.requiredVersion,
       admitStream: admit,
     });
+    const scope = destination.isOwnRegion ? 'own-region' : 'other-region';
+    context.metrics.increment('relays', { scope, result: result.kind });
     // A rejection holds for the whole region, unless it is due to the host. After a failure of one of
     // its servers, another server of the region may still succeed.
     if (result.kind === 'not-run' && result.concernsHostOnly === true) {
--- a/packages/gateway/src/routing/Destination.ts
+++ b/packages/gateway/src/routing/Destination.ts
@@ -85,6 +85,8 @@
   | {
       readonly kind: 'region';
       readonly peer: Peer;
+      /** Whether the peer is a host of this region, which reaches servers that this host does not. */
+      readonly isOwnRegion: boolean;
       /** Running requests per slot of the servers of the region. */
       readonly slotUsageRatio: number;
       readonly estimateMs: number;
--- a/packages/gateway/src/routing/createRegionChooser.ts
+++ b/packages/gateway/src/routing/createRegionChooser.ts
@@ -30,8 +30,14 @@
   readonly servers: () => readonly ServerState[];
 }
 
-/** Selects an entry host of another region, or undefined if there is none. */
-export type RegionChooser = (request: RoutingRequest) => Scored<RegionChoice> | undefined;
+/** Regions among whose hosts a peer is chosen. */
+export type RegionScope = 'others' | 'own' | 'all';
+
+/** Selects another entry host, or undefined if there is none. */
+export type RegionChooser = (
+  request: RoutingRequest,
+  scope: RegionScope,
+) => Scored<RegionChoice> | undefined;
 
 /** Estimate for all hosts of a region. */
 type RegionEstimate = Scored<Omit<RegionChoice, 'kind' | 'peer'>>;
@@ -52,7 +58,7 @@
   return latest?.heartbeat.capacity.get(service.name);
 }
 
-/** Creates a chooser among the entry hosts of other regions. */
+/** Creates a chooser among the other entry hosts, by region. */
 export function createRegionChooser(options: RegionChooserOptions): RegionChooser {
   const { peers, loads } = options;
 
@@ -92,7 +98,13 @@
     });
     const contentionMs = options.contentionMs(request, region, slotUsageRatio);
     return {
-      choice: { waitMs, estimateMs, slotUsageRatio, ...finish },
+      choice: {
+        isOwnRegion: region === options.region,
+        waitMs,
+        estimateMs,
+        slotUsageRatio,
+        ...finish,
+      },
       scoreMs: estimateMs + scoreMs + stallMs + contentionMs,
     };
   }
@@ -108,11 +120,11 @@
   }
 
   /**
-   * Ready peers of other regions that can reach servers of the service themselves, by their own
-   * heartbeat. Only the hosts of a region can reach its servers, so while all of those drain, as in a
-   * rolling restart, requests that end in time also go to draining hosts.
+   * Ready peers that can reach servers of the service themselves, by their own heartbeat. Only the
+   * hosts of a region can reach its servers, so while all of those drain, as in a rolling restart,
+   * requests that end in time also go to draining hosts.
    */
-  function acceptingPeers(request: RoutingRequest): readonly Peer[] {
+  function acceptingPeers(request: RoutingRequest, scope: RegionScope): readonly Peer[] {
     const { homeRegions } = request.route;
     const { service, requiredVersion } = request;
     const servers = requiredVersion === undefined ? [] : options.servers();
@@ -121,7 +133,7 @@
     const alive = peers.alive().filter(({ heartbeat: { host, capacity } }) => {
       const isAllowed = homeRegions.length === 0 || homeRegions.includes(host.region);
       return (
-        host.region !== options.region &&
+        (scope === 'all' || (host.region === options.region) === (scope === 'own')) &&
         isAllowed &&
         capacity.has(service.name) &&
         mayContinue(host.region) &&
@@ -154,8 +166,8 @@
     return equal[Math.floor(options.random.next() * equal.length)];
   }
 
-  return (request) => {
-    const accepting = acceptingPeers(request);
+  return (request, scope) => {
+    const accepting = acceptingPeers(request, scope);
     const regions = new Set(accepting.map(({ heartbeat }) => heartbeat.host.region));
     const choices = [...regions].flatMap((region) => {
       const regionPeers = accepting.filter(({ heartbeat }) => heartbeat.host.region === region);
--- a/packages/gateway/src/routing/createRouter.ts
+++ b/packages/gateway/src/routing/createRouter.ts
@@ -4,7 +4,7 @@
 import type { Contention } from './createContention.js';
 import type { LoadTracker } from './createLoadTracker.js';
 import type { LocalChooser } from './createLocalChooser.js';
-import type { RegionChooser } from './createRegionChooser.js';
+import type { RegionChooser, RegionScope } from './createRegionChooser.js';
 import type { ServerView } from './createServerView.js';
 import type { RoutingRequest, Destination, LocalChoice, RegionChoice } from './Destination.js';
 import type { Scored } from './Scored.js';
@@ -44,7 +44,10 @@
   choose(request: RoutingRequest): Destination;
 }
 
-/** Creates a router that selects a local server, a peer in another region, or a rejection. */
+/**
+ * Creates a router that selects a local server, a peer, or a rejection. Peers of this region are for
+ * requests of a host that reaches none of the servers.
+ */
 export function createRouter(options: RouterOptions): Router {
   const { chooseLocal, chooseRegion, loads } = options;
 
@@ -166,10 +169,10 @@
   return {
     choose(request) {
       const local = chooseLocal(request);
-      const findRegion = (): Scored<RegionChoice> | undefined =>
-        request.isRelayed ? undefined : chooseRegion(request);
+      const findRegion = (scope: RegionScope = 'others'): Scored<RegionChoice> | undefined =>
+        request.isRelayed ? undefined : chooseRegion(request, scope);
       if (!('choice' in local)) {
-        const choice = findRegion()?.choice;
+        const choice = findRegion(local.reason === 'unreachable' ? 'all' : 'others')?.choice;
         if (choice === undefined) {
           return local;
         }
--- a/packages/gateway/tests/routing/createRegionChooser.test.ts
+++ b/packages/gateway/tests/routing/createRegionChooser.test.ts
@@ -7,6 +7,7 @@
   HostState,
   Peer,
   PeerRegistry,
+  RegionScope,
   ServerState,
   SoftwareVersion,
 } from '../../src/index.js';
@@ -64,6 +65,7 @@
   changes: Partial<RoutingRequest> = {},
   clock: ManualClock = createManualClock(),
   servers: readonly ServerState[] = [],
+  scope: RegionScope = 'others',
 ): string | undefined {
   const choose = createRegionChooser({
     clock,
@@ -74,8 +76,8 @@
     loads: createLoadTracker(clock, () => []),
     servers: () => servers,
   });
-  return choose(buildRoutingRequest({ remainingMs: 4_000, ...changes }))?.choice.peer.heartbeat.host
-    .id;
+  const request = buildRoutingRequest({ remainingMs: 4_000, ...changes });
+  return choose(request, scope)?.choice.peer.heartbeat.host.id;
 }
 
 // When both hosts of a region drained at the same time in a rolling restart, its servers, half of
@@ -162,6 +164,22 @@
   t.is(chooseAmong([partitioned, connected, other], { rejectingHosts }), 'other');
 });
 
+// The neighbour of a host that was partitioned from all servers reached them all and got nothing.
+test('a host of the own region is chosen only if those are included, and before distant ones', (t) => {
+  const own = { ...buildPeer('own', 'north', 'ready'), roundTripMs: 1 };
+  const distant = buildPeer('distant', 'south', 'ready');
+  const choose = (
+    changes: Partial<RoutingRequest>,
+    scope: RegionScope = 'all',
+  ): string | undefined => chooseAmong([distant, own], changes, createManualClock(), [], scope);
+  t.is(choose({}), 'own');
+  t.is(choose({}, 'others'), 'distant');
+  t.is(choose({ triedRegions: new Set(['south']) }, 'own'), 'own');
+  t.is(choose({ route: buildRoute({ homeRegions: [asId('north')] }) }), 'own');
+  t.is(choose({ route: buildRoute({ homeRegions: [asId('south')] }) }), 'distant');
+  t.is(choose({ triedRegions: new Set(['north']) }), 'distant');
+});
+
 const never = new Promise<void>(() => {});
 
 test('requests are spread over the hosts of a region', (t) => {
@@ -178,7 +196,7 @@
     servers: () => [],
   });
   const chosen = peers.map(() => {
-    const peer = choose(buildRoutingRequest({ remainingMs: 4_000 }))?.choice.peer;
+    const peer = choose(buildRoutingRequest({ remainingMs: 4_000 }), 'others')?.choice.peer;
     if (peer !== undefined) {
       void loads.trackWhile(relayLoadId(peer), { rank: 0, promptTokens: 0 }, () => never);
     }
--- a/packages/gateway/tests/routing/createRouter.test.ts
+++ b/packages/gateway/tests/routing/createRouter.test.ts
@@ -5,6 +5,7 @@
   LocalChoice,
   Peer,
   RegionChoice,
+  RegionScope,
   RouterOptions,
   ServerLoad,
 } from '../../src/index.js';
@@ -34,6 +35,7 @@
 const regionChoice = (estimateMs: number): RegionChoice => ({
   kind: 'region',
   peer: {} as unknown as Peer,
+  isOwnRegion: false,
   slotUsageRatio: 0,
   estimateMs,
   waitMs: estimateMs - 100,
@@ -107,6 +109,25 @@
   t.like(router.choose({ ...request, isRelayed: true }), { kind: 'none', reason: 'no-server' });
 });
 
+test('only a host that reaches none of the servers relays inside its region', (t) => {
+  const chosenFor = (reason: 'no-server' | 'rate-limited' | 'unreachable', isRelayed = false) => {
+    let scope: RegionScope | undefined;
+    const { router } = setUp(undefined, undefined, undefined, {
+      chooseLocal: () => ({ kind: 'none', reason }),
+      chooseRegion(_, chosenScope) {
+        scope = chosenScope;
+        return undefined;
+      },
+    });
+    t.like(router.choose({ ...request, isRelayed }), { kind: 'none', reason });
+    return scope;
+  };
+  t.is(chosenFor('unreachable'), 'all');
+  t.is(chosenFor('unreachable', true), undefined);
+  t.is(chosenFor('no-server'), 'others');
+  t.is(chosenFor('rate-limited'), 'others');
+});
+
 test('a request that would wait beyond its target is rejected if the server has waiting requests', (t) => {
   const waiting = { running: 20, waiting: 3, slots: 64, slowdownRatio: 1 };
   const { router } = setUp(localChoice(2_000), undefined, waiting);
