Send a request that fails to connect to a neighbour next

When the links of a host to its servers hang, its requests waited 400 ms for a connection to one server after the other, until the host took all of them for unreachable: a second and more, of time limits from three seconds on.

Cause: each attempt chose among the servers that had not failed yet, although the links of the host may be the reason.

Change: after a timeout, or a second refusal, a request goes to a neighbour that reports capacity; a host that took over the request gives it back instead (servers-unreachable), unless it has no such neighbour. That code now depends on failed connections to servers, not on attempts.

--- a/packages/gateway/src/exchange/AttemptResult.ts
+++ b/packages/gateway/src/exchange/AttemptResult.ts
@@ -16,6 +16,8 @@
       readonly cause: string;
       /** False if the intended server could not be reached; it then counts as unreachable. */
       readonly reachedServer: boolean;
+      /** Whether the connection was refused at once. */
+      readonly isRefused?: boolean;
       /** Whether the request may have arrived at any server, which then rejected it. */
       readonly hasArrived: boolean;
       /** Whether the reason is the peer's own, which says nothing of the other hosts of its region. */
--- a/packages/gateway/src/exchange/ExchangeProgress.ts
+++ b/packages/gateway/src/exchange/ExchangeProgress.ts
@@ -27,6 +27,10 @@
   versionSource: VersionSource | undefined;
   /** Latest error response of a server; sent to the caller when no other attempt succeeds. */
   errorResponse: BufferedResponse | undefined;
+  /** Number of attempts at servers of this region that refused the connection. */
+  refusedConnects: number;
+  /** Number of attempts at servers of this region without a connection in time. */
+  timedOutConnects: number;
   readonly triedServers: Set<ServerId>;
   readonly triedRegions: Set<string>;
   readonly rejectingHosts: Set<HostId>;
--- a/packages/gateway/src/exchange/forwardToServer.ts
+++ b/packages/gateway/src/exchange/forwardToServer.ts
@@ -172,6 +172,7 @@
           kind: 'not-run',
           cause: sent.cause,
           reachedServer: sent.failure === 'invalid',
+          isRefused: sent.isRefused === true,
           hasArrived: false,
         };
   }
--- a/packages/gateway/src/exchange/prepareAttempt.ts
+++ b/packages/gateway/src/exchange/prepareAttempt.ts
@@ -10,9 +10,6 @@
 /** Maximum retry delay sent to callers of an overloaded service whose returns are not booked. */
 const MAX_RETRY_AFTER_MS = 2_000;
 
-/** Retry delay sent to callers while this host reaches no server and no other host takes the request. */
-const UNREACHABLE_RETRY_MS = 1_000;
-
 /** An attempt that may be made: it has a destination, and the limits on attempts permit it. */
 export interface PreparedAttempt {
   readonly destination: Exclude<Destination, { kind: 'none' }>;
@@ -103,9 +100,6 @@
       if (destination.reason === 'servers-paused') {
         progress.retryAfterMs = Math.max(progress.retryAfterMs, destination.retryAfterMs);
       }
-      if (destination.reason === 'unreachable') {
-        progress.retryAfterMs = Math.max(progress.retryAfterMs, UNREACHABLE_RETRY_MS);
-      }
       if (destination.reason === 'overloaded') {
         progress.lastChoice = destination.rejected;
         const { cause, roomInMs, fitsWithoutQueue } = destination;
--- a/packages/gateway/src/exchange/runAttempts.ts
+++ b/packages/gateway/src/exchange/runAttempts.ts
@@ -76,6 +76,18 @@
   }
 }
 
+/** Records that the request did not get as far as a connection to the server. */
+function recordConnectFailure(progress: ExchangeProgress, result: AttemptResult): void {
+  if (result.kind !== 'not-run' || result.reachedServer || result.hasArrived) {
+    return;
+  }
+  if (result.isRefused === true) {
+    progress.refusedConnects += 1;
+  } else {
+    progress.timedOutConnects += 1;
+  }
+}
+
 async function attemptDestination(
   context: GatewayContext,
   exchange: Exchange,
@@ -133,7 +145,7 @@
   progress.reportedWaiting = context.loads.reportedWaiting(id);
   progress.triedServers.add(id);
   const mayRetry = exchange.route.idempotent && progress.runs + 1 < maxRuns(exchange);
-  return forwardToServer({
+  const result = await forwardToServer({
     context,
     exchange,
     destination,
@@ -144,6 +156,8 @@
     onEvents,
     admitStream: admit,
   });
+  recordConnectFailure(progress, result);
+  return result;
 }
 
 /** Whether a reserved attempt still goes to a server of the version that began the stream. */
--- a/packages/gateway/src/exchange/sendFinalResponse.ts
+++ b/packages/gateway/src/exchange/sendFinalResponse.ts
@@ -16,22 +16,19 @@
 
 const createNoServerError = createRejections(() => new NoServerError('No server.'));
 
-/**
- * Whether another host of the region may do better, because this one reached no server. A relayed
- * request is sent to servers only, so each of its attempts was at one.
- */
-const hasReachedNoServer = (
-  { relayedBy }: Exchange,
-  { stopCause, attempts, hasArrived }: ExchangeProgress,
-): boolean =>
+/** Whether another host of the region may do better, because this one reached no server. */
+const hasReachedNoServer = ({
+  stopCause,
+  hasArrived,
+  refusedConnects,
+  timedOutConnects,
+}: ExchangeProgress): boolean =>
   stopCause === 'unreachable' ||
-  (relayedBy !== undefined &&
-    (stopCause === 'not-repeatable' || stopCause === 'no-server') &&
-    attempts > 0 &&
+  ((stopCause === 'not-repeatable' || stopCause === 'no-server') &&
+    refusedConnects + timedOutConnects > 0 &&
     !hasArrived);
 
 function createFinalError(
-  exchange: Exchange,
   progress: ExchangeProgress,
   isExpired: boolean,
   isClosing: boolean,
@@ -59,9 +56,7 @@
     });
   }
   const message = `No server accepted the request: ${cause}.`;
-  const createError = hasReachedNoServer(exchange, progress)
-    ? createUnreachableError
-    : createNoServerError;
+  const createError = hasReachedNoServer(progress) ? createUnreachableError : createNoServerError;
   return createError({ message, retryAfterMs: progress.retryAfterMs });
 }
 
@@ -109,7 +104,7 @@
     responseWriter.send(status, headers, body);
     return status;
   }
-  const error = createFinalError(exchange, progress, isExpired, context.closing.aborted);
+  const error = createFinalError(progress, isExpired, context.closing.aborted);
   const relayed = exchange.relayedBy === undefined ? undefined : progress;
   sendErrorResponse(responseWriter, context.codec, error, relayed);
   return error.statusCode;
--- a/packages/gateway/src/exchange/serveExchange.ts
+++ b/packages/gateway/src/exchange/serveExchange.ts
@@ -43,6 +43,8 @@
     requiredVersion: undefined,
     versionSource: undefined,
     errorResponse: undefined,
+    refusedConnects: 0,
+    timedOutConnects: 0,
     triedServers: new Set(),
     triedRegions: new Set(),
     rejectingHosts: new Set(),
--- a/packages/gateway/src/exchange/toRoutingRequest.ts
+++ b/packages/gateway/src/exchange/toRoutingRequest.ts
@@ -2,6 +2,16 @@
 import type { Exchange } from './Exchange.js';
 import type { ExchangeProgress } from './ExchangeProgress.js';
 
+/** Refused connections after which others are assumed to be refused, too. */
+const MAX_REFUSED_CONNECTS = 2;
+
+/** A refusal takes no time, and a server alone may be the reason; a timeout takes much of the deadline. */
+const failsToConnect = ({
+  refusedConnects = 0,
+  timedOutConnects = 0,
+}: Partial<Pick<ExchangeProgress, 'refusedConnects' | 'timedOutConnects'>>): boolean =>
+  timedOutConnects > 0 || refusedConnects >= MAX_REFUSED_CONNECTS;
+
 /**
  * Builds the routing request for the next attempt. A stream that resumes after an event counts as a
  * retry: a server has already done work for it, sent by this host, by the host that relayed the
@@ -13,7 +23,7 @@
     ExchangeProgress,
     'runs' | 'lastEventId' | 'triedServers' | 'triedRegions' | 'rejectingHosts'
   > &
-    Partial<Pick<ExchangeProgress, 'requiredVersion'>>,
+    Partial<Pick<ExchangeProgress, 'requiredVersion' | 'refusedConnects' | 'timedOutConnects'>>,
   remainingMs: number,
 ): RoutingRequest {
   const { route, service, customer, metadata, expectedEvents, typicalEvents } = exchange;
@@ -33,5 +43,6 @@
     isLastRun: !route.idempotent || progress.runs + 1 >= route.maxServers,
     isLate: exchange.isLate,
     requiredVersion: progress.requiredVersion,
+    failsToConnect: failsToConnect(progress),
   };
 }
--- a/packages/gateway/src/routing/Destination.ts
+++ b/packages/gateway/src/routing/Destination.ts
@@ -29,6 +29,8 @@
   readonly rejectingHosts: ReadonlySet<HostId>;
   /** Whether a server may already have run the request; it is then not rejected for overload. */
   readonly isRetry: boolean;
+  /** Whether this host failed to connect to servers for this request; other hosts may reach them. */
+  readonly failsToConnect?: boolean | undefined;
   /** Whether another entry host relayed the request; it must then be processed in this region. */
   readonly isRelayed: boolean;
   /** Whether no server may run the request after this one, so that a failure reaches the caller. */
--- a/packages/gateway/src/routing/createRouter.ts
+++ b/packages/gateway/src/routing/createRouter.ts
@@ -46,7 +46,7 @@
 
 /**
  * Creates a router that selects a local server, a peer, or a rejection. Peers of this region are for
- * requests of a host that reaches none of the servers.
+ * requests of a host that reaches none of the servers, or may be about to find out that it does not.
  */
 export function createRouter(options: RouterOptions): Router {
   const { chooseLocal, chooseRegion, loads } = options;
@@ -169,6 +169,13 @@
   return {
     choose(request) {
       const local = chooseLocal(request);
+      const neighbour =
+        request.failsToConnect === true ? chooseRegion(request, 'own')?.choice : undefined;
+      if (neighbour !== undefined) {
+        return request.isRelayed
+          ? { kind: 'none', reason: 'unreachable' }
+          : admit(request, neighbour, () => ('choice' in local ? local.choice : undefined));
+      }
       const findRegion = (scope: RegionScope = 'others'): Scored<RegionChoice> | undefined =>
         request.isRelayed ? undefined : chooseRegion(request, scope);
       if (!('choice' in local)) {
--- a/packages/gateway/tests/routing/createRouter.test.ts
+++ b/packages/gateway/tests/routing/createRouter.test.ts
@@ -128,6 +128,24 @@
   t.is(chosenFor('rate-limited'), 'others');
 });
 
+// A request that had waited for a connection waited for the next one, while a neighbour had them open.
+test('a request that fails to connect goes to a neighbour, and back if another host relayed it', (t) => {
+  const choose = (changes: object, neighbour?: RegionChoice) => {
+    const { router } = setUp(localChoice(100), undefined, undefined, {
+      chooseRegion: (_, scope) =>
+        scope === 'own' && neighbour !== undefined ? { choice: neighbour, scoreMs: 0 } : undefined,
+    });
+    return router.choose({ ...request, failsToConnect: true, ...changes });
+  };
+  const neighbour = { ...regionChoice(100), isOwnRegion: true };
+  t.is(choose({}, neighbour).kind, 'region');
+  t.is(choose({ failsToConnect: false }, neighbour).kind, 'server');
+  t.is(choose({}).kind, 'server');
+  t.like(choose({ isRelayed: true }, neighbour), { kind: 'none', reason: 'unreachable' });
+  t.is(choose({ isRelayed: true }).kind, 'server');
+  t.is(choose({}, { ...neighbour, slotUsageRatio: 1, waitMs: 9_000 }).kind, 'server');
+});
+
 test('a request that would wait beyond its target is rejected if the server has waiting requests', (t) => {
   const waiting = { running: 20, waiting: 3, slots: 64, slowdownRatio: 1 };
   const { router } = setUp(localChoice(2_000), undefined, waiting);
