Tell callers to wait longer while no host reaches its servers

Callers of a region all of whose hosts had lost their servers were told to return after 0.5 s. Links are usually back after some seconds; callers return a few times only and had given up by then.

Callers honour up to a third of their time.

--- a/packages/gateway/src/exchange/sendFinalResponse.ts
+++ b/packages/gateway/src/exchange/sendFinalResponse.ts
@@ -14,6 +14,10 @@
 import type { GatewayContext } from './GatewayContext.js';
 import { sendErrorResponse } from './sendErrorResponse.js';
 
+/** Part of the remaining time that callers wait while no host takes a request for lack of connections. */
+const UNREACHABLE_RETRY_RATIO = 0.25;
+const MAX_UNREACHABLE_RETRY_MS = 2_000;
+
 const createNoServerError = createRejections(() => new NoServerError('No server.'));
 
 /** Whether another host of the region may do better, because this one reached no server. */
@@ -104,6 +108,14 @@
     responseWriter.send(status, headers, body);
     return status;
   }
+  if (hasReachedNoServer(progress)) {
+    // Servers are usually reached again after some seconds; callers return only a few times.
+    const remainingMs = exchange.deadlineAtMs - context.clock.monotonicMs();
+    progress.retryAfterMs = Math.max(
+      progress.retryAfterMs,
+      Math.min(MAX_UNREACHABLE_RETRY_MS, remainingMs * UNREACHABLE_RETRY_RATIO),
+    );
+  }
   const error = createFinalError(progress, isExpired, context.closing.aborted);
   const relayed = exchange.relayedBy === undefined ? undefined : progress;
   sendErrorResponse(responseWriter, context.codec, error, relayed);
