Keep to a server's notice of leaving that a neighbour passed on

A host that has passed on a response with Server-Leaving may send that server nothing more. A host that had the response from a neighbour sent the server an order as soon as it reached it again.

Cause: only responses of servers were read for notices. Between regions that is enough, as a host sends nothing to the servers of another region.

Change: a relayed response that passes on such a notice names the server in a relay header, as the response itself may not; the relaying host records it if the peer is of its own region.

The test failed before: npx ava platform/tests/entryHost.lostServers.test.ts (two requests at the server in place of one).

--- a/packages/gateway/src/exchange/GatewayContext.ts
+++ b/packages/gateway/src/exchange/GatewayContext.ts
@@ -7,6 +7,7 @@
   MetricsSink,
   PartSuspicion,
   RandomSource,
+  ServerId,
 } from '@camphorbarrow/core';
 import type { Allowances } from '../allowances/Allowances.js';
 import type { RetryBudget } from '../limits/createRetryBudget.js';
@@ -50,6 +51,8 @@
   /** Holds the bodies of requests and of the responses to them. */
   readonly requestBodies: BodyMemory;
   readonly router: Router;
+  /** Server that is listed with this id. */
+  readonly findServer: (id: ServerId) => ServerState | undefined;
   /** Aborts when this host stops and ends the requests that are still in flight. */
   readonly closing: AbortSignal;
   readonly dispatchQueue: DispatchQueue;
--- a/packages/gateway/src/exchange/forwardToPeer.ts
+++ b/packages/gateway/src/exchange/forwardToPeer.ts
@@ -1,3 +1,5 @@
+import type { IncomingMessage } from 'node:http';
+import { asId } from '@camphorbarrow/core';
 import type { SoftwareVersion } from '../model/SoftwareVersion.js';
 import type { Destination } from '../routing/Destination.js';
 import { relayLoadId } from '../routing/relayLoadId.js';
@@ -41,6 +43,19 @@
   readonly admitStream: ReceiveResponseOptions['admitStream'];
 }
 
+/** A notice of leaving binds each host that passes it on, also one that can't reach the server now. */
+function recordLeavingServer(
+  { context, destination }: ForwardToPeerOptions,
+  { headers, statusCode = 0 }: IncomingMessage,
+): void {
+  const id = headers[relayHeaders.leavingServer];
+  const server =
+    typeof id === 'string' && destination.isOwnRegion ? context.findServer(asId(id)) : undefined;
+  if (server !== undefined) {
+    context.leavingServers.recordResponse(server, statusCode);
+  }
+}
+
 async function receiveFromPeer(
   options: ForwardToPeerOptions,
   sent: Awaited<ReturnType<typeof sendUpstream>>,
@@ -79,6 +94,7 @@
       isOverload: response.headers[relayHeaders.overloaded] !== undefined,
     };
   }
+  recordLeavingServer(options, response);
   return receiveResponse({
     exchange,
     response,
--- a/packages/gateway/src/exchange/receiveResponse.ts
+++ b/packages/gateway/src/exchange/receiveResponse.ts
@@ -92,6 +92,14 @@
   return version === undefined ? [] : [relayHeaders.serverVersion, formatVersion(version)];
 }
 
+/** Headers that tell the relaying host which server's notice of leaving it passes on. */
+function noticeHeaders(options: ReceiveResponseOptions): readonly string[] {
+  const { exchange, metadata, expectedServer } = options;
+  return exchange.relayedBy !== undefined && metadata.leaving && expectedServer !== undefined
+    ? [relayHeaders.leavingServer, expectedServer]
+    : [];
+}
+
 async function receiveEvents(options: ReceiveResponseOptions): Promise<AttemptResult> {
   const { exchange, response } = options;
   const { responseWriter } = exchange;
@@ -100,7 +108,11 @@
     options.onResponseStart();
     if (!responseWriter.isStarted()) {
       const headers = stripRelayHeaders(stripHopByHopHeaders(response.rawHeaders));
-      responseWriter.writeHead(status, [...headers, ...versionHeaders(options)]);
+      responseWriter.writeHead(status, [
+        ...headers,
+        ...versionHeaders(options),
+        ...noticeHeaders(options),
+      ]);
     }
   };
   const result = await forwardEvents({
@@ -142,7 +154,10 @@
     return signal.aborted ? { kind: 'cancelled' } : { kind: 'unknown', cause: body.kind };
   }
   const { bytes } = body;
-  const headers = stripRelayHeaders(stripHopByHopHeaders(response.rawHeaders));
+  const headers = [
+    ...stripRelayHeaders(stripHopByHopHeaders(response.rawHeaders)),
+    ...noticeHeaders(options),
+  ];
   if (status < FIRST_ERROR_STATUS) {
     exchange.responseWriter.send(status, headers, bytes);
     return { kind: 'delivered', status };
--- a/packages/gateway/src/exchange/relayHeaders.ts
+++ b/packages/gateway/src/exchange/relayHeaders.ts
@@ -16,6 +16,8 @@
   requiredVersion: 'x-entry-host-required-version',
   /** On a stream: software version of its server if that is certain, encoded as a URI component. */
   serverVersion: 'x-entry-host-server-version',
+  /** On a response with a server's notice that it is leaving: id of the server. */
+  leavingServer: 'x-entry-host-leaving-server',
   /** On an error response: `not-run` or `unknown`. */
   outcome: 'x-entry-host-outcome',
   /** On an error response: code of the error. */
--- a/packages/gateway/src/lifecycle/createGatewayContext.ts
+++ b/packages/gateway/src/lifecycle/createGatewayContext.ts
@@ -209,6 +209,7 @@
     codec,
     requestBodies: options.requestBodies,
     router,
+    findServer: view.servers.get,
     closing: options.closing,
     dispatchQueue: createDispatchQueue(),
     loads,
