Pass on a neighbour's retry delay

Servers that asked a neighbour to pause for 9 s, or that have no room: callers of a host without servers were told to return after less than a second.

Cause: only the code of a peer's rejection was read. A peer of another region says nothing about the servers here; a neighbour does.

Change: the retry delay in a neighbour's rejection is the least that callers get, unless the rejection concerns that host only.

The test failed before: npx ava platform/tests/entryHost.lostServers.test.ts.

--- a/packages/gateway/src/exchange/AttemptResult.ts
+++ b/packages/gateway/src/exchange/AttemptResult.ts
@@ -24,6 +24,8 @@
       readonly concernsHostOnly?: boolean;
       /** Whether the peer rejected the request because the servers of its region have no room. */
       readonly isOverload?: boolean;
+      /** When the servers of this region may have room, as a neighbour knows. */
+      readonly retryAfterMs?: number | undefined;
     }
   /** The server ran the request and returned an error response. */
   | { readonly kind: 'failed-run'; readonly response: BufferedResponse }
--- a/packages/gateway/src/exchange/forwardToPeer.ts
+++ b/packages/gateway/src/exchange/forwardToPeer.ts
@@ -92,6 +92,10 @@
       hasArrived: response.headers[relayHeaders.arrived] !== NOT_ARRIVED,
       concernsHostOnly: hostCause !== undefined,
       isOverload: response.headers[relayHeaders.overloaded] !== undefined,
+      retryAfterMs:
+        options.destination.isOwnRegion && hostCause === undefined
+          ? context.codec.readResponse(response.headers).retryAfterMs
+          : undefined,
     };
   }
   recordLeavingServer(options, response);
--- a/packages/gateway/src/exchange/runAttempts.ts
+++ b/packages/gateway/src/exchange/runAttempts.ts
@@ -53,6 +53,7 @@
       progress.causes.push(result.cause);
       progress.lastFailure = 'rejected';
       progress.hasOverloadedPeer ||= result.isOverload === true;
+      progress.retryAfterMs = Math.max(progress.retryAfterMs, result.retryAfterMs ?? 0);
       return progress.attempts < MAX_ATTEMPTS;
     case 'failed-run':
       progress.causes.push(`status ${result.response.status}`);
