--- a/packages/gateway/src/exchange/AttemptResult.ts
+++ b/packages/gateway/src/exchange/AttemptResult.ts
@@ -20,10 +20,12 @@
       readonly isRefused?: boolean | undefined;
       /** Whether the request may have arrived at any server, which then rejected it. */
       readonly hasArrived: boolean;
-      /** Whether the peer drains or is not running, which says nothing of its region. */
+      /** Whether the reason is the peer's own, which says nothing of the other hosts of its region. */
       readonly concernsHostOnly?: boolean;
       /** Whether the peer rejected the request because the servers of its region have no room. */
       readonly isOverload?: boolean;
+      /** When the servers of this region may have room, as a neighbour knows. */
+      readonly retryAfterMs?: number | undefined;
     }
   /** The server ran the request and returned an error response. */
   | { readonly kind: 'failed-run'; readonly response: BufferedResponse }
--- a/packages/gateway/src/exchange/ExchangeProgress.ts
+++ b/packages/gateway/src/exchange/ExchangeProgress.ts
@@ -27,6 +27,10 @@
   versionSource: VersionSource | undefined;
   /** Latest error response of a server; sent to the caller when no other attempt succeeds. */
   errorResponse: BufferedResponse | undefined;
+  /** Number of attempts at servers of this region that refused the connection. */
+  refusedConnects: number;
+  /** Number of attempts at servers of this region without a connection in time. */
+  timedOutConnects: number;
   readonly triedServers: Set<ServerId>;
   readonly triedRegions: Set<string>;
   readonly rejectingHosts: Set<HostId>;
@@ -41,7 +45,7 @@
   overload: OverloadRejection | undefined;
   /** Time at which the request was recorded as sent, for the decisions under overload. */
   recordedSentAtMs: number | undefined;
-  /** Whether a host of another region rejected the request for overload. */
+  /** Whether another host rejected the request because the servers of its region have no room. */
   hasOverloadedPeer: boolean;
   /** Set once the request has waited for room at this host. */
   waiting: WaitingRequest | undefined;
--- a/packages/gateway/src/exchange/forwardToPeer.ts
+++ b/packages/gateway/src/exchange/forwardToPeer.ts
@@ -1,3 +1,5 @@
+import type { IncomingMessage } from 'node:http';
+import { asId } from '@camphorbarrow/core';
 import type { SoftwareVersion } from '../model/SoftwareVersion.js';
 import type { Destination } from '../routing/Destination.js';
 import { relayLoadId } from '../routing/relayLoadId.js';
@@ -15,7 +17,7 @@
 import type { AttemptResult } from './AttemptResult.js';
 import type { AttemptSignals } from './AttemptSignals.js';
 
-/** Added to the round-trip time to get the connect timeout for a peer in another region. */
+/** Added to the round-trip time to get the connect timeout for a peer. */
 const CONNECT_MARGIN_MS = 500;
 const DEFAULT_ROUND_TRIP_MS = 200;
 /** Causes by error code of rejections that say nothing about the other hosts of the region. */
@@ -24,6 +26,7 @@
   ['connection-limit', 'peer has too many connections'],
   ['request-memory', 'peer has no memory for requests'],
   ['older-configuration', 'peer has an older configuration'],
+  ['servers-unreachable', 'peer reaches no server'],
 ]);
 
 export interface ForwardToPeerOptions extends AttemptSignals {
@@ -40,6 +43,19 @@
   readonly admitStream: ReceiveResponseOptions['admitStream'];
 }
 
+/** A notice of leaving binds each host that passes it on, also one that can't reach the server now. */
+function recordLeavingServer(
+  { context, destination }: ForwardToPeerOptions,
+  { headers, statusCode = 0 }: IncomingMessage,
+): void {
+  const id = headers[relayHeaders.leavingServer];
+  const server =
+    typeof id === 'string' && destination.isOwnRegion ? context.findServer(asId(id)) : undefined;
+  if (server !== undefined) {
+    context.leavingServers.recordResponse(server, statusCode);
+  }
+}
+
 async function receiveFromPeer(
   options: ForwardToPeerOptions,
   sent: Awaited<ReturnType<typeof sendUpstream>>,
@@ -57,7 +73,8 @@
           cause: `peer ${sent.cause}`,
           reachedServer: false,
           hasArrived: false,
-          concernsHostOnly: sent.isRefused === true,
+          // The other hosts of this region are on the same network.
+          concernsHostOnly: sent.isRefused === true || options.destination.isOwnRegion,
         };
   }
   const { response } = sent;
@@ -75,8 +92,13 @@
       hasArrived: response.headers[relayHeaders.arrived] !== NOT_ARRIVED,
       concernsHostOnly: hostCause !== undefined,
       isOverload: response.headers[relayHeaders.overloaded] !== undefined,
+      retryAfterMs:
+        options.destination.isOwnRegion && hostCause === undefined
+          ? context.codec.readResponse(response.headers).retryAfterMs
+          : undefined,
     };
   }
+  recordLeavingServer(options, response);
   return receiveResponse({
     exchange,
     response,
@@ -92,7 +114,7 @@
   });
 }
 
-/** Relays the request to an entry host of another region, which serves it there or rejects it. */
+/** Relays the request to another entry host, which serves it in its region or rejects it. */
 export async function forwardToPeer(options: ForwardToPeerOptions): Promise<AttemptResult> {
   const { context, exchange, destination, signal, requiredVersion } = options;
   const { peer } = destination;
--- a/packages/gateway/src/exchange/runAttempts.ts
+++ b/packages/gateway/src/exchange/runAttempts.ts
@@ -53,6 +53,7 @@
       progress.causes.push(result.cause);
       progress.lastFailure = 'rejected';
       progress.hasOverloadedPeer ||= result.isOverload === true;
+      progress.retryAfterMs = Math.max(progress.retryAfterMs, result.retryAfterMs ?? 0);
       return progress.attempts < MAX_ATTEMPTS;
     case 'failed-run':
       progress.causes.push(`status ${result.response.status}`);
@@ -76,6 +77,18 @@
   }
 }
 
+/** Records that the request did not get as far as a connection to the server. */
+function recordConnectFailure(progress: ExchangeProgress, result: AttemptResult): void {
+  if (result.kind !== 'not-run' || result.reachedServer || result.hasArrived) {
+    return;
+  }
+  if (result.isRefused === true) {
+    progress.refusedConnects += 1;
+  } else {
+    progress.timedOutConnects += 1;
+  }
+}
+
 async function attemptDestination(
   context: GatewayContext,
   exchange: Exchange,
@@ -118,6 +131,8 @@
       requiredVersion: progress.requiredVersion,
       admitStream: admit,
     });
+    const scope = destination.isOwnRegion ? 'own-region' : 'other-region';
+    context.metrics.increment('relays', { scope, result: result.kind });
     // A rejection holds for the whole region, unless it is due to the host. After a failure of one of
     // its servers, another server of the region may still succeed.
     if (result.kind === 'not-run' && result.concernsHostOnly === true) {
@@ -131,7 +146,7 @@
   progress.reportedWaiting = context.loads.reportedWaiting(id);
   progress.triedServers.add(id);
   const mayRetry = exchange.route.idempotent && progress.runs + 1 < maxRuns(exchange);
-  return forwardToServer({
+  const result = await forwardToServer({
     context,
     exchange,
     destination,
@@ -142,6 +157,8 @@
     onEvents,
     admitStream: admit,
   });
+  recordConnectFailure(progress, result);
+  return result;
 }
 
 /** Whether a reserved attempt still goes to a server of the version that began the stream. */
--- a/packages/gateway/src/exchange/sendFinalResponse.ts
+++ b/packages/gateway/src/exchange/sendFinalResponse.ts
@@ -6,6 +6,7 @@
   type RequestError,
 } from '@camphorbarrow/core';
 import { createDrainingError } from '../errors/createDrainingError.js';
+import { createUnreachableError } from '../errors/createUnreachableError.js';
 import { StreamVersionError } from '../errors/StreamVersionError.js';
 import type { Route } from '../model/Route.js';
 import type { Exchange } from './Exchange.js';
@@ -13,8 +14,24 @@
 import type { GatewayContext } from './GatewayContext.js';
 import { sendErrorResponse } from './sendErrorResponse.js';
 
+/** Part of the remaining time that callers wait while no host takes a request for lack of connections. */
+const UNREACHABLE_RETRY_RATIO = 0.25;
+const MAX_UNREACHABLE_RETRY_MS = 2_000;
+
 const createNoServerError = createRejections(() => new NoServerError('No server.'));
 
+/** Whether another host of the region may do better, because this one reached no server. */
+const hasReachedNoServer = ({
+  stopCause,
+  hasArrived,
+  refusedConnects,
+  timedOutConnects,
+}: ExchangeProgress): boolean =>
+  stopCause === 'unreachable' ||
+  ((stopCause === 'not-repeatable' || stopCause === 'no-server') &&
+    refusedConnects + timedOutConnects > 0 &&
+    !hasArrived);
+
 function createFinalError(
   progress: ExchangeProgress,
   isExpired: boolean,
@@ -43,7 +60,8 @@
     });
   }
   const message = `No server accepted the request: ${cause}.`;
-  return createNoServerError({ message, retryAfterMs: progress.retryAfterMs });
+  const createError = hasReachedNoServer(progress) ? createUnreachableError : createNoServerError;
+  return createError({ message, retryAfterMs: progress.retryAfterMs });
 }
 
 function routeKind({ delivery, resumable, idempotent }: Route): string {
@@ -90,6 +108,14 @@
     responseWriter.send(status, headers, body);
     return status;
   }
+  if (hasReachedNoServer(progress)) {
+    // Servers are usually reached again after some seconds; callers return only a few times.
+    const remainingMs = exchange.deadlineAtMs - context.clock.monotonicMs();
+    progress.retryAfterMs = Math.max(
+      progress.retryAfterMs,
+      Math.min(MAX_UNREACHABLE_RETRY_MS, remainingMs * UNREACHABLE_RETRY_RATIO),
+    );
+  }
   const error = createFinalError(progress, isExpired, context.closing.aborted);
   const relayed = exchange.relayedBy === undefined ? undefined : progress;
   sendErrorResponse(responseWriter, context.codec, error, relayed);
--- a/packages/gateway/src/routing/Destination.ts
+++ b/packages/gateway/src/routing/Destination.ts
@@ -25,10 +25,12 @@
   readonly triedServers: ReadonlySet<ServerId>;
   /** Regions with a host that rejected the request or was unreachable; they are not tried again. */
   readonly triedRegions: ReadonlySet<string>;
-  /** Draining hosts that rejected the request. */
+  /** Hosts that rejected the request for a reason of their own. */
   readonly rejectingHosts: ReadonlySet<HostId>;
   /** Whether a server may already have run the request; it is then not rejected for overload. */
   readonly isRetry: boolean;
+  /** Whether this host failed to connect to servers for this request; other hosts may reach them. */
+  readonly failsToConnect?: boolean | undefined;
   /** Whether another entry host relayed the request; it must then be processed in this region. */
   readonly isRelayed: boolean;
   /** Whether no server may run the request after this one, so that a failure reaches the caller. */
@@ -85,6 +87,8 @@
   | {
       readonly kind: 'region';
       readonly peer: Peer;
+      /** Whether the peer is a host of this region, which reaches servers that this host does not. */
+      readonly isOwnRegion: boolean;
       /** Running requests per slot of the servers of the region. */
       readonly slotUsageRatio: number;
       readonly estimateMs: number;
--- a/packages/gateway/src/routing/createRegionChooser.ts
+++ b/packages/gateway/src/routing/createRegionChooser.ts
@@ -30,22 +30,27 @@
   readonly servers: () => readonly ServerState[];
 }
 
-/** Selects an entry host of another region, or undefined if there is none. */
-export type RegionChooser = (request: RoutingRequest) => Scored<RegionChoice> | undefined;
+/** Regions among whose hosts a peer is chosen. */
+export type RegionScope = 'others' | 'own' | 'all';
+
+/** Selects another entry host, or undefined if there is none. */
+export type RegionChooser = (
+  request: RoutingRequest,
+  scope: RegionScope,
+) => Scored<RegionChoice> | undefined;
 
 /** Estimate for all hosts of a region. */
 type RegionEstimate = Scored<Omit<RegionChoice, 'kind' | 'peer'>>;
 
 /**
- * Capacity in the heartbeat that arrived last from any host of the region. Each host reports the
+ * Capacity in the heartbeat that arrived last from any of these hosts of a region. Each reports the
  * capacity of the whole region, and one of many hosts is heard of only every few seconds.
  */
 function latestCapacity(
   { service }: RoutingRequest,
   regionPeers: readonly Peer[],
 ): RegionCapacity | undefined {
-  const reporting = regionPeers.filter(({ heartbeat }) => heartbeat.capacity.has(service.name));
-  const latest = reporting.reduce<Peer | undefined>(
+  const latest = regionPeers.reduce<Peer | undefined>(
     (best, peer) =>
       best === undefined || peer.lastHeartbeatAtMs > best.lastHeartbeatAtMs ? peer : best,
     undefined,
@@ -53,7 +58,7 @@
   return latest?.heartbeat.capacity.get(service.name);
 }
 
-/** Creates a chooser among the entry hosts of other regions. */
+/** Creates a chooser among the other entry hosts, by region. */
 export function createRegionChooser(options: RegionChooserOptions): RegionChooser {
   const { peers, loads } = options;
 
@@ -93,7 +98,13 @@
     });
     const contentionMs = options.contentionMs(request, region, slotUsageRatio);
     return {
-      choice: { waitMs, estimateMs, slotUsageRatio, ...finish },
+      choice: {
+        isOwnRegion: region === options.region,
+        waitMs,
+        estimateMs,
+        slotUsageRatio,
+        ...finish,
+      },
       scoreMs: estimateMs + scoreMs + stallMs + contentionMs,
     };
   }
@@ -109,20 +120,22 @@
   }
 
   /**
-   * Ready peers of other regions. Only the hosts of a region can reach its servers, so while all of
-   * them drain, as in a rolling restart, requests that end in time also go to draining hosts.
+   * Ready peers that can reach servers of the service themselves, by their own heartbeat. Only the
+   * hosts of a region can reach its servers, so while all of those drain, as in a rolling restart,
+   * requests that end in time also go to draining hosts.
    */
-  function acceptingPeers(request: RoutingRequest): readonly Peer[] {
+  function acceptingPeers(request: RoutingRequest, scope: RegionScope): readonly Peer[] {
     const { homeRegions } = request.route;
     const { service, requiredVersion } = request;
     const servers = requiredVersion === undefined ? [] : options.servers();
     const mayContinue = (region: RegionId): boolean =>
       requiredVersion === undefined || hasVersion(servers, service.name, requiredVersion, region);
-    const alive = peers.alive().filter(({ heartbeat: { host } }) => {
+    const alive = peers.alive().filter(({ heartbeat: { host, capacity } }) => {
       const isAllowed = homeRegions.length === 0 || homeRegions.includes(host.region);
       return (
-        host.region !== options.region &&
+        (scope === 'all' || (host.region === options.region) === (scope === 'own')) &&
         isAllowed &&
+        capacity.has(service.name) &&
         mayContinue(host.region) &&
         !request.triedRegions.has(host.region) &&
         !request.rejectingHosts.has(host.id)
@@ -153,8 +166,8 @@
     return equal[Math.floor(options.random.next() * equal.length)];
   }
 
-  return (request) => {
-    const accepting = acceptingPeers(request);
+  return (request, scope) => {
+    const accepting = acceptingPeers(request, scope);
     const regions = new Set(accepting.map(({ heartbeat }) => heartbeat.host.region));
     const choices = [...regions].flatMap((region) => {
       const regionPeers = accepting.filter(({ heartbeat }) => heartbeat.host.region === region);
--- a/packages/gateway/tests/routing/createRegionChooser.test.ts
+++ b/packages/gateway/tests/routing/createRegionChooser.test.ts
@@ -7,6 +7,7 @@
   HostState,
   Peer,
   PeerRegistry,
+  RegionScope,
   ServerState,
   SoftwareVersion,
 } from '../../src/index.js';
@@ -64,6 +65,7 @@
   changes: Partial<RoutingRequest> = {},
   clock: ManualClock = createManualClock(),
   servers: readonly ServerState[] = [],
+  scope: RegionScope = 'others',
 ): string | undefined {
   const choose = createRegionChooser({
     clock,
@@ -74,8 +76,8 @@
     loads: createLoadTracker(clock, () => []),
     servers: () => servers,
   });
-  return choose(buildRoutingRequest({ remainingMs: 4_000, ...changes }))?.choice.peer.heartbeat.host
-    .id;
+  const request = buildRoutingRequest({ remainingMs: 4_000, ...changes });
+  return choose(request, scope)?.choice.peer.heartbeat.host.id;
 }
 
 // When both hosts of a region drained at the same time in a rolling restart, its servers, half of
@@ -143,6 +145,41 @@
   t.not(chooseAmong([outdated, latest, recovered, other]), 'other');
 });
 
+// Requests went to hosts that were partitioned from all servers, as long as any other host of their
+// region reported capacity.
+test('a host that reports no capacity for the service gets no request', (t) => {
+  const withoutCapacity = (peer: Peer): Peer => ({
+    ...peer,
+    heartbeat: { ...peer.heartbeat, capacity: new Map() },
+  });
+  const partitioned = withoutCapacity(buildPeer('partitioned', 'south', 'ready'));
+  const connected = buildPeer('connected', 'south', 'ready');
+  t.is(chooseAmong([partitioned, connected]), 'connected');
+  t.is(chooseAmong([connected, partitioned]), 'connected');
+  t.is(chooseAmong([partitioned]), undefined);
+  const draining = buildPeer('draining', 'south', 'draining');
+  t.is(chooseAmong([partitioned, draining]), 'draining');
+  const other = buildPeer('other', 'west', 'ready');
+  const rejectingHosts = new Set([connected.heartbeat.host.id]);
+  t.is(chooseAmong([partitioned, connected, other], { rejectingHosts }), 'other');
+});
+
+// The neighbour of a host that was partitioned from all servers reached them all and got nothing.
+test('a host of the own region is chosen only if those are included, and before distant ones', (t) => {
+  const own = { ...buildPeer('own', 'north', 'ready'), roundTripMs: 1 };
+  const distant = buildPeer('distant', 'south', 'ready');
+  const choose = (
+    changes: Partial<RoutingRequest>,
+    scope: RegionScope = 'all',
+  ): string | undefined => chooseAmong([distant, own], changes, createManualClock(), [], scope);
+  t.is(choose({}), 'own');
+  t.is(choose({}, 'others'), 'distant');
+  t.is(choose({ triedRegions: new Set(['south']) }, 'own'), 'own');
+  t.is(choose({ route: buildRoute({ homeRegions: [asId('north')] }) }), 'own');
+  t.is(choose({ route: buildRoute({ homeRegions: [asId('south')] }) }), 'distant');
+  t.is(choose({ triedRegions: new Set(['north']) }), 'distant');
+});
+
 const never = new Promise<void>(() => {});
 
 test('requests are spread over the hosts of a region', (t) => {
@@ -159,7 +196,7 @@
     servers: () => [],
   });
   const chosen = peers.map(() => {
-    const peer = choose(buildRoutingRequest({ remainingMs: 4_000 }))?.choice.peer;
+    const peer = choose(buildRoutingRequest({ remainingMs: 4_000 }), 'others')?.choice.peer;
     if (peer !== undefined) {
       void loads.trackWhile(relayLoadId(peer), { rank: 0, promptTokens: 0 }, () => never);
     }
