Soak: hosts that lose their links to all servers

The soak disturbed links by server only, so no host was ever cut off from its servers alone. Links now take faults by host: hosts connect from their own addresses.

--- a/packages/soak/src/FaultInterval.ts
+++ b/packages/soak/src/FaultInterval.ts
@@ -2,8 +2,8 @@
 export interface FaultInterval {
   readonly kind: string;
   /**
-   * Index of the host for faults of a host process; undefined for other faults, which may affect
-   * any host.
+   * Index of the host for faults of a host process or of its links to servers; undefined for other
+   * faults, which may affect any host.
    */
   readonly host: number | undefined;
   readonly startedAtMs: number;
--- a/packages/soak/src/LinkFault.ts
+++ b/packages/soak/src/LinkFault.ts
@@ -4,5 +4,6 @@
  * - `reset`: open connections and new ones are reset.
  * - `silent`: all bytes are dropped and connections stay open.
  * - `one-way`: bytes reach the target, but its responses are dropped.
+ * - `refuse`: open connections work, new ones are reset.
  */
-export type LinkFault = 'none' | 'delayed' | 'reset' | 'silent' | 'one-way';
+export type LinkFault = 'none' | 'delayed' | 'reset' | 'silent' | 'one-way' | 'refuse';
--- a/packages/soak/src/Violation.ts
+++ b/packages/soak/src/Violation.ts
@@ -17,6 +17,7 @@
    * - `gone`: requests whose callers have left are not sent to servers.
    * - `exit`: a host process exits only when it is stopped.
    * - `recover`: the system serves requests after its start and after the last fault.
+   * - `stranded`: callers of a host that reaches no server are served as those of other hosts are.
    * - `config`: every host adopts a new configuration in time.
    */
   readonly promise:
@@ -36,6 +37,7 @@
     | 'gone'
     | 'exit'
     | 'recover'
+    | 'stranded'
     | 'config';
   readonly detail: string;
 }
--- a/packages/soak/src/createFaultInjector.ts
+++ b/packages/soak/src/createFaultInjector.ts
@@ -126,6 +126,13 @@
       case 'host-reload':
         await host?.reload({ graceS: 4 + index });
         break;
+      case 'stranded-silent':
+      case 'stranded-reset':
+      case 'stranded-refuse':
+        servers.setHostFault(index, kind.replace('stranded-', '') as LinkFault);
+        await sleep(forMs);
+        servers.setHostFault(index, 'none');
+        break;
       case 'store-history':
         store.compact();
         break;
--- a/packages/soak/src/createFaultyLink.ts
+++ b/packages/soak/src/createFaultyLink.ts
@@ -11,19 +11,38 @@
   /** `IP:PORT` to connect to instead of the target. */
   readonly address: string;
   setFault(fault: LinkFault): void;
+  /** Injects a fault into the connections of one owner, which goes before that of the link. */
+  setOwnerFault(owner: number, fault: LinkFault): void;
   close(): void;
 }
 
-/** Starts a proxy for a target, given as `IP:PORT`. */
-export async function createFaultyLink(target: string): Promise<FaultyLink> {
+/**
+ * Starts a proxy for a target, given as `IP:PORT`.
+ *
+ * @param findOwner finds who has opened a connection, from the address that it comes from
+ */
+export async function createFaultyLink(
+  target: string,
+  findOwner: (address: string) => number | undefined = () => undefined,
+): Promise<FaultyLink> {
   const [host = '', port = ''] = target.split(':');
-  const sockets = new Set<Socket>();
+  /** Owner of each socket. */
+  const sockets = new Map<Socket, number | undefined>();
   let fault: LinkFault = 'none';
+  const ownerFaults = new Map<number, LinkFault>();
 
-  const resetAll = (): void => sockets.forEach((socket) => socket.resetAndDestroy());
+  const faultOf = (owner: number | undefined): LinkFault =>
+    (owner === undefined ? undefined : ownerFaults.get(owner)) ?? fault;
 
-  function track(socket: Socket, other: Socket): void {
-    sockets.add(socket);
+  const resetFaulty = (): void =>
+    sockets.forEach((owner, socket) => {
+      if (faultOf(owner) === 'reset') {
+        socket.resetAndDestroy();
+      }
+    });
+
+  function track(socket: Socket, other: Socket, owner: number | undefined): void {
+    sockets.set(socket, owner);
     socket.on('error', () => undefined);
     // A reset is passed on as a reset: if the connection were closed normally, a truncated response
     // without a content length would look complete.
@@ -37,9 +56,14 @@
     });
   }
 
-  function forward(from: Socket, to: Socket, direction: 'to-target' | 'from-target'): void {
+  function forward(
+    from: Socket,
+    to: Socket,
+    direction: 'to-target' | 'from-target',
+    owner: number | undefined,
+  ): void {
     const isDropping = (): boolean =>
-      fault === 'silent' || (fault === 'one-way' && direction === 'from-target');
+      faultOf(owner) === 'silent' || (faultOf(owner) === 'one-way' && direction === 'from-target');
     // Nothing may follow dropped bytes: TCP never skips bytes within a stream.
     let hasDropped = false;
     const deliver = (action: () => void): void => {
@@ -47,7 +71,7 @@
       if (hasDropped) {
         return;
       }
-      if (fault === 'delayed') {
+      if (faultOf(owner) === 'delayed') {
         setTimeout(action, DELAY_MS);
       } else {
         action();
@@ -59,12 +83,13 @@
 
   const server = createServer({ allowHalfOpen: true }, (incoming) => {
     const outgoing = connect({ host, port: Number(port), allowHalfOpen: true });
-    track(incoming, outgoing);
-    track(outgoing, incoming);
-    forward(incoming, outgoing, 'to-target');
-    forward(outgoing, incoming, 'from-target');
-    if (fault === 'reset') {
-      resetAll();
+    const owner = findOwner(incoming.remoteAddress ?? '');
+    track(incoming, outgoing, owner);
+    track(outgoing, incoming, owner);
+    forward(incoming, outgoing, 'to-target', owner);
+    forward(outgoing, incoming, 'from-target', owner);
+    if (faultOf(owner) === 'reset' || faultOf(owner) === 'refuse') {
+      incoming.resetAndDestroy();
     }
   }).listen(0, '127.0.0.1');
   await once(server, 'listening');
@@ -73,13 +98,19 @@
     address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
     setFault(next) {
       fault = next;
-      if (fault === 'reset') {
-        resetAll();
+      resetFaulty();
+    },
+    setOwnerFault(owner, next) {
+      if (next === 'none') {
+        ownerFaults.delete(owner);
+      } else {
+        ownerFaults.set(owner, next);
       }
+      resetFaulty();
     },
     close() {
       server.close();
-      resetAll();
+      sockets.forEach((_owner, socket) => socket.resetAndDestroy());
     },
   };
 }
--- a/packages/soak/src/index.ts
+++ b/packages/soak/src/index.ts
@@ -10,6 +10,7 @@
 export * from './checkCalls.js';
 export * from './checkCustomers.js';
 export * from './checkNotices.js';
+export * from './checkStranded.js';
 export * from './checkUnread.js';
 export * from './commands/SoakCommand.js';
 export * from './createCallerConnection.js';
--- a/packages/soak/src/planFaults.ts
+++ b/packages/soak/src/planFaults.ts
@@ -33,12 +33,15 @@
   'evacuation',
 ];
 /** Faults that are drawn from a random source of their own, so that seeds keep their other faults. */
-export type FaultGroup = 'faults' | 'notices' | 'restores' | 'connections';
+export type FaultGroup = 'faults' | 'notices' | 'restores' | 'connections' | 'stranded';
 
 interface GroupPlan {
   readonly kinds: readonly FaultKind[];
   /** Mean time between two faults. */
   readonly meanGapMs: number;
+  /** Duration of a fault; 200 to 2,500 ms by default. */
+  readonly minMs?: number;
+  readonly maxMs?: number;
 }
 
 const GROUPS: Readonly<Record<FaultGroup, GroupPlan>> = {
@@ -47,6 +50,13 @@
   // What servers say about themselves; not a disturbance of the system.
   notices: { kinds: ['server-leaving', 'server-paused'], meanGapMs: 2_000 },
   restores: { kinds: ['store-restored'], meanGapMs: 5_000 },
+  // Hosts without their servers. Longer than the time that hosts have to learn of it.
+  stranded: {
+    kinds: ['stranded-silent', 'stranded-reset', 'stranded-refuse'],
+    meanGapMs: 2_000,
+    minMs: 9_000,
+    maxMs: 11_000,
+  },
   // What makes hosts read late while the idle timeout of connections changes.
   connections: {
     kinds: [
@@ -75,7 +85,7 @@
   targetCount: number,
   group: FaultGroup = 'faults',
 ): readonly PlannedFault[] {
-  const { kinds, meanGapMs } = GROUPS[group];
+  const { kinds, meanGapMs, minMs = MIN_FAULT_MS, maxMs = MAX_FAULT_MS } = GROUPS[group];
   const faults: PlannedFault[] = [];
   // Discarded: with small seeds, the first random number hardly depends on the seed.
   random.next();
@@ -83,7 +93,7 @@
   let repeated: PlannedFault | undefined;
   for (;;) {
     atMs += random.next() * 2 * meanGapMs;
-    const forMs = MIN_FAULT_MS + random.next() * (MAX_FAULT_MS - MIN_FAULT_MS);
+    const forMs = minMs + random.next() * (maxMs - minMs);
     if (atMs + forMs > durationMs) {
       return faults;
     }
--- a/packages/soak/src/runSoak.ts
+++ b/packages/soak/src/runSoak.ts
@@ -5,6 +5,7 @@
 import { checkCalls } from './checkCalls.js';
 import { checkCustomers } from './checkCustomers.js';
 import { checkNotices } from './checkNotices.js';
+import { checkStranded } from './checkStranded.js';
 import { checkUnread, findPunctualCalls } from './checkUnread.js';
 import type { ConnectionCall } from './ConnectionCall.js';
 import { createFaultInjector } from './createFaultInjector.js';
@@ -35,6 +36,9 @@
 /** Time for which effects outlast a fault: connections are reopened, backoffs expire. */
 const FAULT_EFFECT_MS = 3_000;
 
+/** Faults of one host: of its process, or of its links to all servers. */
+const HOST_FAULT = /^(host|stranded)-/;
+
 /** Changes by the operator which are no disturbance, so that they excuse nothing. */
 const UNEXCUSED_KINDS: ReadonlySet<FaultKind> = new Set([
   'configuration-large',
@@ -47,6 +51,7 @@
 const RESTORE_SEED_OFFSET = 2_000_000;
 const CONNECTION_SEED_OFFSET = 3_000_000;
 const IDLE_CALLER_SEED_OFFSET = 4_000_000;
+const STRANDED_SEED_OFFSET = 6_000_000;
 
 export interface SoakOptions {
   readonly seed: number;
@@ -89,6 +94,7 @@
     ...planFaults(createSeededRandom(seed), durationMs, HOSTS),
     ...planFaults(createSeededRandom(seed + NOTICE_SEED_OFFSET), durationMs, HOSTS, 'notices'),
     ...planFaults(createSeededRandom(seed + RESTORE_SEED_OFFSET), durationMs, HOSTS, 'restores'),
+    ...planFaults(createSeededRandom(seed + STRANDED_SEED_OFFSET), durationMs, HOSTS, 'stranded'),
     // One host only: what its pauses excuse is still checked at the others.
     ...planFaults(
       createSeededRandom(seed + CONNECTION_SEED_OFFSET),
@@ -124,7 +130,7 @@
     }
     faultIntervals.push({
       kind: fault.kind,
-      host: fault.kind.startsWith('host-') ? fault.index : undefined,
+      host: HOST_FAULT.test(fault.kind) ? fault.index : undefined,
       startedAtMs,
       endedAtMs,
       effectsEndAtMs: endedAtMs + FAULT_EFFECT_MS,
@@ -222,6 +228,7 @@
       ...checkCalls({ calls: allCalls, arrivals, faultIntervals }),
       ...checkArrivals({ arrivals, faultIntervals }),
       ...checkCustomers({ calls: allCalls, arrivals }),
+      ...checkStranded({ calls: allCalls, faultIntervals }),
       ...checkNotices({ calls: allCalls, arrivals, pausingRejections, faultIntervals }),
       ...checkUnread(unreadEvidence),
     ],
--- a/packages/soak/src/startHostProcess.ts
+++ b/packages/soak/src/startHostProcess.ts
@@ -9,6 +9,7 @@
 /** Delay before an exited process is restarted, as on the platform. */
 const RESTART_DELAY_MS = 300;
 const PROGRAM = 'target/entry-host.cjs';
+const PRELOAD = './packages/soak/preload/bindSourceAddress.cjs';
 
 export interface HostProcessOptions {
   readonly settings: SettingsOverrides;
@@ -45,8 +46,12 @@
 
   function start(): void {
     isExitExpected = false;
-    const started = spawn(options.nodePath, [PROGRAM], {
-      env: { ...process.env, CAMPHORBARROW_NODE_FILE: settingsPath },
+    const started = spawn(options.nodePath, ['--require', PRELOAD, PROGRAM], {
+      env: {
+        ...process.env,
+        CAMPHORBARROW_NODE_FILE: settingsPath,
+        SOAK_SOURCE_ADDRESS: settings.ip,
+      },
     });
     child = started;
     const earlierChunks = outputChunks.length;
--- a/packages/soak/src/startServerFleet.ts
+++ b/packages/soak/src/startServerFleet.ts
@@ -21,6 +21,8 @@
   setPause(index: number, retryAfterMs: number | undefined): void;
   setFault(index: number, fault: ServerFault): void;
   setLinkFault(index: number, fault: LinkFault): void;
+  /** Injects a fault into the links of one host to all servers, also to later ones. */
+  setHostFault(host: number, fault: LinkFault): void;
   /** Stops a server without notice and starts another one in the same zone. */
   replace(index: number): Promise<void>;
   close(): void;
@@ -32,19 +34,27 @@
   link: FaultyLink;
 }
 
-/** Starts a backend server behind a link in each zone and keeps the store entries up to date. */
+/**
+ * Starts a backend server behind a link in each zone and keeps the store entries up to date.
+ *
+ * @param findHost finds the host that has opened a connection, from the address that it comes from
+ */
 export async function startServerFleet(
   store: FakeStore,
   zones: readonly string[],
+  findHost?: (address: string) => number | undefined,
 ): Promise<ServerFleet> {
   let startedCount = 0;
   let sequence = 0;
   const replaced: Pick<FleetMember, 'server' | 'zone'>[] = [];
+  const hostFaults = new Map<number, LinkFault>();
 
   async function start(): Promise<Pick<FleetMember, 'server' | 'link'>> {
     startedCount += 1;
     const server = await startFakeServer(`i-${startedCount}`);
-    return { server, link: await createFaultyLink(server.address) };
+    const link = await createFaultyLink(server.address, findHost);
+    hostFaults.forEach((fault, host) => link.setOwnerFault(host, fault));
+    return { server, link };
   }
 
   const members: FleetMember[] = await Promise.all(
@@ -95,6 +105,10 @@
       ),
     setFault: (index, fault) => members[index]?.server.setFault(fault),
     setLinkFault: (index, fault) => members[index]?.link.setFault(fault),
+    setHostFault(host, fault) {
+      hostFaults.set(host, fault);
+      members.forEach(({ link }) => link.setOwnerFault(host, fault));
+    },
     async replace(index) {
       const member = members[index];
       if (member === undefined) {
--- a/packages/soak/src/startSoakSystem.ts
+++ b/packages/soak/src/startSoakSystem.ts
@@ -117,12 +117,17 @@
   }
 
   putConfiguration();
+  const addresses = REGIONS.map((_, index) => loopbackAddress(index));
+  const findHost = (address: string): number | undefined => {
+    const index = addresses.indexOf(address);
+    return index === -1 ? undefined : index;
+  };
   const servers = await startServerFleet(
     store,
     REGIONS.map((region) => `${region}-a`),
+    findHost,
   );
   const storeLinks = await Promise.all(REGIONS.map(() => createFaultyLink(store.address)));
-  const addresses = REGIONS.map((_, index) => loopbackAddress(index));
   const seeds = addresses.map((address) => `${address}:8144`);
   const hosts = await Promise.all(
     REGIONS.map((region, index) =>
