Use the connections that stay open while new ones are refused

A server whose latest failure was no timeout now gets requests while a connection to it is idle. Heartbeats still list no capacity, as such connections are few; silence on one closes the idle ones as before.

The host also asks other servers together with the one that fails, once that has not responded for 60 ms, and ignores probes that began before its links were back (one server counted as failed for 0.1 s after the cut).

--- a/packages/gateway/src/lifecycle/createGatewayContext.ts
+++ b/packages/gateway/src/lifecycle/createGatewayContext.ts
@@ -105,12 +105,14 @@
       });
     },
   });
+  const serverConnections = createConnectionPools(SERVER_IDLE_TIMEOUT_MS);
   const serverLinks = createServerLinks({
     clock,
     log,
     metrics,
     servers: () => view.servers.all().filter((server) => server.region === region),
     connect: tryConnect,
+    hasIdleConnection: ({ incarnation }) => serverConnections.hasIdle(incarnation),
   });
   const serverView = createServerView({
     clock,
@@ -252,7 +254,7 @@
     versionOf: createServerVersions({ view, health, isMixed: streamVersions.isMixed }),
     transits: createTransitTracker(clock),
     serverLinks,
-    serverConnections: createConnectionPools(SERVER_IDLE_TIMEOUT_MS),
+    serverConnections,
     peerConnections: createConnectionPools(PEER_IDLE_TIMEOUT_MS),
   };
   const { outputLengths } = context;
--- a/packages/gateway/src/routing/createServerView.ts
+++ b/packages/gateway/src/routing/createServerView.ts
@@ -37,7 +37,7 @@
   readonly speeds: SpeedTracker;
   readonly paces: PaceTracker;
   readonly health: ServerHealth;
-  readonly serverLinks: Pick<ServerLinks, 'isOpen'>;
+  readonly serverLinks: Pick<ServerLinks, 'canSend' | 'isOpen'>;
   readonly serverLimits: Pick<ServerLimits, 'limitOf'>;
   readonly leavingServers: Pick<LeavingServers, 'isLeaving'>;
   readonly serverPauses: Pick<ServerPauses, 'remainingMs'>;
@@ -84,7 +84,7 @@
   function reachable(service: ServiceSpec, version?: SoftwareVersion): readonly ServerState[] {
     const servers: ServerState[] = [];
     listed(service, version).forEach((server) => {
-      if (options.serverLinks.isOpen(server) && health.isReachable(server)) {
+      if (options.serverLinks.canSend(server) && health.isReachable(server)) {
         const coldUntilMs = health.coldUntilMs(server, service.coldStartMs);
         servers.push(
           coldUntilMs > server.coldUntilMs
@@ -154,6 +154,10 @@
       if (isCold || options.serverLimits.limitOf(server) !== undefined) {
         return;
       }
+      // Connections that are left while new ones are refused are few.
+      if (!options.serverLinks.isOpen(server)) {
+        return;
+      }
       const { registration, incarnation } = server;
       const waitMs = queueMs(server, service, CAPACITY_RANK) + health.penaltyMs(incarnation);
       usableServers += 1;
--- a/packages/gateway/src/upstream/createConnectionPools.ts
+++ b/packages/gateway/src/upstream/createConnectionPools.ts
@@ -12,6 +12,8 @@
   agentFor(name: string): Agent;
   /** Applies the idle timeout that the other end announced in its `Keep-Alive` header. */
   updateIdleTimeout(socket: Socket, keepAliveHeader: string | readonly string[] | undefined): void;
+  /** Whether a pool has a connection that is not in use. */
+  hasIdle(name: string): boolean;
   /** Closes the idle connections of a pool; those in use stay open. */
   closeIdle(name: string): void;
   /** Removes the pools of all other names and closes their idle connections. */
@@ -79,6 +81,10 @@
         );
       }
     },
+    hasIdle: (name) =>
+      Object.values(agents.get(name)?.freeSockets ?? {}).some((sockets) =>
+        sockets?.some((socket) => !socket.destroyed),
+      ),
     closeIdle,
     retain(names) {
       [...agents.keys()]
--- a/packages/gateway/src/upstream/createServerLinks.ts
+++ b/packages/gateway/src/upstream/createServerLinks.ts
@@ -11,9 +11,13 @@
 const MAX_BACKOFF_MS = 1_000;
 const PROBE_INTERVAL_MS = 100;
 const MAX_PROBES = 16;
+/** Time after which other servers are probed together with the one that has failed. */
+const SLOW_PROBE_MS = 60;
 /** Failures up to this time before a cut was noticed belong to it. */
 const CUT_NOTICE_MS = 2_000;
 
+type FailureCause = Exclude<ConnectOutcome, 'open'>;
+
 export interface ServerLinksOptions {
   readonly clock: Clock;
   readonly log: LogSink;
@@ -22,6 +26,8 @@
   readonly servers: () => readonly ServerState[];
   /** Opens a connection and closes it again without a request. */
   readonly connect: (endpoint: Endpoint) => Promise<ConnectOutcome>;
+  /** Whether a connection to the server is open that no request uses. */
+  readonly hasIdleConnection: (server: ServerState) => boolean;
 }
 
 /** Which servers of its region this host reaches, by its own connections to them. */
@@ -42,7 +48,12 @@
   recordResponse(server: ServerState): void;
   /** Whether new connections to the server may be opened, as far as this host knows. */
   isOpen(server: ServerState): boolean;
-  /** Whether this host reaches none of the servers, and has tried. */
+  /**
+   * Whether a request can be sent to the server now: on a new connection, or on one that has stayed
+   * open while new ones are refused.
+   */
+  canSend(server: ServerState): boolean;
+  /** Whether this host reaches none of the servers by new connections, and has tried. */
   isCutOff(): boolean;
   /** Drops the records of all other incarnations. */
   retain(incarnations: ReadonlySet<string>): void;
@@ -52,14 +63,15 @@
 
 /**
  * Creates the record; a server that was never tried counts as reachable unless this host is cut off.
- * Failed servers are tried again by connections without a request. Connections that stay open while
- * new ones are refused are not used: they would be too few, and other hosts reach the server.
+ * Failed servers are tried again by connections without a request.
  */
 export function createServerLinks(options: ServerLinksOptions): ServerLinks {
   const { clock, log, metrics } = options;
   const closing = new AbortController();
   const links = new Map<string, ServerLink>();
   let cutOffSinceMs: number | undefined;
+  let reconnectedAtMs = -Infinity;
+  let lastCause: FailureCause | undefined;
   let runningProbes = 0;
   let isProbing = false;
 
@@ -71,6 +83,7 @@
       respondedAtMs: -Infinity,
       backoffMs: INITIAL_BACKOFF_MS,
       nextProbeAtMs: -Infinity,
+      failureCause: undefined,
       probe: undefined,
       verdict: undefined,
     };
@@ -102,7 +115,8 @@
     lost.forEach((link) => {
       link.failedAtMs = undefined;
     });
-    const tookMs = clock.monotonicMs() - cutOffSinceMs;
+    reconnectedAtMs = clock.monotonicMs();
+    const tookMs = reconnectedAtMs - cutOffSinceMs;
     cutOffSinceMs = undefined;
     const failed = listed.filter(hasFailed).length;
     log.info('host-reconnected', {
@@ -125,8 +139,10 @@
     endCut(listedLinks());
   }
 
-  function recordFailed(link: ServerLink, cause: Exclude<ConnectOutcome, 'open'>): void {
+  function recordFailed(link: ServerLink, cause: FailureCause): void {
     const nowMs = clock.monotonicMs();
+    lastCause = cause;
+    link.failureCause = cause;
     link.backoffMs =
       nowMs - link.nextProbeAtMs > MAX_BACKOFF_MS
         ? INITIAL_BACKOFF_MS
@@ -145,6 +161,7 @@
 
   function probe(link: ServerLink): Promise<ConnectOutcome> {
     if (link.probe === undefined) {
+      const startedAtMs = clock.monotonicMs();
       runningProbes += 1;
       link.probe = options.connect(link.server.registration.endpoint).then((outcome) => {
         runningProbes -= 1;
@@ -153,7 +170,7 @@
         if (!closing.signal.aborted && links.get(link.server.incarnation) === link) {
           if (outcome === 'open') {
             recordOpen(link);
-          } else {
+          } else if (startedAtMs >= reconnectedAtMs) {
             recordFailed(link, outcome);
           }
         }
@@ -201,15 +218,26 @@
     tryServer: () => Promise<ConnectOutcome>,
   ): Promise<LinkVerdict> {
     const sinceMs = clock.monotonicMs();
-    const outcome = await tryServer();
+    const trial = tryServer();
+    const delay = clock.sleep(SLOW_PROBE_MS, closing.signal).catch(() => undefined);
+    if ((await Promise.race([trial, delay])) === 'open') {
+      return 'open';
+    }
+    const [outcome, reachesOther] = await Promise.all([
+      trial,
+      witnesses.reachesOther(link, sinceMs),
+    ]);
     if (outcome === 'open') {
       return 'open';
     }
     void runProbes();
-    if (await witnesses.reachesOther(link, sinceMs)) {
+    if (reachesOther) {
       return outcome === 'refused' ? 'refused' : 'failed';
     }
-    beginCut(listedLinks());
+    // Probes that began before the links were back say nothing about them.
+    if (sinceMs >= reconnectedAtMs) {
+      beginCut(listedLinks());
+    }
     return 'cut-off';
   }
 
@@ -224,6 +252,21 @@
     return link.verdict;
   }
 
+  function isOpen(server: ServerState): boolean {
+    const link = links.get(server.incarnation);
+    return (
+      cutOffSinceMs === undefined &&
+      (link === undefined || !hasFailed(link)) &&
+      !witnesses.isInDoubt()
+    );
+  }
+
+  /** Open connections hang where new ones hang, and are known to be gone where they were reset. */
+  function canReuse(server: ServerState): boolean {
+    const cause = links.get(server.incarnation)?.failureCause ?? lastCause;
+    return cause !== 'timeout' && !witnesses.isInDoubt() && options.hasIdleConnection(server);
+  }
+
   return {
     recordFailure(server, isRefused = false) {
       const link = linkTo(server);
@@ -240,14 +283,8 @@
     recordResponse(server) {
       linkTo(server).respondedAtMs = clock.monotonicMs();
     },
-    isOpen(server) {
-      const link = links.get(server.incarnation);
-      return (
-        cutOffSinceMs === undefined &&
-        (link === undefined || !hasFailed(link)) &&
-        !witnesses.isInDoubt()
-      );
-    },
+    isOpen,
+    canSend: (server) => isOpen(server) || canReuse(server),
     isCutOff: () => cutOffSinceMs !== undefined,
     retain(incarnations) {
       [...links.keys()]
--- a/packages/gateway/tests/routing/createServerView.test.ts
+++ b/packages/gateway/tests/routing/createServerView.test.ts
@@ -25,6 +25,7 @@
   const loads = createLoadTracker(clock, () => []);
   const health = createServerHealth(clock);
   const unreached = new Set<ServerState>();
+  const hasIdleConnection = { value: false };
   const view: ServerView = createServerView({
     clock,
     region: asId('north'),
@@ -37,12 +38,25 @@
     speeds: createSpeedTracker(),
     paces,
     health,
-    serverLinks: { isOpen: (server) => !unreached.has(server) },
+    serverLinks: {
+      isOpen: (server) => !unreached.has(server),
+      canSend: (server) => !unreached.has(server) || hasIdleConnection.value,
+    },
     serverLimits: { limitOf: () => undefined },
     leavingServers,
     serverPauses,
   });
-  return { clock, view, loads, paces, health, unreached, leavingServers, serverPauses };
+  return {
+    clock,
+    view,
+    loads,
+    paces,
+    health,
+    unreached,
+    hasIdleConnection,
+    leavingServers,
+    serverPauses,
+  };
 }
 
 const first = buildServer();
@@ -91,13 +105,16 @@
 
 // Other regions relayed requests to hosts that had lost their links to the servers.
 test('a host reports no capacity of servers that it does not reach', (t) => {
-  const { view, unreached } = setUp([first, second]);
+  const { view, unreached, hasIdleConnection } = setUp([first, second]);
   unreached.add(first);
   t.is(view.capacity().get(service.name)?.usableServers, 1);
   unreached.add(second);
   t.is(view.capacity().size, 0);
   t.deepEqual(view.usable(service), []);
   t.deepEqual(view.rejection(service), { kind: 'none', reason: 'unreachable' });
+  hasIdleConnection.value = true;
+  t.deepEqual(view.usable(service), [first, second]);
+  t.is(view.capacity().size, 0);
 });
 
 test('paused servers are not usable and add no capacity until the pause ends', (t) => {
--- a/packages/gateway/tests/support/buildLocalChooser.ts
+++ b/packages/gateway/tests/support/buildLocalChooser.ts
@@ -51,7 +51,7 @@
       } as unknown as FleetView,
       leavingServers: { isLeaving: () => false },
       serverPauses: { remainingMs: () => 0 },
-      serverLinks: { isOpen: () => true },
+      serverLinks: { isOpen: () => true, canSend: () => true },
       ...defaults,
     }),
     ...defaults,
--- a/packages/gateway/tests/upstream/createServerLinks.test.ts
+++ b/packages/gateway/tests/upstream/createServerLinks.test.ts
@@ -30,6 +30,7 @@
     log: { info: record, warn: record, error: record },
     metrics: discardingMetrics,
     servers: () => servers,
+    hasIdleConnection: () => true,
     async connect({ port }: Endpoint) {
       probes.push(port);
       running += 1;
@@ -63,6 +64,7 @@
     t.is(await verdict, 'cut-off');
     t.true(links.isCutOff());
     t.is(open(), 0);
+    t.is(links.canSend(second), outcome === 'refused');
     const added = buildServer({ id: asId('server-new'), endpoint: { host: '10.0.0.1', port: 99 } });
     unreached.set(99, outcome);
     servers.push(added);
