Take servers without a heartbeat since a cut for possibly cold

All servers of a zone that ended together and started again under their ids looked like a cut of the host's links: their loss was not recorded, and with the store away they would have got requests at full rate. The state of a cut has a file of its own.

--- a/packages/gateway/src/lifecycle/createGatewayContext.ts
+++ b/packages/gateway/src/lifecycle/createGatewayContext.ts
@@ -112,6 +112,7 @@
     metrics,
     servers: () => view.servers.all().filter((server) => server.region === region),
     connect: tryConnect,
+    onRestored: (server, failedAtMs) => health.recordPossibleLoss(server.incarnation, failedAtMs),
     hasIdleConnection: ({ incarnation }) => serverConnections.hasIdle(incarnation),
   });
   const serverView = createServerView({
--- a/packages/gateway/src/routing/createServerHealth.ts
+++ b/packages/gateway/src/routing/createServerHealth.ts
@@ -36,6 +36,11 @@
   recordFailure(incarnation: string): void;
   /** Records that a connection failed or the server stopped responding. */
   recordUnreachable(incarnation: string): void;
+  /**
+   * Records that the server could not be reached since this monotonic time, and can be now: its
+   * process may have started anew.
+   */
+  recordPossibleLoss(incarnation: string, atMs: number): void;
   /**
    * Records that the process ended at this monotonic time, as seen by any host. Repeated reports of
    * the same end have no effect.
@@ -143,6 +148,12 @@
       records.get(incarnation)?.responseStartedAtMs ?? -Infinity,
     recordFailure: (incarnation) => recordOutcome(incarnation, true),
     recordUnreachable,
+    recordPossibleLoss(incarnation, atMs) {
+      const record = recordOf(incarnation);
+      if (atMs > record.lostAtMs) {
+        recordLoss(record, atMs);
+      }
+    },
     recordEnd,
     recordTimeout(incarnation, sentAtMs) {
       // A response to another request in the meantime shows that only this connection failed.
--- a/packages/gateway/src/upstream/createServerLinks.ts
+++ b/packages/gateway/src/upstream/createServerLinks.ts
@@ -1,6 +1,7 @@
 import type { Clock, LogSink, MetricsSink } from '@camphorbarrow/core';
 import type { Endpoint } from '../model/Endpoint.js';
 import type { ServerState } from '../model/ServerState.js';
+import { createCutRecord } from './createCutRecord.js';
 import { createWitnessSearch } from './createWitnessSearch.js';
 import { hasFailed } from './ServerLink.js';
 import type { LinkVerdict, ServerLink } from './ServerLink.js';
@@ -13,8 +14,6 @@
 const MAX_PROBES = 16;
 /** Time after which other servers are probed together with the one that has failed. */
 const SLOW_PROBE_MS = 60;
-/** Failures up to this time before a cut was noticed belong to it. */
-const CUT_NOTICE_MS = 2_000;
 
 type FailureCause = Exclude<ConnectOutcome, 'open'>;
 
@@ -28,6 +27,11 @@
   readonly connect: (endpoint: Endpoint) => Promise<ConnectOutcome>;
   /** Whether a connection to the server is open that no request uses. */
   readonly hasIdleConnection: (server: ServerState) => boolean;
+  /**
+   * Called when a server that was out of reach since `failedAtMs` is used again: its process may have
+   * started anew.
+   */
+  readonly onRestored: (server: ServerState, failedAtMs: number) => void;
 }
 
 /** Which servers of its region this host reaches, by its own connections to them. */
@@ -69,8 +73,6 @@
   const { clock, log, metrics } = options;
   const closing = new AbortController();
   const links = new Map<string, ServerLink>();
-  let cutOffSinceMs: number | undefined;
-  let reconnectedAtMs = -Infinity;
   let lastCause: FailureCause | undefined;
   let runningProbes = 0;
   let isProbing = false;
@@ -97,36 +99,14 @@
     service: registration.service,
   });
 
-  function beginCut(listed: readonly ServerLink[]): void {
-    if (cutOffSinceMs === undefined) {
-      cutOffSinceMs = clock.monotonicMs();
-      log.warn('host-cut-off', { listed: listed.length, failed: listed.filter(hasFailed).length });
-      metrics.increment('host_cuts');
+  function restore(link: ServerLink): void {
+    if (link.failedAtMs !== undefined) {
+      options.onRestored(link.server, link.failedAtMs);
+      link.failedAtMs = undefined;
     }
   }
 
-  /** The servers that were lost with the links of this host are back with them. */
-  function endCut(listed: readonly ServerLink[]): void {
-    if (cutOffSinceMs === undefined) {
-      return;
-    }
-    const oldestMs = cutOffSinceMs - CUT_NOTICE_MS;
-    const lost = listed.filter(({ failedAtMs }) => (failedAtMs ?? -Infinity) >= oldestMs);
-    lost.forEach((link) => {
-      link.failedAtMs = undefined;
-    });
-    reconnectedAtMs = clock.monotonicMs();
-    const tookMs = reconnectedAtMs - cutOffSinceMs;
-    cutOffSinceMs = undefined;
-    const failed = listed.filter(hasFailed).length;
-    log.info('host-reconnected', {
-      listed: listed.length,
-      restored: lost.length,
-      failed,
-      tookMs: Math.round(tookMs),
-    });
-    metrics.timingMs('host_cut', tookMs);
-  }
+  const cut = createCutRecord({ clock, log, metrics, restore });
 
   function recordOpen(link: ServerLink): void {
     const nowMs = clock.monotonicMs();
@@ -134,9 +114,9 @@
     if (link.failedAtMs !== undefined) {
       const tookMs = Math.round(nowMs - link.failedAtMs);
       log.info('server-link-restored', { ...describe(link), tookMs });
-      link.failedAtMs = undefined;
+      restore(link);
     }
-    endCut(listedLinks());
+    cut.end(listedLinks());
   }
 
   function recordFailed(link: ServerLink, cause: FailureCause): void {
@@ -154,7 +134,7 @@
       metrics.increment('server_link_failures', { cause });
       const listed = listedLinks();
       if (listed.length > 0 && listed.every(hasFailed)) {
-        beginCut(listed);
+        cut.begin(listed);
       }
     }
   }
@@ -170,7 +150,7 @@
         if (!closing.signal.aborted && links.get(link.server.incarnation) === link) {
           if (outcome === 'open') {
             recordOpen(link);
-          } else if (startedAtMs >= reconnectedAtMs) {
+          } else if (startedAtMs >= cut.endedAtMs()) {
             recordFailed(link, outcome);
           }
         }
@@ -182,7 +162,7 @@
 
   /** Servers that have to be probed: failed ones and, while this host is cut off, all. */
   const missingLinks = (): readonly ServerLink[] =>
-    listedLinks().filter((link) => hasFailed(link) || cutOffSinceMs !== undefined);
+    listedLinks().filter((link) => hasFailed(link) || cut.sinceMs() !== undefined);
 
   function startDueProbes(): void {
     const nowMs = clock.monotonicMs();
@@ -209,7 +189,7 @@
     clock,
     links: listedLinks,
     probe,
-    cutOffSinceMs: () => cutOffSinceMs,
+    cutOffSinceMs: cut.sinceMs,
     signal: closing.signal,
   });
 
@@ -235,8 +215,8 @@
       return outcome === 'refused' ? 'refused' : 'failed';
     }
     // Probes that began before the links were back say nothing about them.
-    if (sinceMs >= reconnectedAtMs) {
-      beginCut(listedLinks());
+    if (sinceMs >= cut.endedAtMs()) {
+      cut.begin(listedLinks());
     }
     return 'cut-off';
   }
@@ -255,7 +235,7 @@
   function isOpen(server: ServerState): boolean {
     const link = links.get(server.incarnation);
     return (
-      cutOffSinceMs === undefined &&
+      cut.sinceMs() === undefined &&
       (link === undefined || !hasFailed(link)) &&
       !witnesses.isInDoubt()
     );
@@ -285,16 +265,16 @@
     },
     isOpen,
     canSend: (server) => isOpen(server) || canReuse(server),
-    isCutOff: () => cutOffSinceMs !== undefined,
+    isCutOff: () => cut.sinceMs() !== undefined,
     retain(incarnations) {
       [...links.keys()]
         .filter((incarnation) => !incarnations.has(incarnation))
         .forEach((incarnation) => links.delete(incarnation));
       const listed = listedLinks();
       if (listed.length === 0) {
-        endCut(listed);
+        cut.end(listed);
       } else if (listed.every(hasFailed)) {
-        beginCut(listed);
+        cut.begin(listed);
       }
       metrics.gauge('server_links_failed', listed.filter(hasFailed).length);
       void runProbes();
--- a/packages/gateway/src/upstream/createWitnessSearch.ts
+++ b/packages/gateway/src/upstream/createWitnessSearch.ts
@@ -58,7 +58,7 @@
     return isFound;
   }
 
-  /** Whether the server failed together with others, or after all others. */
+  /** Whether the server failed together with others, or while no other one was reached. */
   function isOneOfMany(failed: ServerLink, sinceMs: number): boolean {
     const cutOffSinceMs = options.cutOffSinceMs();
     return (
--- a/packages/gateway/tests/upstream/createServerLinks.test.ts
+++ b/packages/gateway/tests/upstream/createServerLinks.test.ts
@@ -20,6 +20,7 @@
   const unreached = new Map<number, ConnectOutcome>();
   const events: string[] = [];
   const probes: number[] = [];
+  const restored = new Set<string>();
   let running = 0;
   let mostRunning = 0;
   const record = (event: string): void => {
@@ -31,6 +32,7 @@
     metrics: discardingMetrics,
     servers: () => servers,
     hasIdleConnection: () => true,
+    onRestored: ({ incarnation }) => restored.add(incarnation),
     async connect({ port }: Endpoint) {
       probes.push(port);
       running += 1;
@@ -51,12 +53,23 @@
     }
   }
   const open = (): number => servers.filter((server) => links.isOpen(server)).length;
-  return { links, servers, unreached, events, probes, cut, pass, open, most: () => mostRunning };
+  return {
+    links,
+    servers,
+    unreached,
+    restored,
+    events,
+    probes,
+    cut,
+    pass,
+    open,
+    most: () => mostRunning,
+  };
 }
 
 for (const outcome of ['timeout', 'refused'] as const) {
   test(`a cut from all servers by ${outcome} is known within a second, and its end, too`, async (t) => {
-    const { links, servers, unreached, events, cut, pass, open, most } = setUp(60);
+    const { links, servers, unreached, restored, events, cut, pass, open, most } = setUp(60);
     const [first, second] = servers as [ServerState, ServerState];
     cut(outcome);
     const verdict = links.recordFailure(first, outcome === 'refused');
@@ -75,6 +88,7 @@
     unreached.clear();
     await pass(1_000);
     t.is(open(), 61);
+    t.true(restored.has(second.incarnation));
     t.deepEqual(
       events.filter((event) => event.startsWith('host-')),
       ['host-cut-off', 'host-reconnected'],
@@ -85,7 +99,7 @@
 }
 
 test('a server that fails alone is probed with a growing pause, and the others stay in use', async (t) => {
-  const { links, servers, unreached, events, probes, pass, open } = setUp(60);
+  const { links, servers, unreached, restored, events, probes, pass, open } = setUp(60);
   const [first] = servers as [ServerState];
   unreached.set(1, 'refused');
   const verdict = links.recordFailure(first, true);
@@ -99,6 +113,7 @@
   await pass(1_200);
   t.is(open(), 60);
   t.deepEqual(events, ['server-link-failed', 'server-link-restored']);
+  t.deepEqual([...restored], [first.incarnation]);
   links.close();
 });
 
