Report the crash of the last server that a host reaches

In a region of two servers, a request that crashed the first and, retried, the second within a second was not reported for the second one: failures within a second of each other counted as a cut, so the request would have gone on to another region. A failure after which another server was reached is due to its server and no longer counts as a sign of a cut; with the end of one, such servers wait for their own probe.

npx ava packages/gateway/tests/upstream/createServerLinks.test.ts "servers that fail one after the other count as crashed, the last one, too" failed before: cut-off in place of refused; 6 of 6 passed after.

--- a/packages/gateway/src/upstream/ServerLink.ts
+++ b/packages/gateway/src/upstream/ServerLink.ts
@@ -6,6 +6,8 @@
   readonly server: ServerState;
   /** Monotonic time of the first failure since the last success; undefined while the link is open. */
   failedAtMs: number | undefined;
+  /** Whether another server was reached after the failure, which is thus due to this server. */
+  failedAlone: boolean;
   /** Cause of the latest failure. */
   failureCause: Exclude<ConnectOutcome, 'open'> | undefined;
   /** Monotonic time at which a probe last succeeded. */
--- a/packages/gateway/src/upstream/createCutRecord.ts
+++ b/packages/gateway/src/upstream/createCutRecord.ts
@@ -43,7 +43,9 @@
       }
       const oldestMs = sinceMs - CUT_NOTICE_MS;
       // What was lost with the links of this host is back with them.
-      const lost = listed.filter(({ failedAtMs = -Infinity }) => failedAtMs >= oldestMs);
+      const lost = listed.filter(
+        ({ failedAtMs = -Infinity, failedAlone }) => failedAtMs >= oldestMs && !failedAlone,
+      );
       lost.forEach(restore);
       endedAtMs = clock.monotonicMs();
       const tookMs = endedAtMs - sinceMs;
--- a/packages/gateway/src/upstream/createServerLinks.ts
+++ b/packages/gateway/src/upstream/createServerLinks.ts
@@ -85,6 +85,7 @@
       respondedAtMs: -Infinity,
       backoffMs: INITIAL_BACKOFF_MS,
       nextProbeAtMs: -Infinity,
+      failedAlone: false,
       failureCause: undefined,
       probe: undefined,
       verdict: undefined,
@@ -103,6 +104,7 @@
     if (link.failedAtMs !== undefined) {
       options.onRestored(link.server, link.failedAtMs);
       link.failedAtMs = undefined;
+      link.failedAlone = false;
     }
   }
 
@@ -212,6 +214,7 @@
     }
     void runProbes();
     if (reachesOther) {
+      link.failedAlone = true;
       return outcome === 'refused' ? 'refused' : 'failed';
     }
     // Probes that began before the links were back say nothing about them.
--- a/packages/gateway/src/upstream/createWitnessSearch.ts
+++ b/packages/gateway/src/upstream/createWitnessSearch.ts
@@ -64,7 +64,10 @@
     return (
       (cutOffSinceMs !== undefined && sinceMs - cutOffSinceMs >= FAILED_TOGETHER_MS) ||
       links().some(
-        (link) => link !== failed && (link.failedAtMs ?? -Infinity) >= sinceMs - FAILED_TOGETHER_MS,
+        (link) =>
+          link !== failed &&
+          !link.failedAlone &&
+          (link.failedAtMs ?? -Infinity) >= sinceMs - FAILED_TOGETHER_MS,
       )
     );
   }
--- a/packages/gateway/tests/upstream/createServerLinks.test.ts
+++ b/packages/gateway/tests/upstream/createServerLinks.test.ts
@@ -137,3 +137,15 @@
   t.is(open(), 2);
   links.close();
 });
+
+// A request that crashes servers goes from one to the next within the time of a cut.
+test('servers that fail one after the other count as crashed, the last one, too', async (t) => {
+  const { links, servers, unreached, pass } = setUp(2);
+  for (const server of servers) {
+    unreached.set(server.registration.endpoint.port, 'refused');
+    const verdict = links.check(server);
+    await pass(100);
+    t.is(await verdict, 'refused');
+  }
+  links.close();
+});
