--- a/packages/gateway/src/lifecycle/createGatewayContext.ts
+++ b/packages/gateway/src/lifecycle/createGatewayContext.ts
@@ -105,12 +105,15 @@
       });
     },
   });
+  const serverConnections = createConnectionPools(SERVER_IDLE_TIMEOUT_MS);
   const serverLinks = createServerLinks({
     clock,
     log,
     metrics,
     servers: () => view.servers.all().filter((server) => server.region === region),
     connect: tryConnect,
+    onRestored: (server, failedAtMs) => health.recordPossibleLoss(server.incarnation, failedAtMs),
+    hasIdleConnection: ({ incarnation }) => serverConnections.hasIdle(incarnation),
   });
   const serverView = createServerView({
     clock,
@@ -253,7 +256,7 @@
     versionOf: createServerVersions({ view, health, isMixed: streamVersions.isMixed }),
     transits: createTransitTracker(clock),
     serverLinks,
-    serverConnections: createConnectionPools(SERVER_IDLE_TIMEOUT_MS),
+    serverConnections,
     peerConnections: createConnectionPools(PEER_IDLE_TIMEOUT_MS),
   };
   const { outputLengths } = context;
--- a/packages/gateway/src/upstream/createServerLinks.ts
+++ b/packages/gateway/src/upstream/createServerLinks.ts
@@ -1,6 +1,7 @@
 import type { Clock, LogSink, MetricsSink } from '@camphorbarrow/core';
 import type { Endpoint } from '../model/Endpoint.js';
 import type { ServerState } from '../model/ServerState.js';
+import { createCutRecord } from './createCutRecord.js';
 import { createWitnessSearch } from './createWitnessSearch.js';
 import { hasFailed } from './ServerLink.js';
 import type { LinkVerdict, ServerLink } from './ServerLink.js';
@@ -11,8 +12,10 @@
 const MAX_BACKOFF_MS = 1_000;
 const PROBE_INTERVAL_MS = 100;
 const MAX_PROBES = 16;
-/** Failures up to this time before a cut was noticed belong to it. */
-const CUT_NOTICE_MS = 2_000;
+/** Time after which other servers are probed together with the one that has failed. */
+const SLOW_PROBE_MS = 60;
+
+type FailureCause = Exclude<ConnectOutcome, 'open'>;
 
 export interface ServerLinksOptions {
   readonly clock: Clock;
@@ -22,6 +25,13 @@
   readonly servers: () => readonly ServerState[];
   /** Opens a connection and closes it again without a request. */
   readonly connect: (endpoint: Endpoint) => Promise<ConnectOutcome>;
+  /** Whether a connection to the server is open that no request uses. */
+  readonly hasIdleConnection: (server: ServerState) => boolean;
+  /**
+   * Called when a server that was out of reach since `failedAtMs` is used again: its process may have
+   * started anew.
+   */
+  readonly onRestored: (server: ServerState, failedAtMs: number) => void;
 }
 
 /** Which servers of its region this host reaches, by its own connections to them. */
@@ -42,7 +52,12 @@
   recordResponse(server: ServerState): void;
   /** Whether new connections to the server may be opened, as far as this host knows. */
   isOpen(server: ServerState): boolean;
-  /** Whether this host reaches none of the servers, and has tried. */
+  /**
+   * Whether a request can be sent to the server now: on a new connection, or on one that has stayed
+   * open while new ones are refused.
+   */
+  canSend(server: ServerState): boolean;
+  /** Whether this host reaches none of the servers by new connections, and has tried. */
   isCutOff(): boolean;
   /** Drops the records of all other incarnations. */
   retain(incarnations: ReadonlySet<string>): void;
@@ -52,14 +67,13 @@
 
 /**
  * Creates the record; a server that was never tried counts as reachable unless this host is cut off.
- * Failed servers are tried again by connections without a request. Connections that stay open while
- * new ones are refused are not used: they would be too few, and other hosts reach the server.
+ * Failed servers are tried again by connections without a request.
  */
 export function createServerLinks(options: ServerLinksOptions): ServerLinks {
   const { clock, log, metrics } = options;
   const closing = new AbortController();
   const links = new Map<string, ServerLink>();
-  let cutOffSinceMs: number | undefined;
+  let lastCause: FailureCause | undefined;
   let runningProbes = 0;
   let isProbing = false;
 
@@ -71,6 +85,8 @@
       respondedAtMs: -Infinity,
       backoffMs: INITIAL_BACKOFF_MS,
       nextProbeAtMs: -Infinity,
+      failedAlone: false,
+      failureCause: undefined,
       probe: undefined,
       verdict: undefined,
     };
@@ -84,35 +100,15 @@
     service: registration.service,
   });
 
-  function beginCut(listed: readonly ServerLink[]): void {
-    if (cutOffSinceMs === undefined) {
-      cutOffSinceMs = clock.monotonicMs();
-      log.warn('host-cut-off', { listed: listed.length, failed: listed.filter(hasFailed).length });
-      metrics.increment('host_cuts');
+  function restore(link: ServerLink): void {
+    if (link.failedAtMs !== undefined) {
+      options.onRestored(link.server, link.failedAtMs);
+      link.failedAtMs = undefined;
+      link.failedAlone = false;
     }
   }
 
-  /** The servers that were lost with the links of this host are back with them. */
-  function endCut(listed: readonly ServerLink[]): void {
-    if (cutOffSinceMs === undefined) {
-      return;
-    }
-    const oldestMs = cutOffSinceMs - CUT_NOTICE_MS;
-    const lost = listed.filter(({ failedAtMs }) => (failedAtMs ?? -Infinity) >= oldestMs);
-    lost.forEach((link) => {
-      link.failedAtMs = undefined;
-    });
-    const tookMs = clock.monotonicMs() - cutOffSinceMs;
-    cutOffSinceMs = undefined;
-    const failed = listed.filter(hasFailed).length;
-    log.info('host-reconnected', {
-      listed: listed.length,
-      restored: lost.length,
-      failed,
-      tookMs: Math.round(tookMs),
-    });
-    metrics.timingMs('host_cut', tookMs);
-  }
+  const cut = createCutRecord({ clock, log, metrics, restore });
 
   function recordOpen(link: ServerLink): void {
     const nowMs = clock.monotonicMs();
@@ -120,13 +116,15 @@
     if (link.failedAtMs !== undefined) {
       const tookMs = Math.round(nowMs - link.failedAtMs);
       log.info('server-link-restored', { ...describe(link), tookMs });
-      link.failedAtMs = undefined;
+      restore(link);
     }
-    endCut(listedLinks());
+    cut.end(listedLinks());
   }
 
-  function recordFailed(link: ServerLink, cause: Exclude<ConnectOutcome, 'open'>): void {
+  function recordFailed(link: ServerLink, cause: FailureCause): void {
     const nowMs = clock.monotonicMs();
+    lastCause = cause;
+    link.failureCause = cause;
     link.backoffMs =
       nowMs - link.nextProbeAtMs > MAX_BACKOFF_MS
         ? INITIAL_BACKOFF_MS
@@ -138,13 +136,14 @@
       metrics.increment('server_link_failures', { cause });
       const listed = listedLinks();
       if (listed.length > 0 && listed.every(hasFailed)) {
-        beginCut(listed);
+        cut.begin(listed);
       }
     }
   }
 
   function probe(link: ServerLink): Promise<ConnectOutcome> {
     if (link.probe === undefined) {
+      const startedAtMs = clock.monotonicMs();
       runningProbes += 1;
       link.probe = options.connect(link.server.registration.endpoint).then((outcome) => {
         runningProbes -= 1;
@@ -153,7 +152,7 @@
         if (!closing.signal.aborted && links.get(link.server.incarnation) === link) {
           if (outcome === 'open') {
             recordOpen(link);
-          } else {
+          } else if (startedAtMs >= cut.endedAtMs()) {
             recordFailed(link, outcome);
           }
         }
@@ -165,7 +164,7 @@
 
   /** Servers that have to be probed: failed ones and, while this host is cut off, all. */
   const missingLinks = (): readonly ServerLink[] =>
-    listedLinks().filter((link) => hasFailed(link) || cutOffSinceMs !== undefined);
+    listedLinks().filter((link) => hasFailed(link) || cut.sinceMs() !== undefined);
 
   function startDueProbes(): void {
     const nowMs = clock.monotonicMs();
@@ -192,7 +191,7 @@
     clock,
     links: listedLinks,
     probe,
-    cutOffSinceMs: () => cutOffSinceMs,
+    cutOffSinceMs: cut.sinceMs,
     signal: closing.signal,
   });
 
@@ -201,15 +200,27 @@
     tryServer: () => Promise<ConnectOutcome>,
   ): Promise<LinkVerdict> {
     const sinceMs = clock.monotonicMs();
-    const outcome = await tryServer();
+    const trial = tryServer();
+    const delay = clock.sleep(SLOW_PROBE_MS, closing.signal).catch(() => undefined);
+    if ((await Promise.race([trial, delay])) === 'open') {
+      return 'open';
+    }
+    const [outcome, reachesOther] = await Promise.all([
+      trial,
+      witnesses.reachesOther(link, sinceMs),
+    ]);
     if (outcome === 'open') {
       return 'open';
     }
     void runProbes();
-    if (await witnesses.reachesOther(link, sinceMs)) {
+    if (reachesOther) {
+      link.failedAlone = true;
       return outcome === 'refused' ? 'refused' : 'failed';
     }
-    beginCut(listedLinks());
+    // Probes that began before the links were back say nothing about them.
+    if (sinceMs >= cut.endedAtMs()) {
+      cut.begin(listedLinks());
+    }
     return 'cut-off';
   }
 
@@ -224,6 +235,21 @@
     return link.verdict;
   }
 
+  function isOpen(server: ServerState): boolean {
+    const link = links.get(server.incarnation);
+    return (
+      cut.sinceMs() === undefined &&
+      (link === undefined || !hasFailed(link)) &&
+      !witnesses.isInDoubt()
+    );
+  }
+
+  /** Open connections hang where new ones hang, and are known to be gone where they were reset. */
+  function canReuse(server: ServerState): boolean {
+    const cause = links.get(server.incarnation)?.failureCause ?? lastCause;
+    return cause !== 'timeout' && !witnesses.isInDoubt() && options.hasIdleConnection(server);
+  }
+
   return {
     recordFailure(server, isRefused = false) {
       const link = linkTo(server);
@@ -240,24 +266,18 @@
     recordResponse(server) {
       linkTo(server).respondedAtMs = clock.monotonicMs();
     },
-    isOpen(server) {
-      const link = links.get(server.incarnation);
-      return (
-        cutOffSinceMs === undefined &&
-        (link === undefined || !hasFailed(link)) &&
-        !witnesses.isInDoubt()
-      );
-    },
-    isCutOff: () => cutOffSinceMs !== undefined,
+    isOpen,
+    canSend: (server) => isOpen(server) || canReuse(server),
+    isCutOff: () => cut.sinceMs() !== undefined,
     retain(incarnations) {
       [...links.keys()]
         .filter((incarnation) => !incarnations.has(incarnation))
         .forEach((incarnation) => links.delete(incarnation));
       const listed = listedLinks();
       if (listed.length === 0) {
-        endCut(listed);
+        cut.end(listed);
       } else if (listed.every(hasFailed)) {
-        beginCut(listed);
+        cut.begin(listed);
       }
       metrics.gauge('server_links_failed', listed.filter(hasFailed).length);
       void runProbes();
--- a/packages/gateway/src/upstream/createWitnessSearch.ts
+++ b/packages/gateway/src/upstream/createWitnessSearch.ts
@@ -58,13 +58,16 @@
     return isFound;
   }
 
-  /** Whether the server failed together with others, or after all others. */
+  /** Whether the server failed together with others, or while no other one was reached. */
   function isOneOfMany(failed: ServerLink, sinceMs: number): boolean {
     const cutOffSinceMs = options.cutOffSinceMs();
     return (
       (cutOffSinceMs !== undefined && sinceMs - cutOffSinceMs >= FAILED_TOGETHER_MS) ||
       links().some(
-        (link) => link !== failed && (link.failedAtMs ?? -Infinity) >= sinceMs - FAILED_TOGETHER_MS,
+        (link) =>
+          link !== failed &&
+          !link.failedAlone &&
+          (link.failedAtMs ?? -Infinity) >= sinceMs - FAILED_TOGETHER_MS,
       )
     );
   }
