Ask hosts again that rejected a stream some time ago

A stream that waits for a server until its deadline, as it has begun, was not sent to a neighbour that had rejected it once, although the neighbour reached the servers again a second later.

Cause: while it waits, the servers and regions that were tried are tried again, but not the hosts: so far their reasons, such as a drain, lasted.

Change: these hosts are tried again, too.

The test failed before: npx ava platform/tests/entryHost.lostServers.test.ts (incomplete stream).

--- a/packages/gateway/src/exchange/runAttempts.ts
+++ b/packages/gateway/src/exchange/runAttempts.ts
@@ -265,6 +265,7 @@
         pauseMs = Math.min(MAX_RETRY_PAUSE_MS, pauseMs * 2);
         progress.triedServers.clear();
         progress.triedRegions.clear();
+        progress.rejectingHosts.clear();
       }
     }
   } finally {
