Refund a retry that reached no server

Cause: a retry is withdrawn before the attempt, and the budget counts requests that a second server gets.

Change: the retry is refunded if the attempt ends before the request arrived at any server, here or behind a peer.

--- a/packages/gateway/src/exchange/prepareAttempt.ts
+++ b/packages/gateway/src/exchange/prepareAttempt.ts
@@ -15,17 +15,20 @@
   readonly destination: Exclude<Destination, { kind: 'none' }>;
   /** Must be ended after the attempt, or if it is not made. */
   readonly trial: PartTrial;
+  /** Whether a retry was withdrawn from the budget, to be refunded if no server gets the request. */
+  readonly costsRetry: boolean;
 }
 
 /** Ends the trial unless the attempt can be made, also when its preparation throws. */
 function prepareWithTrial(
   trial: PartTrial,
+  costsRetry: boolean,
   prepare: () => PreparedAttempt['destination'] | undefined,
 ): PreparedAttempt | undefined {
   let destination: PreparedAttempt['destination'] | undefined;
   try {
     destination = prepare();
-    return destination && { destination, trial };
+    return destination && { destination, trial, costsRetry };
   } finally {
     if (destination === undefined) {
       trial.end();
@@ -83,7 +86,7 @@
   startSignal: AbortSignal,
   trial: PartTrial,
 ): PreparedAttempt | undefined {
-  return prepareWithTrial(trial, () => {
+  return prepareWithTrial(trial, progress.hasArrived, () => {
     const remainingMs = exchange.deadlineAtMs - context.clock.monotonicMs();
     if (startSignal.aborted || remainingMs <= 0) {
       progress.stopCause = 'ended';
@@ -158,7 +161,7 @@
   if (admission?.kind !== 'admitted') {
     return undefined;
   }
-  return prepareWithTrial(admission.trial, () => {
+  return prepareWithTrial(admission.trial, true, () => {
     if (!context.retryBudget.tryWithdraw(exchange.service.name)) {
       return undefined;
     }
--- a/packages/gateway/src/exchange/runAttempts.ts
+++ b/packages/gateway/src/exchange/runAttempts.ts
@@ -30,6 +30,11 @@
   return exchange.relayedBy === undefined ? exchange.route.maxServers : 1;
 }
 
+/** Whether the request has certainly arrived at no server in the attempt. */
+const isWithoutServer = (result: AttemptResult): boolean =>
+  (result.kind === 'not-run' && !result.hasArrived) ||
+  (result.kind === 'cancelled' && result.wasUnsent === true);
+
 function recordFailure(progress: ExchangeProgress, cause: string): void {
   progress.lastFailure = cause === 'silent' ? cause : 'broken';
   progress.hasGivenUpServer ||= cause === 'silent';
@@ -223,6 +228,9 @@
       signals,
       reserveNext,
     ).finally(prepared.trial.end);
+    if (prepared.costsRetry && isWithoutServer(result)) {
+      context.retryBudget.refund(exchange.service.name);
+    }
     const mayRepeat = recordResult(exchange, progress, result);
     if (!mayRepeat && result.kind !== 'delivered' && result.kind !== 'cancelled') {
       const isUnknown = result.kind === 'interrupted' && progress.versionSource === 'unknown';
--- a/packages/gateway/src/limits/createRetryBudget.ts
+++ b/packages/gateway/src/limits/createRetryBudget.ts
@@ -15,6 +15,8 @@
   recordRequest(service: ServiceName): void;
   /** Consumes one retry. Returns false if the budget of the current window is used up. */
   tryWithdraw(service: ServiceName): boolean;
+  /** Returns the latest retry, which reached no server. */
+  refund(service: ServiceName): void;
 }
 
 /** Part of the budget that is used, because hosts do not know each other's counts. */
@@ -73,5 +75,16 @@
       add(window.retries, window.bucket);
       return true;
     },
+    refund(service) {
+      const { retries, bucket } = windowOf(service);
+      for (let age = 0; age < BUCKETS; age += 1) {
+        const index = (bucket - age + BUCKETS) % BUCKETS;
+        const count = retries[index] ?? 0;
+        if (count > 0) {
+          retries[index] = count - 1;
+          return;
+        }
+      }
+    },
   };
 }
--- a/packages/gateway/tests/limits/createRetryBudget.test.ts
+++ b/packages/gateway/tests/limits/createRetryBudget.test.ts
@@ -35,3 +35,21 @@
   clock.advance(10_000);
   t.true(budget.tryWithdraw(service));
 });
+
+test('a refund returns one retry of the window, and never more than were made', (t) => {
+  const clock = createManualClock();
+  const bounds = () => ({ retryRatio: 0, retrySlack: 10, retryWindowMs: 10_000 });
+  const budget = createRetryBudget({ clock, bounds, hostCount: () => 1 });
+  const withdrawAll = (): number => {
+    let count = 0;
+    while (budget.tryWithdraw(service)) {
+      count += 1;
+    }
+    return count;
+  };
+  budget.refund(service);
+  t.is(withdrawAll(), 8);
+  clock.advance(5_000);
+  budget.refund(service);
+  t.is(withdrawAll(), 1);
+});
