Relay to neighbours also while all servers are limited

While every server of a service was cold or had named a rate, a host that had lost its links rejected its callers, and neighbours served theirs at the rates.

Cause: heartbeats leave out limited servers, so that other regions send them nothing. A neighbour without others seemed to reach no server.

Change: a host whose servers are all limited lists the service with no server (usableServers 0), which hosts of other regions take for none, builds of before included; neighbours relay to it. Each host has its own part of a rate, so the rejection of a neighbour as rate-limited concerns that host only.

--- a/packages/gateway/src/exchange/forwardToPeer.ts
+++ b/packages/gateway/src/exchange/forwardToPeer.ts
@@ -29,6 +29,12 @@
   ['servers-unreachable', 'peer reaches no server'],
 ]);
 
+/** The same, of a neighbour only: other regions keep limited servers for their own callers. */
+const neighbourCauses: ReadonlyMap<unknown, string> = new Map([
+  ...hostCauses,
+  ['rate-limited', 'peer has used its part of the rates'],
+]);
+
 export interface ForwardToPeerOptions extends AttemptSignals {
   readonly context: GatewayContext;
   readonly exchange: Exchange;
@@ -84,7 +90,8 @@
     if (outcome !== 'not-run') {
       return { kind: 'unknown', cause: 'outcome unknown at peer' };
     }
-    const hostCause = hostCauses.get(response.headers[relayHeaders.errorCode]);
+    const causes = options.destination.isOwnRegion ? neighbourCauses : hostCauses;
+    const hostCause = causes.get(response.headers[relayHeaders.errorCode]);
     return {
       kind: 'not-run',
       cause: hostCause ?? 'rejected by peer',
--- a/packages/gateway/src/exchange/sendErrorResponse.ts
+++ b/packages/gateway/src/exchange/sendErrorResponse.ts
@@ -5,6 +5,9 @@
 import type { StopCause } from './StopCause.js';
 import { NOT_ARRIVED, relayHeaders } from './relayHeaders.js';
 
+/** Stop cause that holds for the host only: each host has its own part of a server's rate. */
+const RATE_LIMITED = 'rate-limited';
+
 /** What the host that relayed a request has to know of its failure. */
 export interface RelayedFailure {
   /** Whether the request may have arrived at a server. */
@@ -33,7 +36,7 @@
           relayHeaders.outcome,
           outcome,
           relayHeaders.errorCode,
-          code,
+          relayed.stopCause === RATE_LIMITED ? RATE_LIMITED : code,
           ...(relayed.stopCause === 'overloaded' ? [relayHeaders.overloaded, 'yes'] : []),
           ...(relayed.hasArrived ? [] : [relayHeaders.arrived, NOT_ARRIVED]),
         ];
--- a/packages/gateway/src/peers/PeerHeartbeat.ts
+++ b/packages/gateway/src/peers/PeerHeartbeat.ts
@@ -24,6 +24,7 @@
   readonly msPerToken: number;
   /** Time between two events of a stream. */
   readonly msPerEvent: number;
+  /** Servers without a limited rate; 0 if all are limited, which are left to callers of the region. */
   readonly usableServers: number;
   /** Running requests per slot, over all usable servers. */
   readonly slotUsageRatio: number;
--- a/packages/gateway/src/routing/createRegionChooser.ts
+++ b/packages/gateway/src/routing/createRegionChooser.ts
@@ -69,9 +69,10 @@
     regionPeers: readonly Peer[],
   ): RegionEstimate | undefined {
     const capacity = latestCapacity(request, regionPeers);
-    if (capacity === undefined || capacity.usableServers === 0) {
+    if (capacity === undefined) {
       return undefined;
     }
+    const usableServers = Math.max(1, capacity.usableServers);
     const { metadata, route } = request;
     const sharedTokens = sharedParts(metadata.promptParts).reduce(
       (sum, part) => sum + part.tokens,
@@ -82,7 +83,7 @@
       (sum, peer) => sum + loads.tokensAhead(relayLoadId(peer), route.rank),
       0,
     );
-    const relayedMs = (relayedTokens / capacity.usableServers) * capacity.msPerToken;
+    const relayedMs = (relayedTokens / usableServers) * capacity.msPerToken;
     const roundTripMs = Math.min(
       ...regionPeers.map((peer) => peer.roundTripMs ?? DEFAULT_ROUND_TRIP_MS),
     );
@@ -119,6 +120,10 @@
     return request.remainingMs + (peer.roundTripMs ?? DEFAULT_ROUND_TRIP_MS) <= closesInMs;
   }
 
+  /** Whether a host with this capacity serves callers of this region. */
+  const servesFrom = (region: RegionId, capacity: RegionCapacity | undefined): boolean =>
+    capacity !== undefined && (region === options.region || capacity.usableServers > 0);
+
   /**
    * Ready peers that can reach servers of the service themselves, by their own heartbeat. Only the
    * hosts of a region can reach its servers, so while all of those drain, as in a rolling restart,
@@ -135,7 +140,7 @@
       return (
         (scope === 'all' || (host.region === options.region) === (scope === 'own')) &&
         isAllowed &&
-        capacity.has(service.name) &&
+        servesFrom(host.region, capacity.get(service.name)) &&
         mayContinue(host.region) &&
         !request.triedRegions.has(host.region) &&
         !request.rejectingHosts.has(host.id)
--- a/packages/gateway/src/routing/createServerView.ts
+++ b/packages/gateway/src/routing/createServerView.ts
@@ -61,10 +61,17 @@
 
 type ServerPace = Pick<RegionCapacity, 'queueMs' | 'msPerEvent'>;
 
+interface MeasuredServer extends ServerPace {
+  readonly server: ServerState;
+}
+
 /** Time by which the servers of a region are compared. */
 const comparedMs = ({ queueMs, msPerEvent }: ServerPace): number =>
   queueMs + COMPARED_EVENTS * msPerEvent;
 
+const fasterOf = (known: MeasuredServer | undefined, next: MeasuredServer): MeasuredServer =>
+  known === undefined || comparedMs(next) < comparedMs(known) ? next : known;
+
 /** Creates the view from the state of the fleet and the observations of this host. */
 export function createServerView(options: ServerViewOptions): ServerView {
   const { clock, view, loads, speeds, paces, health, leavingServers, serverPauses } = options;
@@ -144,38 +151,39 @@
   /** Computed for each round of heartbeats, so it passes over the servers once. */
   function capacityOf(service: ServiceSpec): RegionCapacity | undefined {
     const nowMs = clock.monotonicMs();
-    let best: (ServerPace & { readonly server: ServerState }) | undefined;
+    let best: MeasuredServer | undefined;
+    let bestLimited: MeasuredServer | undefined;
     let usableServers = 0;
     let slots = 0;
     let runningOfAll = 0;
     usable(service).forEach((server) => {
-      const isCold = service.coldRequestsPerSecond > 0 && server.coldUntilMs > nowMs;
-      // Servers that accept only a limited rate are left to the callers of this region.
-      if (isCold || options.serverLimits.limitOf(server) !== undefined) {
-        return;
-      }
       // Connections that are left while new ones are refused are few.
       if (!options.serverLinks.isOpen(server)) {
         return;
       }
       const { registration, incarnation } = server;
       const waitMs = queueMs(server, service, CAPACITY_RANK) + health.penaltyMs(incarnation);
+      const candidate = { server, queueMs: waitMs, msPerEvent: paces.msPerEvent(registration.id) };
+      const isCold = service.coldRequestsPerSecond > 0 && server.coldUntilMs > nowMs;
+      // Servers that accept only a limited rate are left to the callers of this region.
+      if (isCold || options.serverLimits.limitOf(server) !== undefined) {
+        bestLimited = fasterOf(bestLimited, candidate);
+        return;
+      }
       usableServers += 1;
       slots += registration.slots;
       runningOfAll += loads.running(registration.id);
-      const candidate = { server, queueMs: waitMs, msPerEvent: paces.msPerEvent(registration.id) };
-      if (best === undefined || comparedMs(candidate) < comparedMs(best)) {
-        best = candidate;
-      }
+      best = fasterOf(best, candidate);
     });
-    if (best === undefined) {
+    const representative = best ?? bestLimited;
+    if (representative === undefined) {
       return undefined;
     }
-    const { registration, incarnation } = best.server;
+    const { registration, incarnation } = representative.server;
     return {
-      msPerEvent: best.msPerEvent,
+      msPerEvent: representative.msPerEvent,
       running: loads.running(registration.id),
-      queueMs: best.queueMs,
+      queueMs: representative.queueMs,
       msPerToken:
         service.kvCapacityTokens === undefined ? 0 : speeds.prefillMsPerToken(incarnation),
       usableServers,
--- a/packages/gateway/tests/routing/createRegionChooser.test.ts
+++ b/packages/gateway/tests/routing/createRegionChooser.test.ts
@@ -180,6 +180,19 @@
   t.is(choose({ triedRegions: new Set(['north']) }), 'distant');
 });
 
+test('servers with limited rates are left to the callers of their region', (t) => {
+  const limited = (peer: Peer): Peer => {
+    const capacity = new Map(
+      [...peer.heartbeat.capacity].map(([name, each]) => [name, { ...each, usableServers: 0 }]),
+    );
+    return { ...peer, heartbeat: { ...peer.heartbeat, capacity } };
+  };
+  const choose = (id: string, region: string): string | undefined =>
+    chooseAmong([limited(buildPeer(id, region, 'ready'))], {}, createManualClock(), [], 'all');
+  t.is(choose('own', 'north'), 'own');
+  t.is(choose('distant', 'south'), undefined);
+});
+
 const never = new Promise<void>(() => {});
 
 test('requests are spread over the hosts of a region', (t) => {
