Do not blame requests for servers that failed from their rejections

Cause: the crash guard blames what a server ran when its process ended, whatever the process ended from. Change: requests that broke on a server that had rejected one of this host's requests at most 1.5 s before, and that names a limit on rejections, are not blamed. The end of the process is still reported, so that the other hosts learn of it. Why this evidence: a request that crashes servers does so whether or not they reject others; at a server that rejected nothing of this host, requests are blamed as before, so that such requests are still found while servers are fragile. What a host does not know, the rejections of others, leaves its own requests blamed.

--- a/packages/gateway/src/exchange/forwardToServer.ts
+++ b/packages/gateway/src/exchange/forwardToServer.ts
@@ -116,6 +116,7 @@
           hasStarted: result.kind === 'interrupted',
           sharedParts: exchange.sharedPartKeys(),
           trialParts,
+          isExcused: context.concurrencyShares.failsFromRejections(destination.server),
         });
         // A retry must not take what crashes servers to the next one.
         if (result.cause === 'broken') {
--- a/packages/gateway/src/limits/createConcurrencyShares.ts
+++ b/packages/gateway/src/limits/createConcurrencyShares.ts
@@ -16,6 +16,8 @@
 const SERVED_HOLD_MS = 5;
 /** Part of the tolerated rejections that is used; the rest is left for hosts whose views are outdated. */
 const USED_REJECTIONS_RATIO = 0.5;
+/** Time after a rejection in which the end of the server is taken for its consequence. */
+const FAILURE_AFTER_REJECTION_MS = 1_500;
 
 export interface ConcurrencySharesOptions {
   readonly clock: Clock;
@@ -47,6 +49,8 @@
   permits(server: ServerState, isRepeat?: boolean): boolean;
   /** Records the end of a request; its place may stay taken for a while. */
   recordEnd(server: ServerState, end: RequestEnd): void;
+  /** Whether the server, if it has failed now, probably did so because of its rejections. */
+  failsFromRejections(server: ServerState): boolean;
   /** Drops the records of all other servers. */
   retain(servers: readonly ServerState[]): void;
 }
@@ -62,6 +66,7 @@
 interface ServerRecord {
   /** Times at which places become free again. */
   heldUntilMs: readonly number[];
+  rejectedAtMs: number;
 }
 
 const NO_PLACES: Places = { slots: 0, all: 0, hostCount: 0 };
@@ -150,7 +155,7 @@
       }
       const lifetime = lifetimeId(server.registration);
       const nowMs = clock.monotonicMs();
-      const record = records.get(lifetime) ?? { heldUntilMs: [] };
+      const record = records.get(lifetime) ?? { heldUntilMs: [], rejectedAtMs: -Infinity };
       records.set(lifetime, record);
       const holdMs = end === 'served' ? SERVED_HOLD_MS : UNSERVED_HOLD_MS;
       record.heldUntilMs = [
@@ -158,9 +163,14 @@
         nowMs + holdMs,
       ];
       if (end === 'rejected') {
+        record.rejectedAtMs = nowMs;
         logRejection(server, limit);
       }
     },
+    failsFromRejections({ registration }) {
+      const rejectedAtMs = records.get(lifetimeId(registration))?.rejectedAtMs ?? -Infinity;
+      return clock.monotonicMs() - rejectedAtMs <= FAILURE_AFTER_REJECTION_MS;
+    },
     retain(servers) {
       selection.observe();
       selection.retain(new Set(servers.map(({ registration }) => registration.id)));
--- a/packages/gateway/src/limits/createCrashGuard.ts
+++ b/packages/gateway/src/limits/createCrashGuard.ts
@@ -52,6 +52,8 @@
   readonly sharedParts: readonly PromptPartKey[];
   /** Those of them that were suspected when it was sent. */
   readonly trialParts: readonly PromptPartKey[];
+  /** Whether the server probably ended for another reason than what it was running. */
+  readonly isExcused?: boolean;
 }
 
 export interface CrashGuardOptions {
@@ -166,7 +168,9 @@
     const running = crash?.requests.filter(({ atMs }) => atMs > oldestMs) ?? [];
     const [first] = running;
     if (crash !== undefined && first !== undefined) {
-      const requests = running.map(({ request }) => request);
+      const requests = running
+        .map(({ request }) => request)
+        .filter(({ isExcused = false }) => !isExcused);
       report(crash.server, requests, first.atMs);
     }
   }
--- a/packages/gateway/tests/limits/createCrashGuard.test.ts
+++ b/packages/gateway/tests/limits/createCrashGuard.test.ts
@@ -49,6 +49,17 @@
 const isQuarantined = (guard: CrashGuard | undefined, fingerprint = crashing): boolean =>
   guard !== undefined && guard.quarantineMs(() => fingerprint) > 0;
 
+test('requests of servers that failed for another reason are not quarantined, but the ends reported', (t) => {
+  const guard = createGuard();
+  [1, 2, 3].forEach((index) => {
+    const server = serverNumber(index);
+    guard.recordBrokenConnection(server, { ...broken(guard, crashing), isExcused: true });
+    guard.recordServerGone(server);
+  });
+  t.false(isQuarantined(guard));
+  t.is(guard.reports().length, 3);
+});
+
 test('a request that ran on several crashed servers is quarantined, but not one that ran beside it once', (t) => {
   const guard = createGuard();
   crashServer(guard, 1, [crashing, innocent]);
