Soak servers that fall over when they have to reject too much

Soak: a fault `server-brittle`, drawn apart so that seeds keep their other faults, and a phase after the last fault in which all servers say so for 6 s and then have less room than callers want, while one host is killed or paused; the check `brittle` takes the falls from what the servers saw.

--- a/packages/soak/src/PlannedFault.ts
+++ b/packages/soak/src/PlannedFault.ts
@@ -38,6 +38,7 @@
   | 'server-replaced'
   | 'server-leaving'
   | 'server-paused'
+  | 'server-brittle'
   | 'configuration'
   | 'configuration-large'
   | 'idle-short'
--- a/packages/soak/src/Violation.ts
+++ b/packages/soak/src/Violation.ts
@@ -6,6 +6,7 @@
    * - `evacuation`: an evacuated zone receives no requests after the time limit.
    * - `drain`: a server whose response said that it leaves gets nothing more from the same host.
    * - `pause`: a server that asked a host for a pause gets nothing from it for that time.
+   * - `brittle`: servers that bear few rejections do not fall over.
    * - `budget`: retries stay within the retry budget.
    * - `twice`: no request runs at more servers than its route allows.
    * - `refused`: a request with an error response that rules out its execution has not run.
@@ -25,6 +26,7 @@
     | 'evacuation'
     | 'drain'
     | 'pause'
+    | 'brittle'
     | 'budget'
     | 'twice'
     | 'refused'
--- a/packages/soak/src/commands/SoakCommand.ts
+++ b/packages/soak/src/commands/SoakCommand.ts
@@ -46,10 +46,10 @@
         durationMs: this.seconds * MS_PER_S,
         nodePath: this.node,
       });
-      const { faults, calls, served, afterIdle, violations } = report;
+      const { faults, calls, served, afterIdle, falls, violations } = report;
       this.context.stdout.write(
         `seed ${seed}: ${faults.length} faults, ${served} of ${calls} calls served, ` +
-          `${afterIdle} after idle time, ${violations.length} violations\n`,
+          `${afterIdle} after idle time, ${falls} falls, ${violations.length} violations\n`,
       );
       violations.forEach(({ promise, detail }) =>
         this.context.stdout.write(`  ${promise}: ${detail}\n`),
--- a/packages/soak/src/createFaultInjector.ts
+++ b/packages/soak/src/createFaultInjector.ts
@@ -6,6 +6,8 @@
 
 /** Time until an evacuated zone must be free of requests: the platform's `evacuation_ms`. */
 const EVACUATION_MS = 5_000;
+/** Rejections in a second that servers bear, and their slots, as in their entries. */
+const FRAGILITY = { maxRejectionsPerSecond: 3, slots: 8 };
 /** Pause that servers ask for. */
 const PAUSE_MS = 2_000;
 const EVACUATION_KEY = 'op/evacuate/north-a';
@@ -148,6 +150,11 @@
         await sleep(forMs);
         servers.setPause(index, undefined);
         break;
+      case 'server-brittle':
+        servers.setFragility(FRAGILITY);
+        await sleep(forMs);
+        servers.setFragility(undefined);
+        break;
       case 'configuration':
         system.putConfiguration();
         break;
--- a/packages/soak/src/planFaults.ts
+++ b/packages/soak/src/planFaults.ts
@@ -33,7 +33,7 @@
   'evacuation',
 ];
 /** Faults that are drawn from a random source of their own, so that seeds keep their other faults. */
-export type FaultGroup = 'faults' | 'notices' | 'restores' | 'connections';
+export type FaultGroup = 'faults' | 'notices' | 'brittle' | 'restores' | 'connections';
 
 interface GroupPlan {
   readonly kinds: readonly FaultKind[];
@@ -46,6 +46,7 @@
   faults: { kinds: FAULT_KINDS, meanGapMs: 700 },
   // What servers say about themselves; not a disturbance of the system.
   notices: { kinds: ['server-leaving', 'server-paused'], meanGapMs: 2_000 },
+  brittle: { kinds: ['server-brittle'], meanGapMs: 4_000 },
   restores: { kinds: ['store-restored'], meanGapMs: 5_000 },
   // What makes hosts read late while the idle timeout of connections changes.
   connections: {
--- a/packages/soak/src/runSoak.ts
+++ b/packages/soak/src/runSoak.ts
@@ -12,6 +12,7 @@
 import { lowestIdleTimeoutMs } from './lowestIdleTimeoutMs.js';
 import type { FaultKind, PlannedFault } from './PlannedFault.js';
 import { planFaults } from './planFaults.js';
+import { runBrittlePhase } from './runBrittlePhase.js';
 import { runCaller } from './runCaller.js';
 import { runIdleCaller } from './runIdleCaller.js';
 import { sleep } from './sleep.js';
@@ -44,6 +45,7 @@
 
 /** Notices are drawn apart from the faults, so that a seed keeps the faults that it is known for. */
 const NOTICE_SEED_OFFSET = 1_000_000;
+const BRITTLE_SEED_OFFSET = 5_000_000;
 const RESTORE_SEED_OFFSET = 2_000_000;
 const CONNECTION_SEED_OFFSET = 3_000_000;
 const IDLE_CALLER_SEED_OFFSET = 4_000_000;
@@ -64,6 +66,8 @@
   readonly served: number;
   /** Calls on connections that had been idle, which were sent in time. */
   readonly afterIdle: number;
+  /** Servers that fell over because they had to reject too much. */
+  readonly falls: number;
   /** Logs of the hosts, for diagnosing a violation. */
   readonly logs: readonly string[];
 }
@@ -88,6 +92,7 @@
   const faults = [
     ...planFaults(createSeededRandom(seed), durationMs, HOSTS),
     ...planFaults(createSeededRandom(seed + NOTICE_SEED_OFFSET), durationMs, HOSTS, 'notices'),
+    ...planFaults(createSeededRandom(seed + BRITTLE_SEED_OFFSET), durationMs, HOSTS, 'brittle'),
     ...planFaults(createSeededRandom(seed + RESTORE_SEED_OFFSET), durationMs, HOSTS, 'restores'),
     // One host only: what its pauses excuse is still checked at the others.
     ...planFaults(
@@ -200,6 +205,14 @@
         });
       }
     });
+    violations.push(
+      ...(await runBrittlePhase({
+        system,
+        seed,
+        otherCalls: () => [...calls, ...idleCalls],
+        inject,
+      })),
+    );
   } finally {
     stopCallers.abort();
     await Promise.all(callers);
@@ -228,6 +241,7 @@
     calls: allCalls.length,
     served: allCalls.filter(({ status, complete }) => status === 200 && complete).length,
     afterIdle: findPunctualCalls(unreadEvidence).filter(({ reused }) => reused).length,
+    falls: system.servers.falls().length,
     logs: system.hosts.map((host) => host.output()),
   };
 }
--- a/packages/soak/src/startServerFleet.ts
+++ b/packages/soak/src/startServerFleet.ts
@@ -1,6 +1,12 @@
 import { buildServerEntry, startFakeServer } from '@camphorbarrow/platform/testing';
-import type { ServerFault, FakeServer, FakeStore } from '@camphorbarrow/platform/testing';
+import type {
+  FakeServer,
+  FakeStore,
+  FragilityLimits,
+  ServerFault,
+} from '@camphorbarrow/platform/testing';
 import type { Arrival, PausingRejection } from './Arrival.js';
+import type { Fall } from './checkFalls.js';
 import { createFaultyLink } from './createFaultyLink.js';
 import type { FaultyLink } from './createFaultyLink.js';
 import type { LinkFault } from './LinkFault.js';
@@ -9,6 +15,8 @@
 const HEARTBEAT_MS = 1_200;
 
 const MS_PER_S = 1_000;
+/** Time from the fall of a server until another one takes its place. */
+const FALL_MS = 1_000;
 
 export interface ServerFleet {
   /** Requests that current and replaced servers received and did not reject. */
@@ -19,6 +27,11 @@
   setLeaving(index: number): void;
   /** Lets the server reject everything and ask for a pause; undefined ends this. */
   setPause(index: number, retryAfterMs: number | undefined): void;
+  /** Limits the requests that each server runs, and the rejections that it bears. */
+  setFragility(limits: FragilityLimits | undefined): void;
+  setDelayMs(delayMs: number): void;
+  /** Servers that fell over because they had to reject too much. */
+  falls(): readonly Fall[];
   setFault(index: number, fault: ServerFault): void;
   setLinkFault(index: number, fault: LinkFault): void;
   /** Stops a server without notice and starts another one in the same zone. */
@@ -39,11 +52,26 @@
 ): Promise<ServerFleet> {
   let startedCount = 0;
   let sequence = 0;
+  const falls: Fall[] = [];
+  let fragility: FragilityLimits | undefined;
+  let delayMs = 0;
   const replaced: Pick<FleetMember, 'server' | 'zone'>[] = [];
 
+  let replaceFallen = (_server: FakeServer): void => undefined;
+
+  function recordFall(server: FakeServer): void {
+    const fromMs = performance.now() - MS_PER_S;
+    const rejections = server.roomRejections.filter(({ atMs }) => atMs > fromMs);
+    falls.push({ server: server.id, rejected: rejections.map(({ attemptId }) => attemptId) });
+    setTimeout(() => replaceFallen(server), FALL_MS);
+  }
+
   async function start(): Promise<Pick<FleetMember, 'server' | 'link'>> {
     startedCount += 1;
     const server = await startFakeServer(`i-${startedCount}`);
+    server.setFragility(fragility);
+    server.setDelayMs(delayMs);
+    server.onFall(() => recordFall(server));
     return { server, link: await createFaultyLink(server.address) };
   }
 
@@ -63,6 +91,23 @@
   refreshEntries();
   const heartbeats = setInterval(refreshEntries, HEARTBEAT_MS);
 
+  async function replace(index: number): Promise<void> {
+    const member = members[index];
+    if (member === undefined) {
+      return;
+    }
+    const { server, link, zone } = member;
+    Object.assign(member, await start());
+    replaced.push({ server, zone });
+    server.close();
+    link.close();
+    store.remove(`servers/${server.id}`);
+    refreshEntries();
+  }
+  replaceFallen = (fallen) => {
+    void replace(members.findIndex(({ server }) => server === fallen));
+  };
+
   return {
     arrivals: () =>
       [...replaced, ...members].flatMap(({ server, zone }) =>
@@ -93,23 +138,21 @@
           ? undefined
           : { retryAfter: String(retryAfterMs / MS_PER_S), notRun: true },
       ),
+    setFragility(limits) {
+      fragility = limits;
+      members.forEach(({ server }) => server.setFragility(limits));
+    },
+    setDelayMs(next) {
+      delayMs = next;
+      members.forEach(({ server }) => server.setDelayMs(next));
+    },
+    falls: () => falls,
     setFault: (index, fault) => members[index]?.server.setFault(fault),
     setLinkFault: (index, fault) => members[index]?.link.setFault(fault),
-    async replace(index) {
-      const member = members[index];
-      if (member === undefined) {
-        return;
-      }
-      const { server, link, zone } = member;
-      Object.assign(member, await start());
-      replaced.push({ server, zone });
-      server.close();
-      link.close();
-      store.remove(`servers/${server.id}`);
-      refreshEntries();
-    },
+    replace,
     close() {
       clearInterval(heartbeats);
+      replaceFallen = () => undefined;
       members.forEach(({ server, link }) => {
         server.close();
         link.close();
