Reduce requests to fragile servers that have no room for their slots

A server may be full while slots are free: an engine's memory is short, or hosts that had more places still use them. The slots then bound nothing, and each host went on sending to its free places. Change: a rejection in a place that is a slot of the server pauses the host at this server for an interval and limits its requests there to nine tenths of those that it has, one more in each interval. The interval grows with the hosts, so that one rejection of each stays within what is left for outdated views. A server that reports waiting requests while hosts have fewer than its slots there gets nothing. The line of the rejection names the limit (`room`).

--- a/packages/gateway/src/limits/createConcurrencyShares.ts
+++ b/packages/gateway/src/limits/createConcurrencyShares.ts
@@ -16,6 +16,10 @@
 const SERVED_HOLD_MS = 5;
 /** Part of the tolerated rejections that is used; the rest is left for hosts whose views are outdated. */
 const USED_REJECTIONS_RATIO = 0.5;
+/** Part of its requests that a host goes on having at a server that had no room for its slots. */
+const DECREASE_RATIO = 0.9;
+/** Longest time until a host tries one request more at a server that had no room for its slots. */
+const MAX_GROWTH_INTERVAL_MS = 3 * UNSERVED_HOLD_MS;
 /** Time after a rejection in which the end of the server is taken for its consequence. */
 const FAILURE_AFTER_REJECTION_MS = 1_500;
 
@@ -26,7 +30,7 @@
   readonly ownId: HostId;
   /** Entry hosts of this region that are registered in the store. */
   readonly regionHosts: () => readonly HostId[];
-  readonly loads: Pick<LoadTracker, 'ownLoad' | 'running' | 'runningOfHosts'>;
+  readonly loads: Pick<LoadTracker, 'ownLoad' | 'running' | 'runningOfHosts' | 'reportedWaiting'>;
   readonly limitOf: RejectionLimits['limitOf'];
 }
 
@@ -47,7 +51,9 @@
    * @param isRepeat whether the request was sent to another server before; it then gets a slot or nothing
    */
   permits(server: ServerState, isRepeat?: boolean): boolean;
-  /** Records the end of a request; its place may stay taken for a while. */
+  /**
+   * Records the end of a request that still counts as running; its place may stay taken for a while.
+   */
   recordEnd(server: ServerState, end: RequestEnd): void;
   /** Whether the server, if it has failed now, probably did so because of its rejections. */
   failsFromRejections(server: ServerState): boolean;
@@ -67,6 +73,8 @@
   /** Times at which places become free again. */
   heldUntilMs: readonly number[];
   rejectedAtMs: number;
+  /** Limit on this host's requests since the server rejected one that should have had a slot. */
+  room: { readonly running: number; readonly atMs: number } | undefined;
 }
 
 const NO_PLACES: Places = { slots: 0, all: 0, hostCount: 0 };
@@ -107,19 +115,58 @@
     };
   }
 
-  function heldPlaces({ registration }: ServerState): number {
-    const record = records.get(lifetimeId(registration));
-    if (record === undefined) {
-      return 0;
-    }
+  function takenPlaces({ registration }: ServerState): number {
     const nowMs = clock.monotonicMs();
-    record.heldUntilMs = record.heldUntilMs.filter((untilMs) => untilMs > nowMs);
-    return record.heldUntilMs.length;
+    const held = records.get(lifetimeId(registration))?.heldUntilMs ?? [];
+    const heldCount = held.filter((untilMs) => untilMs > nowMs).length;
+    return loads.ownLoad(registration.id).running + heldCount;
+  }
+
+  /**
+   * Interval in which the hosts together get no more rejections in a second than are left to outdated
+   * views if each gets one.
+   */
+  function growthIntervalMs(maxRejectionsPerSecond: number, hostCount: number): number {
+    const left =
+      maxRejectionsPerSecond - Math.floor(maxRejectionsPerSecond * USED_REJECTIONS_RATIO);
+    return Math.min(
+      MAX_GROWTH_INTERVAL_MS,
+      UNSERVED_HOLD_MS * Math.max(1, hostCount / Math.max(1, left)),
+    );
+  }
+
+  /**
+   * Whether the server is full although slots should be free: for other reasons, such as its memory, or
+   * because other hosts exceed their shares. Nothing is sent in the first interval after a rejection that
+   * shows this, and the limit grows by one request in each.
+   */
+  function isFull({ registration }: ServerState, limit: number, { hostCount }: Places): boolean {
+    const { id, slots } = registration;
+    const room = records.get(lifetimeId(registration))?.room;
+    const intervals =
+      room === undefined
+        ? Infinity
+        : Math.floor((clock.monotonicMs() - room.atMs) / growthIntervalMs(limit, hostCount));
+    return (
+      intervals === 0 ||
+      loads.ownLoad(id).running >= (room?.running ?? 0) + intervals ||
+      (loads.reportedWaiting(id) > 0 && loads.runningOfHosts(id) < slots)
+    );
   }
 
-  function logRejection(server: ServerState, maxRejectionsPerSecond: number): void {
+  function recordRejection(
+    server: ServerState,
+    record: ServerRecord,
+    maxRejectionsPerSecond: number,
+  ): void {
     const { id, service, slots } = server.registration;
+    const nowMs = clock.monotonicMs();
     const places = placesAt(server, maxRejectionsPerSecond);
+    record.rejectedAtMs = nowMs;
+    if (takenPlaces(server) <= places.slots) {
+      const running = Math.floor((loads.ownLoad(id).running - 1) * DECREASE_RATIO);
+      record.room = { running, atMs: nowMs };
+    }
     log.warn('rejection-by-limited-server', {
       serverId: id,
       maxRejectionsPerSecond,
@@ -129,6 +176,7 @@
       hostCount: places.hostCount,
       ownRunning: loads.ownLoad(id).running,
       running: loads.running(id),
+      room: record.room?.running,
     });
     metrics.increment('limited_server_rejections', { service });
   }
@@ -141,7 +189,10 @@
       }
       const { id, slots } = server.registration;
       const places = placesAt(server, limit);
-      const taken = loads.ownLoad(id).running + heldPlaces(server);
+      if (isFull(server, limit, places)) {
+        return false;
+      }
+      const taken = takenPlaces(server);
       if (taken < places.slots) {
         // Hosts that had more places before another one came may still use them.
         return loads.runningOfHosts(id) < slots + Math.floor(limit * USED_REJECTIONS_RATIO);
@@ -155,17 +206,20 @@
       }
       const lifetime = lifetimeId(server.registration);
       const nowMs = clock.monotonicMs();
-      const record = records.get(lifetime) ?? { heldUntilMs: [], rejectedAtMs: -Infinity };
+      const record = records.get(lifetime) ?? {
+        heldUntilMs: [],
+        rejectedAtMs: -Infinity,
+        room: undefined,
+      };
       records.set(lifetime, record);
+      if (end === 'rejected') {
+        recordRejection(server, record, limit);
+      }
       const holdMs = end === 'served' ? SERVED_HOLD_MS : UNSERVED_HOLD_MS;
       record.heldUntilMs = [
         ...record.heldUntilMs.filter((untilMs) => untilMs > nowMs),
         nowMs + holdMs,
       ];
-      if (end === 'rejected') {
-        record.rejectedAtMs = nowMs;
-        logRejection(server, limit);
-      }
     },
     failsFromRejections({ registration }) {
       const rejectedAtMs = records.get(lifetimeId(registration))?.rejectedAtMs ?? -Infinity;
--- a/packages/gateway/tests/limits/createConcurrencyShares.test.ts
+++ b/packages/gateway/tests/limits/createConcurrencyShares.test.ts
@@ -27,6 +27,8 @@
   readonly hostCount: number;
   readonly serverCount: number;
   readonly slots: number;
+  /** Number of requests for which a server has memory. @default `slots` */
+  readonly room?: number;
   readonly maxRejectionsPerSecond: number;
 }
 
@@ -51,7 +53,8 @@
 }
 
 /** Lets every host send whatever it may to servers that have no queue. */
-function play({ hostCount, serverCount, slots, maxRejectionsPerSecond }: Region): Outcome {
+function play(region: Region): Outcome {
+  const { hostCount, serverCount, slots, room = slots, maxRejectionsPerSecond } = region;
   const clock = createManualClock();
   const random = createSeededRandom(hostCount * 1_000 + serverCount);
   const servers = Array.from({ length: serverCount }, (_, index) =>
@@ -94,6 +97,7 @@
         ownLoad: (server) => ({ running: running[indexOf(server)] ?? 0 }) as HostLoad,
         running: runningOfHosts,
         runningOfHosts,
+        reportedWaiting: () => 0,
       },
       limitOf: () => maxRejectionsPerSecond,
     });
@@ -101,15 +105,15 @@
   }
 
   function end(host: Host, server: number, how: RequestEnd): void {
-    host.running[server] = (host.running[server] ?? 0) - 1;
     host.shares.recordEnd(servers[server] ?? buildServer(), how);
+    host.running[server] = (host.running[server] ?? 0) - 1;
   }
 
   function send(host: Host, server: number): void {
     const nowMs = clock.monotonicMs();
     const running = runningAt[server] ?? [];
     host.running[server] = (host.running[server] ?? 0) + 1;
-    if (running.length >= slots) {
+    if (running.length >= room) {
       rejectedAtMs[server]?.push(nowMs);
       end(host, server, 'rejected');
       return;
@@ -144,7 +148,7 @@
         });
       if (nowMs >= SETTLE_MS && nowMs < KILLED_AT_MS) {
         slotCounts.used += runningAt[index]?.length ?? 0;
-        slotCounts.compared += slots;
+        slotCounts.compared += room;
       }
     });
     present
@@ -169,6 +173,10 @@
   { hostCount: 1, serverCount: 1, slots: 4, maxRejectionsPerSecond: 1 },
   { hostCount: 2, serverCount: 3, slots: 3, maxRejectionsPerSecond: 1 },
   { hostCount: 5, serverCount: 1, slots: 8, maxRejectionsPerSecond: 1 },
+  { hostCount: 3, serverCount: 4, slots: 64, room: 40, maxRejectionsPerSecond: 3 },
+  { hostCount: 7, serverCount: 4, slots: 64, room: 30, maxRejectionsPerSecond: 4 },
+  { hostCount: 2, serverCount: 9, slots: 64, room: 50, maxRejectionsPerSecond: 2 },
+  { hostCount: 2, serverCount: 3, slots: 6, room: 4, maxRejectionsPerSecond: 2 },
   { hostCount: 5, serverCount: 30, slots: 8, maxRejectionsPerSecond: 4 },
   { hostCount: 13, serverCount: 6, slots: 6, maxRejectionsPerSecond: 3 },
   { hostCount: 20, serverCount: 10, slots: 48, maxRejectionsPerSecond: 2 },
@@ -177,8 +185,8 @@
 ];
 
 for (const region of regions) {
-  const { hostCount, serverCount, slots, maxRejectionsPerSecond } = region;
-  test(`${hostCount} hosts with different views cause at most ${maxRejectionsPerSecond} rejections a second at ${serverCount} servers of ${slots} slots`, (t) => {
+  const { hostCount, serverCount, slots, room = slots, maxRejectionsPerSecond } = region;
+  test(`${hostCount} hosts with different views cause at most ${maxRejectionsPerSecond} rejections a second at ${serverCount} servers of ${slots} slots and room for ${room}`, (t) => {
     const { busiestSecond, usageRatio } = play(region);
     t.true(busiestSecond <= maxRejectionsPerSecond, `${busiestSecond} in a second`);
     t.true(usageRatio >= 0.7, `usage ${usageRatio}`);
