--- a/packages/soak/src/Arrival.ts
+++ b/packages/soak/src/Arrival.ts
@@ -1,6 +1,8 @@
 /** A request that a server received and did not reject. */
 export interface Arrival {
   readonly attemptId: string;
+  /** Index of the host that sent it; undefined if it is not known. */
+  readonly sender?: number | undefined;
   readonly target: string;
   readonly atMs: number;
   readonly zone: string;
--- a/packages/soak/src/checkNotices.ts
+++ b/packages/soak/src/checkNotices.ts
@@ -23,10 +23,13 @@
 type Reached = Omit<Arrival, 'target'>;
 
 /**
- * Host that sent the request to the server. Undefined for a request that came to the north from the
- * south: either host of the north may have relayed it.
+ * Host that sent the request to the server, which may have been relayed to it. Where the server does not
+ * tell, undefined for a request that came to the north from the south: either host may have sent it.
  */
-function senderOf({ zone }: Reached, call: CallRecord | undefined): number | undefined {
+function senderOf({ zone, sender }: Reached, call: CallRecord | undefined): number | undefined {
+  if (sender !== undefined) {
+    return sender;
+  }
   if (zone === SOUTH.zone) {
     return SOUTH.host;
   }
--- a/packages/soak/src/createFaultInjector.ts
+++ b/packages/soak/src/createFaultInjector.ts
@@ -1,11 +1,13 @@
 import type { ServerFault, StoreFault } from '@camphorbarrow/platform/testing';
 import type { LinkFault } from './LinkFault.js';
-import type { PlannedFault } from './PlannedFault.js';
+import type { FaultKind, PlannedFault } from './PlannedFault.js';
 import { sleep } from './sleep.js';
 import type { SoakSystem } from './startSoakSystem.js';
 
 /** Time until an evacuated zone must be free of requests: the platform's `evacuation_ms`. */
 const EVACUATION_MS = 5_000;
+/** Rejections in a second that servers bear, and their slots, as in their entries. */
+const FRAGILITY = { maxRejectionsPerSecond: 3, slots: 8 };
 /** Pause that servers ask for. */
 const PAUSE_MS = 2_000;
 const EVACUATION_KEY = 'op/evacuate/north-a';
@@ -82,6 +84,19 @@
     revived.forEach(store.remove);
   }
 
+  /** Takes all servers away from a host: its open connections go on in the last case only. */
+  async function strand(index: number, kind: FaultKind, forMs: number): Promise<void> {
+    const openFaults: Partial<Record<FaultKind, LinkFault>> = {
+      'stranded-silent': 'silent',
+      'stranded-reset': 'reset',
+    };
+    servers.setHostFault(index, openFaults[kind] ?? 'none');
+    await hosts[index]?.setConnectFault(kind === 'stranded-silent' ? 'hang' : 'refuse');
+    await sleep(forMs);
+    servers.setHostFault(index, 'none');
+    await hosts[index]?.setConnectFault(undefined);
+  }
+
   /**
    * Applies a fault of a link, the store or a server for its duration. The kind consists of the
    * target and the name of its fault.
@@ -129,9 +144,7 @@
       case 'stranded-silent':
       case 'stranded-reset':
       case 'stranded-refuse':
-        servers.setHostFault(index, kind.replace('stranded-', '') as LinkFault);
-        await sleep(forMs);
-        servers.setHostFault(index, 'none');
+        await strand(index, kind, forMs);
         break;
       case 'store-history':
         store.compact();
@@ -155,6 +168,11 @@
         await sleep(forMs);
         servers.setPause(index, undefined);
         break;
+      case 'server-brittle':
+        servers.setFragility(FRAGILITY);
+        await sleep(forMs);
+        servers.setFragility(undefined);
+        break;
       case 'configuration':
         system.putConfiguration();
         break;
