--- a/packages/gateway/src/exchange/StopCause.ts
+++ b/packages/gateway/src/exchange/StopCause.ts
@@ -6,6 +6,7 @@
   | 'not-repeatable'
   | 'no-server'
   | 'rate-limited'
+  | 'rejection-limited'
   | 'servers-leaving'
   | 'servers-paused'
   /** Servers are listed, but this host reaches none of them. */
--- a/packages/gateway/src/exchange/forwardToServer.ts
+++ b/packages/gateway/src/exchange/forwardToServer.ts
@@ -1,3 +1,4 @@
+import type { RequestEnd } from '../limits/createConcurrencyShares.js';
 import type { Destination } from '../routing/Destination.js';
 import { sendUpstream } from '../upstream/sendUpstream.js';
 import type { Exchange } from './Exchange.js';
@@ -60,6 +61,21 @@
     : Math.max(route.targetLatencyMs, destination.estimateMs * RESPONSE_TIMEOUT_ESTIMATE_RATIO);
 }
 
+/** How a request ended at the server; undefined if it was never sent. */
+function requestEnd(result: AttemptResult): RequestEnd | undefined {
+  switch (result.kind) {
+    case 'delivered':
+    case 'failed-run':
+      return 'served';
+    case 'not-run':
+      return result.hasArrived ? 'rejected' : 'unserved';
+    case 'cancelled':
+      return result.wasUnsent === true ? undefined : 'unserved';
+    default:
+      return 'unserved';
+  }
+}
+
 async function sendAndReceive(
   options: ForwardToServerOptions,
   sentAtMs: number,
@@ -190,7 +206,7 @@
   const result = await context.loads.trackWhile(
     server.registration.id,
     { rank, promptTokens: uncachedTokens },
-    ({ responseStarted }) => {
+    async ({ responseStarted }) => {
       if (capacityTokens !== undefined) {
         context.prefixes.recordPrompt(
           server.incarnation,
@@ -198,13 +214,18 @@
           capacityTokens,
         );
       }
-      return sendAndReceive(options, sentAtMs, {
+      const received = await sendAndReceive(options, sentAtMs, {
         onResponseStart() {
           responseStarted();
           onResponseStart();
         },
         onEvents,
       });
+      const end = requestEnd(received);
+      if (end !== undefined) {
+        context.concurrencyShares.recordEnd(server, end);
+      }
+      return received;
     },
   );
   await recordServerResult(options, result, { sentAtMs, wasSuspect, trialParts });
--- a/packages/gateway/src/exchange/recordServerResult.ts
+++ b/packages/gateway/src/exchange/recordServerResult.ts
@@ -79,6 +79,7 @@
         hasStarted: result.kind === 'interrupted',
         sharedParts: exchange.sharedPartKeys(),
         trialParts,
+        isExcused: context.concurrencyShares.failsFromRejections(destination.server),
       });
       // A retry must not take what crashes servers to the next one.
       if (result.cause === 'broken') {
--- a/packages/gateway/tests/routing/createServerView.test.ts
+++ b/packages/gateway/tests/routing/createServerView.test.ts
@@ -43,6 +43,7 @@
       canSend: (server) => !unreached.has(server) || hasIdleConnection.value,
     },
     serverLimits: { limitOf: () => undefined },
+    concurrencyShares: { permits: () => true },
     leavingServers,
     serverPauses,
   });
--- a/packages/soak/src/createFaultyLink.ts
+++ b/packages/soak/src/createFaultyLink.ts
@@ -82,13 +82,16 @@
   }
 
   const server = createServer({ allowHalfOpen: true }, (incoming) => {
-    const outgoing = connect({ host, port: Number(port), allowHalfOpen: true });
-    const owner = findOwner(incoming.remoteAddress ?? '');
+    const { remoteAddress = '' } = incoming;
+    const owner = findOwner(remoteAddress);
+    // The target sees which host a connection comes from.
+    const source = owner === undefined ? {} : { localAddress: remoteAddress };
+    const outgoing = connect({ host, port: Number(port), allowHalfOpen: true, ...source });
     track(incoming, outgoing, owner);
     track(outgoing, incoming, owner);
     forward(incoming, outgoing, 'to-target', owner);
     forward(outgoing, incoming, 'from-target', owner);
-    if (faultOf(owner) === 'reset' || faultOf(owner) === 'refuse') {
+    if (faultOf(owner) === 'reset') {
       incoming.resetAndDestroy();
     }
   }).listen(0, '127.0.0.1');
--- a/packages/soak/src/planFaults.ts
+++ b/packages/soak/src/planFaults.ts
@@ -33,7 +33,7 @@
   'evacuation',
 ];
 /** Faults that are drawn from a random source of their own, so that seeds keep their other faults. */
-export type FaultGroup = 'faults' | 'notices' | 'restores' | 'connections' | 'stranded';
+export type FaultGroup = 'faults' | 'notices' | 'brittle' | 'restores' | 'connections' | 'stranded';
 
 interface GroupPlan {
   readonly kinds: readonly FaultKind[];
@@ -49,6 +49,7 @@
   faults: { kinds: FAULT_KINDS, meanGapMs: 700 },
   // What servers say about themselves; not a disturbance of the system.
   notices: { kinds: ['server-leaving', 'server-paused'], meanGapMs: 2_000 },
+  brittle: { kinds: ['server-brittle'], meanGapMs: 4_000 },
   restores: { kinds: ['store-restored'], meanGapMs: 5_000 },
   // Hosts without their servers. Longer than the time that hosts have to learn of it.
   stranded: {
--- a/packages/soak/src/startHostProcess.ts
+++ b/packages/soak/src/startHostProcess.ts
@@ -9,12 +9,14 @@
 /** Delay before an exited process is restarted, as on the platform. */
 const RESTART_DELAY_MS = 300;
 const PROGRAM = 'target/entry-host.cjs';
-const PRELOAD = './packages/soak/preload/bindSourceAddress.cjs';
+const PRELOAD = './packages/soak/preload/connectAsHost.cjs';
 
 export interface HostProcessOptions {
   readonly settings: SettingsOverrides;
   /** Path of the Node.js program that runs the host. */
   readonly nodePath: string;
+  /** Port to which connections are not established. */
+  readonly blackHolePort: number;
   /** Called when the process exits without a stop signal or with an error code. */
   readonly onUnexpectedExit: (detail: string) => void;
 }
@@ -28,6 +30,8 @@
   signal(signal: 'SIGTERM' | 'SIGKILL' | 'SIGSTOP' | 'SIGCONT'): void;
   /** Changes the settings file and makes the process reload it. */
   reload(settings: Partial<SettingsOverrides>): Promise<void>;
+  /** Fails new connections to servers; undefined ends this. */
+  setConnectFault(fault: 'refuse' | 'hang' | undefined): Promise<void>;
   /** Resolves when the current process has exited. */
   waitForExit(): Promise<void>;
   close(): Promise<void>;
@@ -37,6 +41,7 @@
 export async function startHostProcess(options: HostProcessOptions): Promise<HostProcess> {
   const directory = await mkdtemp(path.join(tmpdir(), 'camphorbarrow-soak-'));
   const settingsPath = path.join(directory, 'settings.yaml');
+  const faultPath = path.join(directory, 'connect-fault');
   let { settings } = options;
   const outputChunks: string[] = [];
   let isClosing = false;
@@ -51,6 +56,9 @@
         ...process.env,
         CAMPHORBARROW_NODE_FILE: settingsPath,
         SOAK_SOURCE_ADDRESS: settings.ip,
+        SOAK_STORE_PORT: settings.store.split(':')[1],
+        SOAK_BLACK_HOLE_PORT: String(options.blackHolePort),
+        SOAK_FAULT_PATH: faultPath,
       },
     });
     child = started;
@@ -89,6 +97,8 @@
       await writeFile(settingsPath, buildSettings(settings));
       child?.kill('SIGHUP');
     },
+    setConnectFault: (fault) =>
+      fault === undefined ? rm(faultPath, { force: true }) : writeFile(faultPath, fault),
     waitForExit: () => exited,
     async close() {
       isClosing = true;
--- a/packages/soak/src/startSoakSystem.ts
+++ b/packages/soak/src/startSoakSystem.ts
@@ -6,6 +6,7 @@
 } from '@camphorbarrow/platform/testing';
 import type { FakeStore } from '@camphorbarrow/platform/testing';
 import { CUSTOMER_PATH } from './checkCustomers.js';
+import { startBlackHole } from './startBlackHole.js';
 import { createFaultyLink } from './createFaultyLink.js';
 import type { FaultyLink } from './createFaultyLink.js';
 import type { IdleTimeoutChange } from './IdleTimeoutChange.js';
@@ -128,6 +129,7 @@
     findHost,
   );
   const storeLinks = await Promise.all(REGIONS.map(() => createFaultyLink(store.address)));
+  const blackHole = await startBlackHole();
   const seeds = addresses.map((address) => `${address}:8144`);
   const hosts = await Promise.all(
     REGIONS.map((region, index) =>
@@ -140,6 +142,7 @@
           seeds,
         },
         nodePath,
+        blackHolePort: blackHole.port,
         onUnexpectedExit,
       }),
     ),
@@ -156,6 +159,7 @@
       await Promise.all(hosts.map((host) => host.close()));
       storeLinks.forEach((link) => link.close());
       servers.close();
+      blackHole.close();
       store.close();
     },
   };
