Leave the time of a cut out of the speeds and paces of servers

Calls that hung with a host's links and ended after them made their servers look slow: the estimate of a call rose from 47 to 1,272 ms at all servers of the region, so that the host took its region for overloaded or sent its requests elsewhere, until enough new calls had ended. Samples that span a cut no longer count, neither as the speed of a server nor as the pace of its streams, which other hosts learn. A server whose stream pauses for too long is probed, too, also while no other attempt is possible.

--- a/packages/gateway/src/exchange/forwardToServer.ts
+++ b/packages/gateway/src/exchange/forwardToServer.ts
@@ -67,7 +67,11 @@
 ): Promise<AttemptResult> {
   const { context, exchange, destination, signal, reserveNext } = options;
   const { server } = destination;
-  const keepWaiting = (): boolean => reserveNext?.() !== true;
+  const keepWaiting = (): boolean => {
+    // While no other attempt is possible, the silence ends nothing that would show the reason.
+    context.serverLinks.check(server, SILENT_PROBE_MAX_AGE_MS).catch(() => undefined);
+    return reserveNext?.() !== true;
+  };
   const hasQueue = (): boolean => {
     const lastStartAtMs = context.health.lastResponseStartAtMs(server.incarnation);
     return (
@@ -98,14 +102,7 @@
     body: exchange.body,
     connectTimeoutMs: CONNECT_TIMEOUT_MS,
     responseTimeoutMs: responseTimeoutMs(options),
-    keepWaiting() {
-      if (hasQueue()) {
-        return true;
-      }
-      // While no other attempt is possible, the silence ends nothing that would tell.
-      context.serverLinks.check(server, SILENT_PROBE_MAX_AGE_MS).catch(() => undefined);
-      return keepWaiting();
-    },
+    keepWaiting: () => hasQueue() || keepWaiting(),
     signal,
     startSignal: options.startSignal,
     beforeWrite: () => context.dispatchQueue.wait(options.startSignal),
@@ -172,7 +169,7 @@
   const onResponseStart = (): void => {
     context.health.recordResponseStart(server.incarnation);
     options.onResponseStart();
-    if (capacityTokens !== undefined) {
+    if (capacityTokens !== undefined && !context.serverLinks.wasCutOffSince(sentAtMs)) {
       const elapsedMs = usualDurationMs();
       context.speeds.recordFirstEvent(server.incarnation, tokensAhead + uncachedTokens, elapsedMs);
     }
@@ -181,7 +178,11 @@
   const onEvents = (count: number): void => {
     options.onEvents(count);
     const nowMs = context.clock.monotonicMs();
-    if (lastEventAtMs !== undefined && count > 0) {
+    if (
+      lastEventAtMs !== undefined &&
+      count > 0 &&
+      !context.serverLinks.wasCutOffSince(lastEventAtMs)
+    ) {
       context.paces.recordEventGap(server.registration.id, (nowMs - lastEventAtMs) / count);
     }
     lastEventAtMs = nowMs;
@@ -208,7 +209,11 @@
     },
   );
   await recordServerResult(options, result, { sentAtMs, wasSuspect, trialParts });
-  if (result.kind === 'delivered' && capacityTokens === undefined) {
+  if (
+    result.kind === 'delivered' &&
+    capacityTokens === undefined &&
+    !context.serverLinks.wasCutOffSince(sentAtMs)
+  ) {
     context.speeds.recordCall(server.incarnation, usualDurationMs());
   }
   return result;
--- a/packages/gateway/src/upstream/createServerLinks.ts
+++ b/packages/gateway/src/upstream/createServerLinks.ts
@@ -59,6 +59,8 @@
   canSend(server: ServerState): boolean;
   /** Whether this host reaches none of the servers by new connections, and has tried. */
   isCutOff(): boolean;
+  /** Whether it has reached none at some time since this monotonic time. */
+  wasCutOffSince(atMs: number): boolean;
   /** Drops the records of all other incarnations. */
   retain(incarnations: ReadonlySet<string>): void;
   /** Ends the probes. */
@@ -268,6 +270,7 @@
     },
     isOpen,
     canSend: (server) => isOpen(server) || canReuse(server),
+    wasCutOffSince: (atMs) => cut.sinceMs() !== undefined || cut.endedAtMs() >= atMs,
     isCutOff: () => cut.sinceMs() !== undefined,
     retain(incarnations) {
       [...links.keys()]
