Use servers at their full rate as soon as a host's links are back

A possible loss was lifted by the server's next heartbeat, but an entry of which only the sequence changes brings none: the record lasted until 12 s after the loss, or 3 s after a complete response.

A loss noticed with a cut of the host is now not recorded if another host of the region reported warm servers of the same service at least 2 s after the failure: then it was the host's links that were lost. If no host did, as when all servers of a zone end together or a whole region is cut, it is recorded, and lifted by a view of the store 1.5 s or more after the restoration in which the entry is still the same; a process that started anew would have written its own. With the store away, losses last as before. Servers that failed alone never count as reached by others. Health and links each have a word for it in their interfaces; neighbours' evidence has its own file.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -219,6 +219,7 @@
 export * from './upstream/ServerLink.js';
 export * from './upstream/createConnectionPools.js';
 export * from './upstream/createCutRecord.js';
+export * from './upstream/createNeighbourEvidence.js';
 export * from './upstream/createServerLinks.js';
 export * from './upstream/createWitnessSearch.js';
 export * from './upstream/discardBody.js';
--- a/packages/gateway/src/lifecycle/createGatewayContext.ts
+++ b/packages/gateway/src/lifecycle/createGatewayContext.ts
@@ -40,6 +40,7 @@
 import { createServerVersions } from '../streams/createServerVersions.js';
 import { createStreamVersions } from '../streams/createStreamVersions.js';
 import { createConnectionPools } from '../upstream/createConnectionPools.js';
+import { createNeighbourEvidence } from '../upstream/createNeighbourEvidence.js';
 import { createServerLinks } from '../upstream/createServerLinks.js';
 import { tryConnect } from '../upstream/tryConnect.js';
 import type { EntryHostOptions } from './EntryHostOptions.js';
@@ -84,7 +85,7 @@
   const speeds = createSpeedTracker();
   const paces = createPaceTracker(clock, () => peers.aliveIn(region));
   const outcomes = createOutcomeTracker(clock, () => peers.aliveIn(region));
-  const health = createServerHealth(clock);
+  const health = createServerHealth(clock, view.confirmedAtMs);
   const prefixes = createPrefixCacheTracker(clock);
   const serverLimits = createServerLimits({ clock, log, metrics });
   const leavingServers = createLeavingServers({ clock, log, metrics });
@@ -106,13 +107,18 @@
     },
   });
   const serverConnections = createConnectionPools(SERVER_IDLE_TIMEOUT_MS);
+  const hasNeighbourReached = createNeighbourEvidence(() => peers.aliveIn(region));
   const serverLinks = createServerLinks({
     clock,
     log,
     metrics,
     servers: () => view.servers.all().filter((server) => server.region === region),
     connect: tryConnect,
-    onRestored: (server, failedAtMs) => health.recordPossibleLoss(server.incarnation, failedAtMs),
+    onRestored(server, { failedAtMs, wasCutOff }) {
+      if (!wasCutOff || !hasNeighbourReached(server, failedAtMs)) {
+        health.recordPossibleLoss(server.incarnation, failedAtMs);
+      }
+    },
     hasIdleConnection: ({ incarnation }) => serverConnections.hasIdle(incarnation),
   });
   const serverView = createServerView({
--- a/packages/gateway/src/routing/createServerHealth.ts
+++ b/packages/gateway/src/routing/createServerHealth.ts
@@ -14,6 +14,8 @@
  * few hosts send to a cold server, and others would leave it alone until its next heartbeat.
  */
 const UNCONFIRMED_LOSS_MS = 2 * DEAD_ENTRY_MAX_AGE_MS;
+/** Time within which a process that has started anew has written its entry. */
+const NEW_ENTRY_LAG_MS = 1_500;
 /** Differences in the time of a loss below this come from the transit of reports. */
 const SAME_LOSS_MS = 2_000;
 /** Weight of a new outcome in the moving average of the failure ratio. */
@@ -37,8 +39,8 @@
   /** Records that a connection failed or the server stopped responding. */
   recordUnreachable(incarnation: string): void;
   /**
-   * Records that the server could not be reached since this monotonic time, and can be now: its
-   * process may have started anew.
+   * Records that the server could not be reached since this monotonic time, and can be now. Its process
+   * may have started anew; the store would show that soon.
    */
   recordPossibleLoss(incarnation: string, atMs: number): void;
   /**
@@ -74,12 +76,21 @@
   /** Time of the latest loss, and of the first complete response after it. */
   lostAtMs: number;
   recoveredAtMs: number;
+  /** The loss is disproved by a view of the store of this time or later with the same entry. */
+  disprovedFromMs: number;
   nextAttemptAtMs: number;
   backoffMs: number;
 }
 
-/** Creates a tracker that considers all servers healthy until it records failures. */
-export function createServerHealth(clock: Clock): ServerHealth {
+/**
+ * Creates a tracker that considers all servers healthy until it records failures.
+ *
+ * @param storeViewAtMs monotonic time for which the store's content is known
+ */
+export function createServerHealth(
+  clock: Clock,
+  storeViewAtMs: () => number = () => -Infinity,
+): ServerHealth {
   const records = new Map<string, HealthRecord>();
 
   function recordOf(incarnation: string): HealthRecord {
@@ -90,6 +101,7 @@
       unreachableSinceMs: undefined,
       lostAtMs: -Infinity,
       recoveredAtMs: Infinity,
+      disprovedFromMs: Infinity,
       nextAttemptAtMs: 0,
       backoffMs: INITIAL_BACKOFF_MS,
     };
@@ -97,6 +109,13 @@
     return record;
   }
 
+  /** Time of the latest loss that nothing has disproved; -Infinity for none. */
+  function lostAtMs(record: HealthRecord | undefined): number {
+    return record === undefined || storeViewAtMs() >= record.disprovedFromMs
+      ? -Infinity
+      : record.lostAtMs;
+  }
+
   function currentRatio(record: HealthRecord): number {
     return record.failureRatio * Math.exp((record.updatedAtMs - clock.monotonicMs()) / DECAY_MS);
   }
@@ -116,6 +135,7 @@
   function recordLoss(record: HealthRecord, atMs: number): void {
     record.lostAtMs = atMs;
     record.recoveredAtMs = Infinity;
+    record.disprovedFromMs = Infinity;
   }
 
   function recordUnreachable(incarnation: string): void {
@@ -152,6 +172,7 @@
       const record = recordOf(incarnation);
       if (atMs > record.lostAtMs) {
         recordLoss(record, atMs);
+        record.disprovedFromMs = clock.monotonicMs() + NEW_ENTRY_LAG_MS;
       }
     },
     recordEnd,
@@ -179,15 +200,14 @@
     },
     coldUntilMs(server, coldStartMs) {
       const record = records.get(server.incarnation);
-      if (record === undefined || server.lastHeartbeatAtMs > record.lostAtMs) {
+      if (record === undefined || server.lastHeartbeatAtMs > lostAtMs(record)) {
         return 0;
       }
       return record.recoveredAtMs === Infinity
         ? record.lostAtMs + UNCONFIRMED_LOSS_MS
         : record.recoveredAtMs + coldStartMs;
     },
-    isConfirmed: (server) =>
-      server.lastHeartbeatAtMs > (records.get(server.incarnation)?.lostAtMs ?? -Infinity),
+    isConfirmed: (server) => server.lastHeartbeatAtMs > lostAtMs(records.get(server.incarnation)),
     penaltyMs(incarnation) {
       const record = records.get(incarnation);
       // The ratio only decays, and most servers fail no requests.
--- a/packages/gateway/src/upstream/createServerLinks.ts
+++ b/packages/gateway/src/upstream/createServerLinks.ts
@@ -17,6 +17,13 @@
 
 type FailureCause = Exclude<ConnectOutcome, 'open'>;
 
+export interface LinkLoss {
+  /** Monotonic time since which the server was out of reach. */
+  readonly failedAtMs: number;
+  /** Whether this host reached no other server either. */
+  readonly wasCutOff: boolean;
+}
+
 export interface ServerLinksOptions {
   readonly clock: Clock;
   readonly log: LogSink;
@@ -27,11 +34,8 @@
   readonly connect: (endpoint: Endpoint) => Promise<ConnectOutcome>;
   /** Whether a connection to the server is open that no request uses. */
   readonly hasIdleConnection: (server: ServerState) => boolean;
-  /**
-   * Called when a server that was out of reach since `failedAtMs` is used again: its process may have
-   * started anew.
-   */
-  readonly onRestored: (server: ServerState, failedAtMs: number) => void;
+  /** Called when a server that was out of reach is used again: its process may have started anew. */
+  readonly onRestored: (server: ServerState, loss: LinkLoss) => void;
 }
 
 /** Which servers of its region this host reaches, by its own connections to them. */
@@ -102,15 +106,20 @@
     service: registration.service,
   });
 
-  function restore(link: ServerLink): void {
+  function restore(link: ServerLink, wasCutOff: boolean): void {
     if (link.failedAtMs !== undefined) {
-      options.onRestored(link.server, link.failedAtMs);
+      options.onRestored(link.server, { failedAtMs: link.failedAtMs, wasCutOff });
       link.failedAtMs = undefined;
       link.failedAlone = false;
     }
   }
 
-  const cut = createCutRecord({ clock, log, metrics, restore });
+  const cut = createCutRecord({
+    clock,
+    log,
+    metrics,
+    restore: (link) => restore(link, true),
+  });
 
   function recordOpen(link: ServerLink): void {
     const nowMs = clock.monotonicMs();
@@ -118,7 +127,7 @@
     if (link.failedAtMs !== undefined) {
       const tookMs = Math.round(nowMs - link.failedAtMs);
       log.info('server-link-restored', { ...describe(link), tookMs });
-      restore(link);
+      restore(link, cut.sinceMs() !== undefined && !link.failedAlone);
     }
     cut.end(listedLinks());
   }
--- a/packages/gateway/tests/upstream/createServerLinks.test.ts
+++ b/packages/gateway/tests/upstream/createServerLinks.test.ts
@@ -20,7 +20,7 @@
   const unreached = new Map<number, ConnectOutcome>();
   const events: string[] = [];
   const probes: number[] = [];
-  const restored = new Set<string>();
+  const restored = new Map<string, boolean>();
   let running = 0;
   let mostRunning = 0;
   const record = (event: string): void => {
@@ -32,7 +32,7 @@
     metrics: discardingMetrics,
     servers: () => servers,
     hasIdleConnection: () => true,
-    onRestored: ({ incarnation }) => restored.add(incarnation),
+    onRestored: ({ incarnation }, { wasCutOff }) => restored.set(incarnation, wasCutOff),
     async connect({ port }: Endpoint) {
       probes.push(port);
       running += 1;
@@ -88,7 +88,7 @@
     unreached.clear();
     await pass(1_000);
     t.is(open(), 61);
-    t.true(restored.has(second.incarnation));
+    t.true(restored.get(second.incarnation));
     t.deepEqual(
       events.filter((event) => event.startsWith('host-')),
       ['host-cut-off', 'host-reconnected'],
@@ -113,7 +113,7 @@
   await pass(1_200);
   t.is(open(), 60);
   t.deepEqual(events, ['server-link-failed', 'server-link-restored']);
-  t.deepEqual([...restored], [first.incarnation]);
+  t.deepEqual([...restored], [[first.incarnation, false]]);
   links.close();
 });
 
