Explain requests of hosts that reach no server

explain-request named the status and the causes of a request that a host without servers and its neighbours did not take, and nothing told operators where to look.

npx ava packages/daemon/tests/report/explainRequest.test.ts: the sentence was the general one before ('ended it with 503').

--- a/packages/daemon/src/report/explainRequest.ts
+++ b/packages/daemon/src/report/explainRequest.ts
@@ -91,6 +91,9 @@
   if (causes.endsWith('unreachable')) {
     return `${host} rejected it before it ran: servers were listed, but it reached none of them (${causes}); see server-link-failed and host-cut-off in its log.`;
   }
+  if (/(peer reaches no server|peer has used its part of the rates)$/.test(causes)) {
+    return `${host} rejected it before it ran: it reached no server itself, nor did the other hosts that it asked take it (${causes}); see host-cut-off in their logs.`;
+  }
   if (causes.endsWith('servers-leaving')) {
     return `${host} rejected it before it ran: all servers that it could reach were leaving (${causes}); see server-leaving and server-changed in its log.`;
   }
--- a/packages/daemon/tests/report/explainRequest.test.ts
+++ b/packages/daemon/tests/report/explainRequest.test.ts
@@ -169,6 +169,10 @@
     conclusionFor('connect ECONNREFUSED, unreachable'),
     'host-1 rejected it before it ran: servers were listed, but it reached none of them (connect ECONNREFUSED, unreachable); see server-link-failed and host-cut-off in its log.',
   );
+  t.is(
+    conclusionFor('connect ECONNREFUSED, peer reaches no server'),
+    'host-1 rejected it before it ran: it reached no server itself, nor did the other hosts that it asked take it (connect ECONNREFUSED, peer reaches no server); see host-cut-off in their logs.',
+  );
   t.is(
     conclusionFor('rejected with 503, servers-paused'),
     'host-1 rejected it before it ran: all servers that it could reach and that were not leaving had asked it for a pause (rejected with 503, servers-paused); see server-paused in its log.',
