Let a busy host reject the requests of its neighbours

While most hosts of a region reach no server, the others serve the callers of all of them, and a host that was short of processor time could reject only its own: relayed requests were always admitted, as they come from other regions and cost a round trip between these.

Change: a request relayed by a host of the own region is admitted like one of an own caller. Its rejection (host-overloaded) concerns that host only; the next neighbour is asked.

--- a/packages/daemon/src/report/explainRequest.ts
+++ b/packages/daemon/src/report/explainRequest.ts
@@ -91,7 +91,11 @@
   if (causes.endsWith('unreachable')) {
     return `${host} rejected it before it ran: servers were listed, but it reached none of them (${causes}); see server-link-failed and host-cut-off in its log.`;
   }
-  if (/(peer reaches no server|peer has used its part of the rates)$/.test(causes)) {
+  if (
+    /peer (reaches no server|has used its part of the rates|is short of processor time)$/.test(
+      causes,
+    )
+  ) {
     return `${host} rejected it before it ran: it reached no server itself, nor did the other hosts that it asked take it (${causes}); see host-cut-off in their logs.`;
   }
   if (causes.endsWith('servers-leaving')) {
--- a/packages/gateway/src/exchange/forwardToPeer.ts
+++ b/packages/gateway/src/exchange/forwardToPeer.ts
@@ -29,10 +29,14 @@
   ['servers-unreachable', 'peer reaches no server'],
 ]);
 
-/** The same, of a neighbour only: other regions keep limited servers for their own callers. */
+/**
+ * The same, of a neighbour only: hosts of other regions keep limited servers for their own callers, and
+ * serve relayed requests however busy they are.
+ */
 const neighbourCauses: ReadonlyMap<unknown, string> = new Map([
   ...hostCauses,
   ['rate-limited', 'peer has used its part of the rates'],
+  ['host-overloaded', 'peer is short of processor time'],
 ]);
 
 export interface ForwardToPeerOptions extends AttemptSignals {
--- a/packages/gateway/src/ingress/createRequestHandler.ts
+++ b/packages/gateway/src/ingress/createRequestHandler.ts
@@ -58,6 +58,8 @@
   readonly acceptsRequest: (deadlineAtMs: number) => boolean;
   /** Whether the host has the processor time for a new request of this rank. */
   readonly admitsRank: (rank: number) => boolean;
+  /** Whether a host with this id is of this region. */
+  readonly isNeighbour: (hostId: string) => boolean;
   /** `callers`, or `peers` for requests that another entry host relays. */
   readonly source: 'callers' | 'peers';
 }
@@ -112,9 +114,13 @@
     }
   }
 
-  /** Rejects a caller's request that would only make all others late. */
-  function requireProcessorTime({ rank }: Route): void {
-    if (!isRelayed && !options.admitsRank(rank)) {
+  /**
+   * Rejects a request that would only make all others late. One of another region has come a long way;
+   * one that a neighbour could not send to its servers is like a request of this host's callers.
+   */
+  function requireProcessorTime({ rank }: Route, request: IncomingMessage): void {
+    const relayedBy = firstHeaderValue(request, relayHeaders.relayedBy) ?? '';
+    if ((!isRelayed || options.isNeighbour(relayedBy)) && !options.admitsRank(rank)) {
       throw createHostOverloadedError({
         retryAfterMs: MIN_OVERLOAD_RETRY_MS + context.random.next() * OVERLOAD_RETRY_SPREAD_MS,
       });
@@ -135,7 +141,7 @@
     const configuredRoute = requireRoute(table, request);
     const customer = findCustomer(table, configuredRoute, request);
     const route = requireServableRoute(configuredRoute, customer);
-    requireProcessorTime(route);
+    requireProcessorTime(route, request);
     const pickService = (): ServiceName | undefined => pickTarget(route, context.random);
     const service = isRelayed
       ? readRelayedService(table, route, request, pickService)
--- a/packages/gateway/src/lifecycle/createEntryHost.ts
+++ b/packages/gateway/src/lifecycle/createEntryHost.ts
@@ -119,6 +119,8 @@
         isDraining: drain.isDraining,
         acceptsRequest: drain.acceptsRequest,
         admitsRank: (rank) => !context.controlsOverload() || loadMonitor.admits(rank),
+        isNeighbour: (hostId) =>
+          peers.aliveIn(own.region).some(({ heartbeat }) => heartbeat.host.id === hostId),
         source,
       }),
     );
