Try other regions after two neighbours that reach no server

When the only server of a service in a region crashed, requests of its hosts were rejected although another region had servers: their attempts went to one neighbour after the other, which found out one by one. A fault of relays inside the region.

Change: after two rejections by neighbours for reasons of their own, other regions go first, neighbours only if no other region may take the request.

--- a/packages/gateway/src/exchange/ExchangeProgress.ts
+++ b/packages/gateway/src/exchange/ExchangeProgress.ts
@@ -31,6 +31,8 @@
   refusedConnects: number;
   /** Number of attempts at servers of this region without a connection in time. */
   timedOutConnects: number;
+  /** Number of hosts of this region that rejected the request for reasons of their own. */
+  neighbourRejections: number;
   readonly triedServers: Set<ServerId>;
   readonly triedRegions: Set<string>;
   readonly rejectingHosts: Set<HostId>;
--- a/packages/gateway/src/exchange/runAttempts.ts
+++ b/packages/gateway/src/exchange/runAttempts.ts
@@ -142,6 +142,7 @@
     // its servers, another server of the region may still succeed.
     if (result.kind === 'not-run' && result.concernsHostOnly === true) {
       progress.rejectingHosts.add(host.id);
+      progress.neighbourRejections += destination.isOwnRegion ? 1 : 0;
     } else if (result.kind === 'not-run') {
       progress.triedRegions.add(host.region);
     }
@@ -274,6 +275,7 @@
         progress.triedServers.clear();
         progress.triedRegions.clear();
         progress.rejectingHosts.clear();
+        progress.neighbourRejections = 0;
       }
     }
   } finally {
--- a/packages/gateway/src/exchange/serveExchange.ts
+++ b/packages/gateway/src/exchange/serveExchange.ts
@@ -45,6 +45,7 @@
     errorResponse: undefined,
     refusedConnects: 0,
     timedOutConnects: 0,
+    neighbourRejections: 0,
     triedServers: new Set(),
     triedRegions: new Set(),
     rejectingHosts: new Set(),
--- a/packages/gateway/src/exchange/toRoutingRequest.ts
+++ b/packages/gateway/src/exchange/toRoutingRequest.ts
@@ -23,7 +23,12 @@
     ExchangeProgress,
     'runs' | 'lastEventId' | 'triedServers' | 'triedRegions' | 'rejectingHosts'
   > &
-    Partial<Pick<ExchangeProgress, 'requiredVersion' | 'refusedConnects' | 'timedOutConnects'>>,
+    Partial<
+      Pick<
+        ExchangeProgress,
+        'requiredVersion' | 'refusedConnects' | 'timedOutConnects' | 'neighbourRejections'
+      >
+    >,
   remainingMs: number,
 ): RoutingRequest {
   const { route, service, customer, metadata, expectedEvents, typicalEvents } = exchange;
@@ -44,5 +49,6 @@
     isLate: exchange.isLate,
     requiredVersion: progress.requiredVersion,
     failsToConnect: failsToConnect(progress),
+    neighbourRejections: progress.neighbourRejections,
   };
 }
--- a/packages/gateway/src/routing/Destination.ts
+++ b/packages/gateway/src/routing/Destination.ts
@@ -31,6 +31,8 @@
   readonly isRetry: boolean;
   /** Whether this host failed to connect to servers for this request; other hosts may reach them. */
   readonly failsToConnect?: boolean | undefined;
+  /** Number of hosts of this region that rejected the request for reasons of their own. */
+  readonly neighbourRejections?: number | undefined;
   /** Whether another entry host relayed the request; it must then be processed in this region. */
   readonly isRelayed: boolean;
   /** Whether no server may run the request after this one, so that a failure reaches the caller. */
--- a/packages/gateway/src/routing/createRouter.ts
+++ b/packages/gateway/src/routing/createRouter.ts
@@ -10,6 +10,11 @@
 import type { Scored } from './Scored.js';
 import { toAdmissionRequest } from './toAdmissionRequest.js';
 
+/**
+ * Rejections by neighbours after which other regions go first: the servers of this region may have
+ * crashed a moment ago, which their hosts find out one by one.
+ */
+const MAX_NEIGHBOUR_REJECTIONS = 2;
 /** Minimum gain for which a request is sent to another region. */
 const MIN_SPILL_GAIN_MS = 80;
 /**
@@ -169,8 +174,11 @@
   return {
     choose(request) {
       const local = chooseLocal(request);
+      const isRegionDoubtful = (request.neighbourRejections ?? 0) >= MAX_NEIGHBOUR_REJECTIONS;
       const neighbour =
-        request.failsToConnect === true ? chooseRegion(request, 'own')?.choice : undefined;
+        request.failsToConnect === true && !isRegionDoubtful
+          ? chooseRegion(request, 'own')?.choice
+          : undefined;
       if (neighbour !== undefined) {
         return request.isRelayed
           ? { kind: 'none', reason: 'unreachable' }
@@ -179,7 +187,10 @@
       const findRegion = (scope: RegionScope = 'others'): Scored<RegionChoice> | undefined =>
         request.isRelayed ? undefined : chooseRegion(request, scope);
       if (!('choice' in local)) {
-        const choice = findRegion(local.reason === 'unreachable' ? 'all' : 'others')?.choice;
+        const isCutOff = local.reason === 'unreachable';
+        const first = findRegion(isCutOff && !isRegionDoubtful ? 'all' : 'others');
+        const choice = (first ?? (isCutOff && isRegionDoubtful ? findRegion('own') : undefined))
+          ?.choice;
         if (choice === undefined) {
           return local;
         }
--- a/packages/gateway/tests/routing/createRouter.test.ts
+++ b/packages/gateway/tests/routing/createRouter.test.ts
@@ -110,7 +110,11 @@
 });
 
 test('only a host that reaches none of the servers relays inside its region', (t) => {
-  const chosenFor = (reason: 'no-server' | 'rate-limited' | 'unreachable', isRelayed = false) => {
+  const chosenFor = (
+    reason: 'no-server' | 'rate-limited' | 'unreachable',
+    isRelayed = false,
+    neighbourRejections = 0,
+  ) => {
     let scope: RegionScope | undefined;
     const { router } = setUp(undefined, undefined, undefined, {
       chooseLocal: () => ({ kind: 'none', reason }),
@@ -119,11 +123,12 @@
         return undefined;
       },
     });
-    t.like(router.choose({ ...request, isRelayed }), { kind: 'none', reason });
+    t.like(router.choose({ ...request, isRelayed, neighbourRejections }), { kind: 'none', reason });
     return scope;
   };
   t.is(chosenFor('unreachable'), 'all');
   t.is(chosenFor('unreachable', true), undefined);
+  t.is(chosenFor('unreachable', false, 2), 'own', 'after other regions');
   t.is(chosenFor('no-server'), 'others');
   t.is(chosenFor('rate-limited'), 'others');
 });
