--- a/packages/daemon/tests/report/explainRequest.test.ts
+++ b/packages/daemon/tests/report/explainRequest.test.ts
@@ -173,6 +173,10 @@
     conclusionFor('rejection-limited'),
     'host-1 rejected it before it ran: all servers that it could reach bear few rejections, and it had its share of the requests there already (rejection-limited); see server-rejection-limit-changed in its log.',
   );
+  t.is(
+    conclusionFor('connect ECONNREFUSED, peer reaches no server'),
+    'host-1 rejected it before it ran: it reached no server itself, nor did the other hosts that it asked take it (connect ECONNREFUSED, peer reaches no server); see host-cut-off in their logs.',
+  );
   t.is(
     conclusionFor('rejected with 503, servers-paused'),
     'host-1 rejected it before it ran: all servers that it could reach and that were not leaving had asked it for a pause (rejected with 503, servers-paused); see server-paused in its log.',
