End a limit on rejections only with a response to a request

Found by reading: responses to cache calls are recorded as well, about one a second for each engine. Where they do not repeat the header, each of them ended the limit, and the next response to a request set it again; between the two, hosts sent without regard to it. Change: a response without an attempt id may name a limit, but does not end one. Test: recordServerNotices.test.ts, failed before (limit undefined after a cache response without the header, where 3 holds).

--- a/packages/gateway/src/exchange/recordServerNotices.ts
+++ b/packages/gateway/src/exchange/recordServerNotices.ts
@@ -26,7 +26,11 @@
   if (metadata.leaving) {
     leavingServers.recordResponse(server, status);
   }
-  rejectionLimits.recordResponse(server, metadata.maxRejectionsPerSecond);
+  const { attemptId, maxRejectionsPerSecond } = metadata;
+  // Responses to other calls than requests need not repeat the limit.
+  if (maxRejectionsPerSecond !== undefined || attemptId !== undefined) {
+    rejectionLimits.recordResponse(server, maxRejectionsPerSecond);
+  }
   const { retryAfterMs } = metadata;
   if (status === UNAVAILABLE && retryAfterMs !== undefined) {
     serverPauses.recordRejection(server, { status, retryAfterMs });
--- a/packages/gateway/tests/exchange/recordServerNotices.test.ts
+++ b/packages/gateway/tests/exchange/recordServerNotices.test.ts
@@ -40,3 +40,21 @@
   t.is(context.serverPauses.remainingMs(server), 3_000);
   t.false(context.leavingServers.isLeaving(server));
 });
+
+// Responses to cache calls have no attempt id and come every second.
+test('a limit on rejections ends only with a response to a request', (t) => {
+  const sinks = { clock: createManualClock(), log: silentLog, metrics: discardingMetrics };
+  const context = {
+    leavingServers: createLeavingServers(sinks),
+    rejectionLimits: createRejectionLimits(sinks),
+    serverPauses: createServerPauses(sinks),
+  };
+  const record = (attemptId: string | undefined, maxRejectionsPerSecond: number | undefined) => {
+    const response = { ...metadata, attemptId, maxRejectionsPerSecond };
+    recordServerNotices(context, server, { status: 200, metadata: response });
+    return context.rejectionLimits.limitOf(server);
+  };
+  t.is(record(undefined, 3), 3);
+  t.is(record(undefined, undefined), 3);
+  t.is(record('a', undefined), undefined);
+});
