Keep a host running after an error of a listening server

By reading, callers of a host for which the system refuses one connection (ENOBUFS, ENOMEM, EMFILE, a pending network error that Linux passes to accept) would have lost the whole host: createListener waits with once(server, 'listening'), which takes its error listener away, so the next error event of the server ended the process. The same for an error event of a response: the handlers of the directory, of readiness and of the metrics have no listener for it.

Evidence: both tests of logListenerErrors.test.ts fail on: emit('error') throws "accept ENOBUFS", and a write after the end is an uncaught exception. They pass now.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -95,6 +95,7 @@
 export * from './ingress/hostRejections.js';
 export * from './ingress/identifyCustomer.js';
 export * from './ingress/lingerOnClose.js';
+export * from './ingress/logListenerErrors.js';
 export * from './ingress/readBody.js';
 export * from './ingress/readRelayedService.js';
 export * from './ingress/requestChecks.js';
--- a/packages/gateway/src/ingress/createListener.ts
+++ b/packages/gateway/src/ingress/createListener.ts
@@ -12,6 +12,7 @@
 import { createHeldLimit } from './createHeldLimit.js';
 import { createPipelineLimit } from './createPipelineLimit.js';
 import { lingerOnClose } from './lingerOnClose.js';
+import { logListenerErrors } from './logListenerErrors.js';
 
 /** Maximum size of a request head that is parsed; the configuration may set a lower limit. */
 const MAX_HEADER_BYTES = 65_536;
@@ -109,6 +110,10 @@
     if (!pipelineLimit.admits(request, response)) {
       return;
     }
+    // The close event follows, which the handler notices.
+    response.on('error', (error) =>
+      options.log.error('response-error', { listener: options.name }, error),
+    );
     const handled = options.handle(request, response).catch((error: unknown) => {
       options.log.error('request-handler-failed', {}, error);
       response.destroy();
@@ -117,6 +122,7 @@
   });
   server.listen(options.endpoint.port, options.endpoint.host);
   await once(server, 'listening');
+  logListenerErrors(server, options);
   return {
     server,
     applyLimits({ headerTimeoutMs, idleTimeoutMs }) {
