Listen to errors of pooled connections at all times

Callers of a host would have lost it to an error of one connection to a server, a host or the store at the moment when the connection passes from one request to the next: Node.js has removed the listener of the request by then, has none of its own until the next tick, and says so itself (lib/_http_client.js, lib/_http_agent.js). The error event ended the process.

Change: the agents of all pools add a listener to each connection at its creation. The request that uses the connection still gets the error.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -217,6 +217,7 @@
 export * from './streams/streamMessages.js';
 export * from './streams/streamRetention.js';
 export * from './upstream/createConnectionPools.js';
+export * from './upstream/createKeepAliveAgent.js';
 export * from './upstream/discardBody.js';
 export * from './upstream/limitResponseHead.js';
 export * from './upstream/readFullBody.js';
--- a/packages/gateway/src/upstream/createConnectionPools.ts
+++ b/packages/gateway/src/upstream/createConnectionPools.ts
@@ -1,6 +1,7 @@
-import { Agent } from 'node:http';
+import type { Agent } from 'node:http';
 import type { Socket } from 'node:net';
 import type { Endpoint } from '../model/Endpoint.js';
+import { createKeepAliveAgent } from './createKeepAliveAgent.js';
 
 /** An idle connection is closed this long before the server would close it. */
 const IDLE_MARGIN_MS = 1_000;
@@ -35,8 +36,7 @@
   }
 
   function createAgent(): Agent {
-    const agent = new Agent({
-      keepAlive: true,
+    const agent = createKeepAliveAgent({
       maxFreeSockets: MAX_IDLE_CONNECTIONS,
       scheduling: 'lifo',
     });
