Handle failures of tasks, datagrams and waits that nobody held

By reading, an unexpected exception in one place would have ended a whole host: in the tasks that follow the store, the other hosts and the engines (their promises are only awaited at the stop, and each engine's not at all), in the handling of a datagram that is no heartbeat, in the wait of a request for its turn, and in the heartbeats that announce a stop (the host would have ended with code 1 without its drain).

Change: tasks are started by startHostTasks under keepRunning, which logs a failure (task-failed) and starts them again after 1 s; the follower of an engine is started again by the next scan; datagrams are handled within the try; a failed wait destroys its request, which fails as not sent; a failed announcement is logged.

Evidence: unhandledFailures.test.ts on: the follower "Unhandled rejection", the datagram "Uncaught exception", the wait does not settle within 15 s. The other floating promises (admission queue, record messages, response ends, store calls), timers, and poll callbacks were read: they resolve only, are caught, or go through logFailures.

--- a/packages/gateway/src/lifecycle/createEntryHost.ts
+++ b/packages/gateway/src/lifecycle/createEntryHost.ts
@@ -5,12 +5,9 @@
 import { ALLOWANCE_UPDATE_INTERVAL_MS } from '../allowances/createSharedAllowances.js';
 import { logFailures } from '../errors/logFailures.js';
 import { createChangeDecoder } from '../fleet/createChangeDecoder.js';
-import { createCacheResponseRecorder } from '../exchange/createCacheResponseRecorder.js';
 import { createFleetView } from '../fleet/createFleetView.js';
 import { memoizeLatest } from '../fleet/memoizeLatest.js';
 import type { FleetView } from '../fleet/createFleetView.js';
-import { runHostRegistration } from '../fleet/runHostRegistration.js';
-import { runStoreFollower } from '../fleet/runStoreFollower.js';
 import type { ChoiceExplainer } from '../routing/createChoiceExplainer.js';
 import { createConnectionLimit } from '../ingress/createConnectionLimit.js';
 import type { ConnectionLimit } from '../ingress/createConnectionLimit.js';
@@ -22,8 +19,6 @@
 import type { HostState } from '../peers/PeerHeartbeat.js';
 import { createRegionStoreReaders } from '../peers/createRegionStoreReaders.js';
 import { createStoreUpdateExchange } from '../peers/createStoreUpdateExchange.js';
-import { runPeerStoreFollower } from '../peers/runPeerStoreFollower.js';
-import { runCacheFollower } from '../routing/runCacheFollower.js';
 import { createDrainState } from './createDrainState.js';
 import type { DrainProgress } from './createDrainState.js';
 import { createGatewayContext } from './createGatewayContext.js';
@@ -33,13 +28,8 @@
 import type { HostDirectory } from './createHostDirectory.js';
 import { createHostLoadMonitor } from './createHostLoadMonitor.js';
 import { startHostHeartbeats } from './startHostHeartbeats.js';
+import { startHostTasks } from './startHostTasks.js';
 
-const WATCH_WAIT_MS = 2_000;
-/** Pause between watch calls, so that each returns more changes; every store call is charged. */
-const WATCH_PAUSE_MS = 300;
-const STORE_RETRY_MS = 250;
-const HOST_LEASE_TTL_MS = 10_000;
-const HOST_LEASE_RENEWAL_MS = 3_000;
 const PEER_LISTENER_IDLE_TIMEOUT_MS = 30_000;
 /** Timeout for removing the registration from the store; otherwise it expires with its lease. */
 const UNREGISTER_TIMEOUT_MS = 200;
@@ -91,7 +81,7 @@
     isClosing: drain.isRejectingRequests,
     closing: drain.closing,
   });
-  const { prefixes, serverConnections, peerConnections } = context;
+  const { serverConnections, peerConnections } = context;
   const inFlight = createInFlightTracker();
 
   function currentState(): HostState {
@@ -204,69 +194,32 @@
     ALLOWANCE_UPDATE_INTERVAL_MS,
   );
 
-  const tasks = [
-    runStoreFollower({
-      clock,
-      log,
-      store,
-      view,
-      watchWaitMs: WATCH_WAIT_MS,
-      watchPauseMs: WATCH_PAUSE_MS,
-      retryPauseMs: STORE_RETRY_MS,
-      syncFromPeer: storeReaders.syncFromReader,
-      signal: stop.signal,
-    }),
-    runHostRegistration({
-      clock,
-      log,
-      store,
-      ...options.registration,
-      leaseTtlMs: HOST_LEASE_TTL_MS,
-      renewEveryMs: HOST_LEASE_RENEWAL_MS,
-      random: options.random,
-      isRegistered: () => view.hosts().some(({ id }) => id === own.id),
-      hostCount: () => peers.known().length + 1,
-      onStoreRestored: view.onRestored,
-      signal: stop.signal,
-    }),
-    runCacheFollower({
-      clock,
-      log,
-      ownId: own.id,
-      region: own.region,
-      regionHosts,
-      view,
-      feed: options.createCacheFeed(serverConnections, createCacheResponseRecorder(context)),
-      prefixes,
-      mayCall: (server) =>
-        context.serverLimits.limitOf(server) === undefined &&
-        !context.leavingServers.isLeaving(server) &&
-        context.serverPauses.remainingMs(server) === 0,
-      signal: stop.signal,
-    }),
-    runPeerStoreFollower({
-      clock,
-      log,
-      own,
-      view,
-      peers,
-      fetchStoreUpdate: storeUpdates.fetch,
-      signal: stop.signal,
-    }),
-  ];
+  const tasks = startHostTasks({
+    ...options,
+    context,
+    view,
+    peers,
+    fetchStoreUpdate: storeUpdates.fetch,
+    syncFromPeer: storeReaders.syncFromReader,
+    regionHosts,
+    signal: stop.signal,
+  });
 
+  const announceState = logFailures(log, 'heartbeat-round-failed', () => {
+    heartbeats.sendToAll();
+  });
   let closing: Promise<void> | undefined;
 
   async function drainAndStop(): Promise<void> {
     drain.start(loadMonitor.pendingSinceMs());
-    heartbeats.sendToAll();
+    announceState();
     const describeDrain = (): DrainProgress => drain.describe(inFlight.count());
     log.info('drain-began', { ...describeDrain() });
     await drain.waitUntilDrained(inFlight.count);
     await Promise.all(listeners.map((listener) => listener.stopListening()));
     log.info('drain-ended', { ...describeDrain() });
     drain.startClosing();
-    heartbeats.sendToAll();
+    announceState();
     stop.abort();
     await Promise.race([Promise.all(tasks), clock.sleep(UNREGISTER_TIMEOUT_MS)]);
     await drain.waitUntilFlushed(() =>
--- a/packages/gateway/src/peers/createHeartbeats.ts
+++ b/packages/gateway/src/peers/createHeartbeats.ts
@@ -197,10 +197,10 @@
 
   socket.on('message', (datagram, { address, port }) => {
     receivedCount += 1;
-    if (options.onDatagram?.(datagram) === true) {
-      return;
-    }
     try {
+      if (options.onDatagram?.(datagram) === true) {
+        return;
+      }
       const heartbeat = decode(datagram, `${address}:${port}`);
       if (heartbeat.host.id !== own.id) {
         // The time for which a heartbeat was not read is no part of the round trip.
--- a/packages/gateway/src/routing/runCacheFollower.ts
+++ b/packages/gateway/src/routing/runCacheFollower.ts
@@ -108,7 +108,9 @@
       )
       .forEach((server) => {
         followed.add(server.incarnation);
-        void follow(server).finally(() => followed.delete(server.incarnation));
+        void follow(server)
+          .catch((error: unknown) => log.error('task-failed', { task: 'cache-updates' }, error))
+          .finally(() => followed.delete(server.incarnation));
       });
     await clock.sleep(SCAN_INTERVAL_MS, signal).catch(() => undefined);
   }
--- a/packages/gateway/src/upstream/sendUpstream.ts
+++ b/packages/gateway/src/upstream/sendUpstream.ts
@@ -182,7 +182,9 @@
       connectTimeout = startInputTimeout(options.connectTimeoutMs, () => cancel('unreachable'));
       socket.once('connect', () => {
         connectTimeout?.close();
-        void Promise.resolve(options.beforeWrite?.()).then(write);
+        void (options.beforeWrite?.() ?? Promise.resolve())
+          .then(write)
+          .catch((error: Error) => outgoing.destroy(error));
       });
     });
     limitResponseHead(outgoing, () => cancel('broken'));
