--- a/packages/gateway/src/ingress/createListener.ts
+++ b/packages/gateway/src/ingress/createListener.ts
@@ -12,6 +12,7 @@
 import { createPipelineLimit } from './createPipelineLimit.js';
 import { lingerOnClose } from './lingerOnClose.js';
 import { listenWithRetry } from './listenWithRetry.js';
+import { logListenerErrors } from './logListenerErrors.js';
 
 /** Maximum size of a request head that is parsed; the configuration may set a lower limit. */
 const MAX_HEADER_BYTES = 65_536;
@@ -113,6 +114,10 @@
     if (!pipelineLimit.admits(request, response)) {
       return;
     }
+    // The close event follows, which the handler notices.
+    response.on('error', (error) =>
+      options.log.error('response-error', { listener: options.name }, error),
+    );
     const handled = options.handle(request, response).catch((error: unknown) => {
       options.log.error('request-handler-failed', {}, error);
       response.destroy();
@@ -120,6 +125,8 @@
     options.connectionMemory?.holdWhile(request, handled);
   });
   const stopRetries = new AbortController();
+  // Until then, an error says that the endpoint is not available.
+  server.once('listening', () => logListenerErrors(server, options));
   await listenWithRetry(server, { ...options, signal: stopRetries.signal });
   return {
     server,
