Ask another neighbour after one without places at fragile servers

A host that had lost its servers relayed to a neighbour that had no place at servers which bear few rejections, and its caller got 503 although another neighbour had places: the rejection excluded the whole region.

Cause: a neighbour's rejection for its own part of the places (rejection-limited) was taken for one of the region, other than that for its part of a rate; where the configuration has customers it became that of an overload. A relayed request does not wait for a place, so it now keeps its own cause, and the next neighbour is asked.

The test failed before: npx ava platform/tests/entryHost.lostServers.test.ts, nine of ten orders got 503 with four hosts and a server of two slots; all are served now.

--- a/packages/gateway/src/exchange/forwardToPeer.ts
+++ b/packages/gateway/src/exchange/forwardToPeer.ts
@@ -36,6 +36,7 @@
 const neighbourCauses: ReadonlyMap<unknown, string> = new Map([
   ...hostCauses,
   ['rate-limited', 'peer has used its part of the rates'],
+  ['rejection-limited', 'peer has used its part of the places'],
   ['host-overloaded', 'peer is short of processor time'],
 ]);
 
--- a/packages/gateway/src/exchange/prepareAttempt.ts
+++ b/packages/gateway/src/exchange/prepareAttempt.ts
@@ -122,8 +122,13 @@
         // Nothing else is left than the region that had no room, and it is not tried again.
         progress.stopCause = 'overloaded';
         progress.overload = { cause: 'full', roomInMs: 0, fitsWithoutQueue: false };
-      } else if (context.controlsOverload() && destination.reason === 'rejection-limited') {
-        // A place becomes free as soon as one of this host's requests ends.
+      } else if (
+        context.controlsOverload() &&
+        exchange.relayedBy === undefined &&
+        destination.reason === 'rejection-limited'
+      ) {
+        // A place becomes free as soon as one of this host's requests ends. A relayed request does not
+        // wait for it: another host may have one.
         progress.stopCause = 'overloaded';
         progress.overload = { cause: 'full', roomInMs: 0, fitsWithoutQueue: true };
       }
--- a/packages/gateway/src/exchange/sendErrorResponse.ts
+++ b/packages/gateway/src/exchange/sendErrorResponse.ts
@@ -5,8 +5,16 @@
 import type { StopCause } from './StopCause.js';
 import { NOT_ARRIVED, relayHeaders } from './relayHeaders.js';
 
-/** Stop cause that holds for the host only: each host has its own part of a server's rate. */
-const RATE_LIMITED = 'rate-limited';
+/** Stop causes that hold for the host only: each host has its own part of what a server accepts. */
+const HOST_LIMITS: ReadonlySet<StopCause | undefined> = new Set([
+  'rate-limited',
+  'rejection-limited',
+]);
+/** Stop causes that show that servers are short of room. */
+const ROOM_CAUSES: ReadonlySet<StopCause | undefined> = new Set([
+  'overloaded',
+  'rejection-limited',
+]);
 
 /** What the host that relayed a request has to know of its failure. */
 export interface RelayedFailure {
@@ -36,8 +44,8 @@
           relayHeaders.outcome,
           outcome,
           relayHeaders.errorCode,
-          relayed.stopCause === RATE_LIMITED ? RATE_LIMITED : code,
-          ...(relayed.stopCause === 'overloaded' ? [relayHeaders.overloaded, 'yes'] : []),
+          HOST_LIMITS.has(relayed.stopCause) ? String(relayed.stopCause) : code,
+          ...(ROOM_CAUSES.has(relayed.stopCause) ? [relayHeaders.overloaded, 'yes'] : []),
           ...(relayed.hasArrived ? [] : [relayHeaders.arrived, NOT_ARRIVED]),
         ];
   responseWriter.send(
