Do not take cold servers that a neighbour reaches for warm ones

All servers of a region that end together and start again look like a cut to its hosts. The first host whose links were back took them for possibly cold; the next one sent at full rate. A cold server that gets more than its rate falls over (FAILBACK).

Cause: the evidence of a neighbour was that it lists the service. Since hosts list a service with no usable server while all of its servers are limited, that is no longer a sign of warm servers.

The test failed before: npx ava packages/gateway/tests/upstream/createNeighbourEvidence.test.ts.

--- a/packages/gateway/src/upstream/createNeighbourEvidence.ts
+++ b/packages/gateway/src/upstream/createNeighbourEvidence.ts
@@ -16,5 +16,6 @@
   ({ registration }: ServerState, failedAtMs: number): boolean =>
     neighbours().some(
       ({ heartbeat, lastHeartbeatAtMs }) =>
-        lastHeartbeatAtMs > failedAtMs + NOTICE_MS && heartbeat.capacity.has(registration.service),
+        lastHeartbeatAtMs > failedAtMs + NOTICE_MS &&
+        (heartbeat.capacity.get(registration.service)?.usableServers ?? 0) > 0,
     );
