Stop parsing a read at the request that closes its connection

What callers saw: a host ended by itself (code 134, or killed for its memory) beside clients that send requests ahead or requests of many short fields.

Cause: Node.js gives a whole read of up to 64 KiB to the parser, which goes on to its end also when the connection was closed, or its limit of 64 requests was reached, at one of the first requests in it. Each read became hundreds of requests. Those of a closed connection are not counted any more, and they stay until the connections with input have been read: a host that is slow beside 400 such clients finds the input of all of them in one pass of its event loop. The heap followed neither the limit on requests in progress nor memory_mb.

Change: the input goes to the parser in pieces of about one request, cut at the end of a head and at the end of a body of known length. After each piece it is checked whether the connection is closed, has failed or is no longer parsed. A parser that is paused gets the rest when it goes on. Input that was malformed is not parsed further, as each piece would report the error again.

Tests: 600 requests in one write to a connection that is closed for its memory were 600 requests for the handler, now under 10.

Conclusion: this is a way in which processes end by themselves under a load that real clients can bring, again after each restart.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -100,6 +100,7 @@
 export * from './ingress/lingerOnClose.js';
 export * from './ingress/listenWithRetry.js';
 export * from './ingress/logListenerErrors.js';
+export * from './ingress/parseByPieces.js';
 export * from './ingress/readBody.js';
 export * from './ingress/readRelayedService.js';
 export * from './ingress/requestChecks.js';
--- a/packages/gateway/src/ingress/createConnectionMemory.ts
+++ b/packages/gateway/src/ingress/createConnectionMemory.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, Server } from 'node:http';
 import type { Socket } from 'node:net';
+import { parseByPieces } from './parseByPieces.js';
 
 /** Memory that a request takes until its response has ended, apart from its header fields. */
 const REQUEST_BYTES = 12_288;
@@ -15,6 +16,8 @@
 const PADDING_BYTES = 64;
 /** End of a head and of a body in chunks. */
 const MESSAGE_END = '\r\n\r\n';
+/** Prefix of the error codes of the parser. */
+const PARSE_ERROR_PREFIX = 'HPE_';
 /** Connections that hold less are never closed to make room. */
 const SPARED_BYTES = 49_152;
 
@@ -36,6 +39,8 @@
   latestRequest: IncomingMessage | undefined;
   /** Whether a request has been in progress since the last read, or came with it. */
   hasParsed: boolean;
+  /** Whether the input is malformed. */
+  hasFailed: boolean;
   readonly close: () => void;
 }
 
@@ -82,6 +87,11 @@
   return isEnd || restBytes <= PADDING_BYTES ? 0 : restBytes;
 }
 
+/** Bytes of a body that are known to follow; 0 within a head, and for a body in chunks. */
+function bodyBytesLeftOf(holder: Holder | undefined): number {
+  return holder?.latestRequest?.complete === false ? Math.max(0, -holder.balanceBytes) : 0;
+}
+
 /** Name under which the parser of Node.js keeps the fields of a head that has not ended. */
 const PARSED_FIELDS = '_headers';
 
@@ -209,6 +219,7 @@
           balanceBytes: 0,
           latestRequest: undefined,
           hasParsed: false,
+          hasFailed: false,
           close() {
             onClose();
             socket.destroy();
@@ -219,7 +230,17 @@
         // Behind the parser: what it has passed on counts as a request, and the rest of a read only
         // if it belongs to a head, for which the parser takes more memory than its bytes.
         if (countsInput) {
-          socket.on('data', (chunk) => recordInput(socket, chunk));
+          parseByPieces(socket, {
+            bodyBytesLeft: () => bodyBytesLeftOf(holders.get(socket)),
+            hasFailed: () => holders.get(socket)?.hasFailed ?? false,
+            onParsed: (piece) => recordInput(socket, piece),
+          });
+        }
+      });
+      server.prependListener('clientError', ({ code }: NodeJS.ErrnoException, stream) => {
+        const holder = holders.get(stream as Socket);
+        if (holder !== undefined && code?.startsWith(PARSE_ERROR_PREFIX) === true) {
+          holder.hasFailed = true;
         }
       });
       server.prependListener('request', (request, response) => {
--- a/packages/gateway/tests/ingress/createConnectionMemory.test.ts
+++ b/packages/gateway/tests/ingress/createConnectionMemory.test.ts
@@ -13,6 +13,7 @@
 interface Probe {
   readonly memory: ConnectionMemory;
   closeCount(): number;
+  requestCount(): number;
   connect(): Socket;
 }
 
@@ -21,17 +22,20 @@
   t: ExecutionContext,
   maxBytes: number,
   countsInput = true,
+  responseText = RESPONSE_END,
 ): Promise<Probe> {
   const memory = createConnectionMemory(maxBytes);
   let closeCount = 0;
+  let requestCount = 0;
   const server = createServer({ keepAliveTimeout: 60_000 }, (request, response) => {
+    requestCount += 1;
     if (memory.isExceededBy(request)) {
       response.writeHead(503).end();
       return;
     }
     request
       .on('error', () => undefined)
-      .on('end', () => response.end(RESPONSE_END))
+      .on('end', () => response.end(responseText))
       .resume();
   });
   memory.apply(server, countsInput, () => {
@@ -47,6 +51,7 @@
   return {
     memory,
     closeCount: () => closeCount,
+    requestCount: () => requestCount,
     connect() {
       const socket = connect({ port, host: '127.0.0.1', noDelay: true });
       socket.on('error', () => undefined).setEncoding('latin1');
@@ -184,6 +189,34 @@
   await closed;
 });
 
+// The parser went on with hundreds of requests of the same read, which filled the heap of the process.
+test('requests that arrive with the one at which their connection is closed are not parsed', async (t) => {
+  const { memory, closeCount, requestCount, connect: open } = await startProbe(t, 60_000);
+  const socket = open();
+  const closed = once(socket, 'close');
+  socket.write(GET.repeat(600));
+  await closed;
+  t.is(closeCount(), 1);
+  t.true(requestCount() < 10, `${requestCount()} requests`);
+  t.is(memory.heldBytes(), 0);
+});
+
+test('requests that are sent ahead in one write are all answered, also if the responses are read late', async (t) => {
+  const { connect: open } = await startProbe(t, 10_000_000, true, 'x'.repeat(100_000));
+  const socket = open();
+  const request = `POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 500\r\n\r\n${body}`;
+  socket.write(request.repeat(200));
+  await new Promise((resolve) => {
+    setTimeout(resolve, 300);
+  });
+  let text = '';
+  socket.on('data', (data: string) => {
+    text += data;
+  });
+  await waitUntil(() => text.length >= 200 * 100_000 && text.split('HTTP/1.1 200').length === 201);
+  t.pass();
+});
+
 // An order goes on without its caller, so that closing its connection frees nothing yet.
 test('a request that is handled is held after its connection was closed, until its end', async (t) => {
   const memory = createConnectionMemory(1_000_000);
