Let requests of a host without servers wait at a neighbour for room

Cause: such a request was judged twice, by the host without servers, from the estimate of its region in a heartbeat, and by the neighbour, which rejected it at once where its own callers wait for room.

Change: a host that reaches none of its servers leaves the judgement to the neighbour, and asks one also when another region has no room. The neighbour lets the request wait in its admission queue. It is recorded, and its return booked, where its caller is, as before.

Tests: createRouter.test.ts, waitForRoom.test.ts, both failed before.

--- a/packages/gateway/src/exchange/Exchange.ts
+++ b/packages/gateway/src/exchange/Exchange.ts
@@ -42,6 +42,8 @@
   readonly deadlineAtMs: number;
   /** Entry host that relayed the request; undefined when it came from a caller. */
   readonly relayedBy: string | undefined;
+  /** Whether that host is of this region: it reaches no servers, and its callers are served here. */
+  readonly isFromNeighbour: boolean;
   /** Version at which the relaying host requires the stream to go on. */
   readonly requiredVersion: SoftwareVersion | undefined;
   /** Time in transit from the relaying host, in excess of a heartbeat's; undefined if unknown. */
--- a/packages/gateway/src/exchange/waitForRoom.ts
+++ b/packages/gateway/src/exchange/waitForRoom.ts
@@ -60,8 +60,9 @@
  * Called when no attempt could be prepared. Returns true if the request was rejected for overload and
  * has its turn to try again; the reason to stop is then no longer in the progress. A request that is
  * known to find no room within the time that it may wait does not wait. One that is rejected is
- * recorded, unless another host relayed it or a server may have run it. Without customers that compete for
- * the servers, nothing waits or is recorded.
+ * recorded, unless another host relayed it or a server may have run it. One that a neighbour relayed waits
+ * like those of own callers: it may wait nowhere else. Without customers that compete for the servers,
+ * nothing waits or is recorded.
  */
 export async function waitForRoom(
   context: GatewayContext,
@@ -69,11 +70,12 @@
   progress: ExchangeProgress,
   startSignal: AbortSignal,
 ): Promise<boolean> {
-  const { relayedBy, route, service, arrivedAtMs } = exchange;
+  const { relayedBy, isFromNeighbour, route, service, arrivedAtMs } = exchange;
   if (!context.controlsOverload()) {
     return false;
   }
-  if (progress.stopCause !== 'overloaded' || relayedBy !== undefined || progress.runs > 0) {
+  const isRelayed = relayedBy !== undefined;
+  if (progress.stopCause !== 'overloaded' || (isRelayed && !isFromNeighbour) || progress.runs > 0) {
     return false;
   }
   const { overload } = progress;
@@ -95,7 +97,7 @@
       return true;
     }
   }
-  if (!startSignal.aborted) {
+  if (!startSignal.aborted && !isRelayed) {
     recordRejection(context, exchange, progress);
   }
   return false;
--- a/packages/gateway/src/ingress/createRequestHandler.ts
+++ b/packages/gateway/src/ingress/createRequestHandler.ts
@@ -114,13 +114,15 @@
     }
   }
 
+  const isFromNeighbour = (request: IncomingMessage): boolean =>
+    isRelayed && options.isNeighbour(firstHeaderValue(request, relayHeaders.relayedBy) ?? '');
+
   /**
    * Rejects a request that would only make all others late. One of another region has come a long way;
    * one that a neighbour could not send to its servers is like a request of this host's callers.
    */
   function requireProcessorTime({ rank }: Route, request: IncomingMessage): void {
-    const relayedBy = firstHeaderValue(request, relayHeaders.relayedBy) ?? '';
-    if ((!isRelayed || options.isNeighbour(relayedBy)) && !options.admitsRank(rank)) {
+    if ((!isRelayed || isFromNeighbour(request)) && !options.admitsRank(rank)) {
       throw createHostOverloadedError({
         retryAfterMs: MIN_OVERLOAD_RETRY_MS + context.random.next() * OVERLOAD_RETRY_SPREAD_MS,
       });
@@ -201,6 +203,7 @@
       arrivedAtMs,
       deadlineAtMs,
       relayedBy,
+      isFromNeighbour: isFromNeighbour(request),
       requiredVersion: isRelayed
         ? parseVersion(firstHeaderValue(request, relayHeaders.requiredVersion))
         : undefined,
--- a/packages/gateway/src/routing/createRouter.ts
+++ b/packages/gateway/src/routing/createRouter.ts
@@ -171,6 +171,21 @@
       : { ...reject(request, first, second), cause: 'full' };
   }
 
+  /**
+   * Takes the first choice that admits the request, while no server of this region is reached. A neighbour
+   * knows better how much room the servers have, and lets the request wait for it.
+   */
+  function admitElsewhere(
+    request: RoutingRequest,
+    choice: RegionChoice,
+    findNeighbour: () => RegionChoice | undefined,
+  ): Destination {
+    if (choice.isOwnRegion || isAdmitted(request, choice)) {
+      return choice;
+    }
+    return findNeighbour() ?? { ...reject(request, choice), cause: 'full' };
+  }
+
   return {
     choose(request) {
       const local = chooseLocal(request);
@@ -196,7 +211,9 @@
         }
         const cause = shedCause(request, choice);
         return cause === undefined
-          ? admit(request, choice, () => undefined)
+          ? admitElsewhere(request, choice, () =>
+              isCutOff ? findRegion('own')?.choice : undefined,
+            )
           : divertOrReject(request, choice, cause, undefined);
       }
       const cause = shedCause(request, local.choice);
--- a/packages/gateway/tests/exchange/waitForRoom.test.ts
+++ b/packages/gateway/tests/exchange/waitForRoom.test.ts
@@ -15,6 +15,7 @@
   hasTurn: boolean,
   changes: {
     readonly relayedBy?: string;
+    readonly isFromNeighbour?: boolean;
     readonly hasCustomers?: boolean;
     readonly runs?: number;
     readonly hasLeft?: boolean;
@@ -50,6 +51,7 @@
     arrivedAtMs: 0,
     deadlineAtMs: 5_000,
     relayedBy: changes.relayedBy,
+    isFromNeighbour: changes.isFromNeighbour ?? false,
     isLate: changes.isLate ?? false,
   } as unknown as Exchange;
   const progress = {
@@ -97,6 +99,13 @@
   }
 });
 
+// Callers of hosts without servers were rejected while those of their neighbours waited for room.
+test('a request that a neighbour relayed waits, and is recorded by that neighbour', async (t) => {
+  const changes = { relayedBy: 'host-2', isFromNeighbour: true };
+  t.true((await wait(true, changes)).mayTry);
+  t.like(await wait(false, changes), { mayTry: false, recorded: [], retryAfterMs: 500 });
+});
+
 test('a request that is known to find no room in its time to wait is rejected at once', async (t) => {
   t.true((await wait(true, { overload: { roomInMs: 100 } })).mayTry);
   for (const overload of [{ roomInMs: 101 }, { fitsWithoutQueue: false }]) {
--- a/packages/gateway/tests/routing/createRouter.test.ts
+++ b/packages/gateway/tests/routing/createRouter.test.ts
@@ -133,6 +133,24 @@
   t.is(chosenFor('rate-limited'), 'others');
 });
 
+// The estimate of a host without servers rejected what a neighbour would have let wait for room.
+test('a neighbour decides itself whether it has room for the requests of a host without servers', (t) => {
+  const busy = { slotUsageRatio: 1, waitMs: 9_000 };
+  const neighbour = { ...regionChoice(100), ...busy, isOwnRegion: true };
+  const other = { ...regionChoice(50), ...busy };
+  const choose = (choices: Partial<Record<RegionScope, RegionChoice>>) =>
+    setUp(undefined, undefined, undefined, {
+      chooseLocal: () => ({ kind: 'none', reason: 'unreachable' }),
+      chooseRegion(_, scope) {
+        const choice = choices[scope];
+        return choice && { choice, scoreMs: choice.estimateMs };
+      },
+    }).router.choose(request);
+  t.is(choose({ all: neighbour }), neighbour);
+  t.is(choose({ all: other, own: neighbour }), neighbour);
+  t.like(choose({ all: other }), { kind: 'none', reason: 'overloaded', cause: 'full' });
+});
+
 // A request that had waited for a connection waited for the next one, while a neighbour had them open.
 test('a request that fails to connect goes to a neighbour, and back if another host relayed it', (t) => {
   const choose = (changes: object, neighbour?: RegionChoice) => {
