Relay to neighbours with places from hosts without one at fragile servers

Hosts divide the slots of servers that bear few rejections. In a region with more hosts than slots some had no place at any server of a service, and rejected every request as rejection-limited, also while the hosts with places were idle.

Change: such a request goes to a neighbour whose latest heartbeat shows a usable server without a limit, besides other regions. A neighbour without a free place rejects it as one that concerns itself only. Nothing is sent beyond the places, so servers reject no more than before.

--- a/packages/gateway/src/exchange/Exchange.ts
+++ b/packages/gateway/src/exchange/Exchange.ts
@@ -42,7 +42,7 @@
   readonly deadlineAtMs: number;
   /** Entry host that relayed the request; undefined when it came from a caller. */
   readonly relayedBy: string | undefined;
-  /** Whether that host is of this region: it reaches no servers, and its callers are served here. */
+  /** Whether that host is of this region: its callers are served here, as it can send to no server. */
   readonly isFromNeighbour: boolean;
   /** Version at which the relaying host requires the stream to go on. */
   readonly requiredVersion: SoftwareVersion | undefined;
--- a/packages/gateway/src/routing/createRegionChooser.ts
+++ b/packages/gateway/src/routing/createRegionChooser.ts
@@ -30,8 +30,11 @@
   readonly servers: () => readonly ServerState[];
 }
 
-/** Regions among whose hosts a peer is chosen. */
-export type RegionScope = 'others' | 'own' | 'all';
+/**
+ * Regions among whose hosts a peer is chosen. `with-room`: others, and hosts of the own region that may
+ * send to servers without a limit on their requests now.
+ */
+export type RegionScope = 'others' | 'own' | 'all' | 'with-room';
 
 /** Selects another entry host, or undefined if there is none. */
 export type RegionChooser = (
@@ -121,8 +124,16 @@
   }
 
   /** Whether a host with this capacity serves callers of this region. */
-  const servesFrom = (region: RegionId, capacity: RegionCapacity | undefined): boolean =>
-    capacity !== undefined && (region === options.region || capacity.usableServers > 0);
+  const serves = (
+    region: RegionId,
+    capacity: RegionCapacity | undefined,
+    scope: RegionScope,
+  ): boolean =>
+    capacity !== undefined &&
+    ((region === options.region && scope !== 'with-room') || capacity.usableServers > 0);
+
+  const isInScope = (region: RegionId, scope: RegionScope): boolean =>
+    scope === 'all' || scope === 'with-room' || (region === options.region) === (scope === 'own');
 
   /**
    * Ready peers that can reach servers of the service themselves, by their own heartbeat. Only the
@@ -138,9 +149,9 @@
     const alive = peers.alive().filter(({ heartbeat: { host, capacity } }) => {
       const isAllowed = homeRegions.length === 0 || homeRegions.includes(host.region);
       return (
-        (scope === 'all' || (host.region === options.region) === (scope === 'own')) &&
+        isInScope(host.region, scope) &&
         isAllowed &&
-        servesFrom(host.region, capacity.get(service.name)) &&
+        serves(host.region, capacity.get(service.name), scope) &&
         mayContinue(host.region) &&
         !request.triedRegions.has(host.region) &&
         !request.rejectingHosts.has(host.id)
--- a/packages/gateway/src/routing/createRouter.ts
+++ b/packages/gateway/src/routing/createRouter.ts
@@ -6,7 +6,13 @@
 import type { LocalChooser } from './createLocalChooser.js';
 import type { RegionChooser, RegionScope } from './createRegionChooser.js';
 import type { ServerView } from './createServerView.js';
-import type { RoutingRequest, Destination, LocalChoice, RegionChoice } from './Destination.js';
+import type {
+  RoutingRequest,
+  Destination,
+  LocalChoice,
+  LocalRejection,
+  RegionChoice,
+} from './Destination.js';
 import type { Scored } from './Scored.js';
 import { toAdmissionRequest } from './toAdmissionRequest.js';
 
@@ -51,7 +57,8 @@
 
 /**
  * Creates a router that selects a local server, a peer, or a rejection. Peers of this region are for
- * requests of a host that reaches none of the servers, or may be about to find out that it does not.
+ * requests of a host that reaches none of the servers, or may be about to find out that it does not, and
+ * for those of a host without places at servers that bear few rejections.
  */
 export function createRouter(options: RouterOptions): Router {
   const { chooseLocal, chooseRegion, loads } = options;
@@ -186,6 +193,21 @@
     return findNeighbour() ?? { ...reject(request, choice), cause: 'full' };
   }
 
+  /** Where another host is sought for a request that this one can't send to a server. */
+  function scopeFor(reason: LocalRejection['reason'], isRegionDoubtful: boolean): RegionScope {
+    if (isRegionDoubtful) {
+      return 'others';
+    }
+    switch (reason) {
+      case 'unreachable':
+        return 'all';
+      case 'rejection-limited':
+        return 'with-room';
+      default:
+        return 'others';
+    }
+  }
+
   return {
     choose(request) {
       const local = chooseLocal(request);
@@ -203,7 +225,7 @@
         request.isRelayed ? undefined : chooseRegion(request, scope);
       if (!('choice' in local)) {
         const isCutOff = local.reason === 'unreachable';
-        const first = findRegion(isCutOff && !isRegionDoubtful ? 'all' : 'others');
+        const first = findRegion(scopeFor(local.reason, isRegionDoubtful));
         const choice = (first ?? (isCutOff && isRegionDoubtful ? findRegion('own') : undefined))
           ?.choice;
         if (choice === undefined) {
--- a/packages/gateway/tests/routing/createRouter.test.ts
+++ b/packages/gateway/tests/routing/createRouter.test.ts
@@ -109,9 +109,9 @@
   t.like(router.choose({ ...request, isRelayed: true }), { kind: 'none', reason: 'no-server' });
 });
 
-test('only a host that reaches none of the servers relays inside its region', (t) => {
+test('only a host that can send to none of the servers relays inside its region', (t) => {
   const chosenFor = (
-    reason: 'no-server' | 'rate-limited' | 'unreachable',
+    reason: 'no-server' | 'rate-limited' | 'rejection-limited' | 'unreachable',
     isRelayed = false,
     neighbourRejections = 0,
   ) => {
@@ -131,6 +131,8 @@
   t.is(chosenFor('unreachable', false, 2), 'own', 'after other regions');
   t.is(chosenFor('no-server'), 'others');
   t.is(chosenFor('rate-limited'), 'others');
+  t.is(chosenFor('rejection-limited'), 'with-room');
+  t.is(chosenFor('rejection-limited', false, 2), 'others');
 });
 
 // The estimate of a host without servers rejected what a neighbour would have let wait for room.
