--- a/packages/gateway/tests/routing/createRouter.test.ts
+++ b/packages/gateway/tests/routing/createRouter.test.ts
@@ -109,9 +109,9 @@
   t.like(router.choose({ ...request, isRelayed: true }), { kind: 'none', reason: 'no-server' });
 });
 
-test('only a host that reaches none of the servers relays inside its region', (t) => {
+test('only a host that can send to none of the servers relays inside its region', (t) => {
   const chosenFor = (
-    reason: 'no-server' | 'rate-limited' | 'unreachable',
+    reason: 'no-server' | 'rate-limited' | 'rejection-limited' | 'unreachable',
     isRelayed = false,
     neighbourRejections = 0,
   ) => {
@@ -131,6 +131,26 @@
   t.is(chosenFor('unreachable', false, 2), 'own', 'after other regions');
   t.is(chosenFor('no-server'), 'others');
   t.is(chosenFor('rate-limited'), 'others');
+  t.is(chosenFor('rejection-limited'), 'with-room');
+  t.is(chosenFor('rejection-limited', false, 2), 'others');
+});
+
+// The estimate of a host without servers rejected what a neighbour would have let wait for room.
+test('a neighbour decides itself whether it has room for the requests of a host without servers', (t) => {
+  const busy = { slotUsageRatio: 1, waitMs: 9_000 };
+  const neighbour = { ...regionChoice(100), ...busy, isOwnRegion: true };
+  const other = { ...regionChoice(50), ...busy };
+  const choose = (choices: Partial<Record<RegionScope, RegionChoice>>) =>
+    setUp(undefined, undefined, undefined, {
+      chooseLocal: () => ({ kind: 'none', reason: 'unreachable' }),
+      chooseRegion(_, scope) {
+        const choice = choices[scope];
+        return choice && { choice, scoreMs: choice.estimateMs };
+      },
+    }).router.choose(request);
+  t.is(choose({ all: neighbour }), neighbour);
+  t.is(choose({ all: other, own: neighbour }), neighbour);
+  t.like(choose({ all: other }), { kind: 'none', reason: 'overloaded', cause: 'full' });
 });
 
 // A request that had waited for a connection waited for the next one, while a neighbour had them open.
