Listen to errors of accepted connections at all times

Callers of a host could have lost it to one connection: Node.js takes its error listener away from a connection when it parses a CONNECT request, before it destroys it. An error that was reported already, but not emitted yet, then ends the process.

Change: each listener adds a listener to a connection when it is accepted, as the pools do for their own.

The new test fails before the change with "Uncaught exception: write EPIPE", and passes now.

--- a/packages/gateway/src/ingress/createListener.ts
+++ b/packages/gateway/src/ingress/createListener.ts
@@ -86,8 +86,10 @@
   const report = createConnectionReport(options);
   const pipelineLimit = createPipelineLimit(() => report({ cause: 'requests-ahead' }));
   let acceptedCount = 0;
-  server.on('connection', () => {
+  server.on('connection', (socket) => {
     acceptedCount += 1;
+    // Node.js takes its own listener away when it reads a CONNECT request.
+    socket.on('error', () => undefined);
     options.onAccept?.();
   });
   const headerTimeout = createHeldLimit(options.clock);
--- a/packages/gateway/tests/ingress/logListenerErrors.test.ts
+++ b/packages/gateway/tests/ingress/logListenerErrors.test.ts
@@ -49,3 +49,16 @@
   t.regex(await call(), /^HTTP\/1.1 200/);
   t.like(logged[0], { event: 'response-error', listener: 'callers' });
 });
+
+// Node.js had removed its listener by the time at which the error was reported.
+test('an error of a connection with a CONNECT request does not end the process', async (t) => {
+  const { server, call } = await startListener(t, (response) => response.end('ok'));
+  server.once('connection', (socket: Socket) => {
+    socket.prependListener('data', () => socket.destroy(new Error('write EPIPE')));
+  });
+  const caller = connect((server.address() as AddressInfo).port, '127.0.0.1');
+  caller.on('error', () => undefined);
+  caller.write('CONNECT a:80 HTTP/1.1\r\nHost: a:80\r\n\r\n');
+  await once(caller, 'close');
+  t.regex(await call(), /^HTTP\/1.1 200/);
+});
