Notice links that hang from requests that can't be sent again, too

A host whose links hung noticed it from requests that may be sent to another server, or once it needed a new connection.

Nothing is given up because of it.

--- a/packages/gateway/src/exchange/forwardToServer.ts
+++ b/packages/gateway/src/exchange/forwardToServer.ts
@@ -47,15 +47,9 @@
   readonly admitStream: ReceiveResponseOptions['admitStream'];
 }
 
-function responseTimeoutMs({
-  exchange,
-  destination,
-  reserveNext,
-}: ForwardToServerOptions): number | undefined {
+/** Time after which the server is probed, and another attempt is made if one is allowed. */
+function responseTimeoutMs({ exchange, destination }: ForwardToServerOptions): number {
   const { route } = exchange;
-  if (reserveNext === undefined) {
-    return undefined;
-  }
   return route.delivery === 'whole'
     ? Math.max(MIN_RESPONSE_TIMEOUT_MS, route.targetLatencyMs * RESPONSE_TIMEOUT_TARGET_RATIO)
     : Math.max(route.targetLatencyMs, destination.estimateMs * RESPONSE_TIMEOUT_ESTIMATE_RATIO);
