Leave out limits on rejections of a negative age

By reading: a heartbeat row of a limit with a negative age was taken for a statement from the future. Such a limit never aged, spread to the other hosts, and replaced what the server's responses said, until the server was gone.

The test failed before: npx ava packages/gateway/tests/peers/heartbeatCodec.test.ts.

--- a/packages/gateway/src/peers/usableRows.ts
+++ b/packages/gateway/src/peers/usableRows.ts
@@ -52,7 +52,8 @@
   row.length === 4 &&
   areStrings(row.slice(0, 2)) &&
   (row[2] === null || (isFigure(row[2]) && row[2] >= 0)) &&
-  isFigure(row[3]);
+  isFigure(row[3]) &&
+  row[3] >= 0;
 
 function isCrash(row: unknown): boolean {
   const crash = (row ?? {}) as Record<string, unknown>;
--- a/packages/gateway/tests/peers/heartbeatCodec.test.ts
+++ b/packages/gateway/tests/peers/heartbeatCodec.test.ts
@@ -90,7 +90,9 @@
   };
   const datagram = createHeartbeatEncoder(withLimits)(heartbeat.echo);
   t.deepEqual(decodeHeartbeat(datagram), withLimits);
-  const malformed = datagram.toString().replace('"rej":[', '"rej":[null,["i-3#1","model",-1,0],');
+  // A report from the future would go before every response of the server.
+  const rows = 'null,["i-3#1","model",-1,0],["i-4#1","model",1,-1000]';
+  const malformed = datagram.toString().replace('"rej":[', `"rej":[${rows},`);
   t.deepEqual(decodeHeartbeat(Buffer.from(malformed)), withLimits);
 });
 
