Do not take pauses of a busy process for a cut

By reading, shown by a unit test: when a probe of one late server took more than 60 ms, for instance because the process was short of processor time, a host probed up to 32 other servers and sent nothing to any server until one of these probes ended. It relayed its requests and reported no capacity, just when it was busy.

Change: a wait in which the process stood still is repeated, up to three times.

The test failed before: npx ava packages/gateway/tests/upstream/createServerLinks.test.ts (33 probes in place of 1).

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -238,4 +238,5 @@
 export * from './upstream/limitResponseHead.js';
 export * from './upstream/readFullBody.js';
 export * from './upstream/sendUpstream.js';
+export * from './upstream/sleepWhileReading.js';
 export * from './upstream/tryConnect.js';
--- a/packages/gateway/src/upstream/createServerLinks.ts
+++ b/packages/gateway/src/upstream/createServerLinks.ts
@@ -5,6 +5,7 @@
 import { createWitnessSearch } from './createWitnessSearch.js';
 import { hasFailed } from './ServerLink.js';
 import type { LinkVerdict, ServerLink } from './ServerLink.js';
+import { sleepWhileReading } from './sleepWhileReading.js';
 import type { ConnectOutcome } from './tryConnect.js';
 
 /** Pause before a server is probed again after a failure; doubles with each further one. */
@@ -212,7 +213,7 @@
   ): Promise<LinkVerdict> {
     const sinceMs = clock.monotonicMs();
     const trial = tryServer();
-    const delay = clock.sleep(SLOW_PROBE_MS, closing.signal).catch(() => undefined);
+    const delay = sleepWhileReading(clock, SLOW_PROBE_MS, closing.signal);
     if ((await Promise.race([trial, delay])) === 'open') {
       return 'open';
     }
--- a/packages/gateway/src/upstream/createWitnessSearch.ts
+++ b/packages/gateway/src/upstream/createWitnessSearch.ts
@@ -2,6 +2,7 @@
 import { findAny } from './findAny.js';
 import { hasFailed } from './ServerLink.js';
 import type { ServerLink } from './ServerLink.js';
+import { sleepWhileReading } from './sleepWhileReading.js';
 import type { ConnectOutcome } from './tryConnect.js';
 
 /** Servers that are probed first, and the most that are probed after them. */
@@ -44,7 +45,7 @@
 
   async function findWitness(witnesses: readonly ServerLink[]): Promise<boolean> {
     const first = findAny(witnesses.slice(0, FIRST_WITNESSES), isReached);
-    const delay = clock.sleep(WITNESS_DELAY_MS, signal).catch(() => undefined);
+    const delay = sleepWhileReading(clock, WITNESS_DELAY_MS, signal);
     if ((await Promise.race([first, delay])) === true) {
       return true;
     }
--- a/packages/gateway/tests/upstream/createServerLinks.test.ts
+++ b/packages/gateway/tests/upstream/createServerLinks.test.ts
@@ -14,7 +14,7 @@
     }),
   );
 
-function setUp(serverCount: number) {
+function setUp(serverCount: number, openMs = 1) {
   const clock = createManualClock();
   const servers = buildServers(serverCount);
   const unreached = new Map<number, ConnectOutcome>();
@@ -38,7 +38,7 @@
       running += 1;
       mostRunning = Math.max(mostRunning, running);
       const outcome = unreached.get(port) ?? 'open';
-      await clock.sleep(outcome === 'timeout' ? 300 : 1);
+      await clock.sleep(outcome === 'timeout' ? 300 : openMs);
       running -= 1;
       return unreached.has(port) ? outcome : 'open';
     },
@@ -46,9 +46,9 @@
   const cut = (outcome: ConnectOutcome): void =>
     servers.forEach(({ registration }) => unreached.set(registration.endpoint.port, outcome));
   /** Advances the clock in steps, with time for what follows from each. */
-  async function pass(durationMs: number): Promise<void> {
-    for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += 10) {
-      clock.advance(10);
+  async function pass(durationMs: number, stepMs = 10): Promise<void> {
+    for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += stepMs) {
+      clock.advance(stepMs);
       await setImmediate();
     }
   }
@@ -138,6 +138,18 @@
   links.close();
 });
 
+// A busy host probed all servers because of one late response, and sent nothing until one probe ended.
+test('the pauses of a busy process are no sign of a cut', async (t) => {
+  const { links, servers, probes, pass, open } = setUp(60, 70);
+  const verdict = links.check(servers[0] as ServerState);
+  await pass(100, 100);
+  t.is(open(), 60);
+  await pass(100, 100);
+  t.is(await verdict, 'open');
+  t.is(probes.length, 1);
+  links.close();
+});
+
 // A request that crashes servers goes from one to the next within the time of a cut.
 test('servers that fail one after the other count as crashed, the last one, too', async (t) => {
   const { links, servers, unreached, pass } = setUp(2);
