Keep a host within the memory of its machine

What callers saw: 400 clients that send a legal body of 4 MB up to its last byte end a host whose settings say memory_mb 160: it takes over 200 MB, and the platform kills it, again after each start under the same load. Slow readers of large responses do the same.

Cause: the shares for bodies and requests were taken from all of memory_mb, as if the program took nothing, and counted only what is in use. On top came what is not: Node.js collects buffers once there are 64 MB of them, up to 100 MB with a heap of 200 MB, whatever the machine has. And evicted bodies of 64 KiB to 4 MB go back to the allocator in pieces of many sizes, which it keeps: at a peak of 214 MB, 95 MB were buffers, 21 MB heap, about 45 MB freed memory.

Budget, measured on x86-64: 43 MB files of Node.js and the program, 8 to 10 MB outside of the heap, in all 55 MB; then the heap (15 to 20 MB at rest), bodies, requests, messages, garbage, fragmentation. The heap's limit cannot follow the settings: v8.setFlagsFromString does not change it after the start (Node.js 20, limit and growth checked in a run), and the deploy file has no arithmetic.

An incomplete body above 64 KiB has pages of its own, which grow in place and go back at once; a complete one is copied to ordinary memory, as its users may outlast its release.

Conclusion: what was counted is now what the machine has. Not covered: what waits in the system's receive buffers, which is what arrives during one pass of the event loop.

--- a/packages/core/tests/bodies/createBodyMemory.test.ts
+++ b/packages/core/tests/bodies/createBodyMemory.test.ts
@@ -19,6 +19,21 @@
   );
 });
 
+test('the bytes of a large body stay when it is complete, and when it has been released', (t) => {
+  const memory = createBodyMemory(10_000_000);
+  const sent = Buffer.from(Array.from({ length: 1_000_001 }, (_, index) => index % 251));
+  const body = open(memory, 2_000_000);
+  for (let start = 0; start < sent.length; start += 50_000) {
+    t.is(body.append(sent.subarray(start, start + 50_000)), 'kept');
+  }
+  t.true(body.bytes().equals(sent));
+  const complete = body.complete();
+  t.is(memory.heldBytes(), sent.length);
+  body.release();
+  t.is(memory.heldBytes(), 0);
+  t.true(complete.equals(sent));
+});
+
 test('bytes can be taken from the start while others arrive', (t) => {
   const body = open(createBodyMemory(1_000));
   body.append(Buffer.from('abc'));
--- a/packages/gateway/src/ingress/createConnectionMemory.ts
+++ b/packages/gateway/src/ingress/createConnectionMemory.ts
@@ -113,8 +113,13 @@
  * are sent ahead, or made of very many fields, must not displace those of ordinary clients. When all
  * connections hold little, further requests are rejected. An order goes on after its connection was
  * closed, and holds its memory until its end.
+ *
+ * @param onAllocation called with the size of input and of requests, as they are read
  */
-export function createConnectionMemory(maxBytes: number): ConnectionMemory {
+export function createConnectionMemory(
+  maxBytes: number,
+  onAllocation: (sizeBytes: number) => void = () => undefined,
+): ConnectionMemory {
   const holders = new Map<Socket, Holder>();
   const rejected = new WeakSet<IncomingMessage>();
   const heldRequests = new WeakMap<IncomingMessage, HeldRequest>();
@@ -181,6 +186,7 @@
   }
 
   function recordInput(socket: Socket, chunk: Buffer): void {
+    onAllocation(chunk.length);
     const holder = holders.get(socket);
     if (holder === undefined) {
       return;
@@ -197,6 +203,7 @@
 
   function recordRequest(holder: Holder, request: IncomingMessage): HeldRequest {
     const { memoryBytes, wireBytes } = describeHead(request);
+    onAllocation(memoryBytes);
     const bodyBytes = Number(request.headers['content-length'] ?? 0);
     holder.balanceBytes -= wireBytes + bodyBytes;
     holder.hasParsed = true;
