Compare the installation with package-lock.json before a build

What was seen: the build line asked whether node_modules is newer than the lock.

Cause: the age of a folder was taken for its completeness.

Change: the build itself compares each package that the program and the bundler need on this kind of machine, by the lock, with the folder, and asks for the file that npm writes last. The programs in dist/ use the same modules.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -72,6 +72,11 @@
   {
     files: ['**/*.mjs'],
     languageOptions: { globals: { process: 'readonly' } },
-    rules: { ...deviations, 'import-x/no-extraneous-dependencies': 'off' },
+    rules: {
+      ...deviations,
+      'import-x/no-extraneous-dependencies': 'off',
+      // Build scripts run before the packages of the repository can be imported by name.
+      'import-x/no-relative-packages': 'off',
+    },
   },
 ];
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -1,55 +1,67 @@
 // Bundles the programs into dist/. With --binary, also builds the single-executable application.
+// Installs the packages that are missing.
 import { execFileSync } from 'node:child_process';
-import { chmodSync, copyFileSync, mkdirSync, writeFileSync } from 'node:fs';
+import { chmodSync, copyFileSync, mkdirSync, readFileSync, writeFileSync } from 'node:fs';
 import { createRequire } from 'node:module';
 import path from 'node:path';
-import { build } from 'esbuild';
+import { fileURLToPath } from 'node:url';
+import { PackagesError } from './build/installPackages.mjs';
+import { runBuild } from './build/runBuild.mjs';
 
+const ROOT = path.join(path.dirname(fileURLToPath(import.meta.url)), '..');
 const require = createRequire(import.meta.url);
 const SEA_FUSE = 'NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2';
-
-mkdirSync('dist', { recursive: true });
-
-async function bundle(entry, outfile) {
-  await build({
-    entryPoints: [entry],
-    outfile,
-    bundle: true,
-    platform: 'node',
-    format: 'cjs',
-    target: 'node20',
-    mainFields: ['module', 'main'],
-    // Optional native dependency of hot-shots, used only for Unix domain sockets.
-    external: ['unix-dgram'],
-    logLevel: 'warning',
-  });
-}
+const NODE_PACKAGE = `node-linux-${process.arch}`;
+const PROGRAM = 'dist/camphorbarrow.cjs';
+const BINARY = 'dist/camphorbarrow';
+const ENTRY_POINTS = {
+  [PROGRAM]: 'packages/daemon/src/main.ts',
+  'dist/standin.cjs': 'packages/standins/src/main.ts',
+};
+const isBinary = process.argv.includes('--binary');
 
 async function makeBinary() {
   const { inject } = require('postject');
-  const { readFileSync } = await import('node:fs');
-  const nodePackage = `node-linux-${process.arch}`;
-  const node = path.join(path.dirname(require.resolve(`${nodePackage}/package.json`)), 'bin/node');
+  const node = path.join(path.dirname(require.resolve(`${NODE_PACKAGE}/package.json`)), 'bin/node');
   writeFileSync(
     'dist/sea.json',
     JSON.stringify({
-      main: 'dist/camphorbarrow.cjs',
+      main: PROGRAM,
       output: 'dist/camphorbarrow.blob',
       disableExperimentalSEAWarning: true,
     }),
   );
   execFileSync(node, ['--experimental-sea-config', 'dist/sea.json'], { stdio: 'inherit' });
-  copyFileSync(node, 'dist/camphorbarrow');
-  chmodSync('dist/camphorbarrow', 0o755);
-  await inject('dist/camphorbarrow', 'NODE_SEA_BLOB', readFileSync('dist/camphorbarrow.blob'), {
+  copyFileSync(node, BINARY);
+  chmodSync(BINARY, 0o755);
+  await inject(BINARY, 'NODE_SEA_BLOB', readFileSync('dist/camphorbarrow.blob'), {
     sentinelFuse: SEA_FUSE,
   });
 }
 
-await Promise.all([
-  bundle('packages/daemon/src/main.ts', 'dist/camphorbarrow.cjs'),
-  bundle('packages/standins/src/main.ts', 'dist/standin.cjs'),
-]);
-if (process.argv.includes('--binary')) {
-  await makeBinary();
-}
+await runBuild({
+  root: ROOT,
+  folders: ['packages/daemon', 'packages/standins'],
+  tools: ['esbuild', ...(isBinary ? ['postject', NODE_PACKAGE] : [])],
+  async build(packages) {
+    const { bundleProgram } = await import('./build/bundleProgram.mjs').catch((error) => {
+      throw new PackagesError(`the bundler cannot be loaded: ${error.message}`);
+    });
+    mkdirSync('dist', { recursive: true });
+    await Promise.all(
+      Object.entries(ENTRY_POINTS).map(([outfile, entryPoint]) =>
+        bundleProgram({
+          root: ROOT,
+          packages,
+          entryPoint,
+          outfile,
+          // Optional native dependency of hot-shots, used only for Unix domain sockets.
+          options: { external: ['unix-dgram'] },
+        }),
+      ),
+    );
+    if (isBinary) {
+      await makeBinary();
+    }
+  },
+});
--- /dev/null
+++ b/scripts/build/installPackages.mjs
@@ -0,0 +1,79 @@
+// Tells whether the packages that a program needs are installed as package-lock.json says, and installs
+// them if they are not. The age of node_modules says neither: it may be a copy, a part of one, that of
+// another kind of machine, or what an installation that was ended has left. Uses only what Node.js
+// provides.
+import { spawnSync } from 'node:child_process';
+import { existsSync, lstatSync, readFileSync, unlinkSync } from 'node:fs';
+import path from 'node:path';
+
+/** npm writes this file last. */
+const COMPLETION_FILE = 'node_modules/.package-lock.json';
+const INSTALL_COMMAND = [
+  'ci',
+  '--no-audit',
+  '--no-fund',
+  '--prefer-offline',
+];
+/** A package is missing, of another version than the lock says, or damaged. */
+export class PackagesError extends Error {
+  name = 'PackagesError';
+}
+
+function readVersion(folder) {
+  try {
+    return JSON.parse(readFileSync(path.join(folder, 'package.json'), 'utf8')).version;
+  } catch {
+    return undefined;
+  }
+}
+
+/** Returns what is wrong with the installation, or undefined if it has the packages in `folders`. */
+export function findInstallationProblem(root, packages, folders) {
+  if (!existsSync(path.join(root, COMPLETION_FILE))) {
+    return 'node_modules is missing or was not installed to its end';
+  }
+  const problems = folders.flatMap((folder) => {
+    const expected = packages[folder]?.version;
+    const version = readVersion(path.join(root, folder));
+    if (version !== undefined && version === expected) {
+      return [];
+    }
+    return [`${folder} is ${version ?? 'missing'}, not ${expected ?? 'in package-lock.json'}`];
+  });
+  const [first, ...others] = problems;
+  return others.length === 0 ? first : `${first}, and ${others.length} more`;
+}
+
+function runInstall(root) {
+  const { status, error, stderr } = spawnSync('npm', INSTALL_COMMAND, {
+    cwd: root,
+    encoding: 'utf8',
+    stdio: ['ignore', 'ignore', 'pipe'],
+  });
+  if (status !== 0) {
+    const lines = (stderr ?? '').split('\n').filter((line) => /^npm (error|ERR!)/.test(line));
+    const reason = error?.message ?? (lines.slice(0, 2).join('; ') || `code ${status}`);
+    throw new PackagesError(`npm ${INSTALL_COMMAND[0]} failed: ${reason}`);
+  }
+}
+
+/** Time at which the last installation was completed, in milliseconds since the epoch; 0 if none was. */
+export const readInstallTimeMs = (root) =>
+  lstatSync(path.join(root, COMPLETION_FILE), { throwIfNoEntry: false })?.mtimeMs ?? 0;
+
+/**
+ * Installs the packages of the lock, one build at a time.
+ *
+ * @param findProblem returns what is wrong with the installation, or undefined
+ * @param isNeeded tells whether no other build has installed them meanwhile
+ * @throws PackagesError if something is still wrong afterwards
+ */
+export async function installPackages(root, findProblem, isNeeded) {
+  if (isNeeded()) {
+    runInstall(root);
+  }
+  const problem = findProblem();
+  if (problem !== undefined) {
+    throw new PackagesError(problem);
+  }
+}
