Bundle the sources of this checkout, whatever node_modules links to

Cause: the packages of the repository were found through links of node_modules, which lead to the checkout that was installed.

Change: the bundler gets their sources by name.

--- a/scripts/build/bundleProgram.mjs
+++ b/scripts/build/bundleProgram.mjs
@@ -1,5 +1,5 @@
 // Bundles programs, only of the packages that package-lock.json names.
-import { realpathSync } from 'node:fs';
+import { readFileSync, realpathSync } from 'node:fs';
 import path from 'node:path';
 import { build } from 'esbuild';
 import { PackagesError } from './installPackages.mjs';
@@ -9,6 +9,22 @@
 const PACKAGE_NAME = /^(@[^/]+\/)?[^./#][^/]*/;
 const MODULES = '/node_modules/';
 
+/** Maps the packages of this repository to their sources, whatever node_modules links to. */
+const buildAliases = (root, packages) =>
+  Object.fromEntries(
+    Object.entries(packages)
+      .filter(([, { link }]) => link === true)
+      .map(([folder, { resolved }]) => {
+        const manifest = JSON.parse(
+          readFileSync(path.join(root, resolved, 'package.json'), 'utf8'),
+        );
+        return [
+          folder.replace('node_modules/', ''),
+          path.join(root, resolved, manifest.exports?.['.'] ?? ''),
+        ];
+      }),
+  );
+
 /** Creates a function that returns the folder of a bundled file relative to the root. */
 function createFolderOf(root) {
   const modules = realpathSync(path.join(root, 'node_modules'));
@@ -70,6 +86,7 @@
     format: 'cjs',
     target: 'node20',
     mainFields: ['module', 'main'],
+    alias: buildAliases(root, packages),
     metafile: true,
     logLevel: 'silent',
     ...options,
