Install what builds whatever npm is told to leave out

Cause: the command relied on defaults of npm that the environment and its settings change.

Change: it names what it includes and how packages are laid out.

--- a/scripts/build/installPackages.mjs
+++ b/scripts/build/installPackages.mjs
@@ -8,10 +8,15 @@
 
 /** npm writes this file last. */
 const COMPLETION_FILE = 'node_modules/.package-lock.json';
+/** Named with every option on which the layout and completeness of the installation depend. */
 const INSTALL_COMMAND = [
   'ci',
   '--no-audit',
   '--no-fund',
+  '--include=dev',
+  '--include=optional',
+  '--include=peer',
+  '--install-strategy=hoisted',
   '--prefer-offline',
 ];
 /** A package is missing, of another version than the lock says, or damaged. */
