--- a/scripts/build/installPackages.mjs
+++ b/scripts/build/installPackages.mjs
@@ -50,6 +50,11 @@
 }
 
 function runInstall(root) {
+  const folder = path.join(root, 'node_modules');
+  // npm would empty the folder of another checkout.
+  if (lstatSync(folder, { throwIfNoEntry: false })?.isSymbolicLink() === true) {
+    unlinkSync(folder);
+  }
   const { status, error, stderr } = spawnSync('npm', INSTALL_COMMAND, {
     cwd: root,
     encoding: 'utf8',
