Let one build at a time install packages

What was seen: of two builds that started at once in a clean clone, the second ended with code 1 in 2 of 3 tries: it found the folder that the first was filling.

Change: builds of a checkout install one after the other, and the later ones find the installation whole. The mutex is a file with the id of its process; that of a process that has ended is removed.

--- a/scripts/build/installPackages.mjs
+++ b/scripts/build/installPackages.mjs
@@ -3,8 +3,9 @@
 // another kind of machine, or what an installation that was ended has left. Uses only what Node.js
 // provides.
 import { spawnSync } from 'node:child_process';
-import { existsSync, lstatSync, readFileSync, unlinkSync } from 'node:fs';
+import { existsSync, lstatSync, mkdirSync, readFileSync, unlinkSync, writeFileSync } from 'node:fs';
 import path from 'node:path';
+import { setTimeout } from 'node:timers/promises';
 
 /** npm writes this file last. */
 const COMPLETION_FILE = 'node_modules/.package-lock.json';
@@ -19,6 +20,11 @@
   '--install-strategy=hoisted',
   '--prefer-offline',
 ];
+const MUTEX_FILE = 'target/install.pid';
+const MUTEX_POLL_MS = 200;
+/** The users' limit on a build: an older file is of a process whose id another one has now. */
+const MAX_INSTALL_MS = 15 * 60 * 1_000;
+
 /** A package is missing, of another version than the lock says, or damaged. */
 export class PackagesError extends Error {
   name = 'PackagesError';
@@ -49,6 +55,53 @@
   return others.length === 0 ? first : `${first}, and ${others.length} more`;
 }
 
+function isRunning(pid) {
+  try {
+    process.kill(pid, 0);
+    return true;
+  } catch (error) {
+    return error.code === 'EPERM';
+  }
+}
+
+/** Returns whether the process that holds the mutex has ended. */
+function isAbandoned(file) {
+  try {
+    const pid = Number(readFileSync(file, 'utf8'));
+    const ageMs = Date.now() - lstatSync(file).mtimeMs;
+    // The file is empty for a moment after its creation.
+    return ageMs > MAX_INSTALL_MS || (pid > 0 && !isRunning(pid));
+  } catch {
+    return false;
+  }
+}
+
+/** Runs the function while no other build of this checkout installs packages. */
+async function runExclusively(root, run) {
+  const file = path.join(root, MUTEX_FILE);
+  mkdirSync(path.dirname(file), { recursive: true });
+  for (;;) {
+    try {
+      writeFileSync(file, String(process.pid), { flag: 'wx' });
+      break;
+    } catch (error) {
+      if (error.code !== 'EEXIST') {
+        throw error;
+      }
+    }
+    if (isAbandoned(file)) {
+      unlinkSync(file);
+    } else {
+      await setTimeout(MUTEX_POLL_MS);
+    }
+  }
+  try {
+    return run();
+  } finally {
+    unlinkSync(file);
+  }
+}
+
 function runInstall(root) {
   const folder = path.join(root, 'node_modules');
   // npm would empty the folder of another checkout.
@@ -79,11 +132,13 @@
  * @throws PackagesError if something is still wrong afterwards
  */
 export async function installPackages(root, findProblem, isNeeded) {
-  if (isNeeded()) {
-    runInstall(root);
-  }
-  const problem = findProblem();
-  if (problem !== undefined) {
-    throw new PackagesError(problem);
-  }
+  await runExclusively(root, () => {
+    if (isNeeded()) {
+      runInstall(root);
+    }
+    const problem = findProblem();
+    if (problem !== undefined) {
+      throw new PackagesError(problem);
+    }
+  });
 }
