Start a host once before it is called built

What was seen: builds that ended with code 0 and gave no host that starts.

Cause: nothing ran the bundle; the code cache is written without settings, which is before the host is created.

--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -20,6 +20,20 @@
 };
 const isBinary = process.argv.includes('--binary');
 
+/** Runs a built program once: the bundler does not notice all that ends a program at its start. */
+function checkRuns(command, ...commandArguments) {
+  try {
+    execFileSync(command, commandArguments, { stdio: 'pipe' });
+  } catch (error) {
+    const reason = String(error.stderr ?? error.message)
+      .split('\n')
+      .find((line) => /Error/.test(line));
+    throw new PackagesError(
+      `${[command, ...commandArguments].join(' ')} does not run: ${reason ?? error.message}`,
+    );
+  }
+}
+
 async function makeBinary() {
   const { inject } = require('postject');
   const node = path.join(path.dirname(require.resolve(`${NODE_PACKAGE}/package.json`)), 'bin/node');
@@ -60,8 +74,10 @@
         }),
       ),
     );
+    checkRuns(process.execPath, PROGRAM, '--version');
     if (isBinary) {
       await makeBinary();
+      checkRuns(BINARY, '--version');
     }
   },
 });
