Soak hosts that run two versions and are replaced in turn and back

Cause: no test and no soak ran hosts of two versions side by side.

The hosts start with it and are replaced by the current version and back, by SIGTERM and SIGKILL, beside all other faults; all run the current version in the end. All promises are checked.

--- a/packages/soak/src/PlannedFault.ts
+++ b/packages/soak/src/PlannedFault.ts
@@ -4,6 +4,8 @@
   readonly forMs: number;
   readonly kind: FaultKind;
   readonly index: number;
+  /** Whether a host that ends goes on with its other program. */
+  readonly replacesProgram?: boolean;
 }
 
 /** Kinds of faults, grouped by the component that they affect. */
--- a/packages/soak/src/commands/SoakCommand.ts
+++ b/packages/soak/src/commands/SoakCommand.ts
@@ -2,6 +2,7 @@
 import path from 'node:path';
 import { Command, Option } from 'clipanion';
 import { cascade, isInteger, isNumber } from 'typanion';
+import { buildCommit } from '../buildCommit.js';
 import { runSoak } from '../runSoak.js';
 
 const MS_PER_S = 1_000;
@@ -38,13 +39,19 @@
     description: 'Node.js program that runs the hosts',
   });
 
+  readonly from = Option.String('--from', {
+    description: 'Commit whose build the hosts run at first, before they are replaced in turn',
+  });
+
   override async execute(): Promise<number> {
+    const previousProgram = this.from === undefined ? undefined : await buildCommit(this.from);
     let failed = 0;
     for (let { seed } = this; seed < this.seed + this.seeds; seed += 1) {
       const report = await runSoak({
         seed,
         durationMs: this.seconds * MS_PER_S,
         nodePath: this.node,
+        ...(previousProgram === undefined ? {} : { previousProgram }),
       });
       const { faults, calls, served, afterIdle, falls, violations } = report;
       this.context.stdout.write(
--- a/packages/soak/src/createFaultInjector.ts
+++ b/packages/soak/src/createFaultInjector.ts
@@ -31,8 +31,15 @@
 /** Injects a fault into the system and resolves when the fault has ended. */
 export type FaultInjector = (fault: PlannedFault) => Promise<void>;
 
-/** Creates the injector of one run; faults may overlap. */
-export function createFaultInjector(system: SoakSystem): FaultInjector {
+/**
+ * Creates the injector of one run; faults may overlap.
+ *
+ * @param programs programs of hosts, from which one that is replaced takes the next
+ */
+export function createFaultInjector(
+  system: SoakSystem,
+  programs: readonly string[],
+): FaultInjector {
   const { store, servers, hosts, storeLinks } = system;
   /** Overlapping evacuations share one key, which is removed when the last one ends. */
   let activeEvacuations = 0;
@@ -121,17 +128,25 @@
     setFault('none');
   }
 
+  async function endHost({ index, replacesProgram }: PlannedFault, signal: 'SIGTERM' | 'SIGKILL') {
+    const host = hosts[index];
+    if (host !== undefined && replacesProgram === true) {
+      const next = (programs.indexOf(host.program()) + 1) % programs.length;
+      host.setProgram(programs[next] ?? host.program());
+    }
+    host?.signal(signal);
+    await host?.waitForExit();
+  }
+
   return async (fault) => {
     const { kind, index, forMs } = fault;
     const host = hosts[index];
     switch (kind) {
       case 'host-stop':
-        host?.signal('SIGTERM');
-        await host?.waitForExit();
+        await endHost(fault, 'SIGTERM');
         break;
       case 'host-kill':
-        host?.signal('SIGKILL');
-        await host?.waitForExit();
+        await endHost(fault, 'SIGKILL');
         break;
       case 'host-pause':
         host?.signal('SIGSTOP');
--- a/packages/soak/src/index.ts
+++ b/packages/soak/src/index.ts
@@ -6,6 +6,7 @@
 export * from './LinkFault.js';
 export * from './PlannedFault.js';
 export * from './Violation.js';
+export * from './buildCommit.js';
 export * from './checkArrivals.js';
 export * from './checkCalls.js';
 export * from './checkCustomers.js';
--- a/packages/soak/src/planFaults.ts
+++ b/packages/soak/src/planFaults.ts
@@ -33,7 +33,8 @@
   'evacuation',
 ];
 /** Faults that are drawn from a random source of their own, so that seeds keep their other faults. */
-export type FaultGroup = 'faults' | 'notices' | 'brittle' | 'restores' | 'connections' | 'stranded';
+export type FaultGroup =
+  'faults' | 'notices' | 'brittle' | 'restores' | 'connections' | 'stranded' | 'replacements';
 
 interface GroupPlan {
   readonly kinds: readonly FaultKind[];
@@ -58,6 +59,8 @@
     minMs: 9_000,
     maxMs: 11_000,
   },
+  // Hosts that end and go on with another version, and back.
+  replacements: { kinds: ['host-stop', 'host-stop', 'host-kill'], meanGapMs: 1_500 },
   // What makes hosts read late while the idle timeout of connections changes.
   connections: {
     kinds: [
--- a/packages/soak/src/runSoak.ts
+++ b/packages/soak/src/runSoak.ts
@@ -54,6 +54,9 @@
 const CONNECTION_SEED_OFFSET = 3_000_000;
 const IDLE_CALLER_SEED_OFFSET = 4_000_000;
 const STRANDED_SEED_OFFSET = 6_000_000;
+const REPLACEMENT_SEED_OFFSET = 7_000_000;
+
+const PROGRAM = 'target/entry-host.cjs';
 
 export interface SoakOptions {
   readonly seed: number;
@@ -61,6 +64,11 @@
   readonly durationMs: number;
   /** Path of the Node.js program that runs the hosts; that of this process by default. */
   readonly nodePath?: string;
+  /**
+   * Built program of another version, which the hosts run at first. They are replaced one after the other
+   * and back, and all run the current version in the end.
+   */
+  readonly previousProgram?: string;
 }
 
 export interface SoakReport {
@@ -93,13 +101,22 @@
 
 /** Runs host processes under the faults of a seed and checks what callers and servers observe. */
 export async function runSoak(options: SoakOptions): Promise<SoakReport> {
-  const { seed, durationMs, nodePath = process.execPath } = options;
+  const { seed, durationMs, nodePath = process.execPath, previousProgram } = options;
+  const programs = previousProgram === undefined ? [PROGRAM] : [previousProgram, PROGRAM];
   const faults = [
     ...planFaults(createSeededRandom(seed), durationMs, HOSTS),
     ...planFaults(createSeededRandom(seed + NOTICE_SEED_OFFSET), durationMs, HOSTS, 'notices'),
     ...planFaults(createSeededRandom(seed + BRITTLE_SEED_OFFSET), durationMs, HOSTS, 'brittle'),
     ...planFaults(createSeededRandom(seed + RESTORE_SEED_OFFSET), durationMs, HOSTS, 'restores'),
     ...planFaults(createSeededRandom(seed + STRANDED_SEED_OFFSET), durationMs, HOSTS, 'stranded'),
+    ...(previousProgram === undefined
+      ? []
+      : planFaults(
+          createSeededRandom(seed + REPLACEMENT_SEED_OFFSET),
+          durationMs,
+          HOSTS,
+          'replacements',
+        ).map((fault) => ({ ...fault, replacesProgram: true }))),
     // One host only: what its pauses excuse is still checked at the others.
     ...planFaults(
       createSeededRandom(seed + CONNECTION_SEED_OFFSET),
@@ -114,9 +131,10 @@
   const faultIntervals: FaultInterval[] = [];
   const system = await startSoakSystem({
     nodePath,
+    program: programs[0] ?? PROGRAM,
     onUnexpectedExit: (detail) => violations.push({ promise: 'exit', detail }),
   });
-  const applyFault = createFaultInjector(system);
+  const applyFault = createFaultInjector(system, programs);
   const urls = system.hosts.map(({ url }) => url);
 
   async function fetchStatus(url: string, path: string): Promise<number | undefined> {
@@ -189,6 +207,17 @@
         await inject(fault);
       }),
     );
+    for (const [index, host] of system.hosts.entries()) {
+      if (host.program() !== PROGRAM) {
+        await inject({
+          atMs: durationMs,
+          forMs: 0,
+          kind: 'host-stop',
+          index,
+          replacesProgram: true,
+        });
+      }
+    }
     const hasRecovered = (): boolean => {
       const latestCalls = calls.filter(({ left }) => !left).slice(-RECOVERED_CALLS);
       const served = latestCalls.filter(({ status, complete }) => status === 200 && complete);
--- a/packages/soak/src/startHostProcess.ts
+++ b/packages/soak/src/startHostProcess.ts
@@ -8,13 +8,14 @@
 
 /** Delay before an exited process is restarted, as on the platform. */
 const RESTART_DELAY_MS = 300;
-const PROGRAM = 'target/entry-host.cjs';
 const PRELOAD = './packages/soak/preload/connectAsHost.cjs';
 
 export interface HostProcessOptions {
   readonly settings: SettingsOverrides;
   /** Path of the Node.js program that runs the host. */
   readonly nodePath: string;
+  /** Built program of the host. */
+  readonly program: string;
   /** Port to which connections are not established. */
   readonly blackHolePort: number;
   /** Called when the process exits without a stop signal or with an error code. */
@@ -32,6 +33,10 @@
   reload(settings: Partial<SettingsOverrides>): Promise<void>;
   /** Fails new connections to servers; undefined ends this. */
   setConnectFault(fault: 'refuse' | 'hang' | undefined): Promise<void>;
+  /** Returns the program of this or the next start. */
+  program(): string;
+  /** Sets the program of the next start. */
+  setProgram(program: string): void;
   /** Resolves when the current process has exited. */
   waitForExit(): Promise<void>;
   close(): Promise<void>;
@@ -42,7 +47,7 @@
   const directory = await mkdtemp(path.join(tmpdir(), 'camphorbarrow-soak-'));
   const settingsPath = path.join(directory, 'settings.yaml');
   const faultPath = path.join(directory, 'connect-fault');
-  let { settings } = options;
+  let { settings, program } = options;
   const outputChunks: string[] = [];
   let isClosing = false;
   let isExitExpected = false;
@@ -51,7 +56,7 @@
 
   function start(): void {
     isExitExpected = false;
-    const started = spawn(options.nodePath, ['--require', PRELOAD, PROGRAM], {
+    const started = spawn(options.nodePath, ['--require', PRELOAD, program], {
       env: {
         ...process.env,
         CAMPHORBARROW_NODE_FILE: settingsPath,
@@ -99,6 +104,10 @@
     },
     setConnectFault: (fault) =>
       fault === undefined ? rm(faultPath, { force: true }) : writeFile(faultPath, fault),
+    program: () => program,
+    setProgram(nextProgram) {
+      program = nextProgram;
+    },
     waitForExit: () => exited,
     async close() {
       isClosing = true;
--- a/packages/soak/src/startSoakSystem.ts
+++ b/packages/soak/src/startSoakSystem.ts
@@ -41,6 +41,8 @@
 export interface SoakSystemOptions {
   /** Path of the Node.js program that runs the hosts. */
   readonly nodePath: string;
+  /** Built program of the hosts. */
+  readonly program: string;
   readonly onUnexpectedExit: (detail: string) => void;
 }
 
@@ -94,6 +96,7 @@
 /** Starts the store, servers and hosts. Does not wait until the hosts serve requests. */
 export async function startSoakSystem({
   nodePath,
+  program,
   onUnexpectedExit,
 }: SoakSystemOptions): Promise<SoakSystem> {
   let version = 0;
@@ -142,6 +145,7 @@
           seeds,
         },
         nodePath,
+        program,
         blackHolePort: blackHole.port,
         onUnexpectedExit,
       }),
