--- a/scripts/build/installPackages.mjs
+++ b/scripts/build/installPackages.mjs
@@ -3,7 +3,15 @@
 // another kind of machine, or what an installation that was ended has left. Uses only what Node.js
 // provides.
 import { spawnSync } from 'node:child_process';
-import { existsSync, lstatSync, mkdirSync, readFileSync, unlinkSync, writeFileSync } from 'node:fs';
+import {
+  existsSync,
+  lstatSync,
+  mkdirSync,
+  readFileSync,
+  rmSync,
+  unlinkSync,
+  writeFileSync,
+} from 'node:fs';
 import path from 'node:path';
 import { setTimeout } from 'node:timers/promises';
 
@@ -90,7 +98,7 @@
       }
     }
     if (isAbandoned(file)) {
-      unlinkSync(file);
+      rmSync(file, { force: true });
     } else {
       await setTimeout(MUTEX_POLL_MS);
     }
@@ -98,7 +106,7 @@
   try {
     return run();
   } finally {
-    unlinkSync(file);
+    rmSync(file, { force: true });
   }
 }
 
