--- a/packages/soak/src/buildCommit.ts
+++ b/packages/soak/src/buildCommit.ts
@@ -7,11 +7,11 @@
 /** Builds of earlier versions, below the folder of the current build. */
 const BUILDS_FOLDER = 'target/commits';
 
-/** Takes the sources, and this checkout's packages, which fit unless a version needs others. */
+/** Takes the sources and links this checkout's packages, which fit unless a version needs others. */
 const BUILD_SCRIPT = `
   set -e
   git archive "$1" | tar -x -C "$2"
-  cp -a node_modules "$2"
+  cp -al node_modules "$2"
   cd "$2"
   touch node_modules
   eval "$(sed -n 's/^build = "\\(.*\\)"$/\\1/p' deploy/system.toml)"
