Install packages with a Node.js that is none of them

Change: npm runs without the programs of packages in PATH; the scripts that build run with the Node.js of npm.

--- a/scripts/build/installPackages.mjs
+++ b/scripts/build/installPackages.mjs
@@ -110,6 +110,13 @@
   }
 }
 
+/** PATH without the programs of packages: npm would run with a Node.js that it replaces. */
+const pathWithoutPackages = () =>
+  (process.env.PATH ?? '')
+    .split(path.delimiter)
+    .filter((folder) => !folder.endsWith('node_modules/.bin'))
+    .join(path.delimiter);
+
 function runInstall(root) {
   const folder = path.join(root, 'node_modules');
   // npm would empty the folder of another checkout.
@@ -118,6 +125,7 @@
   }
   const { status, error, stderr } = spawnSync('npm', INSTALL_COMMAND, {
     cwd: root,
+    env: { ...process.env, PATH: pathWithoutPackages() },
     encoding: 'utf8',
     stdio: ['ignore', 'ignore', 'pipe'],
   });
