Have each launcher run the program of its own build

Cause: launcher and program are two files, replaced one after the other, and the launcher took whichever program was there.

Change: the file of a program is named by its build, and its launcher names it.

--- a/packages/soak/src/starts/spawnStart.ts
+++ b/packages/soak/src/starts/spawnStart.ts
@@ -1,10 +1,8 @@
 import { spawn } from 'node:child_process';
 import { readFileSync, statSync } from 'node:fs';
-import path from 'node:path';
+import { programOf } from '@camphorbarrow/platform/testing';
 import type { StartSignal } from './StartCase.js';
 
-const PROGRAM_FILE = 'entry-host.bundle.cjs';
-
 export interface StartCommand {
   /** Path of the Node.js program. */
   readonly nodePath: string;
@@ -41,9 +39,7 @@
   { nodePath, nodeArguments }: StartCommand,
   settingsPath: string,
 ): StartedProcess {
-  const programBytes = statSync(
-    path.join(path.dirname(nodeArguments.at(-1) ?? ''), PROGRAM_FILE),
-  ).size;
+  const programBytes = statSync(programOf(nodeArguments.at(-1) ?? '')).size;
   const child = spawn(nodePath, nodeArguments, {
     env: { ...process.env, CAMPHORBARROW_NODE_FILE: settingsPath },
   });
