Lower the limit on used memory by what the program takes beyond its budget

Cause: the memory of a host is divided above 55 MB for the program, measured once on Node.js 20.

Change: createUsedMemoryLimit takes what the process has outside of heap and buffers beyond the budget from the limit at which garbage is collected. It is measured as the host runs: resident memory less the most that was in use.

--- a/packages/core/src/bodies/createGarbageLimit.ts
+++ b/packages/core/src/bodies/createGarbageLimit.ts
@@ -2,8 +2,8 @@
 const CHECK_RATIO = 0.05;
 
 export interface GarbageLimitOptions {
-  /** Limit on the memory in use, together with what can be collected. */
-  readonly maxBytes: number;
+  /** Limit on the memory in use, together with what can be collected; it may change. */
+  readonly maxBytes: () => number;
   /** Memory in use, together with what can be collected. */
   readonly usedBytes: () => number;
   /** Collects garbage: what was allocated recently, or all of it, which takes longer. */
@@ -25,9 +25,10 @@
   usedBytes,
   collect,
 }: GarbageLimitOptions): GarbageLimit {
-  const stepBytes = maxBytes * CHECK_RATIO;
+  const stepBytes = maxBytes() * CHECK_RATIO;
   let uncheckedBytes = 0;
-  let thresholdBytes = maxBytes;
+  /** What was left in use by the last collection, and room for another step. */
+  let rareBytes = 0;
 
   return {
     recordAllocation(sizeBytes) {
@@ -36,6 +37,7 @@
         return;
       }
       uncheckedBytes = 0;
+      const thresholdBytes = Math.max(maxBytes(), rareBytes);
       if (usedBytes() <= thresholdBytes) {
         return;
       }
@@ -43,7 +45,7 @@
       if (usedBytes() > thresholdBytes) {
         collect('all');
       }
-      thresholdBytes = Math.max(maxBytes, usedBytes() + stepBytes);
+      rareBytes = usedBytes() + stepBytes;
     },
   };
 }
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -17,6 +17,7 @@
 export * from './bodies/createBodyMemory.js';
 export * from './bodies/createBodyScope.js';
 export * from './bodies/createGarbageLimit.js';
+export * from './bodies/createUsedMemoryLimit.js';
 export * from './burn/BurnMinuteCounts.js';
 export * from './burn/BurnReport.js';
 export * from './burn/HostBurnCounts.js';
--- a/packages/core/tests/bodies/createGarbageLimit.test.ts
+++ b/packages/core/tests/bodies/createGarbageLimit.test.ts
@@ -8,7 +8,7 @@
   let oldGarbage = 0;
   const collections: string[] = [];
   const limit = createGarbageLimit({
-    maxBytes,
+    maxBytes: () => maxBytes,
     usedBytes: () => live + recentGarbage + oldGarbage,
     collect(scope) {
       collections.push(scope);
