Tell callers that a request did not run when no server received it

Cause: at the deadline, and at a shutdown of the host, the final error asked whether there had been an attempt, not whether a server may have received the request. Calls whose attempts were all refused or unsent got 504 with the outcome unknown, or 502, so that an order could not be repeated under another key.

Change: the error asks mayHaveRun, which the allowances use already. A host that shuts down rejects such a request as one that it has not tried.

--- a/packages/gateway/src/exchange/sendFinalResponse.ts
+++ b/packages/gateway/src/exchange/sendFinalResponse.ts
@@ -39,10 +39,9 @@
 ): RequestError {
   const cause = progress.causes.join(', ');
   if (isClosing && !isExpired) {
-    // A cancelled attempt may have run, although it counts as no run.
-    return progress.attempts === 0
-      ? createDrainingError()
-      : new BackendFailedError('The entry host was shut down before the response was complete.');
+    return progress.mayHaveRun
+      ? new BackendFailedError('The entry host was shut down before the response was complete.')
+      : createDrainingError();
   }
   if (progress.runs > 0) {
     return isExpired
@@ -51,7 +50,7 @@
   }
   if (isExpired) {
     // A cancelled attempt may have run, although it counts as no run.
-    const outcome = progress.attempts === 0 ? 'not-run' : 'unknown';
+    const outcome = progress.mayHaveRun ? 'unknown' : 'not-run';
     return new DeadlineExceededError('No response before the deadline.', { props: { outcome } });
   }
   if (progress.stopCause === 'version-unknown' || progress.stopCause === 'version-gone') {
