Load the bundler of all builds in one place

Change: runBuild loads the bundler, which is a package and may be missing, and passes it to the build.

--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -57,10 +57,7 @@
   root: ROOT,
   folders: ['packages/daemon', 'packages/standins'],
   tools: ['esbuild', ...(isBinary ? ['postject', NODE_PACKAGE] : [])],
-  async build(packages) {
-    const { bundleProgram } = await import('./build/bundleProgram.mjs').catch((error) => {
-      throw new PackagesError(`the bundler cannot be loaded: ${error.message}`);
-    });
+  async build(packages, bundleProgram) {
     mkdirSync('dist', { recursive: true });
     await Promise.all(
       Object.entries(ENTRY_POINTS).map(([outfile, entryPoint]) =>
--- a/scripts/build/runBuild.mjs
+++ b/scripts/build/runBuild.mjs
@@ -23,6 +23,14 @@
   }
 }
 
+/** Loads the bundler only here: it is a package, and may be missing until the installation. */
+async function loadBundler() {
+  const { bundleProgram } = await import('./bundleProgram.mjs').catch((error) => {
+    throw new PackagesError(`the bundler cannot be loaded: ${error.message}`);
+  });
+  return bundleProgram;
+}
+
 /** Runs this program again: what it has loaded may come from a package that was replaced. */
 function runAgain() {
   const { status } = spawnSync(process.execPath, [...process.argv.slice(1), SECOND_RUN], {
@@ -37,7 +45,7 @@
  *
  * @param folders folders of the programs whose packages are needed
  * @param tools packages of the root that the build itself uses
- * @param build receives the entries of the lock; may throw a PackagesError
+ * @param build receives the entries of the lock and `bundleProgram`; may throw a PackagesError
  */
 export async function runBuild({ root, folders, tools, build }) {
   const startedAtMs = Date.now();
@@ -60,7 +68,7 @@
       await install(problem, () => findProblem() !== undefined);
     }
     try {
-      await build(readLockedPackages(root));
+      await build(readLockedPackages(root), await loadBundler());
     } catch (error) {
       if (!(error instanceof PackagesError) || process.argv.includes(SECOND_RUN)) {
         throw error;
