--- a/packages/core/tests/admission/createFifoAdmission.test.ts
+++ b/packages/core/tests/admission/createFifoAdmission.test.ts
@@ -17,7 +17,7 @@
     },
     AbortSignal.abort(),
   );
-  await t.throwsAsync(admitted, { name: 'AbortError' });
+  await t.throwsAsync(admitted, { any: true, instanceOf: DOMException, name: 'AbortError' });
   t.is(reserved, 0);
   t.is(admission.queuedRequests(), 0);
 });
--- a/packages/core/tests/dispatch/createRepeatableDispatch.test.ts
+++ b/packages/core/tests/dispatch/createRepeatableDispatch.test.ts
@@ -81,7 +81,11 @@
   });
   const caller = new AbortController();
   setTimeout(() => caller.abort(), 10);
-  await t.throwsAsync(hanging(statusCheck, caller.signal), { name: 'AbortError' });
+  await t.throwsAsync(hanging(statusCheck, caller.signal), {
+    any: true,
+    instanceOf: DOMException,
+    name: 'AbortError',
+  });
 });
 
 test('a call whose caller leaves while its first attempt fails is not retried', async (t) => {
@@ -92,6 +96,10 @@
     setImmediate(() => caller.abort());
     throw new ConnectFailedError('refused');
   }, createDispatchQueue());
-  await t.throwsAsync(dispatch(statusCheck, caller.signal), { name: 'AbortError' });
+  await t.throwsAsync(dispatch(statusCheck, caller.signal), {
+    any: true,
+    instanceOf: DOMException,
+    name: 'AbortError',
+  });
   t.is(calls, 1);
 });
--- a/packages/core/tests/gateway/createInferenceGateway.test.ts
+++ b/packages/core/tests/gateway/createInferenceGateway.test.ts
@@ -247,7 +247,7 @@
   const response = gateway.handle(createFakeRequest(), caller.signal);
   // The end of a connection is read one turn of the event loop after the request before it.
   setImmediate(() => caller.abort());
-  await t.throwsAsync(response, { name: 'AbortError' });
+  await t.throwsAsync(response, { any: true, instanceOf: DOMException, name: 'AbortError' });
   t.deepEqual(attempts, []);
   t.is(reserved(), 0);
 });
--- a/packages/core/tests/gateway/createServiceGateway.test.ts
+++ b/packages/core/tests/gateway/createServiceGateway.test.ts
@@ -25,7 +25,7 @@
   const caller = new AbortController();
   const result = gateway.handle(createServiceRequest(), caller.signal);
   setImmediate(() => caller.abort());
-  await t.throwsAsync(result, { name: 'AbortError' });
+  await t.throwsAsync(result, { any: true, instanceOf: DOMException, name: 'AbortError' });
   t.is(executed(), 0);
 });
 
--- a/packages/core/tests/gateway/createSpillGateway.test.ts
+++ b/packages/core/tests/gateway/createSpillGateway.test.ts
@@ -201,6 +201,8 @@
     local: async () => t.fail('served locally') as never,
   });
   await t.throwsAsync(subject.gateway.handle(createRequest(), caller.signal), {
+    any: true,
+    instanceOf: DOMException,
     name: 'AbortError',
   });
   t.is(subject.attempts.length, 1);
--- a/packages/standins/tests/faults/createFaultyServer.test.ts
+++ b/packages/standins/tests/faults/createFaultyServer.test.ts
@@ -47,6 +47,8 @@
   await post(open, '/v3/kv/range', { key: base64('/a') });
   await post(connect(t, store), '/control', { silenceOpenConnections: true });
   await t.throwsAsync(post(open, '/v3/kv/range', { key: base64('/a') }, SHORT_MS), {
+    any: true,
+    instanceOf: DOMException,
     name: 'TimeoutError',
   });
   t.like(await post(connect(t, store), '/v3/kv/range', { key: base64('/a') }), { status: 200 });
@@ -80,6 +82,8 @@
   const store = await startStore(t);
   await post(connect(t, store), '/control', { loseAnswers: true });
   await t.throwsAsync(post(connect(t, store), '/v3/kv/txn', put, SHORT_MS), {
+    any: true,
+    instanceOf: DOMException,
     name: 'TimeoutError',
   });
   await post(connect(t, store), '/control', { loseAnswers: false });
@@ -92,6 +96,8 @@
   await post(connect(t, store), '/control', faults);
   t.like(await post(connect(t, store), '/v3/kv/range', { key: base64('/a') }), { status: 200 });
   await t.throwsAsync(post(connect(t, store), '/v3/kv/txn', put, SHORT_MS), {
+    any: true,
+    instanceOf: DOMException,
     name: 'TimeoutError',
   });
   t.like(await post(connect(t, store), '/v3/kv/txn', put), { status: 200, succeeded: true });
