Run the tests of crowds on Node.js 20, too

Cause: ava ran them in threads, which load no TypeScript on Node.js 20.

Change: they run in processes, as the other tests do.

--- a/ava.crowds.config.mjs
+++ b/ava.crowds.config.mjs
@@ -4,6 +4,8 @@
   files: ['platform/tests/*.crowds.test.ts'],
   extensions: { ts: 'module' },
   nodeArguments: ['--import=tsx'],
+  // Node.js 20 does not load TypeScript in threads.
+  workerThreads: false,
   timeout: '2m',
   serial: true,
 };
