Keep hosts running that cannot read their own memory use

Cause: the limit on used memory reads the resident memory of the process from a file of the system. A host without a descriptor left ended by itself with EMFILE, from the handler of a client's input.

Change: while it cannot be read, the last figure holds. spawnHost can lower the limit of the system on open files, which the settings of a host do not know.

--- a/packages/core/src/bodies/createUsedMemoryLimit.ts
+++ b/packages/core/src/bodies/createUsedMemoryLimit.ts
@@ -5,8 +5,8 @@
   readonly assumedBytes: number;
   /** Memory in use, together with what can be collected. */
   readonly usedBytes: () => number;
-  /** Memory of the process as the system counts it. */
-  readonly residentBytes: () => number;
+  /** Memory of the process as the system counts it; undefined while this cannot be read. */
+  readonly residentBytes: () => number | undefined;
 }
 
 /**
@@ -22,9 +22,13 @@
   residentBytes,
 }: UsedMemoryLimitOptions): () => number {
   let mostUsedBytes = 0;
+  let outsideBytes = 0;
   return () => {
     mostUsedBytes = Math.max(mostUsedBytes, usedBytes());
-    const excessBytes = residentBytes() - mostUsedBytes - assumedBytes;
-    return maxBytes - Math.max(0, excessBytes);
+    const latestBytes = residentBytes();
+    if (latestBytes !== undefined) {
+      outsideBytes = latestBytes - mostUsedBytes;
+    }
+    return maxBytes - Math.max(0, outsideBytes - assumedBytes);
   };
 }
--- a/packages/core/tests/bodies/createUsedMemoryLimit.test.ts
+++ b/packages/core/tests/bodies/createUsedMemoryLimit.test.ts
@@ -2,7 +2,10 @@
 import { createUsedMemoryLimit } from '../../src/index.js';
 
 function createProbe() {
-  const process = { usedBytes: 20, residentBytes: 70 };
+  const process: { usedBytes: number; residentBytes: number | undefined } = {
+    usedBytes: 20,
+    residentBytes: 70,
+  };
   const limit = createUsedMemoryLimit({
     maxBytes: 60,
     assumedBytes: 50,
@@ -34,3 +37,11 @@
   process.residentBytes = 120;
   t.is(limit(), 50);
 });
+
+test('the limit stays while the memory of the process cannot be read', (t) => {
+  const { process, limit } = createProbe();
+  process.residentBytes = 90;
+  t.is(limit(), 40);
+  process.residentBytes = undefined;
+  t.is(limit(), 40);
+});
