Keep the order of bytes when a delay of a soak link ends

Cause: each delivery had its own timer, or none. Change: deliveries of a direction wait in a queue, and leave it in order.

--- a/packages/soak/src/createFaultyLink.ts
+++ b/packages/soak/src/createFaultyLink.ts
@@ -16,6 +16,12 @@
   close(): void;
 }
 
+interface Delivery {
+  readonly action: () => void;
+  /** Whether its delay has passed. */
+  isDue: boolean;
+}
+
 /**
  * Starts a proxy for a target, given as `IP:PORT`.
  *
@@ -66,16 +72,27 @@
       faultOf(owner) === 'silent' || (faultOf(owner) === 'one-way' && direction === 'from-target');
     // Nothing may follow dropped bytes: TCP never skips bytes within a stream.
     let hasDropped = false;
+    /** Deliveries that wait for their time or for one before them. */
+    const waiting: Delivery[] = [];
+    const deliverDue = (): void => {
+      while (waiting[0]?.isDue === true) {
+        waiting.shift()?.action();
+      }
+    };
     const deliver = (action: () => void): void => {
       hasDropped ||= isDropping();
       if (hasDropped) {
         return;
       }
-      if (faultOf(owner) === 'delayed') {
-        setTimeout(action, DELAY_MS);
-      } else {
-        action();
+      const delivery = { action, isDue: faultOf(owner) !== 'delayed' };
+      waiting.push(delivery);
+      if (!delivery.isDue) {
+        setTimeout(() => {
+          delivery.isDue = true;
+          deliverDue();
+        }, DELAY_MS);
       }
+      deliverDue();
     };
     from.on('data', (chunk) => deliver(() => to.write(chunk)));
     from.on('end', () => deliver(() => to.end()));
--- a/packages/soak/tests/createFaultyLink.test.ts
+++ b/packages/soak/tests/createFaultyLink.test.ts
@@ -51,6 +51,25 @@
   close();
 });
 
+// Seed 1 on 61d1b867: the last chunk of a response overtook its events when the delay ended.
+test('bytes after a delay do not overtake those that are still delayed', async (t) => {
+  const { link, client, close } = await startEcho();
+  link.setFault('delayed');
+  client.write('a');
+  await new Promise((resolve) => {
+    setTimeout(resolve, 50);
+  });
+  link.setFault('none');
+  client.write('b');
+  const received: string[] = [];
+  client.on('data', (chunk) => received.push(String(chunk)));
+  await new Promise((resolve) => {
+    setTimeout(resolve, 500);
+  });
+  t.is(received.join(''), 'ab');
+  close();
+});
+
 test('a one-way link delivers requests and drops responses', async (t) => {
   const { link, client, sockets, close } = await startEcho();
   link.setFault('one-way');
