Say what a host that is not ready lacks, why and since when

Readiness answered 503 without a reason, no metric counted it, and the line of an unreadable configuration was one of those for any unreadable item. Change: what a host needs to be ready is a list with a reason each (createReadiness). host-not-ready says it after 1 s and then every 10 s, host-ready ends it; the readiness response has it as JSON; the gauge readiness_lacks counts it. A configuration that cannot be read is a change of its own kind with its problem, in place of an unreadable item; the test of decodeChange that named the former kind requires the problem now, too. Result: the test of the rate and the reasons passes; no behaviour of serving changed.

--- a/packages/gateway/src/fleet/createFleetState.ts
+++ b/packages/gateway/src/fleet/createFleetState.ts
@@ -32,6 +32,8 @@
 export interface FleetState {
   /** Latest configuration; undefined until the first one is known. */
   table(): RoutingTable | undefined;
+  /** Why the newest configuration cannot be read; undefined if it can, or if there is none. */
+  configurationProblem(): string | undefined;
   /** Item that `table` was decoded from. */
   tableItem(): KeyValue | undefined;
   isEvacuated(zone: AvailabilityZoneId): boolean;
@@ -60,6 +62,7 @@
   const knownEvacuations = new Set<string>();
   let table: RoutingTable | undefined;
   let tableItem: KeyValue | undefined;
+  let configurationProblem: string | undefined;
   const servers = createServerDirectory(options);
 
   function applyTable(next: RoutingTable, item: KeyValue): void {
@@ -107,7 +110,10 @@
     const change = options.decode(event);
     switch (change.kind) {
       case 'configuration':
-        applyTable(change.table, event);
+        configurationProblem = change.problem;
+        if (change.table !== undefined) {
+          applyTable(change.table, event);
+        }
         break;
       case 'evacuation':
         if (change.active) {
@@ -160,6 +166,7 @@
 
   return {
     table: () => table,
+    configurationProblem: () => configurationProblem,
     tableItem: () => tableItem,
     isEvacuated: (zone) => evacuated.has(zone),
     servers,
@@ -168,7 +175,7 @@
     apply,
     applyConfiguration(item) {
       const change = options.decode({ kind: 'put', ...item });
-      if (change.kind === 'configuration') {
+      if (change.kind === 'configuration' && change.table !== undefined) {
         applyTable(change.table, item);
       }
     },
--- a/packages/gateway/src/fleet/createFleetView.ts
+++ b/packages/gateway/src/fleet/createFleetView.ts
@@ -25,6 +25,10 @@
 export interface FleetView {
   /** Latest configuration; undefined until the first one is known. */
   table(): RoutingTable | undefined;
+  /** Why the newest configuration cannot be read; undefined if it can, or if there is none. */
+  configurationProblem(): string | undefined;
+  /** Why the store could not be read last; undefined once it could. */
+  storeProblem(): string | undefined;
   isEvacuated(zone: AvailabilityZoneId): boolean;
   readonly servers: Pick<ServerDirectory, 'get' | 'all' | 'ofService'>;
   /** Entry hosts registered in the store; the same array until one of them changes. */
@@ -44,8 +48,8 @@
   onConfiguration(listener: (table: RoutingTable) => void): void;
   /** Calls the listener whenever this host learns that the store was restored from an older copy. */
   onRestored(listener: () => void): void;
-  /** Records that the store did not respond; removals may then be expired leases. */
-  recordStoreUnavailable(): void;
+  /** Records that the store did not respond, and why; removals may then be expired leases. */
+  recordStoreUnavailable(problem?: string): void;
 }
 
 /** Creates an empty view. */
@@ -58,6 +62,7 @@
   const configurationListeners: ((table: RoutingTable) => void)[] = [];
   let storeLastUnavailableAtMs = -Infinity;
   let confirmedAtMs = -Infinity;
+  let storeProblem: string | undefined;
   const state = createFleetState({
     ...options,
     onConfiguration: (table) => configurationListeners.forEach((listener) => listener(table)),
@@ -159,6 +164,8 @@
 
   return {
     table: state.table,
+    configurationProblem: state.configurationProblem,
+    storeProblem: () => storeProblem,
     isEvacuated: state.isEvacuated,
     servers,
     hosts: state.hosts,
@@ -166,11 +173,13 @@
     position: replica.position,
     confirmedAtMs: () => confirmedAtMs,
     applyListing(listing) {
+      storeProblem = undefined;
       if (applyListing(listing)) {
         confirmedAtMs = clock.monotonicMs();
       }
     },
     applyChanges(storeChanges) {
+      storeProblem = undefined;
       applyEvents(replica.applyChanges(storeChanges));
       if (storeChanges.era === replica.position().era) {
         confirmedAtMs = clock.monotonicMs();
@@ -222,8 +231,9 @@
     onRestored(listener) {
       restoreListeners.push(listener);
     },
-    recordStoreUnavailable() {
+    recordStoreUnavailable(problem) {
       storeLastUnavailableAtMs = clock.monotonicMs();
+      storeProblem = problem ?? 'no response';
     },
   };
 }
--- a/packages/gateway/src/fleet/runStoreFollower.ts
+++ b/packages/gateway/src/fleet/runStoreFollower.ts
@@ -33,7 +33,7 @@
 
   function setReachable(isReachable: boolean, error?: unknown): void {
     if (!isReachable) {
-      view.recordStoreUnavailable();
+      view.recordStoreUnavailable((error as Error).message);
     }
     if (isReachable !== wasReachable) {
       wasReachable = isReachable;
--- a/packages/gateway/src/lifecycle/createEntryHost.ts
+++ b/packages/gateway/src/lifecycle/createEntryHost.ts
@@ -23,6 +23,9 @@
 import type { DrainProgress } from './createDrainState.js';
 import { createGatewayContext } from './createGatewayContext.js';
 import { createHousekeeping } from './createHousekeeping.js';
+import { createReadiness } from './createReadiness.js';
+import type { ReadinessNeed, UnmetNeed } from './createReadiness.js';
+import { describeMissingConfiguration } from './describeMissingConfiguration.js';
 import type { EntryHostOptions } from './EntryHostOptions.js';
 import { createHostDirectory } from './createHostDirectory.js';
 import type { HostDirectory } from './createHostDirectory.js';
@@ -44,6 +47,8 @@
   readonly view: FleetView;
   /** Whether this host accepts callers' connections. */
   isReady(): boolean;
+  /** What this host lacks to be ready; empty for a host that is ready. */
+  unmetNeeds(): readonly UnmetNeed[];
   /** Hosts that a caller in the region should currently use. */
   readonly directoryHosts: HostDirectory;
   /** Explains where a request would go now, without sending it. */
@@ -87,15 +92,30 @@
   const { serverConnections, peerConnections } = context;
   const inFlight = createInFlightTracker();
 
-  /** Whether each endpoint is open without which callers are better served by other hosts. */
-  const requiredEndpoints: (() => boolean)[] = [];
+  const readinessNeeds: ReadinessNeed[] = [
+    {
+      name: 'configuration',
+      isMet: () => view.table() !== undefined,
+      reason: () => describeMissingConfiguration(view),
+    },
+  ];
+  /** Adds an endpoint without which callers are better served by other hosts. */
+  const requireEndpoint = (name: ReadinessNeed['name'], isMet: () => boolean): void => {
+    readinessNeeds.push({ name, isMet, reason: () => 'the endpoint is not open' });
+  };
+  const readiness = createReadiness({
+    clock,
+    log,
+    metrics,
+    needs: readinessNeeds,
+    configurationVersion: () => view.table()?.version,
+  });
 
   function currentState(): HostState {
     if (drain.isDraining()) {
       return drain.isRejectingRequests() ? 'closing' : 'draining';
     }
-    const hasEndpoints = requiredEndpoints.every((isOpen) => isOpen());
-    return hasEndpoints && view.table() !== undefined ? 'ready' : 'starting';
+    return readiness.isMet() ? 'ready' : 'starting';
   }
 
   const directoryHosts = createHostDirectory({ own, peers, view, currentState });
@@ -159,7 +179,8 @@
   });
 
   const listeners = [callerListener, peerListener];
-  requiredEndpoints.push(callerListener.isListening, peerListener.isListening);
+  requireEndpoint('callers', callerListener.isListening);
+  requireEndpoint('peers', peerListener.isListening);
   callerLimit.apply(callerListener.server);
   peerLimit.apply(peerListener.server);
   view.onConfiguration(({ limits }) => callerListener.applyLimits(limits));
@@ -176,7 +197,7 @@
     currentState,
     signal: stop.signal,
   });
-  requiredEndpoints.push(heartbeats.isBound);
+  requireEndpoint('heartbeats', heartbeats.isBound);
 
   const runHousekeeping = createHousekeeping({
     clock,
@@ -188,6 +209,11 @@
     connectionMemory,
     inFlight: inFlight.count,
     applyLimits: callerListener.applyLimits,
+    reportReadiness: () => {
+      if (!drain.isDraining()) {
+        readiness.report();
+      }
+    },
   });
   const housekeeping = setInterval(
     logFailures(log, 'housekeeping-failed', runHousekeeping),
@@ -258,6 +284,7 @@
   return {
     view,
     isReady: () => currentState() === 'ready',
+    unmetNeeds: readiness.unmet,
     directoryHosts,
     explainChoice,
     close() {
--- a/packages/gateway/src/lifecycle/createHousekeeping.ts
+++ b/packages/gateway/src/lifecycle/createHousekeeping.ts
@@ -21,6 +21,8 @@
   readonly inFlight: () => number;
   /** Applies the limits of the configuration in force to callers' connections. */
   readonly applyLimits: (limits: CallerLimits) => void;
+  /** Reports what this host lacks to be ready. */
+  readonly reportReadiness: () => void;
 }
 
 /** Creates the periodic work that reports gauges and drops state of removed servers and peers. */
@@ -56,6 +58,7 @@
     if (table !== undefined) {
       options.applyLimits(table.limits);
     }
+    options.reportReadiness();
     metrics.gauge('configuration_version', table?.version ?? 0);
     metrics.gauge('store_era', view.position().era);
     metrics.gauge('store_revision', view.position().revision);
--- a/packages/gateway/src/model/FleetChange.ts
+++ b/packages/gateway/src/model/FleetChange.ts
@@ -6,7 +6,13 @@
 
 /** Decoded change of one key in the store. */
 export type FleetChange =
-  | { readonly kind: 'configuration'; readonly table: RoutingTable }
+  | {
+      readonly kind: 'configuration';
+      /** Undefined if the configuration cannot be read. */
+      readonly table: RoutingTable | undefined;
+      /** Why the configuration cannot be read. */
+      readonly problem?: string | undefined;
+    }
   | { readonly kind: 'evacuation'; readonly zone: AvailabilityZoneId; readonly active: boolean }
   | {
       readonly kind: 'server';
--- a/packages/gateway/src/model/RoutingTable.ts
+++ b/packages/gateway/src/model/RoutingTable.ts
@@ -4,10 +4,13 @@
 import type { ServiceName } from './ServiceName.js';
 import type { ServiceSpec } from './ServiceSpec.js';
 
+/** Version of a configuration, which the operator chooses. */
+export type ConfigurationVersion = number;
+
 /** Routing configuration that was validated and accepted. */
 export interface RoutingTable {
   /** Increases with every new configuration, not necessarily by one. */
-  readonly version: number;
+  readonly version: ConfigurationVersion;
   readonly routes: readonly Route[];
   readonly services: ReadonlyMap<ServiceName, ServiceSpec>;
   readonly limits: CallerLimits;
