Read versions of configurations of any size, digit by digit

Cause, class 'a value that the operator may write and the program cannot hold takes all that stands beside it': a version above 2^53 - 1 made the whole configuration unreadable. Hosts that ran kept the one before, and a host that started had none. A higher bound alone would not do: JSON.parse rounds such numbers, so that and ...994 would be one version.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -147,6 +147,7 @@
 export * from './membership/createServerRegistry.js';
 export * from './membership/peerDescriptionSchema.js';
 export * from './membership/shuffle.js';
+export * from './numbers/WholeNumber.js';
 export * from './orders/ClaimRecord.js';
 export * from './orders/ClaimStatus.js';
 export * from './orders/ExecutorIdentity.js';
--- a/packages/gateway/src/exchange/Exchange.ts
+++ b/packages/gateway/src/exchange/Exchange.ts
@@ -1,6 +1,7 @@
 import type { BodyBuffers, Fingerprint, PromptPartKey } from '@camphorbarrow/core';
 import type { Customer } from '../model/Customer.js';
 import type { Route } from '../model/Route.js';
+import type { ConfigurationVersion } from '../model/RoutingTable.js';
 import type { RequestMetadata } from '../model/RequestMetadata.js';
 import type { SoftwareVersion } from '../model/SoftwareVersion.js';
 import type { ServiceSpec } from '../model/ServiceSpec.js';
@@ -33,7 +34,7 @@
   /** Route of the request, with the priority and the regions of its customer. */
   readonly route: Route;
   readonly service: ServiceSpec;
-  readonly tableVersion: number;
+  readonly tableVersion: ConfigurationVersion;
   /** Whether the caller has waited for longer than the target already, after a rejection. */
   readonly isLate: boolean;
   /** Monotonic time of arrival. */
--- a/packages/gateway/src/exchange/serveExchange.ts
+++ b/packages/gateway/src/exchange/serveExchange.ts
@@ -1,4 +1,5 @@
 import { runAfterPoll } from '@camphorbarrow/core';
+import { printVersion } from '../model/printVersion.js';
 import type { AttemptResult } from './AttemptResult.js';
 import { describeChoice } from './describeChoice.js';
 import { describeSpans } from './describeSpans.js';
@@ -150,7 +151,7 @@
     resumesAfter: exchange.metadata.lastEventId,
     route: route.name,
     service: exchange.service.name,
-    tableVersion: exchange.tableVersion,
+    tableVersion: printVersion(exchange.tableVersion),
     customer: exchange.customer?.id,
     relayedBy: exchange.relayedBy,
     ...describeChoice(progress.lastChoice),
--- a/packages/gateway/src/fleet/createFleetState.ts
+++ b/packages/gateway/src/fleet/createFleetState.ts
@@ -10,6 +10,7 @@
 import type { FleetChange } from '../model/FleetChange.js';
 import type { HostRegistration } from '../model/HostRegistration.js';
 import type { KeptVersion } from '../model/KeptVersion.js';
+import { printVersion } from '../model/printVersion.js';
 import type { RoutingTable } from '../model/RoutingTable.js';
 import { createEntryList } from './createEntryList.js';
 import { createServerDirectory } from './createServerDirectory.js';
@@ -70,19 +71,22 @@
       if (next.version === table.version) {
         tableItem = item;
       } else {
-        log.info('configuration-ignored', { version: next.version, knownVersion: table.version });
+        log.info('configuration-ignored', {
+          version: printVersion(next.version),
+          knownVersion: printVersion(table.version),
+        });
       }
       return;
     }
     log.info('configuration-applied', {
-      version: next.version,
-      replacedVersion: table?.version,
+      version: printVersion(next.version),
+      replacedVersion: printVersion(table?.version),
       routes: next.routes.length,
       customers: next.customers?.byId.size,
     });
     if (next.customers !== undefined && next.customers.problems.length > 0) {
       log.warn('customers-left-out', {
-        version: next.version,
+        version: printVersion(next.version),
         problems: next.customers.problems.join('; '),
       });
     }
--- a/packages/gateway/src/fleet/createFleetView.ts
+++ b/packages/gateway/src/fleet/createFleetView.ts
@@ -4,6 +4,7 @@
 import type { RoutingTable } from '../model/RoutingTable.js';
 import type { StoreChanges, StoreListing } from '../ports/MetadataStore.js';
 import type { StorePosition } from '../model/StorePosition.js';
+import { printVersion } from '../model/printVersion.js';
 import type { StoreUpdate } from '../model/StoreUpdate.js';
 import { compareStorePositions } from './compareStorePositions.js';
 import { createChangeLog } from './createChangeLog.js';
@@ -106,7 +107,7 @@
       previousRevision: previous.revision,
       changes: events.length,
       deferred: outdated.size,
-      version: state.table()?.version,
+      version: printVersion(state.table()?.version),
     });
     restoreListeners.forEach((listener) => listener());
   }
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -171,6 +171,7 @@
 export * from './model/lifetimeId.js';
 export * from './model/mostUrgentRank.js';
 export * from './model/parseHostRegistration.js';
+export * from './model/printVersion.js';
 export * from './overload/createAcceptBacklog.js';
 export * from './overload/createAdmissionQueue.js';
 export * from './overload/createCustomerShares.js';
--- a/packages/gateway/src/ingress/createRequestHandler.ts
+++ b/packages/gateway/src/ingress/createRequestHandler.ts
@@ -13,6 +13,7 @@
 import { parseVersion } from '../exchange/versionHeader.js';
 import type { FleetView } from '../fleet/createFleetView.js';
 import type { Customer } from '../model/Customer.js';
+import { printVersion } from '../model/printVersion.js';
 import type { Route } from '../model/Route.js';
 import type { RoutingTable } from '../model/RoutingTable.js';
 import type { ServiceName } from '../model/ServiceName.js';
@@ -253,7 +254,7 @@
         requestId: context.codec.readRequest(request.headers).attemptId,
         code: requestError.code,
         status: requestError.statusCode,
-        tableVersion: view.table()?.version,
+        tableVersion: printVersion(view.table()?.version),
         ...requestError.details,
         retryAfterMs: requestError.retryAfterMs,
         callerLeft: responseWriter.disconnected.aborted,
--- a/packages/gateway/src/ingress/readRelayedService.ts
+++ b/packages/gateway/src/ingress/readRelayedService.ts
@@ -1,5 +1,5 @@
 import type { IncomingMessage } from 'node:http';
-import { RequestError } from '@camphorbarrow/core';
+import { RequestError, parseWholeNumber } from '@camphorbarrow/core';
 import { StreamVersionError } from '../errors/StreamVersionError.js';
 import { relayHeaders } from '../exchange/relayHeaders.js';
 import type { Route } from '../model/Route.js';
@@ -24,7 +24,8 @@
 ): ServiceSpec {
   const chosenName = firstHeaderValue(request, relayHeaders.service);
   const listedName = route.targets.find(({ service }) => service === chosenName)?.service;
-  const relayedVersion = Number(firstHeaderValue(request, relayHeaders.tableVersion) ?? 0);
+  const relayedVersion =
+    parseWholeNumber(firstHeaderValue(request, relayHeaders.tableVersion) ?? '') ?? 0;
   if (listedName === undefined && relayedVersion > table.version) {
     throw new RequestError('This entry host has an older configuration.', {
       props: { code: 'older-configuration', statusCode: 503, outcome: 'not-run' },
--- a/packages/gateway/src/lifecycle/createHousekeeping.ts
+++ b/packages/gateway/src/lifecycle/createHousekeeping.ts
@@ -59,7 +59,7 @@
       options.applyLimits(table.limits);
     }
     options.reportReadiness();
-    metrics.gauge('configuration_version', table?.version ?? 0);
+    metrics.gauge('configuration_version', Number(table?.version ?? 0));
     metrics.gauge('store_era', view.position().era);
     metrics.gauge('store_revision', view.position().revision);
     metrics.gauge('in_flight', options.inFlight());
--- a/packages/gateway/src/lifecycle/createReadiness.ts
+++ b/packages/gateway/src/lifecycle/createReadiness.ts
@@ -1,4 +1,5 @@
 import type { Clock, LogSink, MetricsSink } from '@camphorbarrow/core';
+import { printVersion } from '../model/printVersion.js';
 import type { ConfigurationVersion } from '../model/RoutingTable.js';
 
 /** Waits that are shorter are part of a usual start and not logged. */
@@ -97,7 +98,7 @@
         reportedText = undefined;
         log.info('host-ready', {
           unreadyMs: Math.round(nowMs - unreadySinceMs),
-          version: options.configurationVersion()?.toString(),
+          version: printVersion(options.configurationVersion()),
         });
       }
     },
--- a/packages/gateway/src/model/RoutingTable.ts
+++ b/packages/gateway/src/model/RoutingTable.ts
@@ -1,3 +1,4 @@
+import type { WholeNumber } from '@camphorbarrow/core';
 import type { CallerLimits } from './CallerLimits.js';
 import type { CustomerTable } from './CustomerTable.js';
 import type { Route } from './Route.js';
@@ -5,7 +6,7 @@
 import type { ServiceSpec } from './ServiceSpec.js';
 
 /** Version of a configuration, which the operator chooses. */
-export type ConfigurationVersion = number;
+export type ConfigurationVersion = WholeNumber;
 
 /** Routing configuration that was validated and accepted. */
 export interface RoutingTable {
--- a/packages/gateway/src/peers/PeerHeartbeat.ts
+++ b/packages/gateway/src/peers/PeerHeartbeat.ts
@@ -2,6 +2,7 @@
 import type { RejectionLimitReport } from '../limits/createRejectionLimits.js';
 import type { ServerLimitReport } from '../limits/createServerLimits.js';
 import type { HostRegistration } from '../model/HostRegistration.js';
+import type { ConfigurationVersion } from '../model/RoutingTable.js';
 import type { StorePosition } from '../model/StorePosition.js';
 import type { ServiceName } from '../model/ServiceName.js';
 import type { ServerOutcomes } from '../routing/createOutcomeTracker.js';
@@ -57,7 +58,7 @@
   /** Latest position in the history of the store known to the sender. */
   readonly storePosition: StorePosition;
   /** Version of the configuration in force at the sender; 0 if it has none. */
-  readonly configurationVersion: number;
+  readonly configurationVersion: ConfigurationVersion;
   readonly loads: ReadonlyMap<ServerId, HostLoad>;
   /** Recent time between events of the sender's streams, by server, in ms. */
   readonly paces: ReadonlyMap<ServerId, number>;
--- a/packages/gateway/src/peers/WireHeartbeat.ts
+++ b/packages/gateway/src/peers/WireHeartbeat.ts
@@ -24,6 +24,8 @@
   readonly era?: number;
   /** Version of the configuration in force; omitted if there is none. */
   readonly cfg?: number;
+  /** That version as decimal text if a number cannot hold it; `cfg` is omitted then. */
+  readonly cfgx?: string;
   /** Server, running requests, pending prompt tokens by rank, and the pace if there is one. */
   readonly load: readonly (readonly [
     ServerId,
--- a/packages/gateway/src/peers/heartbeatCodec.ts
+++ b/packages/gateway/src/peers/heartbeatCodec.ts
@@ -1,4 +1,4 @@
-import { asId } from '@camphorbarrow/core';
+import { asId, decodeWholeNumber } from '@camphorbarrow/core';
 import type {
   PartCrashReport,
   PartEvidence,
@@ -7,6 +7,7 @@
 } from '@camphorbarrow/core';
 import type { VersionReport } from '../streams/createVersionHistory.js';
 import { InvalidMessageError } from '../errors/InvalidMessageError.js';
+import type { ConfigurationVersion } from '../model/RoutingTable.js';
 import { parseHostRegistration } from '../model/parseHostRegistration.js';
 import { isWireHeartbeat } from './isWireHeartbeat.js';
 import type { HeartbeatEcho, HostLoad, PeerHeartbeat } from './PeerHeartbeat.js';
@@ -69,6 +70,14 @@
   return JSON.stringify(message);
 }
 
+/** Hosts of earlier builds drop a heartbeat whose version is not a number. */
+function encodeVersion(version: ConfigurationVersion): Pick<WireHeartbeat, 'cfg' | 'cfgx'> {
+  if (typeof version === 'bigint') {
+    return { cfgx: version.toString() };
+  }
+  return version === 0 ? {} : { cfg: version };
+}
+
 function encodeSharedFields(heartbeat: Omit<PeerHeartbeat, 'echo' | keyof LocalFields>): string {
   const message: Omit<
     WireHeartbeat,
@@ -79,7 +88,7 @@
     inc: heartbeat.incarnation,
     state: heartbeat.state,
     ...(heartbeat.closesInMs === undefined ? {} : { closes: Math.floor(heartbeat.closesInMs) }),
-    ...(heartbeat.configurationVersion === 0 ? {} : { cfg: heartbeat.configurationVersion }),
+    ...encodeVersion(heartbeat.configurationVersion),
     cap: [...heartbeat.capacity].map(([service, capacity]) => [
       service,
       Math.round(capacity.queueMs),
@@ -206,7 +215,7 @@
     state: message.state,
     ...(message.closes === undefined ? {} : { closesInMs: message.closes }),
     storePosition: { era: message.era ?? 0, revision: message.rev },
-    configurationVersion: message.cfg ?? 0,
+    configurationVersion: decodeWholeNumber(message.cfgx) ?? message.cfg ?? 0,
     ...decodeLoads(rows.load),
     ...(rows.fails.length === 0
       ? {}
--- a/packages/gateway/src/peers/isWireHeartbeat.ts
+++ b/packages/gateway/src/peers/isWireHeartbeat.ts
@@ -1,3 +1,4 @@
+import { decodeWholeNumber } from '@camphorbarrow/core';
 import { isStoreRevision } from '../model/isStoreRevision.js';
 import { MESSAGE_VERSION } from './WireHeartbeat.js';
 import type { WireHeartbeat, WirePartEvidence } from './WireHeartbeat.js';
@@ -64,6 +65,7 @@
     isStoreRevision(message.rev) &&
     (message.era === undefined || isStoreRevision(message.era)) &&
     (message.cfg === undefined || Number.isFinite(message.cfg)) &&
+    (message.cfgx === undefined || decodeWholeNumber(message.cfgx) !== undefined) &&
     HOST_STATES.includes(message.state ?? '') &&
     (message.closes === undefined || Number.isFinite(message.closes)) &&
     Array.isArray(message.load) &&
--- a/packages/gateway/src/peers/runPeerStoreFollower.ts
+++ b/packages/gateway/src/peers/runPeerStoreFollower.ts
@@ -1,7 +1,9 @@
+import { compareWholeNumbers } from '@camphorbarrow/core';
 import type { Clock, LogSink } from '@camphorbarrow/core';
 import { compareStorePositions } from '../fleet/compareStorePositions.js';
 import type { FleetView } from '../fleet/createFleetView.js';
 import type { Endpoint } from '../model/Endpoint.js';
+import { printVersion } from '../model/printVersion.js';
 import type { HostRegistration } from '../model/HostRegistration.js';
 import type { StoreUpdate } from '../model/StoreUpdate.js';
 import { pickByRendezvous } from '../routing/rankByRendezvous.js';
@@ -59,7 +61,9 @@
     const alive = peers.alive();
     const [newest] = alive
       .filter(({ heartbeat }) => heartbeat.configurationVersion > version)
-      .sort((a, b) => b.heartbeat.configurationVersion - a.heartbeat.configurationVersion);
+      .sort((a, b) =>
+        compareWholeNumbers(b.heartbeat.configurationVersion, a.heartbeat.configurationVersion),
+      );
     const nowMs = clock.monotonicMs();
     if (newest === undefined && alive.length > 0) {
       configurationCurrentAtMs = nowMs;
@@ -78,7 +82,7 @@
         log.info('store-update-from-peer', {
           hostId: host.id,
           ...view.position(),
-          version: view.table()?.version,
+          version: printVersion(view.table()?.version),
         });
       } catch (error) {
         log.warn('store-update-from-peer-failed', {
--- a/packages/gateway/src/routing/createChoiceExplainer.ts
+++ b/packages/gateway/src/routing/createChoiceExplainer.ts
@@ -1,4 +1,10 @@
-import { NoConfigurationError, NoServerError, NotFoundError, asId } from '@camphorbarrow/core';
+import {
+  NoConfigurationError,
+  NoServerError,
+  NotFoundError,
+  asId,
+  encodeWholeNumber,
+} from '@camphorbarrow/core';
 import { describeChoice } from '../exchange/describeChoice.js';
 import type { FleetView } from '../fleet/createFleetView.js';
 import type { Customer } from '../model/Customer.js';
@@ -42,7 +48,8 @@
 
 export interface ChoiceExplanation {
   readonly route: string;
-  readonly configurationVersion: number;
+  /** Decimal text if a number cannot hold it. */
+  readonly configurationVersion: number | string;
   /** One for each service among which the route splits its requests. */
   readonly services: readonly ServiceExplanation[];
 }
@@ -152,7 +159,7 @@
       .filter((service) => service !== undefined);
     return {
       route: route.name,
-      configurationVersion: table.version,
+      configurationVersion: encodeWholeNumber(table.version),
       services: services.map((service) => explainService(toRoutingRequest(query, route, service))),
     };
   };
--- a/packages/gateway/tests/lifecycle/createReadiness.test.ts
+++ b/packages/gateway/tests/lifecycle/createReadiness.test.ts
@@ -44,7 +44,7 @@
   t.deepEqual(lines, [
     ['host-not-ready', { lacks: 'configuration: the store was not read yet', unreadyMs: 1_000 }],
     ['host-not-ready', { lacks: `configuration: ${reason}`, unreadyMs: 11_000 }],
-    ['host-ready', { unreadyMs: 13_000, version: '7' }],
+    ['host-ready', { unreadyMs: 13_000, version: 7 }],
   ]);
   t.is(gauges.get('readiness_lacks configuration'), 0);
   t.is(gauges.get('readiness_lacks callers'), 0);
--- a/packages/gateway/tests/peers/heartbeatCodec.test.ts
+++ b/packages/gateway/tests/peers/heartbeatCodec.test.ts
@@ -50,6 +50,16 @@
   t.deepEqual(decodeHeartbeat(encode(undefined)), { ...heartbeat, echo: undefined });
 });
 
+// A number would lose digits; text in place of it makes hosts of earlier builds drop the heartbeat.
+test('a version beyond the numbers of JavaScript survives encoding, in a field of its own', (t) => {
+  const configurationVersion = 9_007_199_254_740_993n;
+  const datagram = createHeartbeatEncoder({ ...heartbeat, configurationVersion })(undefined);
+  t.is(decodeHeartbeat(datagram).configurationVersion, configurationVersion);
+  t.false('cfg' in (JSON.parse(datagram.toString()) as object));
+  const malformed = datagram.toString().replace('"9007199254740993"', '"9e15"');
+  t.throws(() => decodeHeartbeat(Buffer.from(malformed)));
+});
+
 test('evidence on prompt parts survives encoding, and a heartbeat without any is accepted', (t) => {
   const part = asId<PromptPartKey>('0123456789abcdef');
   const withEvidence: PeerHeartbeat = {
