Put the configuration in force that the store got last, also after a version far ahead

The protocol says that op/config holds the newest configuration; the store has an order of its own for what it holds. Change: within an era, the revision decides; between eras, and for what only another host tells, the version does, as before.

--- a/packages/gateway/src/fleet/createFleetState.ts
+++ b/packages/gateway/src/fleet/createFleetState.ts
@@ -12,6 +12,7 @@
 import type { KeptVersion } from '../model/KeptVersion.js';
 import { printVersion } from '../model/printVersion.js';
 import type { RoutingTable } from '../model/RoutingTable.js';
+import type { StoreEra } from '../model/StorePosition.js';
 import { createEntryList } from './createEntryList.js';
 import { createServerDirectory } from './createServerDirectory.js';
 import type { ServerDirectory } from './createServerDirectory.js';
@@ -23,6 +24,8 @@
   readonly decode: (event: WatchEvent) => FleetChange;
   readonly regionOfZone: (zone: AvailabilityZoneId) => RegionId | undefined;
   readonly coldAfterEvacuationMs: () => number;
+  /** Era of the changes that are applied. */
+  readonly storeEra: () => StoreEra;
   /** Called with each configuration that comes into force. */
   readonly onConfiguration: (table: RoutingTable) => void;
   /** Monotonic time at which the store was last seen unavailable; -Infinity if never. */
@@ -45,7 +48,7 @@
   keptVersions(): readonly KeptVersion[];
   /** Applies one change. Returns whether more than a heartbeat changed. */
   apply(event: WatchEvent): boolean;
-  /** Applies the item if it holds a configuration that is newer than the one in force. */
+  /** Applies the item of another host if its configuration has a higher version than the one in force. */
   applyConfiguration(item: KeyValue): void;
   /** Whether the item of a restored copy contradicts what this host learned after the copy. */
   isOutdated(event: WatchEvent): boolean;
@@ -63,13 +66,31 @@
   const knownEvacuations = new Set<string>();
   let table: RoutingTable | undefined;
   let tableItem: KeyValue | undefined;
+  /** Era in which the store holds `tableItem`; undefined if only another host told it. */
+  let tableEra: StoreEra | undefined;
   let configurationProblem: string | undefined;
   const servers = createServerDirectory(options);
 
-  function applyTable(next: RoutingTable, item: KeyValue): void {
-    if (table !== undefined && next.version <= table.version) {
+  /**
+   * Within an era, the store has the order of what the operator wrote: a version that was written by
+   * mistake must not hold against all later ones. Otherwise, only the version tells it.
+   */
+  function replacesTable(next: RoutingTable, item: KeyValue, era: StoreEra | undefined): boolean {
+    return (
+      table === undefined ||
+      next.version > table.version ||
+      (next.version !== table.version &&
+        era !== undefined &&
+        era === tableEra &&
+        item.modRevision > (tableItem?.modRevision ?? Infinity))
+    );
+  }
+
+  function applyTable(next: RoutingTable, item: KeyValue, era: StoreEra | undefined): void {
+    if (table !== undefined && !replacesTable(next, item, era)) {
       if (next.version === table.version) {
         tableItem = item;
+        tableEra = era;
       } else {
         log.info('configuration-ignored', {
           version: printVersion(next.version),
@@ -92,6 +113,7 @@
     }
     table = next;
     tableItem = item;
+    tableEra = era;
     options.onConfiguration(next);
   }
 
@@ -116,7 +138,7 @@
       case 'configuration':
         configurationProblem = change.problem;
         if (change.table !== undefined) {
-          applyTable(change.table, event);
+          applyTable(change.table, event, options.storeEra());
         }
         break;
       case 'evacuation':
@@ -180,7 +202,7 @@
     applyConfiguration(item) {
       const change = options.decode({ kind: 'put', ...item });
       if (change.kind === 'configuration' && change.table !== undefined) {
-        applyTable(change.table, item);
+        applyTable(change.table, item, undefined);
       }
     },
     isOutdated,
--- a/packages/gateway/src/fleet/createFleetView.ts
+++ b/packages/gateway/src/fleet/createFleetView.ts
@@ -19,7 +19,7 @@
 
 export type FleetViewOptions = Omit<
   FleetStateOptions,
-  'storeLastUnavailableAtMs' | 'onConfiguration'
+  'storeLastUnavailableAtMs' | 'onConfiguration' | 'storeEra'
 >;
 
 /** This host's view of the fleet, from the store or from peers. */
@@ -67,6 +67,7 @@
   const state = createFleetState({
     ...options,
     onConfiguration: (table) => configurationListeners.forEach((listener) => listener(table)),
+    storeEra: () => replica.position().era,
     storeLastUnavailableAtMs: () => storeLastUnavailableAtMs,
   });
   const { servers } = state;
@@ -84,7 +85,7 @@
   /**
    * Replaces the replica after the store was restored from an older copy. The copy lacks what was
    * written after it, so what this host knows goes first until it is written again. Configurations
-   * are ordered by their version alone.
+   * of different eras are ordered by their version alone.
    */
   function applyRestoredListing(listing: StoreListing): void {
     const previous = replica.position();
