--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -269,4 +269,5 @@
 export * from './upstream/readFullBody.js';
 export * from './upstream/sendUpstream.js';
 export * from './upstream/sleepWhileReading.js';
+export * from './upstream/startTransferTimeout.js';
 export * from './upstream/tryConnect.js';
--- a/packages/gateway/src/peers/createStoreUpdateExchange.ts
+++ b/packages/gateway/src/peers/createStoreUpdateExchange.ts
@@ -1,5 +1,5 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import { waitForPoll, withBodyScope, withInputTimeout } from '@camphorbarrow/core';
+import { ProgressTimeoutError, waitForPoll, withBodyScope } from '@camphorbarrow/core';
 import type { BodyBuffers } from '@camphorbarrow/core';
 import type { FleetView } from '../fleet/createFleetView.js';
 import { InvalidMessageError } from '../errors/InvalidMessageError.js';
@@ -9,6 +9,7 @@
 import type { ConnectionPools } from '../upstream/createConnectionPools.js';
 import { formatEndpoint } from '../upstream/createConnectionPools.js';
 import { readFullBody } from '../upstream/readFullBody.js';
+import { startTransferTimeout } from '../upstream/startTransferTimeout.js';
 import { sendUpstream } from '../upstream/sendUpstream.js';
 import { isStoreUpdate } from './isStoreUpdate.js';
 
@@ -17,6 +18,7 @@
 /** Era of the revision in `UPDATE_HEADER`; 0 if absent. */
 const ERA_HEADER = 'x-entry-host-store-era';
 const UPDATE_PATH = '/news';
+/** Time to the connection, and from there to the head of the response. */
 const TIMEOUT_MS = 1_000;
 const MAX_UPDATE_BYTES = 67_108_864;
 
@@ -52,7 +54,9 @@
     response.writeHead(200, { 'content-length': body.length }).end(body);
   }
 
-  async function fetchUpdate(peer: Endpoint, signal: AbortSignal): Promise<StoreUpdate> {
+  async function fetchUpdate(peer: Endpoint): Promise<StoreUpdate> {
+    const stop = new AbortController();
+    const { signal } = stop;
     await waitForPoll();
     const sent = await sendUpstream({
       agent: connections.agentFor(formatEndpoint(peer)),
@@ -75,14 +79,18 @@
     if (sent.kind === 'failed') {
       throw new InvalidMessageError(`The peer sent no store update: ${sent.cause}.`);
     }
+    const timeout = startTransferTimeout(() =>
+      stop.abort(new ProgressTimeoutError('The update stopped to arrive.')),
+    );
     const update = await withBodyScope(bodies, async (scope): Promise<unknown> => {
       const body = await readFullBody(sent.response, {
         bodies: scope,
         maxBytes: MAX_UPDATE_BYTES,
         signal,
+        onBytes: timeout.recordBytes,
       });
       return body.kind === 'complete' ? JSON.parse(body.bytes.toString()) : undefined;
-    });
+    }).finally(timeout.close);
     if (!isStoreUpdate(update)) {
       throw new InvalidMessageError(
         'The store update of the peer has missing or malformed fields.',
@@ -97,6 +105,6 @@
       request.headers[UPDATE_HEADER] === undefined
         ? handle(request, response)
         : respond(request, response),
-    fetch: (peer) => withInputTimeout(TIMEOUT_MS, (signal) => fetchUpdate(peer, signal)),
+    fetch: fetchUpdate,
   };
 }
--- a/packages/gateway/src/upstream/readFullBody.ts
+++ b/packages/gateway/src/upstream/readFullBody.ts
@@ -15,12 +15,14 @@
   readonly bodies: BodyBuffers;
   readonly maxBytes: number;
   readonly signal: AbortSignal;
+  /** Called with the size of each chunk. */
+  readonly onBytes?: (count: number) => void;
 }
 
 /** Reads a complete body. Never rejects. */
 export function readFullBody(
   message: IncomingMessage,
-  { bodies, maxBytes, signal }: ReadFullBodyOptions,
+  { bodies, maxBytes, signal, onBytes }: ReadFullBodyOptions,
 ): Promise<FullBody> {
   return new Promise((resolve) => {
     let isSettled = false;
@@ -51,6 +53,7 @@
       if (isSettled) {
         return;
       }
+      onBytes?.(chunk.length);
       const result = buffer.append(chunk);
       if (result !== 'kept') {
         stop(result);
--- a/packages/gateway/tests/peers/createStoreUpdateExchange.test.ts
+++ b/packages/gateway/tests/peers/createStoreUpdateExchange.test.ts
@@ -38,9 +38,19 @@
   storeAwayMs: null,
 };
 
-async function fetchUpdate(text: string, onResponse?: () => void): Promise<unknown> {
-  const server = createServer((_request, response) => {
-    response.end(text);
+/** @param chunkBytes size of the chunks that are sent every 100 ms; all at once by default */
+async function fetchUpdate(
+  text: string,
+  onResponse?: () => void,
+  chunkBytes = Infinity,
+): Promise<unknown> {
+  const server = createServer(async (_request, response) => {
+    let rest = text;
+    for (; rest.length > chunkBytes; rest = rest.slice(chunkBytes)) {
+      response.write(rest.slice(0, chunkBytes));
+      await sleep(100);
+    }
+    response.end(rest);
     if (onResponse !== undefined) {
       response.on('finish', onResponse);
     }
@@ -91,6 +101,13 @@
   t.deepEqual(await fetchUpdate(JSON.stringify(update)), update);
 });
 
+// A host that cannot reach the store got nothing from others either while their links were slow.
+test('a store update that takes two seconds to arrive is accepted', async (t) => {
+  const items = [{ key: 'config', value: 'x'.repeat(80_000), modRevision: 3 }];
+  const text = JSON.stringify({ ...update, items });
+  t.like(await fetchUpdate(text, undefined, 4_000), { items });
+});
+
 for (const [subject, changes] of Object.entries(malformed)) {
   test(`a store update with ${subject} that is malformed is rejected`, async (t) => {
     for (const change of changes) {
