Keep the last configuration that hosts could read in the store

Cause: the configuration in force lived in the memory of hosts alone, and was lost with the last process that held it. Change: one host writes it, compressed, to a key of the hosts' own once it has been in force for 1 s; hosts that start without a readable entry use it. Era and revision order it, so that the next readable entry of the operator replaces it, and a restored copy never does. A configuration costs one write; keys of hosts are not priced by their size.

--- a/packages/gateway/src/fleet/createFleetState.ts
+++ b/packages/gateway/src/fleet/createFleetState.ts
@@ -9,6 +9,7 @@
 } from '@camphorbarrow/core';
 import type { FleetChange } from '../model/FleetChange.js';
 import type { HostRegistration } from '../model/HostRegistration.js';
+import type { KeptConfiguration } from '../model/KeptConfiguration.js';
 import type { KeptVersion } from '../model/KeptVersion.js';
 import { printVersion } from '../model/printVersion.js';
 import type { RoutingTable } from '../model/RoutingTable.js';
@@ -46,10 +47,14 @@
   hosts(): readonly HostRegistration[];
   /** Versions that the hosts keep in the store. */
   keptVersions(): readonly KeptVersion[];
+  /** Configuration in force if the store held it in this era and the hosts do not keep it yet. */
+  configurationToKeep(): KeptConfiguration | undefined;
   /** Applies one change. Returns whether more than a heartbeat changed. */
   apply(event: WatchEvent): boolean;
   /** Applies the item of another host if its configuration has a higher version than the one in force. */
   applyConfiguration(item: KeyValue): void;
+  /** Puts the kept configuration in force if there is no other. */
+  applyKeptConfiguration(): void;
   /** Whether the item of a restored copy contradicts what this host learned after the copy. */
   isOutdated(event: WatchEvent): boolean;
   /** Whether the change is about a server that is listed. */
@@ -69,6 +74,7 @@
   /** Era in which the store holds `tableItem`; undefined if only another host told it. */
   let tableEra: StoreEra | undefined;
   let configurationProblem: string | undefined;
+  let keptConfiguration: KeptConfiguration | undefined;
   const servers = createServerDirectory(options);
 
   /**
@@ -166,6 +172,9 @@
       case 'kept-version':
         keptVersions.apply(change.key, change.entry);
         break;
+      case 'kept-configuration':
+        keptConfiguration = change.entry;
+        break;
       case 'unreadable':
       case 'unrelated':
         break;
@@ -173,6 +182,34 @@
     return true;
   }
 
+  function applyKeptConfiguration(): void {
+    if (table !== undefined || keptConfiguration === undefined) {
+      return;
+    }
+    const { item, era } = keptConfiguration;
+    const change = options.decode({ kind: 'put', ...item });
+    if (change.kind === 'configuration' && change.table !== undefined) {
+      log.warn('kept-configuration-used', {
+        version: printVersion(change.table.version),
+        problem: configurationProblem ?? 'the store holds no configuration',
+      });
+      applyTable(change.table, item, era);
+    }
+  }
+
+  function configurationToKeep(): KeptConfiguration | undefined {
+    const era = options.storeEra();
+    if (tableItem === undefined || tableEra !== era) {
+      return undefined;
+    }
+    const isKept =
+      keptConfiguration !== undefined &&
+      (keptConfiguration.era > era ||
+        (keptConfiguration.era === era &&
+          keptConfiguration.item.modRevision >= tableItem.modRevision));
+    return isKept ? undefined : { item: tableItem, era };
+  }
+
   function isOutdated(event: WatchEvent): boolean {
     const change = options.decode(event);
     switch (change.kind) {
@@ -198,7 +235,9 @@
     servers,
     hosts: hosts.all,
     keptVersions: keptVersions.all,
+    configurationToKeep,
     apply,
+    applyKeptConfiguration,
     applyConfiguration(item) {
       const change = options.decode({ kind: 'put', ...item });
       if (change.kind === 'configuration' && change.table !== undefined) {
--- a/packages/gateway/src/fleet/createFleetView.ts
+++ b/packages/gateway/src/fleet/createFleetView.ts
@@ -1,5 +1,6 @@
 import type { AvailabilityZoneId, WatchEvent } from '@camphorbarrow/core';
 import type { HostRegistration } from '../model/HostRegistration.js';
+import type { KeptConfiguration } from '../model/KeptConfiguration.js';
 import type { KeptVersion } from '../model/KeptVersion.js';
 import type { RoutingTable } from '../model/RoutingTable.js';
 import type { StoreChanges, StoreListing } from '../ports/MetadataStore.js';
@@ -36,6 +37,8 @@
   hosts(): readonly HostRegistration[];
   /** Versions of the servers of services, which the hosts keep in the store. */
   keptVersions(): readonly KeptVersion[];
+  /** Configuration in force if the store held it in this era and the hosts do not keep it yet. */
+  configurationToKeep(): KeptConfiguration | undefined;
   position(): StorePosition;
   /** Monotonic time at which the store last responded to this host or to a peer that updated it. */
   confirmedAtMs(): number;
@@ -80,6 +83,7 @@
       .takeDue()
       .filter((event) => !state.isOutdated(event) || !state.isOfListedServer(event))
       .forEach(state.apply);
+    state.applyKeptConfiguration();
   }
 
   /**
@@ -172,6 +176,7 @@
     servers,
     hosts: state.hosts,
     keptVersions: state.keptVersions,
+    configurationToKeep: state.configurationToKeep,
     position: replica.position,
     confirmedAtMs: () => confirmedAtMs,
     applyListing(listing) {
--- a/packages/gateway/src/lifecycle/startHostTasks.ts
+++ b/packages/gateway/src/lifecycle/startHostTasks.ts
@@ -3,6 +3,7 @@
 import { createCacheResponseRecorder } from '../exchange/createCacheResponseRecorder.js';
 import type { GatewayContext } from '../exchange/GatewayContext.js';
 import type { FleetView } from '../fleet/createFleetView.js';
+import { runConfigurationKeeper } from '../fleet/runConfigurationKeeper.js';
 import { runHostRegistration } from '../fleet/runHostRegistration.js';
 import { runStoreFollower } from '../fleet/runStoreFollower.js';
 import type { Endpoint } from '../model/Endpoint.js';
@@ -29,6 +30,7 @@
   | 'store'
   | 'own'
   | 'registration'
+  | 'encodeKeptConfiguration'
   | 'encodeKeptVersion'
   | 'createCacheFeed'
 > {
@@ -106,6 +108,18 @@
         encode: options.encodeKeptVersion,
         signal,
       }),
+    'configuration-keeper': () =>
+      runConfigurationKeeper({
+        clock,
+        log,
+        metrics: options.metrics,
+        store,
+        ownId: own.id,
+        view,
+        peers,
+        encode: options.encodeKeptConfiguration,
+        signal,
+      }),
     'peer-store-follower': () =>
       runPeerStoreFollower({
         clock,
--- a/packages/gateway/src/model/FleetChange.ts
+++ b/packages/gateway/src/model/FleetChange.ts
@@ -1,5 +1,6 @@
 import type { AvailabilityZoneId, HostId, ServerId } from '@camphorbarrow/core';
 import type { HostRegistration } from './HostRegistration.js';
+import type { KeptConfiguration } from './KeptConfiguration.js';
 import type { KeptVersion } from './KeptVersion.js';
 import type { RoutingTable } from './RoutingTable.js';
 import type { ServerRegistration } from './ServerRegistration.js';
@@ -38,5 +39,12 @@
       /** Why the entry is malformed. */
       readonly problem?: string | undefined;
     }
+  | {
+      readonly kind: 'kept-configuration';
+      /** Undefined if the entry was removed or is malformed. */
+      readonly entry: KeptConfiguration | undefined;
+      /** Why the entry is malformed. */
+      readonly problem?: string | undefined;
+    }
   | { readonly kind: 'unreadable'; readonly problem: string }
   | { readonly kind: 'unrelated' };
--- a/packages/gateway/src/ports/MetadataStore.ts
+++ b/packages/gateway/src/ports/MetadataStore.ts
@@ -35,6 +35,8 @@
    *   restored from an older copy
    */
   waitForChanges(prefix: string, after: StorePosition, waitMs: number): Promise<StoreChanges>;
+  /** Writes a key that stays until it is written again. */
+  put(write: Omit<LeasedWrite, 'leaseId'>): Promise<void>;
   /** @throws LeaseEndedError if the lease does not exist, or belongs to an earlier era */
   putLeased(write: LeasedWrite): Promise<void>;
   grantLease(ttlMs: number): Promise<LeaseId>;
