--- a/packages/gateway/src/fleet/runConfigurationKeeper.ts
+++ b/packages/gateway/src/fleet/runConfigurationKeeper.ts
@@ -13,7 +13,7 @@
 /** Older views may miss what another host has written. */
 const MAX_VIEW_AGE_MS = 1_200;
 /** Pause after a write, within which this host's view shows it, and after a failed one. */
-const PAUSE_MS = 5_000;
+const PAUSE_MS = 2_000;
 const RANKING_KEY = 'configuration-keeper';
 
 export interface ConfigurationKeeperOptions {
