--- a/packages/core/src/engineOrders/createEngineOwnership.ts
+++ b/packages/core/src/engineOrders/createEngineOwnership.ts
@@ -83,7 +83,8 @@
       return;
     }
     leaseId = lease;
-    fencingToken = result.modRevision;
+    // The store of this interface numbers its revisions from 1 on.
+    fencingToken = Number(result.modRevision);
     validUntilMs = requestedAtMs + ttlSeconds * MS_PER_SECOND;
     ownerSinceMs = clock.monotonicMs();
   }
--- a/packages/core/src/numbers/WholeNumber.ts
+++ b/packages/core/src/numbers/WholeNumber.ts
@@ -58,3 +58,12 @@
 export function compareWholeNumbers(a: WholeNumber, b: WholeNumber): number {
   return Number(a > b) - Number(a < b);
 }
+
+export function maxWholeNumber(a: WholeNumber, b: WholeNumber): WholeNumber {
+  return a > b ? a : b;
+}
+
+/** Returns the next whole number. */
+export function nextWholeNumber(value: WholeNumber): WholeNumber {
+  return toWholeNumber(BigInt(value) + 1n);
+}
--- a/packages/core/src/orders/createClaimOrderExecutor.ts
+++ b/packages/core/src/orders/createClaimOrderExecutor.ts
@@ -19,7 +19,7 @@
 import type { ExecutorIdentity } from './ExecutorIdentity.js';
 import { requireAnswer } from './requireAnswer.js';
 import type { ClaimResolver } from './createClaimResolver.js';
-import type { ClaimStore } from './createClaimStore.js';
+import type { ClaimResult, ClaimStore } from './createClaimStore.js';
 import { createOutcomeTable } from './createOutcomeTable.js';
 import type { OutcomeEntry } from './createOutcomeTable.js';
 import { orderFingerprint } from './orderFingerprint.js';
@@ -98,7 +98,7 @@
   ): Promise<OrderOutcome | { readonly kind: 'claimed'; readonly revision: StoreRevision }> {
     const fingerprint = orderFingerprint(options.recordKey, request);
     const canSend = options.hasServer(request);
-    let expectedRevision = 0;
+    let expectedRevision: StoreRevision = 0;
     for (
       let attempt = 0;
       attempt < MAX_CLAIM_ATTEMPTS && gate.state() === 'not-sent';
@@ -106,7 +106,7 @@
     ) {
       // Without a server a new claim would be a useless write, but an earlier claim must still be
       // found.
-      const result = canSend
+      const result: ClaimResult | undefined = canSend
         ? await claimStore.acquire(claimKey, claimId, expectedRevision)
         : await claimStore.read(claimKey);
       if (result === undefined) {
--- a/packages/core/src/ports/KeyValueStore.ts
+++ b/packages/core/src/ports/KeyValueStore.ts
@@ -1,9 +1,10 @@
+import type { WholeNumber } from '../numbers/WholeNumber.js';
 import type { Brand } from '../ids/Brand.js';
 
 export type LeaseId = Brand<string, 'LeaseId'>;
 
 /** Revision of the store; increases with every write. Zero stands for an absent key. */
-export type StoreRevision = number;
+export type StoreRevision = WholeNumber;
 
 export interface KeyValue {
   readonly key: string;
--- a/packages/core/tests/config/createConfigStoreSync.test.ts
+++ b/packages/core/tests/config/createConfigStoreSync.test.ts
@@ -2,7 +2,7 @@
 import { createConfigState } from '../../src/config/createConfigState.js';
 import { createConfigStoreSync } from '../../src/config/createConfigStoreSync.js';
 import { CONFIGURATION_KEY } from '../../src/config/configurationKey.js';
-import type { WatchEvent } from '../../src/ports/KeyValueStore.js';
+import type { StoreRevision, WatchEvent } from '../../src/ports/KeyValueStore.js';
 import type { LogSink } from '../../src/ports/LogSink.js';
 import type { Clock } from '../../src/ports/Clock.js';
 import { createFakeStore } from './createFakeStore.js';
@@ -48,7 +48,7 @@
     random: { next: () => 0 },
     hostCount: () => 1,
   });
-  async function put(version: number): Promise<number> {
+  async function put(version: number): Promise<StoreRevision> {
     const current = await store.get(CONFIGURATION_KEY);
     const result = await store.compareAndSwap({
       key: CONFIGURATION_KEY,
--- a/packages/gateway/src/fleet/createChangeLog.ts
+++ b/packages/gateway/src/fleet/createChangeLog.ts
@@ -1,3 +1,4 @@
+import { maxWholeNumber } from '@camphorbarrow/core';
 import type { StoreRevision } from '@camphorbarrow/core';
 
 /** Maximum length of the log. A host that lags further behind gets a full snapshot. */
@@ -25,7 +26,7 @@
       changes.push({ key, revision });
       if (changes.length > MAX_CHANGES) {
         const dropped = changes.splice(0, MAX_CHANGES / 2);
-        completeSince = Math.max(completeSince, dropped.at(-1)?.revision ?? completeSince);
+        completeSince = maxWholeNumber(completeSince, dropped.at(-1)?.revision ?? completeSince);
       }
     },
     since(revision) {
--- a/packages/gateway/src/fleet/createFleetState.ts
+++ b/packages/gateway/src/fleet/createFleetState.ts
@@ -1,3 +1,4 @@
+import { encodeWholeNumber } from '@camphorbarrow/core';
 import type {
   AvailabilityZoneId,
   Clock,
@@ -163,7 +164,7 @@
           service: change.registration?.service,
           zone: change.registration?.zone,
           coldRemainingMs: change.registration?.coldRemainingMs,
-          revision: event.modRevision,
+          revision: encodeWholeNumber(event.modRevision),
         });
         break;
       case 'host':
--- a/packages/gateway/src/fleet/createFleetView.ts
+++ b/packages/gateway/src/fleet/createFleetView.ts
@@ -1,3 +1,4 @@
+import { encodeWholeNumber } from '@camphorbarrow/core';
 import type { AvailabilityZoneId, WatchEvent } from '@camphorbarrow/core';
 import type { HostRegistration } from '../model/HostRegistration.js';
 import type { KeptConfiguration } from '../model/KeptConfiguration.js';
@@ -5,6 +6,7 @@
 import type { RoutingTable } from '../model/RoutingTable.js';
 import type { StoreChanges, StoreListing } from '../ports/MetadataStore.js';
 import type { StorePosition } from '../model/StorePosition.js';
+import { printPosition } from '../model/printPosition.js';
 import { printVersion } from '../model/printVersion.js';
 import type { StoreUpdate } from '../model/StoreUpdate.js';
 import { compareStorePositions } from './compareStorePositions.js';
@@ -106,10 +108,9 @@
     events.filter((event) => !outdated.has(event)).forEach(state.apply);
     changes.reset(listing.revision);
     log.warn('store-restored', {
-      era: listing.era,
-      revision: listing.revision,
-      previousEra: previous.era,
-      previousRevision: previous.revision,
+      ...printPosition(listing),
+      previousEra: encodeWholeNumber(previous.era),
+      previousRevision: encodeWholeNumber(previous.revision),
       changes: events.length,
       deferred: outdated.size,
       version: printVersion(state.table()?.version),
@@ -122,10 +123,9 @@
     const known = replica.position();
     if (compareStorePositions(listing, known) < 0) {
       log.warn('store-listing-ignored', {
-        era: listing.era,
-        revision: listing.revision,
-        knownEra: known.era,
-        knownRevision: known.revision,
+        ...printPosition(listing),
+        knownEra: encodeWholeNumber(known.era),
+        knownRevision: encodeWholeNumber(known.revision),
       });
       return false;
     }
--- a/packages/gateway/src/fleet/createReplica.ts
+++ b/packages/gateway/src/fleet/createReplica.ts
@@ -1,3 +1,4 @@
+import { maxWholeNumber } from '@camphorbarrow/core';
 import type { KeyValue, StoreRevision, WatchEvent } from '@camphorbarrow/core';
 import type { StorePosition } from '../model/StorePosition.js';
 import type { StoreChanges, StoreListing } from '../ports/MetadataStore.js';
@@ -34,7 +35,7 @@
   let position: StorePosition = { era: 0, revision: 0 };
 
   const advanceTo = (revision: StoreRevision): void => {
-    position = { ...position, revision: Math.max(position.revision, revision) };
+    position = { ...position, revision: maxWholeNumber(position.revision, revision) };
   };
 
   function merge(event: WatchEvent): boolean {
--- a/packages/gateway/src/fleet/runConfigurationKeeper.ts
+++ b/packages/gateway/src/fleet/runConfigurationKeeper.ts
@@ -1,3 +1,4 @@
+import { encodeWholeNumber } from '@camphorbarrow/core';
 import type { Clock, HostId, LogSink, MetricsSink } from '@camphorbarrow/core';
 import type { KeptConfiguration } from '../model/KeptConfiguration.js';
 import type { PeerRegistry } from '../peers/createPeerRegistry.js';
@@ -62,7 +63,9 @@
       try {
         await options.store.put(options.encode(entry));
         metrics.increment('kept_configurations', { call: 'write' });
-        log.info('configuration-kept', { revision: entry.item.modRevision });
+        log.info('configuration-kept', {
+          revision: encodeWholeNumber(entry.item.modRevision),
+        });
       } catch (error) {
         metrics.increment('kept_configurations', { call: 'failed' });
         log.warn('configuration-keeping-failed', { reason: (error as Error).name });
--- a/packages/gateway/src/fleet/runStoreFollower.ts
+++ b/packages/gateway/src/fleet/runStoreFollower.ts
@@ -1,5 +1,6 @@
 import type { Clock, LogSink } from '@camphorbarrow/core';
 import { StoreHistoryLostError } from '../errors/StoreHistoryLostError.js';
+import { printPosition } from '../model/printPosition.js';
 import type { MetadataStore } from '../ports/MetadataStore.js';
 import type { FleetView } from './createFleetView.js';
 
@@ -38,9 +39,9 @@
     if (isReachable !== wasReachable) {
       wasReachable = isReachable;
       if (isReachable) {
-        log.info('store-reached', { ...view.position() });
+        log.info('store-reached', printPosition(view.position()));
       } else {
-        log.error('store-unreachable', { ...view.position() }, error);
+        log.error('store-unreachable', printPosition(view.position()), error);
       }
     }
   }
@@ -68,7 +69,7 @@
         return;
       }
       if (error instanceof StoreHistoryLostError) {
-        log.warn('store-history-lost', { ...view.position() });
+        log.warn('store-history-lost', printPosition(view.position()));
         historyLost = true;
       } else {
         setReachable(false, error);
--- a/packages/gateway/src/lifecycle/createHousekeeping.ts
+++ b/packages/gateway/src/lifecycle/createHousekeeping.ts
@@ -60,8 +60,8 @@
     }
     options.reportReadiness();
     metrics.gauge('configuration_version', Number(table?.version ?? 0));
-    metrics.gauge('store_era', view.position().era);
-    metrics.gauge('store_revision', view.position().revision);
+    metrics.gauge('store_era', Number(view.position().era));
+    metrics.gauge('store_revision', Number(view.position().revision));
     metrics.gauge('in_flight', options.inFlight());
     metrics.gauge('request_head_bytes', options.connectionMemory.heldBytes());
     metrics.gauge('request_body_bytes', context.requestBodies.heldBytes());
--- a/packages/gateway/src/model/StorePosition.ts
+++ b/packages/gateway/src/model/StorePosition.ts
@@ -1,7 +1,7 @@
-import type { StoreRevision } from '@camphorbarrow/core';
+import type { StoreRevision, WholeNumber } from '@camphorbarrow/core';
 
 /** Era of the store's history. It rises when the store is restored from an older copy. */
-export type StoreEra = number;
+export type StoreEra = WholeNumber;
 
 /**
  * Point in the history of the store. Revisions are given out again after a restore, so they are only
--- a/packages/gateway/src/peers/WireHeartbeat.ts
+++ b/packages/gateway/src/peers/WireHeartbeat.ts
@@ -19,9 +19,10 @@
   readonly state: HostState;
   /** Time in ms until a draining sender closes its connections; omitted if it does not drain. */
   readonly closes?: number;
-  readonly rev: number;
-  /** Era of `rev`; omitted if it is 0. */
-  readonly era?: number;
+  /** Revision of the store; decimal text if a number cannot hold it. */
+  readonly rev: number | string;
+  /** Era of `rev`, likewise; omitted if it is 0. */
+  readonly era?: number | string;
   /** Version of the configuration in force; omitted if there is none. */
   readonly cfg?: number;
   /** That version as decimal text if a number cannot hold it; `cfg` is omitted then. */
--- a/packages/gateway/src/peers/createStoreUpdateExchange.ts
+++ b/packages/gateway/src/peers/createStoreUpdateExchange.ts
@@ -1,6 +1,11 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import { ProgressTimeoutError, waitForPoll, withBodyScope } from '@camphorbarrow/core';
-import type { BodyBuffers } from '@camphorbarrow/core';
+import {
+  ProgressTimeoutError,
+  parseWholeNumber,
+  waitForPoll,
+  withBodyScope,
+} from '@camphorbarrow/core';
+import type { BodyBuffers, WholeNumber } from '@camphorbarrow/core';
 import type { FleetView } from '../fleet/createFleetView.js';
 import { InvalidMessageError } from '../errors/InvalidMessageError.js';
 import type { RequestHandler } from '../ingress/createRequestHandler.js';
@@ -11,6 +16,7 @@
 import { readFullBody } from '../upstream/readFullBody.js';
 import { startTransferTimeout } from '../upstream/startTransferTimeout.js';
 import { sendUpstream } from '../upstream/sendUpstream.js';
+import { encodeStoreUpdate, parseStoreUpdate } from './storeUpdateCodec.js';
 import { isStoreUpdate } from './isStoreUpdate.js';
 
 /** Marks a request for a store update; holds the revision after which changes are requested. */
@@ -34,10 +40,8 @@
   fetch(peer: Endpoint): Promise<StoreUpdate>;
 }
 
-function parseNumber(header: string | readonly string[] | undefined): number {
-  const value = Number(header);
-  return Number.isFinite(value) ? value : 0;
-}
+const parseNumber = (header: string | readonly string[] | undefined): WholeNumber =>
+  parseWholeNumber(String(header)) ?? 0;
 
 /** Creates the client and the server side of the exchange of store updates. */
 export function createStoreUpdateExchange(
@@ -50,7 +54,7 @@
       era: parseNumber(request.headers[ERA_HEADER]),
       revision: parseNumber(request.headers[UPDATE_HEADER]),
     };
-    const body = Buffer.from(JSON.stringify(view.updateSince(since)));
+    const body = Buffer.from(encodeStoreUpdate(view.updateSince(since)));
     response.writeHead(200, { 'content-length': body.length }).end(body);
   }
 
@@ -89,7 +93,7 @@
         signal,
         onBytes: timeout.recordBytes,
       });
-      return body.kind === 'complete' ? JSON.parse(body.bytes.toString()) : undefined;
+      return body.kind === 'complete' ? parseStoreUpdate(body.bytes.toString()) : undefined;
     }).finally(timeout.close);
     if (!isStoreUpdate(update)) {
       throw new InvalidMessageError(
--- a/packages/gateway/src/peers/heartbeatCodec.ts
+++ b/packages/gateway/src/peers/heartbeatCodec.ts
@@ -1,4 +1,4 @@
-import { asId, decodeWholeNumber } from '@camphorbarrow/core';
+import { asId, decodeWholeNumber, encodeWholeNumber } from '@camphorbarrow/core';
 import type {
   PartCrashReport,
   PartEvidence,
@@ -64,8 +64,8 @@
 }: Pick<PeerHeartbeat, 'sentAtMs' | 'storePosition'>): string {
   const message: Pick<WireHeartbeat, 'at' | 'rev' | 'era'> = {
     at: sentAtMs,
-    rev: revision,
-    ...(era === 0 ? {} : { era }),
+    rev: encodeWholeNumber(revision),
+    ...(era === 0 ? {} : { era: encodeWholeNumber(era) }),
   };
   return JSON.stringify(message);
 }
@@ -214,7 +214,10 @@
     echo: message.echo,
     state: message.state,
     ...(message.closes === undefined ? {} : { closesInMs: message.closes }),
-    storePosition: { era: message.era ?? 0, revision: message.rev },
+    storePosition: {
+      era: decodeWholeNumber(message.era) ?? 0,
+      revision: decodeWholeNumber(message.rev) ?? 0,
+    },
     configurationVersion: decodeWholeNumber(message.cfgx) ?? message.cfg ?? 0,
     ...decodeLoads(rows.load),
     ...(rows.fails.length === 0
--- a/packages/gateway/src/peers/isWireHeartbeat.ts
+++ b/packages/gateway/src/peers/isWireHeartbeat.ts
@@ -62,8 +62,8 @@
     typeof message.inc === 'string' &&
     Number.isFinite(message.at) &&
     (message.echo === undefined || isEcho(message.echo)) &&
-    isStoreRevision(message.rev) &&
-    (message.era === undefined || isStoreRevision(message.era)) &&
+    isStoreRevision(decodeWholeNumber(message.rev)) &&
+    (message.era === undefined || isStoreRevision(decodeWholeNumber(message.era))) &&
     (message.cfg === undefined || Number.isFinite(message.cfg)) &&
     (message.cfgx === undefined || decodeWholeNumber(message.cfgx) !== undefined) &&
     HOST_STATES.includes(message.state ?? '') &&
--- a/packages/gateway/src/peers/runPeerStoreFollower.ts
+++ b/packages/gateway/src/peers/runPeerStoreFollower.ts
@@ -3,6 +3,7 @@
 import { compareStorePositions } from '../fleet/compareStorePositions.js';
 import type { FleetView } from '../fleet/createFleetView.js';
 import type { Endpoint } from '../model/Endpoint.js';
+import { printPosition } from '../model/printPosition.js';
 import { printVersion } from '../model/printVersion.js';
 import type { HostRegistration } from '../model/HostRegistration.js';
 import type { StoreUpdate } from '../model/StoreUpdate.js';
@@ -81,7 +82,7 @@
         view.applyPeerUpdate(await options.fetchStoreUpdate(host.peers));
         log.info('store-update-from-peer', {
           hostId: host.id,
-          ...view.position(),
+          ...printPosition(view.position()),
           version: printVersion(view.table()?.version),
         });
       } catch (error) {
