Unpack a kept configuration only where it is needed

Change: the entry says its era and revision and unpacks on demand; one that is damaged or can't be read is dropped until it is written again.

--- a/packages/gateway/src/fleet/createFleetState.ts
+++ b/packages/gateway/src/fleet/createFleetState.ts
@@ -10,7 +10,7 @@
 } from '@camphorbarrow/core';
 import type { FleetChange } from '../model/FleetChange.js';
 import type { HostRegistration } from '../model/HostRegistration.js';
-import type { KeptConfiguration } from '../model/KeptConfiguration.js';
+import type { ConfigurationToKeep, KeptConfiguration } from '../model/KeptConfiguration.js';
 import type { KeptVersion } from '../model/KeptVersion.js';
 import { printVersion } from '../model/printVersion.js';
 import type { RoutingTable } from '../model/RoutingTable.js';
@@ -49,7 +49,7 @@
   /** Versions that the hosts keep in the store. */
   keptVersions(): readonly KeptVersion[];
   /** Configuration in force if the store held it in this era and the hosts do not keep it yet. */
-  configurationToKeep(): KeptConfiguration | undefined;
+  configurationToKeep(): ConfigurationToKeep | undefined;
   /** Applies one change. Returns whether more than a heartbeat changed. */
   apply(event: WatchEvent): boolean;
   /** Applies the item of another host if its configuration has a higher version than the one in force. */
@@ -183,22 +183,41 @@
     return true;
   }
 
+  /** Returns the kept configuration; undefined if it is damaged or cannot be read either. */
+  function readKeptConfiguration({
+    unpack,
+  }: KeptConfiguration): { readonly next: RoutingTable; readonly item: KeyValue } | undefined {
+    let item: KeyValue;
+    try {
+      item = unpack();
+    } catch (error) {
+      log.warn('kept-configuration-damaged', { reason: (error as Error).message });
+      return undefined;
+    }
+    const change = options.decode({ kind: 'put', ...item });
+    return change.kind === 'configuration' && change.table !== undefined
+      ? { next: change.table, item }
+      : undefined;
+  }
+
   function applyKeptConfiguration(): void {
     if (table !== undefined || keptConfiguration === undefined) {
       return;
     }
-    const { item, era } = keptConfiguration;
-    const change = options.decode({ kind: 'put', ...item });
-    if (change.kind === 'configuration' && change.table !== undefined) {
-      log.warn('kept-configuration-used', {
-        version: printVersion(change.table.version),
-        problem: configurationProblem ?? 'the store holds no configuration',
-      });
-      applyTable(change.table, item, era);
+    const read = readKeptConfiguration(keptConfiguration);
+    if (read === undefined) {
+      // Not tried again until it is written again.
+      keptConfiguration = undefined;
+      return;
     }
+    log.warn('kept-configuration-used', {
+      version: printVersion(read.next.version),
+      problem: configurationProblem ?? 'the store holds no configuration',
+    });
+    applyTable(read.next, read.item, keptConfiguration.era);
   }
 
-  function configurationToKeep(): KeptConfiguration | undefined {
+  function configurationToKeep(): ConfigurationToKeep | undefined {
     const era = options.storeEra();
     if (tableItem === undefined || tableEra !== era) {
       return undefined;
@@ -206,8 +225,7 @@
     const isKept =
       keptConfiguration !== undefined &&
       (keptConfiguration.era > era ||
-        (keptConfiguration.era === era &&
-          keptConfiguration.item.modRevision >= tableItem.modRevision));
+        (keptConfiguration.era === era && keptConfiguration.revision >= tableItem.modRevision));
     return isKept ? undefined : { item: tableItem, era };
   }
 
--- a/packages/gateway/src/fleet/createFleetView.ts
+++ b/packages/gateway/src/fleet/createFleetView.ts
@@ -1,7 +1,7 @@
 import { encodeWholeNumber } from '@camphorbarrow/core';
 import type { AvailabilityZoneId, WatchEvent } from '@camphorbarrow/core';
 import type { HostRegistration } from '../model/HostRegistration.js';
-import type { KeptConfiguration } from '../model/KeptConfiguration.js';
+import type { ConfigurationToKeep } from '../model/KeptConfiguration.js';
 import type { KeptVersion } from '../model/KeptVersion.js';
 import type { RoutingTable } from '../model/RoutingTable.js';
 import type { StoreChanges, StoreListing } from '../ports/MetadataStore.js';
@@ -40,7 +40,7 @@
   /** Versions of the servers of services, which the hosts keep in the store. */
   keptVersions(): readonly KeptVersion[];
   /** Configuration in force if the store held it in this era and the hosts do not keep it yet. */
-  configurationToKeep(): KeptConfiguration | undefined;
+  configurationToKeep(): ConfigurationToKeep | undefined;
   position(): StorePosition;
   /** Monotonic time at which the store last responded to this host or to a peer that updated it. */
   confirmedAtMs(): number;
--- a/packages/gateway/src/fleet/runConfigurationKeeper.ts
+++ b/packages/gateway/src/fleet/runConfigurationKeeper.ts
@@ -1,6 +1,6 @@
 import { encodeWholeNumber } from '@camphorbarrow/core';
 import type { Clock, HostId, LogSink, MetricsSink } from '@camphorbarrow/core';
-import type { KeptConfiguration } from '../model/KeptConfiguration.js';
+import type { ConfigurationToKeep } from '../model/KeptConfiguration.js';
 import type { PeerRegistry } from '../peers/createPeerRegistry.js';
 import type { MetadataStore } from '../ports/MetadataStore.js';
 import { rankByRendezvous } from '../routing/rankByRendezvous.js';
@@ -26,7 +26,7 @@
   readonly view: Pick<FleetView, 'configurationToKeep' | 'confirmedAtMs'>;
   readonly peers: Pick<PeerRegistry, 'alive'>;
   /** Encodes the entry for the store. */
-  readonly encode: (entry: KeptConfiguration) => { readonly key: string; readonly value: string };
+  readonly encode: (entry: ConfigurationToKeep) => { readonly key: string; readonly value: string };
   readonly signal: AbortSignal;
 }
 
@@ -40,7 +40,7 @@
   let pendingSinceMs = 0;
 
   /** Whether the entry has not been kept for so long that it is this host's turn. */
-  function isDue({ item, era }: KeptConfiguration): boolean {
+  function isDue({ item, era }: ConfigurationToKeep): boolean {
     const nowMs = clock.monotonicMs();
     const id = `${era}@${item.modRevision}`;
     if (id !== pending) {
--- a/packages/gateway/src/lifecycle/EntryHostOptions.ts
+++ b/packages/gateway/src/lifecycle/EntryHostOptions.ts
@@ -14,7 +14,7 @@
 import type { Endpoint } from '../model/Endpoint.js';
 import type { FleetChange } from '../model/FleetChange.js';
 import type { HostRegistration } from '../model/HostRegistration.js';
-import type { KeptConfiguration } from '../model/KeptConfiguration.js';
+import type { ConfigurationToKeep } from '../model/KeptConfiguration.js';
 import type { KeptVersion } from '../model/KeptVersion.js';
 import type { MetadataStore } from '../ports/MetadataStore.js';
 import type { CacheFeed } from '../ports/CacheFeed.js';
@@ -82,7 +82,7 @@
   /** Key and encoded value under which this host registers in the store. */
   readonly registration: { readonly key: string; readonly value: string };
   /** Encodes the entry in the store of the last configuration that could be read. */
-  readonly encodeKeptConfiguration: (entry: KeptConfiguration) => {
+  readonly encodeKeptConfiguration: (entry: ConfigurationToKeep) => {
     readonly key: string;
     readonly value: string;
   };
