Let a slow soak link deliver what its sender sent before it closed the connection

Trace: all hosts log 'the response was not read completely (broken)' 5 s after the write. The fake store closes idle connections after 5 s, and the link passed the close on before the rest of the response, which TCP never does. The fault is the link's, not the hosts'. Change: the link ends a connection once all bytes before the end have passed.

--- a/packages/soak/src/configurations/createSlowLink.ts
+++ b/packages/soak/src/configurations/createSlowLink.ts
@@ -52,7 +52,6 @@
       socket.on('close', () => sockets.delete(socket));
     });
     client.on('close', () => upstream.destroy());
-    upstream.on('close', () => client.end());
     client.pipe(upstream);
     forwardResponses(upstream, client).catch(() => client.destroy());
   });
