Tell other hosts in which era the store held the configuration in force

Cause: orders two configurations by revision only if the era of both is known, and what another host told had none; a higher version also replaced a later write of the same era. Trace: front-1 logs configuration-applied from front-3 beside store-item-unreadable, then configuration-ignored 34; front-4 applies 34, then from front-1. Change: store updates carry the era with the configuration; within an era the revision alone decides. An update of an earlier build has none, and is ordered by version as before.

--- a/packages/gateway/src/fleet/createFleetState.ts
+++ b/packages/gateway/src/fleet/createFleetState.ts
@@ -42,6 +42,8 @@
   configurationProblem(): string | undefined;
   /** Item that `table` was decoded from. */
   tableItem(): KeyValue | undefined;
+  /** Era in which the store held that item, if it is known. */
+  tableEra(): StoreEra | undefined;
   isEvacuated(zone: AvailabilityZoneId): boolean;
   readonly servers: ServerDirectory;
   /** Entry hosts registered in the store. */
@@ -52,8 +54,12 @@
   configurationToKeep(): ConfigurationToKeep | undefined;
   /** Applies one change. Returns whether more than a heartbeat changed. */
   apply(event: WatchEvent): boolean;
-  /** Applies the item of another host if its configuration has a higher version than the one in force. */
-  applyConfiguration(item: KeyValue): void;
+  /**
+   * Applies the item of another host if its configuration is newer than the one in force.
+   *
+   * @param era in which the store held it; undefined if the host does not tell it
+   */
+  applyConfiguration(item: KeyValue, era: StoreEra | undefined): void;
   /** Puts the kept configuration in force if there is no other. */
   applyKeptConfiguration(): void;
   /** Whether the item of a restored copy contradicts what this host learned after the copy. */
@@ -72,7 +78,7 @@
   const knownEvacuations = new Set<string>();
   let table: RoutingTable | undefined;
   let tableItem: KeyValue | undefined;
-  /** Era in which the store holds `tableItem`; undefined if only another host told it. */
+  /** Era in which the store holds `tableItem`; undefined if a host of an earlier build told it. */
   let tableEra: StoreEra | undefined;
   let configurationProblem: string | undefined;
   let keptConfiguration: KeptConfiguration | undefined;
@@ -83,21 +89,31 @@
    * mistake must not hold against all later ones. Otherwise, only the version tells it.
    */
   function replacesTable(next: RoutingTable, item: KeyValue, era: StoreEra | undefined): boolean {
-    return (
-      table === undefined ||
-      next.version > table.version ||
-      (next.version !== table.version &&
-        era !== undefined &&
-        era === tableEra &&
-        item.modRevision > (tableItem?.modRevision ?? Infinity))
-    );
+    if (table === undefined || tableItem === undefined) {
+      return true;
+    }
+    return era !== undefined && era === tableEra
+      ? next.version !== table.version && item.modRevision > tableItem.modRevision
+      : next.version > table.version;
+  }
+
+  /** Records that the store holds the configuration in force again, after a restore or a new write. */
+  function recordTableItem(item: KeyValue, era: StoreEra | undefined): void {
+    const isLater =
+      era !== undefined &&
+      (tableEra === undefined ||
+        era > tableEra ||
+        (era === tableEra && item.modRevision > (tableItem?.modRevision ?? 0)));
+    if (isLater) {
+      tableItem = item;
+      tableEra = era;
+    }
   }
 
   function applyTable(next: RoutingTable, item: KeyValue, era: StoreEra | undefined): void {
     if (table !== undefined && !replacesTable(next, item, era)) {
       if (next.version === table.version) {
-        tableItem = item;
-        tableEra = era;
+        recordTableItem(item, era);
       } else {
         log.info('configuration-ignored', {
           version: printVersion(next.version),
@@ -250,6 +266,7 @@
     table: () => table,
     configurationProblem: () => configurationProblem,
     tableItem: () => tableItem,
+    tableEra: () => tableEra,
     isEvacuated: (zone) => evacuated.has(zone),
     servers,
     hosts: hosts.all,
@@ -257,10 +274,10 @@
     configurationToKeep,
     apply,
     applyKeptConfiguration,
-    applyConfiguration(item) {
+    applyConfiguration(item, era) {
       const change = options.decode({ kind: 'put', ...item });
       if (change.kind === 'configuration' && change.table !== undefined) {
-        applyTable(change.table, item, undefined);
+        applyTable(change.table, item, era);
       }
     },
     isOutdated,
--- a/packages/gateway/src/fleet/createFleetView.ts
+++ b/packages/gateway/src/fleet/createFleetView.ts
@@ -196,7 +196,7 @@
       const nowMs = clock.monotonicMs();
       // A peer keeps a configuration in force although a restored store lost it.
       if (update.configuration !== null) {
-        state.applyConfiguration(update.configuration);
+        state.applyConfiguration(update.configuration, update.configuration.era);
       }
       if (update.storeAwayMs !== null) {
         storeLastUnavailableAtMs = Math.max(storeLastUnavailableAtMs, nowMs - update.storeAwayMs);
@@ -227,7 +227,12 @@
         configuration:
           tableItem === undefined || replica.get(tableItem.key)?.value === tableItem.value
             ? null
-            : { key: tableItem.key, value: tableItem.value, modRevision: tableItem.modRevision },
+            : {
+                key: tableItem.key,
+                value: tableItem.value,
+                modRevision: tableItem.modRevision,
+                era: state.tableEra(),
+              },
         ageMs: ageMs(confirmedAtMs),
         storeAwayMs: ageMs(storeLastUnavailableAtMs),
       };
--- a/packages/gateway/src/model/StoreUpdate.ts
+++ b/packages/gateway/src/model/StoreUpdate.ts
@@ -1,5 +1,5 @@
 import type { KeyValue, ServerId, StoreRevision } from '@camphorbarrow/core';
-import type { StorePosition } from './StorePosition.js';
+import type { StoreEra, StorePosition } from './StorePosition.js';
 
 /**
  * Snapshot of the metadata store, or the changes to it, that one entry host sends to another. It
@@ -16,9 +16,10 @@
   readonly heard: readonly (readonly [server: ServerId, ageMs: number])[];
   /**
    * Item of the configuration in force, if the store holds another one because it was restored from
-   * an older copy; otherwise null.
+   * an older copy, or one that cannot be read; otherwise null. Hosts of earlier builds do not tell the
+   * era in which the store held it.
    */
-  readonly configuration: KeyValue | null;
+  readonly configuration: (KeyValue & { readonly era?: StoreEra | undefined }) | null;
   /** Time since the store last confirmed this state; null if it never did. */
   readonly ageMs: number | null;
   /** Time since the store was last seen unavailable; null if it never was. */
--- a/packages/gateway/src/peers/isStoreUpdate.ts
+++ b/packages/gateway/src/peers/isStoreUpdate.ts
@@ -35,7 +35,8 @@
     (update.era === undefined || isStoreRevision(update.era)) &&
     (update.configuration === undefined ||
       update.configuration === null ||
-      isItem(update.configuration)) &&
+      (isItem(update.configuration) &&
+        (update.configuration.era === undefined || isStoreRevision(update.configuration.era)))) &&
     Array.isArray(update.heard) &&
     update.heard.every(isHeard) &&
     Array.isArray(update.items) &&
--- a/packages/gateway/tests/fleet/createFleetView.test.ts
+++ b/packages/gateway/tests/fleet/createFleetView.test.ts
@@ -61,6 +61,34 @@
   t.is(started.table()?.version, 6);
 });
 
+// Seed 1044 of the configurations soak: hosts that got the configuration from another one ignored the next.
+test('a configuration that another host told is ordered by the era and revision that it tells', (t) => {
+  const known = setUp();
+  const started = setUp();
+  known.applyListing({ items: [put('config', '9e15', 3)], era: 1, revision: 3 });
+  const unreadable = put('other', '', 4);
+  started.applyPeerUpdate({
+    ...emptyUpdate,
+    ...known.updateSince({ era: 0, revision: 0 }),
+    items: [unreadable],
+    revision: 4,
+    configuration: { ...put('config', '9e15', 3), era: 1 },
+  });
+  started.applyChanges({
+    events: [{ kind: 'put', ...put('config', '6', 5) }],
+    era: 1,
+    revision: 5,
+  });
+  t.is(started.table()?.version, 6);
+  started.applyPeerUpdate({
+    ...emptyUpdate,
+    complete: false,
+    revision: 5,
+    configuration: { ...put('config', '9e15', 3), era: 1 },
+  });
+  t.is(started.table()?.version, 6);
+});
+
 test('an older configuration of another era or host does not replace a newer one, regardless of its revision', (t) => {
   const view = setUp();
   view.applyListing({ items: [put('config', '7', 3)], era: 1, revision: 3 });
